--- /dev/null
+++ b/internal/domain/backend/backend.go
@@ -0,0 +1,153 @@
+// Package backend has what the system knows of backend servers: the platform's
+// list of them, the reports that model engines give of themselves, the orders
+// that engines take, and the events of their prefix caches.
+//
+// # Usage
+//
+//	free := report.Memory - report.Taken()
+//	order := backend.Order{
+//		ID:      "ord-17",
+//		Fencing: 4,
+//		Kind:    backend.LoadModel,
+//		Model:   "briefing",
+//		Version: "3",
+//		Memory:  20 * unit.Gibibyte,
+//	}
+//
+// All of it is hearsay: the list lags, reports lag, orders get lost or come
+// late, and cache events have gaps. Each type says how old it is or what orders it.
+package backend
+
+import (
+	"time"
+
+	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/domain/unit"
+)
+
+// Kind tells model engines from plain services and entry hosts in the list.
+type Kind string
+
+// The kinds of host in the platform's list.
+const (
+	KindEngine  Kind = "Engine"
+	KindService Kind = "Service"
+	KindEntry   Kind = "Entry"
+)
+
+// State is what the list says of a host.
+type State string
+
+// The states of a host in the platform's list.
+const (
+	StateLive    State = "Live"
+	StateLeaving State = "Leaving"
+)
+
+// Server is one host in the platform's list.
+type Server struct {
+	Name       ident.ServerName
+	Kind       Kind
+	State      State
+	Address    string
+	DataCentre ident.DataCentre
+	Region     ident.Region
+	// Service is the plain service that runs there, for KindService.
+	Service ident.ServiceName
+}
+
+// Report is a model engine's word on itself.
+type Report struct {
+	Server      ident.ServerName
+	Incarnation ident.Incarnation
+	// At is when the engine took the report, by its own clock.
+	At time.Time
+	// Memory is all accelerator memory of the server.
+	Memory unit.Bytes
+	// Residents are the weights in memory, those still loading among them.
+	Residents []Resident
+	// Running and Waiting count requests; Slots is how many can run at once.
+	Running int
+	Waiting int
+	Slots   int
+	// TokensPerSecond is what the engine generated lately, over all requests.
+	TokensPerSecond float64
+	// Leaving tells that the engine takes no new work.
+	Leaving bool
+	// ChecksFencing tells that the engine refuses orders with a smaller fencing
+	// number than Fencing, the greatest it has seen.
+	ChecksFencing bool
+	Fencing       ident.FencingNumber
+	// Settled has the orders that can no longer take effect later than now:
+	// carried out, failed or refused, the newest last. It is bounded.
+	Settled []SettledOrder
+}
+
+// Resident is a set of weights in a server's memory.
+type Resident struct {
+	Model   ident.ModelName
+	Adapter ident.AdapterName // empty for the model itself
+	Version ident.Version
+	Memory  unit.Bytes
+	Ready   bool
+}
+
+// Taken adds up the memory of all residents.
+func (r *Report) Taken() unit.Bytes {
+	var taken unit.Bytes
+	for i := range r.Residents {
+		taken += r.Residents[i].Memory
+	}
+	return taken
+}
+
+// OrderKind says what an order asks for.
+type OrderKind string
+
+// The orders that a model engine takes.
+const (
+	LoadModel     OrderKind = "LoadModel"
+	UnloadModel   OrderKind = "UnloadModel"
+	LoadAdapter   OrderKind = "LoadAdapter"
+	UnloadAdapter OrderKind = "UnloadAdapter"
+)
+
+// Order asks a model engine to change what it holds. An engine carries out an
+// order id at most once in one incarnation.
+type Order struct {
+	ID      ident.OrderID
+	Fencing ident.FencingNumber
+	// Incarnation is the life of the server that the order is meant for; a
+	// server in another life refuses it where it checks fencing.
+	Incarnation ident.Incarnation
+	Kind        OrderKind
+	Model       ident.ModelName
+	Adapter     ident.AdapterName
+	Version     ident.Version
+	Memory      unit.Bytes
+}
+
+// SettledOrder is an order that has had its effect, or never will.
+type SettledOrder struct {
+	ID     ident.OrderID
+	Result OrderResult
+}
+
+// OrderResult is how an order ended at the engine.
+type OrderResult string
+
+// The ends of an order.
+const (
+	OrderDone    OrderResult = "Done"
+	OrderFailed  OrderResult = "Failed"
+	OrderRefused OrderResult = "Refused"
+)
+
+// CacheEvent tells that a prefix came into or left an engine's cache. Events
+// of one incarnation are numbered; a jump in Number is a gap.
+type CacheEvent struct {
+	Number int64
+	Model  ident.ModelName
+	Prefix uint64
+	Stored bool
+}
