--- /dev/null
+++ b/internal/control/routing/baseline.go
@@ -0,0 +1,60 @@
+package routing
+
+import "sync/atomic"
+
+// Random takes any replica that is not ejected.
+type Random struct{}
+
+// Choose implements Policy.
+func (Random) Choose(target *Target, request *Request) (Choice, error) {
+	return firstFrom(target, request, mix(request.Dice+uint64(request.NumTried)))
+}
+
+// RoundRobin takes the replicas in turn.
+type RoundRobin struct {
+	next atomic.Uint64
+}
+
+// Choose implements Policy.
+func (r *RoundRobin) Choose(target *Target, request *Request) (Choice, error) {
+	return firstFrom(target, request, r.next.Add(1))
+}
+
+// LeastReported takes the replica with the shortest queue in the last reports.
+type LeastReported struct{}
+
+// Choose implements Policy.
+func (LeastReported) Choose(target *Target, request *Request) (Choice, error) {
+	var best *Replica
+	for i := range target.Replicas {
+		replica := &target.Replicas[i]
+		if !replica.usable(request) {
+			continue
+		}
+		if best == nil || replica.load.others < best.load.others {
+			best = replica
+		}
+	}
+	return chosen(best, request)
+}
+
+func firstFrom(target *Target, request *Request, start uint64) (Choice, error) {
+	count := uint64(len(target.Replicas))
+	for i := range count {
+		replica := &target.Replicas[(start+i)%count]
+		if replica.usable(request) {
+			return chosen(replica, request)
+		}
+	}
+	return Choice{}, ErrNoReplica
+}
+
+func chosen(replica *Replica, request *Request) (Choice, error) {
+	if replica == nil {
+		return Choice{}, ErrNoReplica
+	}
+	return Choice{
+		Replica: replica,
+		Wait:    replica.Wait(request.Now, false),
+	}, nil
+}
--- /dev/null
+++ b/internal/control/routing/choose.go
@@ -0,0 +1,184 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"cicadaloom/internal/domain/ident"
+)
+
+// ErrNoReplica says that no backend server can take the request now.
+var ErrNoReplica = errors.New("no replica takes work")
+
+// MaxTried bounds the backend servers that one request may be sent to.
+const MaxTried = 4
+
+// Request is what a choice needs to know of a request.
+type Request struct {
+	Now time.Time
+	// Deadline is when the caller stops waiting.
+	Deadline time.Time
+	// Dice are random bits of this request, the same for each of its choices.
+	Dice uint64
+	// Prefix is a hash of the request's beginning; requests with the same one
+	// find their prompt in the same replica's cache.
+	Prefix uint64
+	// Tried are the servers that have had the request, in the first NumTried.
+	Tried    [MaxTried]ident.ServerName
+	NumTried int
+	// Alone asks for a replica with nothing else under way.
+	Alone bool
+}
+
+// Choice is where a request should go.
+type Choice struct {
+	Replica *Replica
+	// Wait is the expected time to the first token.
+	Wait time.Duration
+}
+
+// Policy picks a replica for a request. The policies other than LeastCost are
+// baselines that measurements compare it with.
+type Policy interface {
+	Choose(target *Target, request *Request) (Choice, error)
+}
+
+// NewPolicy gives the policy of a name that the settings allow.
+func NewPolicy(name string) (Policy, error) {
+	switch name {
+	case "", NameLeastCost:
+		return LeastCost{}, nil
+	case NameRandom:
+		return Random{}, nil
+	case NameRoundRobin:
+		return &RoundRobin{}, nil
+	case NameLeastReported:
+		return LeastReported{}, nil
+	}
+	return nil, errors.Errorf("routing policy %q: found %q, allowed LeastCost, Random, RoundRobin, LeastReported", name, name)
+}
+
+// Names of the policies in the settings.
+const (
+	NameLeastCost     = "LeastCost"
+	NameRandom        = "Random"
+	NameRoundRobin    = "RoundRobin"
+	NameLeastReported = "LeastReported"
+)
+
+// Costs that are not measured times.
+const (
+	// guessFirstToken and guessWhole stand in until a server has answered.
+	guessFirstToken = 50 * time.Millisecond
+	guessWhole      = 150 * time.Millisecond
+	// cacheSaves is the part of the first token's time that a cached prefix saves.
+	cacheSaves = 0.5
+	// coldSurcharge is added to the cost of a replica in its slow start.
+	coldSurcharge = 40 * time.Millisecond
+	// silentSurcharge is added where no trusted report stands behind the figures.
+	silentSurcharge = 20 * time.Millisecond
+)
+
+// sampled is how many random candidates LeastCost looks at beside the one whose
+// cache the request's prefix points to.
+const sampled = 2
+
+// LeastCost takes the cheapest of a few random candidates and the replica that
+// the request's prefix points to; replicas in this host's region first.
+type LeastCost struct{}
+
+// Choose implements Policy.
+func (LeastCost) Choose(target *Target, request *Request) (Choice, error) {
+	if choice, found := cheapest(target, request, 0, target.nearby); found {
+		return choice, nil
+	}
+	if choice, found := cheapest(target, request, target.nearby, len(target.Replicas)); found {
+		return choice, nil
+	}
+	return Choice{}, ErrNoReplica
+}
+
+func cheapest(target *Target, request *Request, from, to int) (Choice, bool) {
+	best := Choice{}
+	count := to - from
+	if count == 0 {
+		return best, false
+	}
+	home := from + int(request.Prefix%uint64(count))
+	consider(&best, target, request, home, home)
+	dice := mix(request.Dice + uint64(request.NumTried))
+	for range sampled {
+		consider(&best, target, request, from+int(dice%uint64(count)), home)
+		dice = mix(dice)
+	}
+	if best.Replica != nil {
+		return best, true
+	}
+	// Everything drawn was tried, ejected or busy: look at all of them.
+	for i := from; i < to; i++ {
+		consider(&best, target, request, i, home)
+	}
+	return best, best.Replica != nil
+}
+
+func consider(best *Choice, target *Target, request *Request, index, home int) {
+	replica := &target.Replicas[index]
+	if !replica.usable(request) {
+		return
+	}
+	wait := replica.Wait(request.Now, index == home)
+	if best.Replica == nil || wait < best.Wait {
+		best.Replica = replica
+		best.Wait = wait
+	}
+}
+
+func (r *Replica) usable(request *Request) bool {
+	for i := range request.NumTried {
+		if request.Tried[i] == r.Server {
+			return false
+		}
+	}
+	if request.Alone && (r.Gauge.UnderWay() > 0 || r.load.others > 0) {
+		return false
+	}
+	return !r.Gauge.Ejected(request.Now)
+}
+
+// Wait gives the expected time to the first token at a replica.
+func (r *Replica) Wait(now time.Time, cached bool) time.Duration {
+	firstToken := r.Gauge.FirstToken()
+	if firstToken == 0 {
+		firstToken = guessFirstToken
+	}
+	whole := r.Gauge.Whole()
+	if whole == 0 {
+		whole = guessWhole
+	}
+	queue := r.load.others + float64(r.Gauge.UnderWay())
+	wait := r.wayBack + time.Duration(queue/r.load.slots*float64(firstToken))
+	if queue >= r.load.slots {
+		wait += time.Duration((queue - r.load.slots + 1) / r.load.slots * float64(whole))
+	}
+	if cached {
+		firstToken = time.Duration(float64(firstToken) * (1 - cacheSaves))
+	}
+	wait += firstToken
+	if now.Before(r.load.warmFrom) {
+		wait += coldSurcharge
+	}
+	if !r.load.known {
+		wait += silentSurcharge
+	}
+	return wait
+}
+
+// mix is the finalizer of splitmix64: one multiplication chain turns a counter
+// into bits good enough to draw candidates with.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+	return x ^ (x >> 31)
+}
--- /dev/null
+++ b/internal/control/routing/table.go
@@ -0,0 +1,130 @@
+// Package routing decides which backend server a request goes to.
+//
+// A Machine, owned by the control goroutine, turns what the host hears
+// (accepted documents, the platform's list, load reports, peers' word) into
+// immutable Tables. Traffic goroutines read the newest Table and choose from it
+// on their own, with no lock and no allocation. What must stay fresh between
+// two tables, the requests that this very host has under way, is counted in a
+// Gauge per server that outlives the tables.
+//
+// # Usage
+//
+//	target, found := table.Target("briefing")
+//	choice, err := policy.Choose(target, routing.Request{
+//		Now:    now,
+//		Dice:   rand.Uint64(),
+//		Prefix: hash,
+//	})
+//	choice.Replica.Gauge.Begin(now)
+//	defer choice.Replica.Gauge.End(...)
+//
+// # What a choice weighs
+//
+// The cost of a replica is the expected time to the first token: the queue
+// before it, the work of the prompt less what its cache saves, the way there
+// and back, and a surcharge for replicas that have just come or just failed.
+// Load reports lag, so the queue is the last report's, corrected by what this
+// host has begun and ended since, and by what its peers say they have under way.
+// All hosts see the same lagging reports: were each to take the cheapest
+// replica, all would pick the same one. So a choice looks at a few candidates
+// only, drawn at random, and takes the cheapest of these.
+package routing
+
+import (
+	"time"
+
+	"cicadaloom/internal/domain/backend"
+	"cicadaloom/internal/domain/document"
+	"cicadaloom/internal/domain/ident"
+)
+
+// Table is what one host knows at one instant. It never changes after it has
+// been published, but for the Gauges it points to.
+type Table struct {
+	// Documents is the revision of the documents that the table was made from.
+	Documents ident.Revision
+	models    map[ident.ModelName]*Target
+	services  map[ident.ServiceName]*Target
+	names     []ident.ModelName
+}
+
+// Target is something that callers ask for by name: a model, an adapter or a
+// plain service.
+type Target struct {
+	Team    ident.TeamName
+	Model   ident.ModelName
+	Adapter ident.AdapterName
+	Version ident.Version
+	Service *document.Service
+	// MayRepeat is the document's word on a model or adapter; for a service it
+	// depends on the method.
+	MayRepeat bool
+	Promise   document.Promise
+	Document  *document.Document
+	Replicas  []Replica
+	// nearby counts the replicas in this host's region: they come first.
+	nearby int
+}
+
+// Replica is one backend server that can answer for a target.
+type Replica struct {
+	Server      ident.ServerName
+	Address     string
+	Incarnation ident.Incarnation
+	Kind        backend.Kind
+	DataCentre  ident.DataCentre
+	Region      ident.Region
+	Gauge       *Gauge
+	load        load
+	// wayBack is the time there and back.
+	wayBack time.Duration
+}
+
+// load is the queue at a server as far as this host knew when the table was made.
+type load struct {
+	// others is the part of the queue that is not this host's own.
+	others float64
+	slots  float64
+	// known tells that a report stands behind the figures.
+	known bool
+	// warmFrom is when a new replica takes its full part of the load.
+	warmFrom time.Time
+}
+
+// Target finds a model or adapter by the name that callers use.
+func (t *Table) Target(name ident.ModelName) (*Target, bool) {
+	if t == nil {
+		return nil, false
+	}
+	target, found := t.models[name]
+	return target, found
+}
+
+// Service finds a plain service.
+func (t *Table) Service(name ident.ServiceName) (*Target, bool) {
+	if t == nil {
+		return nil, false
+	}
+	target, found := t.services[name]
+	return target, found
+}
+
+// Names gives all models and adapters, sorted.
+func (t *Table) Names() []ident.ModelName {
+	if t == nil {
+		return nil
+	}
+	return t.names
+}
+
+// Label gives the name under which a target is counted and logged.
+func (t *Target) Label() string {
+	switch {
+	case t.Service != nil:
+		return string(t.Service.Name)
+	case t.Adapter != "":
+		return string(t.Adapter)
+	default:
+		return string(t.Model)
+	}
+}
