--- /dev/null
+++ b/internal/control/burn/report.go
@@ -0,0 +1,119 @@
+package burn
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+// Window is a span of time before now that a report looks at.
+type Window struct {
+	Name string
+	Span time.Duration
+}
+
+// Windows are those of every report, the shortest first.
+var Windows = []Window{
+	{Name: "5m", Span: 5 * time.Minute},
+	{Name: "1h", Span: time.Hour},
+	{Name: "6h", Span: 6 * time.Hour},
+	{Name: "3d", Span: 72 * time.Hour},
+}
+
+// Line is one key in one window.
+type Line struct {
+	Key
+	Window string
+	Counts Counts
+}
+
+// Share is the part answered in the promised time, 1 where nothing was asked.
+func (l *Line) Share() float64 {
+	all := l.Counts.All()
+	if all == 0 {
+		return 1
+	}
+	return float64(l.Counts[InTime]) / float64(all)
+}
+
+// Rate is the burn rate: how many times faster than allowed the budget goes.
+func (l *Line) Rate() float64 {
+	return (1 - l.Share()) / (1 - Objective)
+}
+
+// BudgetLeft is the part of the window's error budget that is left; below zero
+// it is overdrawn.
+func (l *Line) BudgetLeft() float64 {
+	return 1 - l.Rate()
+}
+
+// Cause names the bad result that used up most of the budget.
+func (l *Line) Cause() string {
+	worst := Late
+	for result := Late; result < numResults; result++ {
+		if l.Counts[result] > l.Counts[worst] {
+			worst = result
+		}
+	}
+	if l.Counts[worst] == 0 {
+		return "-"
+	}
+	return worst.String()
+}
+
+// Report gives a line for each key in each window, from the rows of any number
+// of hosts.
+func Report(now time.Time, rows []Row) []Line {
+	var lines []Line
+	for _, window := range Windows {
+		lines = append(lines, window.lines(now, rows)...)
+	}
+	return lines
+}
+
+func (w Window) lines(now time.Time, rows []Row) []Line {
+	since := now.Add(-w.Span)
+	sums := make(map[Key]*Counts)
+	for i := range rows {
+		if rows[i].Start.Before(since.Truncate(fine)) {
+			continue
+		}
+		sum, known := sums[rows[i].Key]
+		if !known {
+			sum = &Counts{}
+			sums[rows[i].Key] = sum
+		}
+		sum.add(&rows[i].Counts)
+	}
+	lines := make([]Line, 0, len(sums))
+	for key, sum := range sums {
+		lines = append(lines, Line{
+			Key:    key,
+			Window: w.Name,
+			Counts: *sum,
+		})
+	}
+	sort.Slice(lines, func(i, j int) bool {
+		a := Row{Key: lines[i].Key}
+		b := Row{Key: lines[j].Key}
+		return a.before(&b)
+	})
+	return lines
+}
+
+// Text renders a report for a terminal.
+func Text(lines []Line) string {
+	var text strings.Builder
+	table := tabwriter.NewWriter(&text, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(table, "WINDOW\tTEAM\tCLASS\tMODEL\tREQUESTS\tIN TIME\tBURN RATE\tBUDGET LEFT\tUSED UP BY")
+	for i := range lines {
+		line := &lines[i]
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\t%.1f%%\t%.1f\t%.0f%%\t%s\n",
+			line.Window, line.Team, line.Class, line.Model, line.Counts.All(),
+			100*line.Share(), line.Rate(), 100*line.BudgetLeft(), line.Cause())
+	}
+	_ = table.Flush()
+	return text.String()
+}
--- /dev/null
+++ b/internal/peer/entryhost/client.go
@@ -0,0 +1,114 @@
+package entryhost
+
+import (
+	"context"
+	"sync"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"cicadaloom/internal/wire/entryhostpb"
+)
+
+// Pool keeps one connection to each peer. The zero value works; it is safe for
+// many goroutines.
+type Pool struct {
+	mu          sync.Mutex
+	connections map[string]*grpc.ClientConn
+	closed      bool
+}
+
+// Peer gives a client of the entry host at an address ("ip:port").
+func (p *Pool) Peer(address string) (entryhostpb.EntryHostClient, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, errors.New("the pool of peers is closed")
+	}
+	if connection, found := p.connections[address]; found {
+		return entryhostpb.NewEntryHostClient(connection), nil
+	}
+	connection, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		return nil, errors.Wrapf(err, "peer %s", address)
+	}
+	if p.connections == nil {
+		p.connections = make(map[string]*grpc.ClientConn)
+	}
+	p.connections[address] = connection
+	return entryhostpb.NewEntryHostClient(connection), nil
+}
+
+// Keep closes the connections to all peers but those at the addresses given, so
+// that replaced hosts leave nothing behind.
+func (p *Pool) Keep(addresses map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, connection := range p.connections {
+		if !addresses[address] {
+			_ = connection.Close()
+			delete(p.connections, address)
+		}
+	}
+}
+
+// Close closes all connections. Peer gives no more clients after it.
+func (p *Pool) Close() {
+	p.Keep(nil)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+}
+
+// Exchange tells a peer what this host knows and gives what the peer knows.
+func (p *Pool) Exchange(ctx context.Context, address string, knowledge Knowledge) (Knowledge, error) {
+	peer, err := p.Peer(address)
+	if err != nil {
+		return Knowledge{}, err
+	}
+	answer, err := peer.Exchange(ctx, encodeKnowledge(knowledge))
+	if err != nil {
+		return Knowledge{}, errors.Wrapf(err, "exchange with %s", address)
+	}
+	return decodeKnowledge(answer), nil
+}
+
+// Burn asks a peer for its own counts.
+func (p *Pool) Burn(ctx context.Context, address string) (Counts, error) {
+	peer, err := p.Peer(address)
+	if err != nil {
+		return Counts{}, err
+	}
+	answer, err := peer.Burn(ctx, &entryhostpb.BurnRequest{})
+	if err != nil {
+		return Counts{}, errors.Wrapf(err, "counts of %s", address)
+	}
+	return decodeCounts(answer), nil
+}
+
+// Claim asks the home of a key's partition to claim it.
+func (p *Pool) Claim(ctx context.Context, address string, request ClaimRequest) (ClaimAnswer, error) {
+	peer, err := p.Peer(address)
+	if err != nil {
+		return ClaimAnswer{}, err
+	}
+	answer, err := peer.Claim(ctx, encodeClaim(request))
+	if err != nil {
+		return ClaimAnswer{}, errors.Wrapf(err, "claim at %s", address)
+	}
+	return decodeClaimAnswer(answer), nil
+}
+
+// Finish tells the home of a key's partition how a claimed request ended.
+func (p *Pool) Finish(ctx context.Context, address string, end FinishRequest) (bool, error) {
+	peer, err := p.Peer(address)
+	if err != nil {
+		return false, err
+	}
+	answer, err := peer.Finish(ctx, encodeFinish(end))
+	if err != nil {
+		return false, errors.Wrapf(err, "finish at %s", address)
+	}
+	return answer.GetRecorded(), nil
+}
--- /dev/null
+++ b/internal/peer/entryhost/codec.go
@@ -0,0 +1,266 @@
+package entryhost
+
+import (
+	"time"
+
+	"cicadaloom/internal/control/burn"
+	"cicadaloom/internal/control/membership"
+	"cicadaloom/internal/control/routing"
+	"cicadaloom/internal/control/suspects"
+	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/wire/entryhostpb"
+)
+
+// nanos gives an instant's wire form; the zero instant is 0.
+func nanos(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixNano()
+}
+
+func instant(nanos int64) time.Time {
+	if nanos == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, nanos)
+}
+
+func encodeKnowledge(k Knowledge) *entryhostpb.Knowledge {
+	wire := &entryhostpb.Knowledge{}
+	for i := range k.Peers {
+		wire.Peers = append(wire.Peers, encodePeer(&k.Peers[i]))
+	}
+	for _, document := range k.Documents {
+		wire.Documents = append(wire.Documents, &entryhostpb.Document{
+			Team:     string(document.Team),
+			Revision: int64(document.Revision),
+			Text:     document.Stored,
+		})
+	}
+	for server, load := range k.Loads {
+		wire.Loads = append(wire.Loads, &entryhostpb.Load{
+			Server:  string(server),
+			Running: int32(load),
+		})
+	}
+	for i := range k.Suspects {
+		wire.Suspects = append(wire.Suspects, encodeSuspect(&k.Suspects[i]))
+	}
+	for _, leaving := range k.Leaving {
+		wire.Leaving = append(wire.Leaving, &entryhostpb.Leaving{
+			Server:      string(leaving.Server),
+			Incarnation: string(leaving.Incarnation),
+		})
+	}
+	return wire
+}
+
+func decodeKnowledge(wire *entryhostpb.Knowledge) Knowledge {
+	k := Knowledge{
+		Loads: make(map[ident.ServerName]int64, len(wire.GetLoads())),
+	}
+	for _, peer := range wire.GetPeers() {
+		k.Peers = append(k.Peers, decodePeer(peer))
+	}
+	for _, document := range wire.GetDocuments() {
+		k.Documents = append(k.Documents, Document{
+			Team:     ident.TeamName(document.GetTeam()),
+			Revision: ident.Revision(document.GetRevision()),
+			Stored:   document.GetText(),
+		})
+	}
+	for _, load := range wire.GetLoads() {
+		k.Loads[ident.ServerName(load.GetServer())] = int64(load.GetRunning())
+	}
+	for _, suspect := range wire.GetSuspects() {
+		k.Suspects = append(k.Suspects, decodeSuspect(suspect))
+	}
+	for _, leaving := range wire.GetLeaving() {
+		k.Leaving = append(k.Leaving, routing.ServerLeaving{
+			Server:      ident.ServerName(leaving.GetServer()),
+			Incarnation: ident.Incarnation(leaving.GetIncarnation()),
+		})
+	}
+	return k
+}
+
+func encodePeer(peer *membership.Peer) *entryhostpb.Peer {
+	return &entryhostpb.Peer{
+		Host:              string(peer.Host),
+		DataCentre:        string(peer.DataCentre),
+		Region:            string(peer.Region),
+		PeerAddress:       peer.Address,
+		Beat:              peer.Beat,
+		Stopping:          peer.Stopping,
+		DocumentsRevision: int64(peer.Documents),
+	}
+}
+
+func decodePeer(wire *entryhostpb.Peer) membership.Peer {
+	return membership.Peer{
+		Host:       ident.HostID(wire.GetHost()),
+		DataCentre: ident.DataCentre(wire.GetDataCentre()),
+		Region:     ident.Region(wire.GetRegion()),
+		Address:    wire.GetPeerAddress(),
+		Beat:       wire.GetBeat(),
+		Stopping:   wire.GetStopping(),
+		Documents:  ident.Revision(wire.GetDocumentsRevision()),
+	}
+}
+
+func encodeSuspect(suspect *suspects.Suspect) *entryhostpb.Suspect {
+	wire := &entryhostpb.Suspect{
+		Fingerprint:       uint64(suspect.Fingerprint),
+		KeepUntilUnixNano: nanos(suspect.KeepUntil),
+	}
+	for _, life := range suspect.Deaths {
+		wire.Deaths = append(wire.Deaths, &entryhostpb.Life{
+			Server:      string(life.Server),
+			Incarnation: string(life.Incarnation),
+		})
+	}
+	return wire
+}
+
+func decodeSuspect(wire *entryhostpb.Suspect) suspects.Suspect {
+	suspect := suspects.Suspect{
+		Fingerprint: ident.Fingerprint(wire.GetFingerprint()),
+		KeepUntil:   instant(wire.GetKeepUntilUnixNano()),
+	}
+	for _, life := range wire.GetDeaths() {
+		suspect.Deaths = append(suspect.Deaths, suspects.Life{
+			Server:      ident.ServerName(life.GetServer()),
+			Incarnation: ident.Incarnation(life.GetIncarnation()),
+		})
+	}
+	return suspect
+}
+
+func encodeCounts(counts Counts) *entryhostpb.BurnResponse {
+	wire := &entryhostpb.BurnResponse{
+		Host: string(counts.Host),
+	}
+	for i := range counts.Rows {
+		row := &counts.Rows[i]
+		wire.Rows = append(wire.Rows, &entryhostpb.BurnRow{
+			Team:           string(row.Team),
+			Class:          string(row.Class),
+			Model:          string(row.Model),
+			StartUnix:      row.Start.Unix(),
+			AnsweredInTime: row.Counts[burn.InTime],
+			AnsweredLate:   row.Counts[burn.Late],
+			Refused:        row.Counts[burn.Refused],
+			Failed:         row.Counts[burn.Failed],
+		})
+	}
+	return wire
+}
+
+func decodeCounts(wire *entryhostpb.BurnResponse) Counts {
+	counts := Counts{
+		Host: ident.HostID(wire.GetHost()),
+	}
+	for _, row := range wire.GetRows() {
+		counts.Rows = append(counts.Rows, burn.Row{
+			Key: burn.Key{
+				Team:  ident.TeamName(row.GetTeam()),
+				Class: ident.ClassName(row.GetClass()),
+				Model: ident.ModelName(row.GetModel()),
+			},
+			Start: time.Unix(row.GetStartUnix(), 0).UTC(),
+			Counts: burn.Counts{
+				burn.InTime:  row.GetAnsweredInTime(),
+				burn.Late:    row.GetAnsweredLate(),
+				burn.Refused: row.GetRefused(),
+				burn.Failed:  row.GetFailed(),
+			},
+		})
+	}
+	return counts
+}
+
+// verdicts maps the wire's verdicts to ours and back.
+var verdicts = map[entryhostpb.ClaimResponse_Verdict]ClaimVerdict{
+	entryhostpb.ClaimResponse_UNKNOWN:          ClaimUnknown,
+	entryhostpb.ClaimResponse_GRANTED:          ClaimGranted,
+	entryhostpb.ClaimResponse_CLAIMED_BY_OTHER: ClaimHeld,
+	entryhostpb.ClaimResponse_FINISHED:         ClaimFinished,
+	entryhostpb.ClaimResponse_REFUSED:          ClaimRefused,
+	entryhostpb.ClaimResponse_KEY_REUSED:       ClaimReused,
+}
+
+func encodeClaim(request ClaimRequest) *entryhostpb.ClaimRequest {
+	return &entryhostpb.ClaimRequest{
+		Team:              string(request.Team),
+		Key:               string(request.Key),
+		Attempt:           string(request.Attempt),
+		Fingerprint:       uint64(request.Fingerprint),
+		DeadlineUnixNano:  nanos(request.Deadline),
+		KeepUntilUnixNano: nanos(request.KeepUntil),
+	}
+}
+
+func decodeClaim(wire *entryhostpb.ClaimRequest) ClaimRequest {
+	return ClaimRequest{
+		Team:        ident.TeamName(wire.GetTeam()),
+		Key:         ident.IdempotencyKey(wire.GetKey()),
+		Attempt:     ident.AttemptID(wire.GetAttempt()),
+		Fingerprint: ident.Fingerprint(wire.GetFingerprint()),
+		Deadline:    instant(wire.GetDeadlineUnixNano()),
+		KeepUntil:   instant(wire.GetKeepUntilUnixNano()),
+	}
+}
+
+func encodeClaimAnswer(answer ClaimAnswer) *entryhostpb.ClaimResponse {
+	wire := &entryhostpb.ClaimResponse{
+		Status:          int32(answer.Status),
+		Answer:          answer.Answer,
+		ContentType:     answer.ContentType,
+		Reason:          answer.Reason,
+		RetryAtUnixNano: nanos(answer.RetryAt),
+	}
+	for theirs, ours := range verdicts {
+		if ours == answer.Verdict {
+			wire.Verdict = theirs
+		}
+	}
+	return wire
+}
+
+func decodeClaimAnswer(wire *entryhostpb.ClaimResponse) ClaimAnswer {
+	return ClaimAnswer{
+		// A verdict of a later version is not in the map: it reads as unknown,
+		// which forbids sending.
+		Verdict:     verdicts[wire.GetVerdict()],
+		Status:      int(wire.GetStatus()),
+		Answer:      wire.GetAnswer(),
+		ContentType: wire.GetContentType(),
+		Reason:      wire.GetReason(),
+		RetryAt:     instant(wire.GetRetryAtUnixNano()),
+	}
+}
+
+func encodeFinish(end FinishRequest) *entryhostpb.FinishRequest {
+	return &entryhostpb.FinishRequest{
+		Team:        string(end.Team),
+		Key:         string(end.Key),
+		Attempt:     string(end.Attempt),
+		Status:      int32(end.Status),
+		Answer:      end.Answer,
+		ContentType: end.ContentType,
+		NotRun:      end.NotRun,
+	}
+}
+
+func decodeFinish(wire *entryhostpb.FinishRequest) FinishRequest {
+	return FinishRequest{
+		Team:        ident.TeamName(wire.GetTeam()),
+		Key:         ident.IdempotencyKey(wire.GetKey()),
+		Attempt:     ident.AttemptID(wire.GetAttempt()),
+		Status:      int(wire.GetStatus()),
+		Answer:      wire.GetAnswer(),
+		ContentType: wire.GetContentType(),
+		NotRun:      wire.GetNotRun(),
+	}
+}
--- /dev/null
+++ b/internal/peer/entryhost/entryhost.go
@@ -0,0 +1,196 @@
+// Package entryhost is what entry hosts say to one another, over gRPC.
+//
+// There are four calls. Exchange is the heartbeat: each side tells the beats,
+// documents, loads, suspects and leaving backend servers that it knows, and
+// each part carries what orders it, so that telling it twice or late does no
+// harm. Claim and Finish go to the home of a key's partition. Burn collects the
+// counts for the report on service-level burn.
+//
+// # Usage
+//
+//	server := entryhost.Server{
+//		Handler: loop,
+//	}
+//	address, err := server.Start("127.0.0.1:7300")
+//	...
+//	var pool entryhost.Pool
+//	theirs, err := pool.Exchange(ctx, peer.Address, ours)
+//
+// The wire form is proto/entryhost/entryhost.proto. All times on it are
+// instants in Unix nanoseconds.
+package entryhost
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/keepalive"
+	tomb "gopkg.in/tomb.v2"
+
+	"cicadaloom/internal/control/burn"
+	"cicadaloom/internal/control/membership"
+	"cicadaloom/internal/control/routing"
+	"cicadaloom/internal/control/suspects"
+	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/wire/entryhostpb"
+)
+
+// Knowledge is what one host tells another.
+type Knowledge struct {
+	// Peers has the sender first.
+	Peers     []membership.Peer
+	Documents []Document
+	Loads     map[ident.ServerName]int64
+	Suspects  []suspects.Suspect
+	Leaving   []routing.ServerLeaving
+}
+
+// Document is an accepted document as it is stored.
+type Document struct {
+	Team     ident.TeamName
+	Revision ident.Revision
+	Stored   []byte
+}
+
+// Counts are one host's rows for the report on service-level burn.
+type Counts struct {
+	Host ident.HostID
+	Rows []burn.Row
+}
+
+// ClaimRequest asks for a claim on behalf of another host's attempt.
+type ClaimRequest struct {
+	Team        ident.TeamName
+	Key         ident.IdempotencyKey
+	Attempt     ident.AttemptID
+	Fingerprint ident.Fingerprint
+	Deadline    time.Time
+	KeepUntil   time.Time
+}
+
+// ClaimAnswer is the home's verdict.
+type ClaimAnswer struct {
+	Verdict     ClaimVerdict
+	Status      int
+	Answer      []byte
+	ContentType string
+	Reason      string
+	RetryAt     time.Time
+}
+
+// ClaimVerdict is what became of a claim at its home.
+type ClaimVerdict uint8
+
+// The verdicts; the zero value forbids sending.
+const (
+	ClaimUnknown ClaimVerdict = iota
+	ClaimGranted
+	ClaimHeld
+	ClaimFinished
+	ClaimRefused
+	ClaimReused
+)
+
+// FinishRequest tells how an attempt ended.
+type FinishRequest struct {
+	Team        ident.TeamName
+	Key         ident.IdempotencyKey
+	Attempt     ident.AttemptID
+	Status      int
+	Answer      []byte
+	ContentType string
+	NotRun      bool
+}
+
+// Handler answers peers.
+type Handler interface {
+	Exchange(ctx context.Context, theirs Knowledge) (Knowledge, error)
+	Counts(ctx context.Context) (Counts, error)
+	ClaimFor(ctx context.Context, request ClaimRequest) (ClaimAnswer, error)
+	FinishFor(ctx context.Context, request FinishRequest) (bool, error)
+}
+
+// Bounds of a connection between peers. A peer that was cut off without a word
+// is noticed by the keepalive, not by the next claim.
+const (
+	maxMessage       = 16 << 20
+	keepaliveTime    = 10 * time.Second
+	keepaliveTimeout = 3 * time.Second
+)
+
+// Server listens for peers.
+type Server struct {
+	Handler Handler
+	tomb    tomb.Tomb
+	grpc    *grpc.Server
+}
+
+// Start listens at an address ("ip:port"; port 0 takes any) and gives the
+// address that it got.
+func (s *Server) Start(address string) (string, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return "", errors.Wrapf(err, "listen for peers at %s", address)
+	}
+	s.grpc = grpc.NewServer(grpc.MaxRecvMsgSize(maxMessage), grpc.KeepaliveParams(keepalive.ServerParameters{
+		Time:    keepaliveTime,
+		Timeout: keepaliveTimeout,
+	}))
+	entryhostpb.RegisterEntryHostServer(s.grpc, &service{
+		handler: s.Handler,
+	})
+	s.tomb.Go(func() error {
+		return s.grpc.Serve(listener)
+	})
+	return listener.Addr().String(), nil
+}
+
+// Stop ends the calls under way and gives the first error.
+func (s *Server) Stop() error {
+	s.tomb.Kill(nil)
+	s.grpc.Stop()
+	return s.tomb.Wait()
+}
+
+// service maps the wire form to the handler's.
+type service struct {
+	entryhostpb.UnimplementedEntryHostServer
+	handler Handler
+}
+
+func (s *service) Exchange(ctx context.Context, theirs *entryhostpb.Knowledge) (*entryhostpb.Knowledge, error) {
+	ours, err := s.handler.Exchange(ctx, decodeKnowledge(theirs))
+	if err != nil {
+		return nil, err
+	}
+	return encodeKnowledge(ours), nil
+}
+
+func (s *service) Burn(ctx context.Context, _ *entryhostpb.BurnRequest) (*entryhostpb.BurnResponse, error) {
+	counts, err := s.handler.Counts(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return encodeCounts(counts), nil
+}
+
+func (s *service) Claim(ctx context.Context, request *entryhostpb.ClaimRequest) (*entryhostpb.ClaimResponse, error) {
+	answer, err := s.handler.ClaimFor(ctx, decodeClaim(request))
+	if err != nil {
+		return nil, err
+	}
+	return encodeClaimAnswer(answer), nil
+}
+
+func (s *service) Finish(ctx context.Context, request *entryhostpb.FinishRequest) (*entryhostpb.FinishResponse, error) {
+	recorded, err := s.handler.FinishFor(ctx, decodeFinish(request))
+	if err != nil {
+		return nil, err
+	}
+	return &entryhostpb.FinishResponse{
+		Recorded: recorded,
+	}, nil
+}
--- /dev/null
+++ b/internal/traffic/dispatch/route.go
@@ -0,0 +1,93 @@
+package dispatch
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"cicadaloom/internal/control/routing"
+	"cicadaloom/internal/control/suspects"
+	"cicadaloom/internal/domain/ident"
+)
+
+// Times to come back after, where nothing better is known.
+const (
+	retryAfterNoReplica = 2 * time.Second
+	retryAfterFailure   = time.Second
+	retryAfterSuspect   = time.Second
+)
+
+// choose finds the next backend server for the request, or the failure that
+// ends it. It refuses at once what can't be answered in time any more: held
+// back, the request would only take the place of one that still can.
+func (j *journey) choose() (routing.Choice, *Failure) {
+	now := j.Now()
+	j.routing.Now = now
+	if !now.Before(j.request.Deadline) {
+		return routing.Choice{}, j.fail(CodeDeadlinePassed, "the deadline has passed", time.Time{})
+	}
+	choice, err := j.Policy.Choose(j.target, &j.routing)
+	if err != nil {
+		return routing.Choice{}, j.noReplica(now)
+	}
+	if j.routing.NumTried > 0 {
+		return choice, nil
+	}
+	// The promised time counts from the arrival; a caller that waits less long
+	// than that has its own.
+	limit := j.promised
+	if j.request.Deadline.Before(limit) {
+		limit = j.request.Deadline
+	}
+	expected := now.Add(choice.Wait)
+	if expected.After(limit) && choice.Replica.Gauge.UnderWay() > 0 {
+		late := expected.Sub(limit)
+		return routing.Choice{}, j.fail(CodeTooBusy, "the promised time can't be met now: "+late.Round(time.Millisecond).String()+" too late", now.Add(late))
+	}
+	return choice, nil
+}
+
+func (j *journey) noReplica(now time.Time) *Failure {
+	switch {
+	case j.routing.NumTried > 0:
+		return j.fail(CodeBackendFailed, "no backend server is left to try", now.Add(retryAfterFailure))
+	case j.verdict == suspects.Alone:
+		return j.fail(CodeTooBusy, "a backend server died while this request was under way there; it needs one to itself and none is free", now.Add(retryAfterSuspect))
+	default:
+		return j.fail(CodeNoReplica, "no replica is ready", now.Add(retryAfterNoReplica))
+	}
+}
+
+// set out records an attempt before its first byte leaves.
+func (j *journey) setOut(choice routing.Choice) {
+	j.attempt = ident.NewAttemptID()
+	if j.routing.NumTried < routing.MaxTried {
+		j.routing.Tried[j.routing.NumTried] = choice.Replica.Server
+		j.routing.NumTried++
+	}
+	choice.Replica.Gauge.Begin()
+	j.trail.Sending(j.attempt)
+}
+
+// mayTryAgain tells whether the request can be sent to another backend server.
+// safe tells that the last attempt provably did not run it.
+func (j *journey) mayTryAgain(safe bool) bool {
+	if j.routing.NumTried >= routing.MaxTried || !j.Now().Before(j.request.Deadline) {
+		return false
+	}
+	if !safe && (!j.mayRepeat || j.verdict == suspects.Alone) {
+		return false
+	}
+	return j.Budget.Retry()
+}
+
+// lost records that a backend server fell silent while the request was there.
+func (j *journey) lost(choice routing.Choice, cause error) {
+	choice.Replica.Gauge.Failed(j.Now())
+	j.log.Warn("attempt lost", zap.String("AttemptID", string(j.attempt)),
+		zap.String("Server", string(choice.Replica.Server)), zap.Error(cause))
+	j.Reporter.Died(j.fingerprint, suspects.Life{
+		Server:      choice.Replica.Server,
+		Incarnation: choice.Replica.Incarnation,
+	}, choice.Replica.Address)
+}
