--- /dev/null
+++ b/internal/wire/engineapi/answer.go
@@ -0,0 +1,203 @@
+package engineapi
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	objectChunk   = "chat.completion.chunk"
+	objectAnswer  = "chat.completion"
+	roleAssistant = "assistant"
+	finishStop    = "stop"
+)
+
+// Answer is what all chunks of one answer, or the whole answer, have in common.
+type Answer struct {
+	ID      string
+	Created time.Time
+	// Model echoes the name that the caller asked for.
+	Model string
+}
+
+// Usage counts the tokens of a request and its answer.
+type Usage struct {
+	Prompt     int
+	Completion int
+}
+
+// Chunk is what the system reads of one chunk of a stream.
+type Chunk struct {
+	Text string
+	// Finished tells that the chunk gives a reason why the answer ends.
+	Finished bool
+}
+
+type wireChunk struct {
+	ID      string            `json:"id"`
+	Object  string            `json:"object"`
+	Created int64             `json:"created"`
+	Model   string            `json:"model"`
+	Choices []wireChunkChoice `json:"choices"`
+	Usage   *wireUsage        `json:"usage,omitempty"`
+	Error   *wireError        `json:"error,omitempty"`
+}
+
+type wireChunkChoice struct {
+	Index        int       `json:"index"`
+	Delta        wireDelta `json:"delta"`
+	FinishReason *string   `json:"finish_reason"`
+}
+
+type wireDelta struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content,omitempty"`
+}
+
+type wireUsage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+type wireAnswer struct {
+	ID      string             `json:"id"`
+	Object  string             `json:"object"`
+	Created int64              `json:"created"`
+	Model   string             `json:"model"`
+	Choices []wireAnswerChoice `json:"choices"`
+	Usage   wireUsage          `json:"usage"`
+}
+
+type wireAnswerChoice struct {
+	Index        int               `json:"index"`
+	Message      wireAnswerMessage `json:"message"`
+	FinishReason string            `json:"finish_reason"`
+}
+
+type wireAnswerMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type wireError struct {
+	Message string `json:"message"`
+	Type    string `json:"type,omitempty"`
+}
+
+type wireErrorBody struct {
+	Error wireError `json:"error"`
+}
+
+// ParseChunk reads one chunk. A chunk that is not JSON of the chunk's form, or
+// that carries an error instead, fails.
+func ParseChunk(raw []byte) (Chunk, error) {
+	wire, err := decode[wireChunk](raw, "chunk")
+	if err != nil {
+		return Chunk{}, err
+	}
+	if wire.Error != nil {
+		return Chunk{}, errors.Errorf("chunk carries an error: %s", wire.Error.Message)
+	}
+	if wire.Object != objectChunk {
+		return Chunk{}, errors.Errorf("chunk: object: found %q, allowed %q", wire.Object, objectChunk)
+	}
+	var chunk Chunk
+	for i := range wire.Choices {
+		chunk.Text += wire.Choices[i].Delta.Content
+		chunk.Finished = chunk.Finished || wire.Choices[i].FinishReason != nil
+	}
+	return chunk, nil
+}
+
+// EncodeToken makes the chunk of one token.
+func (a *Answer) EncodeToken(text string, first bool) ([]byte, error) {
+	delta := wireDelta{
+		Content: text,
+	}
+	if first {
+		delta.Role = roleAssistant
+	}
+	return a.encodeChunk([]wireChunkChoice{{
+		Delta: delta,
+	}}, nil)
+}
+
+// EncodeFinish makes the chunk that says why the answer ends.
+func (a *Answer) EncodeFinish() ([]byte, error) {
+	reason := finishStop
+	return a.encodeChunk([]wireChunkChoice{{
+		FinishReason: &reason,
+	}}, nil)
+}
+
+// EncodeUsage makes the chunk of the counts, which follows the finish where the
+// request asked for it.
+func (a *Answer) EncodeUsage(usage Usage) ([]byte, error) {
+	counts := usage.wire()
+	return a.encodeChunk([]wireChunkChoice{}, &counts)
+}
+
+// EncodeWhole makes the answer of a request that asked for no stream.
+func (a *Answer) EncodeWhole(text string, usage Usage) ([]byte, error) {
+	return encode(wireAnswer{
+		ID:      a.ID,
+		Object:  objectAnswer,
+		Created: a.Created.Unix(),
+		Model:   a.Model,
+		Choices: []wireAnswerChoice{{
+			Message: wireAnswerMessage{
+				Role:    roleAssistant,
+				Content: text,
+			},
+			FinishReason: finishStop,
+		}},
+		Usage: usage.wire(),
+	}, "answer")
+}
+
+func (a *Answer) encodeChunk(choices []wireChunkChoice, usage *wireUsage) ([]byte, error) {
+	return encode(wireChunk{
+		ID:      a.ID,
+		Object:  objectChunk,
+		Created: a.Created.Unix(),
+		Model:   a.Model,
+		Choices: choices,
+		Usage:   usage,
+	}, "chunk")
+}
+
+func (u Usage) wire() wireUsage {
+	return wireUsage{
+		PromptTokens:     u.Prompt,
+		CompletionTokens: u.Completion,
+		TotalTokens:      u.Prompt + u.Completion,
+	}
+}
+
+// ParseWhole reads a whole answer: its text and its counts.
+func ParseWhole(body []byte) (string, Usage, error) {
+	wire, err := decode[wireAnswer](body, "answer")
+	if err != nil {
+		return "", Usage{}, err
+	}
+	if len(wire.Choices) == 0 {
+		return "", Usage{}, errors.New("answer: choices: found none")
+	}
+	usage := Usage{
+		Prompt:     wire.Usage.PromptTokens,
+		Completion: wire.Usage.CompletionTokens,
+	}
+	return wire.Choices[0].Message.Content, usage, nil
+}
+
+// EncodeError makes the body of a refusal in the OpenAI form.
+func EncodeError(kind, message string) ([]byte, error) {
+	return encode(wireErrorBody{
+		Error: wireError{
+			Message: message,
+			Type:    kind,
+		},
+	}, "error")
+}
--- /dev/null
+++ b/internal/wire/engineapi/chat.go
@@ -0,0 +1,145 @@
+package engineapi
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+)
+
+// roleUser is the role of messages that the caller's side wrote.
+const roleUser = "user"
+
+// Chat is what the system reads of a chat completion request. All other fields
+// stay in the body, which is forwarded byte for byte.
+type Chat struct {
+	Model        string
+	Messages     []Message
+	Stream       bool
+	IncludeUsage bool
+	// MaxTokens bounds the answer; 0 leaves it to the engine.
+	MaxTokens int
+}
+
+// Message is one message of a chat: its text parts joined.
+type Message struct {
+	Role string
+	Text string
+}
+
+// LastUserText returns the newest text of the caller's side.
+func (c *Chat) LastUserText() string {
+	for i := len(c.Messages) - 1; i >= 0; i-- {
+		if c.Messages[i].Role == roleUser {
+			return c.Messages[i].Text
+		}
+	}
+	return ""
+}
+
+// Prefixes hashes each prefix of the chat's messages, the shortest first. The
+// hash of a prefix is chained from the one before it and starts from the model,
+// so that equal hashes mean equal prefixes. Engines name prefixes so in their
+// cache events.
+func (c *Chat) Prefixes() []uint64 {
+	prefixes := make([]uint64, 0, len(c.Messages))
+	chain := xxhash.Sum64String(c.Model)
+	for i := range c.Messages {
+		digest := xxhash.New()
+		writeUint64(digest, chain)
+		writeField(digest, c.Messages[i].Role)
+		writeField(digest, c.Messages[i].Text)
+		chain = digest.Sum64()
+		prefixes = append(prefixes, chain)
+	}
+	return prefixes
+}
+
+// writeField writes the length before the text, so that two fields can't
+// be mistaken for other two with the same joined text.
+func writeField(digest *xxhash.Digest, text string) {
+	writeUint64(digest, uint64(len(text)))
+	_, _ = digest.WriteString(text) // never fails
+}
+
+func writeUint64(digest *xxhash.Digest, value uint64) {
+	var bytes [8]byte
+	binary.LittleEndian.PutUint64(bytes[:], value)
+	_, _ = digest.Write(bytes[:]) // never fails
+}
+
+type wireChat struct {
+	Model               string        `json:"model"`
+	Messages            []wireMessage `json:"messages"`
+	Stream              bool          `json:"stream"`
+	MaxTokens           int           `json:"max_tokens"`
+	MaxCompletionTokens int           `json:"max_completion_tokens"`
+	StreamOptions       struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+}
+
+type wireMessage struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+type wirePart struct {
+	Type string `json:"type"`
+	Text string `json:"text"`
+}
+
+// ParseChat reads a chat completion request. It fails where the body is not
+// one JSON object of that form, or names no model.
+func ParseChat(body []byte) (Chat, error) {
+	wire, err := decode[wireChat](body, "chat completion request")
+	if err != nil {
+		return Chat{}, err
+	}
+	if wire.Model == "" {
+		return Chat{}, errors.New("chat completion request: model: found none")
+	}
+	chat := Chat{
+		Model:        wire.Model,
+		Stream:       wire.Stream,
+		IncludeUsage: wire.StreamOptions.IncludeUsage,
+		MaxTokens:    max(wire.MaxTokens, wire.MaxCompletionTokens),
+	}
+	if chat.MaxTokens < 0 {
+		return Chat{}, errors.Errorf("chat completion request: max_tokens: found %d, allowed at least 0", chat.MaxTokens)
+	}
+	for i := range wire.Messages {
+		text, err := messageText(wire.Messages[i].Content)
+		if err != nil {
+			return Chat{}, errors.Wrapf(err, "chat completion request: messages[%d].content", i)
+		}
+		chat.Messages = append(chat.Messages, Message{
+			Role: wire.Messages[i].Role,
+			Text: text,
+		})
+	}
+	return chat, nil
+}
+
+// messageText reads the two forms of a content: a string or a list of parts.
+func messageText(content json.RawMessage) (string, error) {
+	if len(content) == 0 || string(content) == "null" {
+		return "", nil
+	}
+	if content[0] == '"' {
+		var text string
+		err := json.Unmarshal(content, &text)
+		return text, errors.Wrap(err, "text")
+	}
+	var parts []wirePart
+	if err := json.Unmarshal(content, &parts); err != nil {
+		return "", errors.Wrap(err, "parts")
+	}
+	var text strings.Builder
+	for i := range parts {
+		text.WriteString(parts[i].Text)
+	}
+	return text.String(), nil
+}
