config/settings: Add the settings of an entry host

Cause: a process learns its addresses, data centre and the platform's endpoints from one JSON file, which is to be refused as a whole.

--- /dev/null
+++ b/internal/config/settings/callers.go
@@ -0,0 +1,78 @@
+package settings
+
+import (
+	"time"
+
+	"cicadaloom/internal/config/jsonfile"
+	"cicadaloom/internal/domain/unit"
+)
+
+// Callers bounds what callers may ask of this host.
+type Callers struct {
+	// MaxBody is the greatest size of a request's body.
+	MaxBody unit.Bytes
+	// DefaultDeadline is for requests that carry none, MaxDeadline for all.
+	DefaultDeadline time.Duration
+	MaxDeadline     time.Duration
+	// DrainTimeout is how long a stopping host lets requests in flight finish.
+	DrainTimeout time.Duration
+	// MaxInFlight is how many requests the host holds at once.
+	MaxInFlight int
+}
+
+func defaultCallers() Callers {
+	return Callers{
+		MaxBody:         4 * unit.Mebibyte,
+		DefaultDeadline: 60 * time.Second,
+		MaxDeadline:     10 * time.Minute,
+		DrainTimeout:    10 * time.Minute,
+		MaxInFlight:     4096,
+	}
+}
+
+var callersTable = jsonfile.Object[Callers]{
+	Members: []jsonfile.Member[Callers]{
+		jsonfile.May("MaxBody", func(c *Callers) *unit.Bytes { return &c.MaxBody },
+			jsonfile.Bytes{
+				Min: unit.Kibibyte,
+				Max: 64 * unit.Mebibyte,
+			},
+			"The greatest size of a request's body."),
+		jsonfile.May("DefaultDeadline", func(c *Callers) *time.Duration { return &c.DefaultDeadline },
+			jsonfile.Duration{
+				Min: 100 * time.Millisecond,
+				Max: time.Hour,
+			},
+			"How long a request may take whose caller gives no deadline; at most MaxDeadline."),
+		jsonfile.May("MaxDeadline", func(c *Callers) *time.Duration { return &c.MaxDeadline },
+			jsonfile.Duration{
+				Min: time.Second,
+				Max: time.Hour,
+			},
+			"How long any request may take."),
+		jsonfile.May("DrainTimeout", func(c *Callers) *time.Duration { return &c.DrainTimeout },
+			jsonfile.Duration{
+				Min: time.Second,
+				Max: time.Hour,
+			},
+			"How long a stopping host lets requests in flight finish; at least MaxDeadline, so that a planned stop cuts none."),
+		jsonfile.May("MaxInFlight", func(c *Callers) *int { return &c.MaxInFlight },
+			jsonfile.Integer[int]{
+				Min: 1,
+				Max: 1_000_000,
+			},
+			"How many requests the host holds at once; it refuses the next as not run."),
+	},
+	Check: checkCallers,
+}
+
+func checkCallers(c *Callers, path string, faults *jsonfile.Faults) {
+	if c.DefaultDeadline > c.MaxDeadline {
+		faults.Add(jsonfile.Join(path, "DefaultDeadline"), c.DefaultDeadline.String(), "at most MaxDeadline, "+c.MaxDeadline.String())
+	}
+	// A host that gives up before its longest request ends cuts that request on
+	// a planned stop.
+	if c.DrainTimeout < c.MaxDeadline {
+		faults.Add(jsonfile.Join(path, "DrainTimeout"), c.DrainTimeout.String(), "at least MaxDeadline, "+c.MaxDeadline.String())
+	}
+}
--- /dev/null
+++ b/internal/config/settings/claims.go
@@ -0,0 +1,59 @@
+package settings
+
+import (
+	"time"
+
+	"cicadaloom/internal/config/jsonfile"
+	"cicadaloom/internal/domain/unit"
+)
+
+// Claims says how requests that may not be repeated are claimed. It has to be
+// the same on all hosts: two hosts with different partitions would look for the
+// claim of one request in two places.
+type Claims struct {
+	Partitions int
+	// Pace is the least time between two writes of one partition.
+	Pace time.Duration
+	// Keep is how long a claim is remembered.
+	Keep time.Duration
+	// SegmentSize is how large a segment grows before the next is begun.
+	SegmentSize unit.Bytes
+}
+
+func defaultClaims() Claims {
+	return Claims{
+		Partitions:  16,
+		Pace:        100 * time.Millisecond,
+		Keep:        24 * time.Hour,
+		SegmentSize: 256 * unit.Kibibyte,
+	}
+}
+
+var claimsTable = jsonfile.Object[Claims]{
+	Members: []jsonfile.Member[Claims]{
+		jsonfile.May("Partitions", func(c *Claims) *int { return &c.Partitions },
+			jsonfile.Integer[int]{
+				Min: 1,
+				Max: 1024,
+			},
+			"Into how many partitions claims are spread; the same on every host, and never changed while claims are kept."),
+		jsonfile.May("Pace", func(c *Claims) *time.Duration { return &c.Pace },
+			jsonfile.Duration{
+				Min: 0,
+				Max: 5 * time.Second,
+			},
+			"The least time between two writes of one partition."),
+		jsonfile.May("Keep", func(c *Claims) *time.Duration { return &c.Keep },
+			jsonfile.Duration{
+				Min: time.Minute,
+				Max: 30 * 24 * time.Hour,
+			},
+			"How long a claim is remembered: a repeat after that would run again."),
+		jsonfile.May("SegmentSize", func(c *Claims) *unit.Bytes { return &c.SegmentSize },
+			jsonfile.Bytes{
+				Min: 4 * unit.Kibibyte,
+				Max: 512 * unit.Kibibyte,
+			},
+			"How large a segment of claims grows; the key-value service holds values up to 1MiB."),
+	},
+}
--- /dev/null
+++ b/internal/config/settings/host.go
@@ -0,0 +1,71 @@
+package settings
+
+import (
+	"regexp"
+	"strconv"
+
+	"cicadaloom/internal/config/jsonfile"
+	"cicadaloom/internal/domain/ident"
+)
+
+// Host says which host this is and where it stands.
+type Host struct {
+	Name       ident.HostID
+	DataCentre ident.DataCentre
+	Region     ident.Region
+	// DataCentres has all data centres with their regions, the same on every host.
+	DataCentres map[ident.DataCentre]ident.Region
+}
+
+const (
+	longestName = 63
+	nameForm    = "a name of a-z, 0-9 and - that starts and ends with a letter or digit,"
+)
+
+var namePattern = regexp.MustCompile(`[a-z0-9]([a-z0-9-]*[a-z0-9])?`)
+
+// name reads the name of a host, data centre, region or team. These stand in
+// keys, metrics and log lines, hence the narrow alphabet.
+func name[S ~string]() jsonfile.Text[S] {
+	return jsonfile.Text[S]{
+		Max:     longestName,
+		Pattern: namePattern,
+		Form:    nameForm,
+	}
+}
+
+var hostTable = jsonfile.Object[Host]{
+	Members: []jsonfile.Member[Host]{
+		jsonfile.Need("Name", func(h *Host) *ident.HostID { return &h.Name }, name[ident.HostID](),
+			"The name of this entry host, unlike that of any other."),
+		jsonfile.Need("DataCentre", func(h *Host) *ident.DataCentre { return &h.DataCentre }, name[ident.DataCentre](),
+			"The data centre that this host stands in: one of DataCentres."),
+		jsonfile.Need("Region", func(h *Host) *ident.Region { return &h.Region }, name[ident.Region](),
+			"The region of DataCentre, as DataCentres has it."),
+		jsonfile.Need("DataCentres", func(h *Host) *map[ident.DataCentre]ident.Region { return &h.DataCentres },
+			jsonfile.Map[ident.DataCentre, ident.Region]{
+				Key:  name[ident.DataCentre](),
+				Item: name[ident.Region](),
+				Min:  1,
+				Max:  maxDataCentres,
+			},
+			"All data centres, each with its region; the same on every host."),
+	},
+	Check: checkHost,
+}
+
+const maxDataCentres = 100
+
+func checkHost(h *Host, path string, faults *jsonfile.Faults) {
+	if h.DataCentre == "" || h.Region == "" || len(h.DataCentres) == 0 {
+		return
+	}
+	region, known := h.DataCentres[h.DataCentre]
+	switch {
+	case !known:
+		faults.Add(jsonfile.Join(path, "DataCentre"), strconv.Quote(string(h.DataCentre)), "a data centre that DataCentres has")
+	case region != "" && region != h.Region:
+		faults.Add(jsonfile.Join(path, "Region"), strconv.Quote(string(h.Region)),
+			strconv.Quote(string(region))+", the region of "+string(h.DataCentre)+" in DataCentres")
+	}
+}
--- /dev/null
+++ b/internal/config/settings/platform.go
@@ -0,0 +1,63 @@
+package settings
+
+import (
+	"net"
+	"net/url"
+	"strconv"
+
+	"cicadaloom/internal/config/jsonfile"
+)
+
+// Platform says where the platform's services are.
+type Platform struct {
+	// KeyValue has the endpoints of the key-value service, as host:port.
+	KeyValue []string
+	// HostList and WeightStore are base URLs.
+	HostList    string
+	WeightStore string
+}
+
+const maxEndpoints = 16
+
+var platformTable = jsonfile.Object[Platform]{
+	Members: []jsonfile.Member[Platform]{
+		jsonfile.Need("KeyValue", func(p *Platform) *[]string { return &p.KeyValue },
+			jsonfile.List[string]{
+				Item: jsonfile.Text[string]{
+					Check: isEndpoint,
+					Form:  "an endpoint as host:port",
+				},
+				Min: 1,
+				Max: maxEndpoints,
+			},
+			"The endpoints of the key-value service, tried in this order."),
+		jsonfile.Need("HostList", func(p *Platform) *string { return &p.HostList }, baseURL(),
+			"The base URL of the list of live and leaving hosts."),
+		jsonfile.Need("WeightStore", func(p *Platform) *string { return &p.WeightStore }, baseURL(),
+			"The base URL of the weight store."),
+	},
+}
+
+func baseURL() jsonfile.Text[string] {
+	return jsonfile.Text[string]{
+		Check: isBaseURL,
+		Form:  "a URL with http or https and a host, without query or fragment,",
+	}
+}
+
+func isEndpoint(text string) bool {
+	host, port, err := net.SplitHostPort(text)
+	if err != nil || host == "" {
+		return false
+	}
+	number, err := strconv.ParseUint(port, 10, 16)
+	return err == nil && number > 0
+}
+
+func isBaseURL(text string) bool {
+	parsed, err := url.Parse(text)
+	if err != nil || parsed.Host == "" || parsed.RawQuery != "" || parsed.Fragment != "" {
+		return false
+	}
+	return parsed.Scheme == "http" || parsed.Scheme == "https"
+}
