claims: Add the state machine behind at-most-once

A boat dispatch went out twice in March: hosts forget, the service loses answers, and callers repeat through another host. A claim must be durable before its request is sent.

Each partition is a log in the key-value service, changed only by a swap that compares its head's revision. The home of a partition commits claims in groups; any host may swap when the home doesn't answer.

First working form, for the callers of the API.

--- /dev/null
+++ b/internal/control/claims/answers.go
@@ -0,0 +1,176 @@
+package claims
+
+import (
+	"time"
+
+	"cicadaloom/internal/domain/store"
+
+	"github.com/pkg/errors"
+)
+
+func (m *Machine) onPageRead(e PageRead) {
+	p := m.partitions[e.Partition]
+	if !p.reading || e.Number != p.number {
+		return
+	}
+	p.reading = false
+	if e.Err != nil {
+		m.serviceDown()
+		return
+	}
+	if !p.headOnly {
+		if err := p.load(e.Entries); err != nil {
+			m.unreadable(p, err)
+			return
+		}
+		m.readDone(p)
+		return
+	}
+	head := store.Entry{}
+	if len(e.Entries) > 0 {
+		head = e.Entries[0]
+	}
+	m.takeHead(p, head)
+}
+
+// takeHead brings the partition up to a head that was read.
+func (m *Machine) takeHead(p *partition, head store.Entry) {
+	first := p.first
+	known, err := p.absorb(head)
+	if err != nil {
+		m.unreadable(p, err)
+		return
+	}
+	if !known {
+		p.loaded = false
+		m.advance(p)
+		return
+	}
+	if p.first != first {
+		p.sweep(m.lapsed())
+	}
+	m.readDone(p)
+}
+
+func (m *Machine) readDone(p *partition) {
+	p.doubt = false
+	p.freshStep = p.askedStep
+	m.advance(p)
+}
+
+func (m *Machine) onSwapAnswered(e SwapAnswered) {
+	p := m.partitions[e.Partition]
+	if p.inFlight == nil || e.Number != p.number {
+		return
+	}
+	switch {
+	case e.Err == nil && e.Result.Swapped:
+		m.swapped(p, e.Result)
+	case e.Err == nil:
+		m.requeue(p, false)
+		m.takeCurrent(p, e.Result)
+	case errors.Is(e.Err, store.ErrUnavailable):
+		m.requeue(p, false)
+		m.serviceDown()
+	default:
+		// The swap may have taken effect, or may yet: nothing in it is granted
+		// or refused as unwritten before the head was read again.
+		m.requeue(p, true)
+		p.doubt = true
+		m.advance(p)
+	}
+}
+
+// swapped makes the batch part of what is known, and only then answers.
+func (m *Machine) swapped(p *partition, result store.SwapResult) {
+	b := p.inFlight
+	p.revision = result.Revision
+	p.freshStep = p.askedStep
+	p.raw, p.expiry = b.raw, b.expiry
+	if b.seals {
+		p.sealed = append(p.sealed, segment{
+			number: p.active,
+			expiry: b.expiry,
+		})
+		p.active++
+		p.raw, p.expiry = nil, time.Time{}
+	}
+	if b.first != p.first {
+		p.first = b.first
+		p.dropBefore(b.first)
+		p.sweep(m.lapsed())
+	}
+	p.apply(b.entries)
+	for _, t := range b.tasks {
+		if t.phase == phaseDone {
+			continue // its deadline passed meanwhile; its release is queued
+		}
+		if t.kind == kindClaim {
+			m.grant(t)
+			continue
+		}
+		m.recorded(t, true)
+	}
+	p.inFlight = nil
+	m.advance(p)
+}
+
+// requeue puts a batch's tasks back, before those that came after them.
+func (m *Machine) requeue(p *partition, doubt bool) {
+	var queue []*task
+	for _, t := range p.inFlight.tasks {
+		if t.phase == phaseDone {
+			continue
+		}
+		t.phase = phaseQueued
+		t.doubt = t.doubt || doubt
+		queue = append(queue, t)
+	}
+	p.queue = append(queue, p.queue...)
+	p.inFlight = nil
+}
+
+// takeCurrent learns from a failed swap what is in the head.
+func (m *Machine) takeCurrent(p *partition, result store.SwapResult) {
+	for _, e := range result.Current {
+		if e.Key == p.headKey() {
+			m.takeHead(p, e)
+			return
+		}
+	}
+	p.doubt = true
+	m.advance(p)
+}
+
+// serviceDown refuses the claims that wait, on all partitions: the callers are
+// better off with a time to come back than with silence. Finishes and releases
+// stay queued.
+func (m *Machine) serviceDown() {
+	for _, p := range m.partitions {
+		m.closePartition(p, "the key-value service does not answer")
+	}
+}
+
+// unreadable closes a partition of which a page can't be understood. Its
+// claims are refused until it can: guessing would forget some.
+func (m *Machine) unreadable(p *partition, err error) {
+	p.loaded = false
+	m.closePartition(p, err.Error())
+}
+
+func (m *Machine) closePartition(p *partition, reason string) {
+	p.downUntil = m.now.Add(m.options.Backoff)
+	p.downReason = reason
+	queue := p.queue
+	p.queue = nil
+	for _, t := range queue {
+		if t.phase == phaseQueued && t.kind == kindClaim {
+			m.refuse(t, reason, p.downUntil)
+			continue
+		}
+		p.queue = append(p.queue, t)
+	}
+	if len(p.queue) > 0 {
+		m.wakePartition(p, p.downUntil)
+	}
+}
--- /dev/null
+++ b/internal/control/claims/options.go
@@ -0,0 +1,90 @@
+package claims
+
+import (
+	"time"
+
+	"cicadaloom/internal/domain/ident"
+)
+
+// Defaults of Options. SegmentSize and MaxSegments keep a partition's pages
+// under 4 MB in all, the largest message that a gRPC client takes by default,
+// since a host that takes a partition over lists them in one call.
+const (
+	DefaultPartitions   = 16
+	DefaultPace         = 100 * time.Millisecond
+	DefaultSegmentSize  = 48 << 10
+	DefaultReserveSize  = 512 << 10
+	DefaultMaxSegments  = 56
+	DefaultMaxQueue     = 4096
+	DefaultBackoff      = time.Second
+	DefaultClockMargin  = 5 * time.Second
+	DefaultTombstone    = 2 * time.Minute
+	DefaultNotePatience = 2 * time.Second
+)
+
+// Largest parts of an entry. They bound a page together with ReserveSize.
+const (
+	// MaxBody is the largest answer that is kept for repeats.
+	MaxBody        = 2 << 10
+	maxName        = 256
+	maxContentType = 128
+	// maxBatch bounds the entries that one swap adds.
+	maxBatch = 128 << 10
+	// maxDeletes bounds the segments that one swap deletes.
+	maxDeletes = 32
+)
+
+// Shares of the time left until a claim's deadline.
+const (
+	// forwardShare is for the home to answer, the rest for a swap of our own.
+	forwardShare = 3
+	// watchShare is less, so that a home that waits for another attempt's finish
+	// answers before its origin gives it up.
+	watchShare = 4
+)
+
+// Options are the machine's settings. A zero field has its default.
+type Options struct {
+	// Host is this host, as it stands in Homes.
+	Host ident.HostID
+	// Partitions must be the same on all hosts, ever.
+	Partitions int
+	// Pace is the least time between two swaps of a partition by this host.
+	Pace time.Duration
+	// SegmentSize is how many bytes of entries the head holds before they are sealed.
+	SegmentSize int
+	// ReserveSize is how far finishes may fill the head when no segment is free.
+	ReserveSize int
+	MaxSegments int
+	// MaxQueue bounds what waits in this host for one partition.
+	MaxQueue int
+	// Backoff is how long the service is left alone after it was found down.
+	Backoff time.Duration
+	// ClockMargin is how much clocks of hosts may differ.
+	ClockMargin time.Duration
+	// Tombstone is how long a withdrawn attempt is remembered in the log: longer
+	// than its claim may be on its way to a home.
+	Tombstone time.Duration
+	// NotePatience is how long a home may take to record a finish or release.
+	NotePatience time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.Partitions, DefaultPartitions)
+	setDefault(&o.Pace, DefaultPace)
+	setDefault(&o.SegmentSize, DefaultSegmentSize)
+	setDefault(&o.ReserveSize, DefaultReserveSize)
+	setDefault(&o.MaxSegments, DefaultMaxSegments)
+	setDefault(&o.MaxQueue, DefaultMaxQueue)
+	setDefault(&o.Backoff, DefaultBackoff)
+	setDefault(&o.ClockMargin, DefaultClockMargin)
+	setDefault(&o.Tombstone, DefaultTombstone)
+	setDefault(&o.NotePatience, DefaultNotePatience)
+	return o
+}
+
+func setDefault[T int | time.Duration](field *T, value T) {
+	if *field == 0 {
+		*field = value
+	}
+}
