--- /dev/null
+++ b/internal/command/cicadaloom/serve.go
@@ -0,0 +1,86 @@
+package cicadaloom
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+	tomb "gopkg.in/tomb.v2"
+
+	"cicadaloom/internal/config/settings"
+	"cicadaloom/internal/traffic/host"
+)
+
+const serveHelp = `Runs an entry host: it answers callers, operators and its peers until it gets
+SIGTERM or SIGINT. Then it takes no new requests, lets those in flight finish,
+hands over what it leads, and ends. A second signal ends it at once.
+
+  cicadaloom serve -settings /etc/cicadaloom/settings.json
+
+Once it is ready, it prints one line with the addresses that it listens at:
+
+  ready callers=127.0.0.1:8080 operators=127.0.0.1:8081 peers=127.0.0.1:8082
+
+Logs go to standard error, a JSON object a line.
+`
+
+func init() {
+	register(command{
+		name:    "serve",
+		summary: "run an entry host",
+		help:    serveHelp,
+		prepare: prepareServe,
+	})
+}
+
+func prepareServe(flags *flag.FlagSet) runner {
+	file := flags.String("settings", "", "the settings `file` of this host")
+	return func(to streams, args []string) error {
+		if *file == "" || len(args) > 0 {
+			return badInput("found -settings %q and arguments %q, allowed a settings file and nothing else", *file, args)
+		}
+		loaded, err := settings.Load(*file)
+		if err != nil {
+			return inputError{
+				cause: err,
+			}
+		}
+		return serve(to, loaded)
+	}
+}
+
+func serve(to streams, loaded settings.Settings) error {
+	log, err := newLog(loaded)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Sync() }()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	running, err := host.Start(loaded, log)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(to.out, "ready callers=%s operators=%s peers=%s\n", running.Callers, running.Operators, running.Peers)
+	first := <-signals
+	log.Info("stopping", zap.String("Signal", first.String()))
+	ctx, cancel := context.WithTimeout(context.Background(), loaded.Callers.DrainTimeout)
+	defer cancel()
+	var second tomb.Tomb
+	second.Go(func() error {
+		select {
+		case <-signals:
+			cancel()
+		case <-second.Dying():
+		}
+		return nil
+	})
+	defer second.Kill(nil)
+	return errors.Wrap(running.Stop(ctx), "stop")
+}
--- a/internal/control/loop/loop.go
+++ b/internal/control/loop/loop.go
@@ -38,7 +38,7 @@
 	"cicadaloom/internal/control/claims"
 	"cicadaloom/internal/control/documents"
 	"cicadaloom/internal/control/membership"
-	"cicadaloom/internal/control/placement"
+	"cicadaloom/internal/control/orders"
 	"cicadaloom/internal/control/routing"
 	"cicadaloom/internal/control/suspects"
 	"cicadaloom/internal/domain/backend"
@@ -105,7 +105,7 @@
 	*Loop
 	documents  *documents.Machine
 	claims     *claims.Machine
-	placement  *placement.Machine
+	orders     *orders.Machine
 	routing    routing.Machine
 	membership membership.Machine
 	suspected  suspects.Machine
@@ -114,10 +114,12 @@
 	servers     map[ident.ServerName]backend.Server
 	polling     map[ident.ServerName]bool
 	exchanging  map[ident.HostID]bool
-	waiting     map[ident.AttemptID]chan claims.Answer
+	claimers    map[waiter]chan claims.Answer
+	noters      map[waiter]chan bool
 	edits       map[ident.EditID]chan documents.AnswerEdit
 	watch       context.CancelFunc
-	demand      map[ident.ModelName]int64
+	demand      map[ident.ModelName]float64
+	askedFor    map[ident.ModelName]int64
 	listAt      time.Time
 	pollAt      time.Time
 	exchangeAt  time.Time
@@ -222,7 +224,7 @@
 // nap gives how long nothing is due.
 func (c *control) nap(now time.Time) time.Duration {
 	nap := idleTick
-	for _, due := range []time.Time{c.claims.NextTick(), c.placement.NextTick(), c.documents.NextTick(), c.listAt, c.pollAt, c.exchangeAt, c.planAt} {
+	for _, due := range []time.Time{c.claims.NextTick(), c.orders.NextTick(), c.documents.NextTick(), c.listAt, c.pollAt, c.exchangeAt, c.planAt} {
 		if !due.IsZero() {
 			nap = min(nap, due.Sub(now))
 		}
--- a/internal/control/loop/servers.go
+++ b/internal/control/loop/servers.go
@@ -129,7 +129,7 @@
 	c.routing.Step(now, routing.Servers{
 		Servers: m.servers,
 	})
-	c.planServers(now)
+	c.planServers(now, m.servers)
 	c.dirty = true
 }
 
--- a/internal/traffic/dispatch/chat.go
+++ b/internal/traffic/dispatch/chat.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"cicadaloom/internal/control/claims"
 	"cicadaloom/internal/control/routing"
 	"cicadaloom/internal/control/suspects"
 	"cicadaloom/internal/peer/engine"
@@ -50,7 +51,7 @@
 	}
 	j.Budget.FirstTry()
 	answer, failure := send(ctx)
-	j.endClaim(ctx, failure, answer)
+	j.endClaim(answer)
 	return failure
 }
 
@@ -66,6 +67,9 @@
 	tokens int
 	begun  bool
 	answer Whole
+	// kept is what has been passed on of a stream, as long as a claim could keep
+	// it for repeats.
+	kept []byte
 }
 
 // run sends the chat until it is answered or given up.
@@ -154,12 +158,22 @@
 		c.first()
 	}
 	c.tokens = chunk.Tokens
+	c.keep(string(chunk.Raw))
 	if err := c.sink.Chunk(chunk.Raw); err != nil {
 		return errors.Wrap(context.Canceled, err.Error())
 	}
 	return nil
 }
 
+// keep notes an event of the stream for a repeat of the request. One byte over
+// the bound is enough: a body that large is not kept at all.
+func (c *conversation) keep(data string) {
+	if !c.claims() || len(c.kept) > claims.MaxBody {
+		return
+	}
+	c.kept = append(c.kept, "data: "+data+"\n\n"...)
+}
+
 // answered ends a chat whose whole answer is here.
 func (c *conversation) answered(choice routing.Choice, begun time.Time) *Failure {
 	now := c.Now()
@@ -169,10 +183,11 @@
 		c.Reporter.Cleared(c.fingerprint)
 	}
 	if c.chat.Stream {
-		// What is kept of a stream for a repeat is only that it ran.
+		c.keep(streamEnd)
 		c.answer = Whole{
 			Status:      http.StatusOK,
 			ContentType: contentTypeStream,
+			Body:        c.kept,
 		}
 		return nil
 	}
--- a/internal/traffic/dispatch/service.go
+++ b/internal/traffic/dispatch/service.go
@@ -14,6 +14,7 @@
 const (
 	contentTypeJSON   = "application/json"
 	contentTypeStream = "text/event-stream"
+	streamEnd         = "[DONE]"
 )
 
 // Plain serves a request to a plain service. It gives nil where the caller got
--- /dev/null
+++ b/internal/traffic/host/host.go
@@ -0,0 +1,195 @@
+// Package host puts an entry host together from its parts, starts it and stops it.
+//
+// # Usage
+//
+//	running, err := host.Start(settings, log)
+//	...
+//	err = running.Stop(ctx)
+//
+// # A planned stop
+//
+// Stop cuts no request. The host first says that it is stopping: the balancer
+// sees it at the health page, peers by their next exchange, and new requests
+// are refused as not run. Those in flight go on to their ends, within the
+// context's time. Then what they have left to tell of their claims is written,
+// the leadership is given back, and the host ends.
+package host
+
+import (
+	"context"
+	"crypto/tls"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"cicadaloom/internal/config/settings"
+	"cicadaloom/internal/control/loop"
+	"cicadaloom/internal/control/routing"
+	"cicadaloom/internal/peer/caller"
+	"cicadaloom/internal/peer/engine"
+	"cicadaloom/internal/peer/entryhost"
+	"cicadaloom/internal/peer/etcd"
+	"cicadaloom/internal/peer/operator"
+	"cicadaloom/internal/peer/plain"
+	"cicadaloom/internal/traffic/dispatch"
+)
+
+// Host is a running entry host with the addresses that it listens at.
+type Host struct {
+	Callers   string
+	Operators string
+	Peers     string
+
+	keyValue  *etcd.Client
+	control   *loop.Loop
+	callers   *caller.Server
+	operators *operator.Server
+	peers     *entryhost.Server
+	engines   *engine.Client
+	plains    *plain.Client
+}
+
+// Start starts an entry host. It does not wait for the platform: a host that
+// starts in an outage learns what it needs from its peers.
+func Start(loaded settings.Settings, log *zap.Logger) (*Host, error) {
+	h := &Host{
+		engines: &engine.Client{},
+		plains:  &plain.Client{},
+	}
+	if err := h.start(loaded, log); err != nil {
+		_ = h.Stop(context.Background())
+		return nil, err
+	}
+	return h, nil
+}
+
+func (h *Host) start(loaded settings.Settings, log *zap.Logger) error {
+	keyValue, err := etcd.Dial(loaded.Platform.KeyValue...)
+	if err != nil {
+		return err
+	}
+	h.keyValue = keyValue
+	h.control = loop.New(loop.Options{
+		Settings: loaded,
+		KeyValue: keyValue,
+		Log:      log,
+	})
+	peers := &entryhost.Server{
+		Handler: h.control,
+	}
+	h.Peers, err = peers.Start(loaded.Listen.Peers)
+	if err != nil {
+		return err
+	}
+	h.peers = peers
+	h.control.Start(h.Peers)
+	return h.listen(loaded, log)
+}
+
+// listen opens the sides that callers and operators see.
+func (h *Host) listen(loaded settings.Settings, log *zap.Logger) error {
+	certificates, err := certificatesOf(loaded.TLS)
+	if err != nil {
+		return err
+	}
+	dispatcher, err := h.dispatcher(loaded, log)
+	if err != nil {
+		return err
+	}
+	callers := &caller.Server{
+		Dispatcher: dispatcher,
+		Knowledge:  h.control,
+		Settings:   loaded.Callers,
+		Log:        log,
+		TLS:        certificates,
+	}
+	h.Callers, err = callers.Start(loaded.Listen.Callers)
+	if err != nil {
+		return err
+	}
+	h.callers = callers
+	operators := &operator.Server{
+		Control:  h.control,
+		Settings: loaded.Operators,
+		Log:      log,
+		TLS:      certificates,
+	}
+	h.Operators, err = operators.Start(loaded.Listen.Operators)
+	if err != nil {
+		return err
+	}
+	h.operators = operators
+	return nil
+}
+
+func (h *Host) dispatcher(loaded settings.Settings, log *zap.Logger) (*dispatch.Dispatcher, error) {
+	policy, err := routing.NewPolicy(string(loaded.Policy.Routing))
+	if err != nil {
+		return nil, err
+	}
+	return &dispatch.Dispatcher{
+		Knowledge: h.control,
+		Claims:    h.control,
+		Reporter:  h.control,
+		Engines:   h.engines,
+		Plains:    h.plains,
+		Policy:    policy,
+		Budget: &dispatch.Budget{
+			Percent: int64(loaded.Policy.RetryBudgetPercent),
+		},
+		Log:  log,
+		Now:  time.Now,
+		Dice: rand.Uint64,
+	}, nil
+}
+
+// certificatesOf gives the TLS settings of callers and operators, nil for none.
+func certificatesOf(files settings.TLS) (*tls.Config, error) {
+	if files.CertificateFile == "" {
+		return nil, nil
+	}
+	certificates, err := newCertificates(files)
+	if err != nil {
+		return nil, err
+	}
+	return &tls.Config{
+		MinVersion:     tls.VersionTLS12,
+		GetCertificate: certificates.get,
+	}, nil
+}
+
+// Stop stops the host. An error says what could not be ended in order; the
+// host has ended all the same.
+func (h *Host) Stop(ctx context.Context) error {
+	var first error
+	keep := func(err error) {
+		if first == nil {
+			first = err
+		}
+	}
+	if h.callers != nil {
+		h.callers.Refuse()
+		h.control.Stopping()
+		keep(errors.Wrap(h.callers.Stop(ctx), "callers"))
+	}
+	if h.control != nil {
+		keep(errors.Wrap(h.control.Settle(ctx), "claims"))
+	}
+	if h.operators != nil {
+		keep(errors.Wrap(h.operators.Stop(ctx), "operators"))
+	}
+	if h.peers != nil {
+		keep(errors.Wrap(h.peers.Stop(), "peers"))
+	}
+	if h.control != nil {
+		keep(errors.Wrap(h.control.Stop(ctx), "control"))
+	}
+	h.engines.Close()
+	h.plains.Close()
+	if h.keyValue != nil {
+		keep(h.keyValue.Close())
+	}
+	return first
+}
