standin: Add the stand-ins of engine, plain service, host list and weights

Each is one small server with a fault switch at /faults. bunrouter's adapter recovers the panic by which net/http cuts a connection, so routes go through an adapter of their own.

--- /dev/null
+++ b/internal/standin/engine/chat.go
@@ -0,0 +1,144 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/uptrace/bunrouter"
+
+	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/standin/server"
+	"cicadaloom/internal/wire/engineapi"
+)
+
+// call is a chat request as its headers and body give it.
+type call struct {
+	request  ident.RequestID
+	attempt  ident.AttemptID
+	priority int
+	deadline time.Time
+	resumeAt int
+	chat     engineapi.Chat
+	body     []byte
+}
+
+func readCall(r *http.Request, body []byte) (*call, error) {
+	priority, err := engineapi.ParseCount(r.Header.Get(engineapi.HeaderPriority))
+	if err != nil {
+		return nil, errors.Wrap(err, engineapi.HeaderPriority)
+	}
+	deadline, err := engineapi.ParseDeadline(r.Header.Get(engineapi.HeaderDeadline))
+	if err != nil {
+		return nil, errors.Wrap(err, engineapi.HeaderDeadline)
+	}
+	resumeAt, err := engineapi.ParseCount(r.Header.Get(engineapi.HeaderResumeAt))
+	if err != nil {
+		return nil, errors.Wrap(err, engineapi.HeaderResumeAt)
+	}
+	chat, err := engineapi.ParseChat(body)
+	if err != nil {
+		return nil, err
+	}
+	return &call{
+		request:  ident.RequestID(r.Header.Get(engineapi.HeaderRequest)),
+		attempt:  ident.AttemptID(r.Header.Get(engineapi.HeaderAttempt)),
+		priority: priority,
+		deadline: deadline,
+		resumeAt: resumeAt,
+		chat:     chat,
+		body:     body,
+	}, nil
+}
+
+func (e *Engine) serveChat(w http.ResponseWriter, r *http.Request) {
+	life := e.current()
+	w.Header().Set(engineapi.HeaderIncarnation, string(life.incarnation))
+	w.Header().Set(engineapi.HeaderAttempt, r.Header.Get(engineapi.HeaderAttempt))
+	body, ok := server.ReadBody(w, r)
+	if !ok {
+		return
+	}
+	call, err := readCall(r, body)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	if e.isLeaving() {
+		refuseNotRun(w, http.StatusServiceUnavailable, "engine is leaving")
+		return
+	}
+	ctx, leave := life.enter(r.Context(), call.attempt)
+	defer leave()
+	life.serve(ctx, w, r, call)
+}
+
+// serve takes a call through the queue and runs it.
+func (l *life) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, call *call) {
+	if !l.isReady(call.chat.Model) {
+		refuseNotRun(w, http.StatusNotFound, "model is not ready here")
+		return
+	}
+	if err := l.acquire(ctx, call.priority, call.deadline); err != nil {
+		l.refuseQueued(w, err)
+		return
+	}
+	defer l.release()
+	taken, ready := l.use(call.chat.Model)
+	if !ready { // unloaded while the call waited
+		refuseNotRun(w, http.StatusNotFound, "model is no longer ready here")
+		return
+	}
+	defer l.unuse(taken)
+	l.engine.ledger.ran(call.request)
+	run := &run{
+		life:    l,
+		ctx:     ctx,
+		w:       w,
+		r:       r,
+		call:    call,
+		version: taken.version,
+	}
+	how := run.serve()
+	l.engine.ledger.ended(how)
+	if how != completed && how != endedEarly {
+		server.Cut()
+	}
+}
+
+func (l *life) refuseQueued(w http.ResponseWriter, err error) {
+	if errors.Is(err, errQueueFull) {
+		seconds := math.Ceil(l.queueTime().Seconds())
+		w.Header().Set("Retry-After", strconv.Itoa(int(seconds)))
+		refuseNotRun(w, http.StatusTooManyRequests, err.Error())
+		return
+	}
+	refuseNotRun(w, http.StatusServiceUnavailable, err.Error())
+}
+
+func (e *Engine) serveCancel(w http.ResponseWriter, r bunrouter.Request) error {
+	if !e.current().cancelAttempt(ident.AttemptID(r.Param("attempt"))) {
+		w.WriteHeader(http.StatusNotFound)
+	}
+	return nil
+}
+
+// refuseNotRun refuses with the proof that the request was not run.
+func refuseNotRun(w http.ResponseWriter, status int, message string) {
+	w.Header().Set(engineapi.HeaderNotRun, engineapi.NotRunProof)
+	refuse(w, status, message)
+}
+
+func refuse(w http.ResponseWriter, status int, message string) {
+	body, err := engineapi.EncodeError(http.StatusText(status), message)
+	server.WriteJSON(w, status, body, err)
+}
+
+// hasMarker tells whether the crash marker is set and in the body.
+func (c *call) hasMarker(marker string) bool {
+	return marker != "" && bytes.Contains(c.body, []byte(marker))
+}
--- /dev/null
+++ b/internal/standin/engine/script.go
@@ -0,0 +1,73 @@
+package engine
+
+import (
+	"fmt"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/wire/engineapi"
+)
+
+const (
+	// defaultTokens is the length of an answer whose request gives none, and
+	// tokensLimit that of the longest.
+	defaultTokens = 16
+	tokensLimit   = 4096
+	// echoLimit bounds how much of the message the first token repeats.
+	echoLimit = 256
+)
+
+// script is the answer to a request, token by token.
+type script struct {
+	model   string
+	version ident.Version
+	message string
+	seed    uint64
+	length  int
+}
+
+func newScript(chat *engineapi.Chat, version ident.Version) *script {
+	length := chat.MaxTokens
+	if length == 0 {
+		length = defaultTokens
+	}
+	message := chat.LastUserText()
+	return &script{
+		model:   chat.Model,
+		version: version,
+		message: message,
+		seed:    xxhash.Sum64String(chat.Model + "\x00" + message),
+		length:  min(length, tokensLimit),
+	}
+}
+
+func (s *script) token(at int) string {
+	if at == 0 {
+		return fmt.Sprintf("%s/%s: echo of %s", s.model, s.version, shortened(s.message))
+	}
+	hash := xxhash.Sum64String(fmt.Sprintf("%x/%d", s.seed, at))
+	return fmt.Sprintf(" w%d-%04x", at-1, uint16(hash))
+}
+
+func shortened(message string) string {
+	if len(message) <= echoLimit {
+		return message
+	}
+	end := echoLimit
+	for end > 0 && !utf8.RuneStart(message[end]) {
+		end--
+	}
+	return message[:end]
+}
+
+// promptTokens counts the words of a prompt.
+func promptTokens(chat *engineapi.Chat) int {
+	words := 0
+	for i := range chat.Messages {
+		words += len(strings.Fields(chat.Messages[i].Text))
+	}
+	return words
+}
--- /dev/null
+++ b/internal/standin/hostlist/hostlist.go
@@ -0,0 +1,183 @@
+// Package hostlist stands in for the platform's list of live and leaving hosts.
+//
+// # Usage
+//
+//	list := hostlist.New(hostlist.Options{
+//		Lag: 2 * time.Second,
+//	})
+//	address, err := list.Start("127.0.0.1:0")
+//	defer list.Stop()
+//
+// `GET /hosts` serves the list as it was Lag ago; `PUT /hosts/{name}` and
+// `DELETE /hosts/{name}` change it at once. The fault switches are Down (every
+// connection is cut), FreezeRequests (requests hang until it is off) and Lag,
+// which replaces the option when it is not 0.
+package hostlist
+
+import (
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/uptrace/bunrouter"
+
+	"cicadaloom/internal/domain/backend"
+	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/standin/fault"
+	"cicadaloom/internal/standin/server"
+	"cicadaloom/internal/wire/engineapi"
+)
+
+// versionsKept bounds the past lists that a lag can reach.
+const versionsKept = 1024
+
+// Options are the list's settings.
+type Options struct {
+	// Lag is how old the served list is.
+	Lag time.Duration
+}
+
+// Faults are the switches at /faults.
+type Faults struct {
+	Down           bool
+	FreezeRequests bool
+	Lag            fault.Duration
+}
+
+// List is the stand-in.
+type List struct {
+	Faults  fault.Switch[Faults]
+	options Options
+	server  server.Server
+
+	mu       sync.Mutex
+	servers  map[ident.ServerName]backend.Server
+	versions []version // the newest last
+}
+
+// version is the list from an instant on.
+type version struct {
+	since   time.Time
+	servers []backend.Server
+}
+
+// New makes an empty list.
+func New(options Options) *List {
+	return &List{
+		options: options,
+		servers: make(map[ident.ServerName]backend.Server),
+	}
+}
+
+// Start serves the list and returns the address.
+func (l *List) Start(listen string) (string, error) {
+	router := bunrouter.New()
+	router.GET(engineapi.PathHosts, server.Route(l.serveList))
+	router.PUT(engineapi.PathHosts+"/:name", l.servePut)
+	router.DELETE(engineapi.PathHosts+"/:name", l.serveDelete)
+	router.GET(fault.Path, server.Route(l.Faults.ServeHTTP))
+	router.POST(fault.Path, server.Route(l.Faults.ServeHTTP))
+	return l.server.Start(listen, l.withFaults(router))
+}
+
+// Stop ends the stand-in.
+func (l *List) Stop() error {
+	return l.server.Stop()
+}
+
+// Put adds a host or changes its entry.
+func (l *List) Put(host backend.Server) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.servers[host.Name] = host
+	l.record()
+}
+
+// Remove takes a host off the list.
+func (l *List) Remove(name ident.ServerName) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.servers, name)
+	l.record()
+}
+
+// record is called with mu held.
+func (l *List) record() {
+	servers := slices.SortedFunc(maps.Values(l.servers), func(a, b backend.Server) int {
+		return strings.Compare(string(a.Name), string(b.Name))
+	})
+	l.versions = append(l.versions, version{
+		since:   time.Now(),
+		servers: servers,
+	})
+	if len(l.versions) > versionsKept {
+		l.versions = slices.Delete(l.versions, 0, len(l.versions)-versionsKept)
+	}
+}
+
+// Served returns the list as it is served now.
+func (l *List) Served() []backend.Server {
+	lag := l.options.Lag
+	if set := time.Duration(l.Faults.Get().Lag); set > 0 {
+		lag = set
+	}
+	until := time.Now().Add(-lag)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := len(l.versions) - 1; i >= 0; i-- {
+		if !l.versions[i].since.After(until) {
+			return l.versions[i].servers
+		}
+	}
+	return nil
+}
+
+func (l *List) withFaults(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == fault.Path {
+			next.ServeHTTP(w, r)
+			return
+		}
+		if _, ok := server.ReadBody(w, r); !ok {
+			return
+		}
+		frozen := func() bool { return l.Faults.Get().FreezeRequests }
+		if !l.server.Hang(r, l.Faults.Changed, frozen) || l.Faults.Get().Down {
+			server.Cut()
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (l *List) serveList(w http.ResponseWriter, _ *http.Request) {
+	body, err := engineapi.EncodeHosts(l.Served())
+	server.WriteJSON(w, http.StatusOK, body, err)
+}
+
+func (l *List) servePut(w http.ResponseWriter, r bunrouter.Request) error {
+	body, ok := server.ReadBody(w, r.Request)
+	if !ok {
+		return nil
+	}
+	host, err := engineapi.DecodeServer(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return nil
+	}
+	if string(host.Name) != r.Param("name") {
+		http.Error(w, "Name: differs from the path", http.StatusBadRequest)
+		return nil
+	}
+	l.Put(host)
+	w.WriteHeader(http.StatusNoContent)
+	return nil
+}
+
+func (l *List) serveDelete(w http.ResponseWriter, r bunrouter.Request) error {
+	l.Remove(ident.ServerName(r.Param("name")))
+	w.WriteHeader(http.StatusNoContent)
+	return nil
+}
--- /dev/null
+++ b/internal/standin/hostlist/register.go
@@ -0,0 +1,50 @@
+package hostlist
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+
+	"github.com/pkg/errors"
+
+	"cicadaloom/internal/domain/backend"
+	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/peer/httpsend"
+	"cicadaloom/internal/wire/engineapi"
+)
+
+const registerAnswerLimit = 4 << 10
+
+// Register puts a host into the list at address, or changes its entry.
+func Register(ctx context.Context, address string, host backend.Server) error {
+	body, err := engineapi.EncodeServer(host)
+	if err != nil {
+		return err
+	}
+	return change(ctx, address, http.MethodPut, host.Name, body)
+}
+
+// Deregister takes a host off the list at address.
+func Deregister(ctx context.Context, address string, name ident.ServerName) error {
+	return change(ctx, address, http.MethodDelete, name, nil)
+}
+
+func change(ctx context.Context, address, method string, name ident.ServerName, body []byte) error {
+	var client httpsend.Client
+	defer client.Close()
+	status, answer, err := client.Fetch(httpsend.Request{
+		Context: ctx,
+		Method:  method,
+		Address: address,
+		Path:    engineapi.PathHosts + "/" + url.PathEscape(string(name)),
+		Body:    body,
+		Once:    true,
+	}, registerAnswerLimit)
+	if err != nil {
+		return err
+	}
+	if status != http.StatusNoContent {
+		return errors.Errorf("host list: status %d: %s", status, answer)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/plain/plain.go
@@ -0,0 +1,302 @@
+// Package plain stands in for a plain service, such as a dispatch desk or a
+// booking system: it echoes each request and counts what it ran.
+//
+// # Usage
+//
+//	service := plain.New(plain.Options{})
+//	address, err := service.Start("127.0.0.1:0")
+//	defer service.Stop()
+//
+// Any method and path is answered with status 200 and an Echo as JSON, after
+// Work. At most Slots requests run at once; QueueLimit wait for them, in order
+// of arrival. `GET /stats` gives Stats, `GET /control/report` the load. The
+// fault switches at /faults are Faults.
+package plain
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/uptrace/bunrouter"
+
+	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/standin/fault"
+	"cicadaloom/internal/standin/server"
+	"cicadaloom/internal/wire/engineapi"
+)
+
+// PathStats is where the service gives its counters.
+const PathStats = "/stats"
+
+// The defaults of Options.
+const (
+	DefaultSlots      = 16
+	DefaultQueueLimit = 64
+	DefaultWork       = 5 * time.Millisecond
+)
+
+const (
+	// runsKept bounds the ids and bodies whose runs are counted; the first are
+	// kept, so that a count never begins anew.
+	runsKept          = 1 << 17
+	retryAfterSeconds = 1
+)
+
+// Options are the service's settings; zero values take the defaults.
+type Options struct {
+	Slots      int
+	QueueLimit int
+	// Work is how long a request runs.
+	Work time.Duration
+}
+
+// Faults are the switches at /faults.
+type Faults struct {
+	// Down cuts each connection before anything is run.
+	Down bool
+	// FreezeRequests holds requests before they are run, until it is off.
+	FreezeRequests bool
+	// CutAfterRun is how many next requests are run and then cut without an answer.
+	CutAfterRun int
+	// Refuse refuses with the proof that the request was not run.
+	Refuse bool
+	// LeaveNow refuses too, and reports Leaving.
+	LeaveNow bool
+	// WorkFor replaces Work, if it is not 0.
+	WorkFor fault.Duration
+}
+
+// Echo is the answer to a request.
+type Echo struct {
+	Method string
+	Path   string
+	Body   string
+	// Run counts how often this request id was run, this time included.
+	Run int
+}
+
+// Stats are the service's counters.
+type Stats struct {
+	Incarnation ident.Incarnation
+	// Runs counts runs by request id, RunsOfBody by the hash of the body in hex,
+	// which finds a request again that came under a new id.
+	Runs        map[ident.RequestID]int
+	RunsOfBody  map[string]int
+	RunsNotKept int
+	Refused     int
+}
+
+// Service is the stand-in.
+type Service struct {
+	Faults      fault.Switch[Faults]
+	options     Options
+	incarnation ident.Incarnation
+	server      server.Server
+	slots       chan struct{}
+
+	mu      sync.Mutex
+	stats   Stats
+	waiting int
+	leaving bool
+}
+
+// New makes a service.
+func New(options Options) *Service {
+	if options.Slots <= 0 {
+		options.Slots = DefaultSlots
+	}
+	if options.QueueLimit <= 0 {
+		options.QueueLimit = DefaultQueueLimit
+	}
+	if options.Work <= 0 {
+		options.Work = DefaultWork
+	}
+	return &Service{
+		options:     options,
+		incarnation: ident.NewIncarnation(),
+		slots:       make(chan struct{}, options.Slots),
+		stats: Stats{
+			Runs:       make(map[ident.RequestID]int),
+			RunsOfBody: make(map[string]int),
+		},
+	}
+}
+
+// Start serves the service and returns the address.
+func (s *Service) Start(listen string) (string, error) {
+	router := bunrouter.New(bunrouter.WithNotFoundHandler(server.Route(s.serve)))
+	router.GET(engineapi.PathReport, server.Route(s.serveReport))
+	router.GET(PathStats, server.Route(s.serveStats))
+	router.GET(fault.Path, server.Route(s.Faults.ServeHTTP))
+	router.POST(fault.Path, server.Route(s.Faults.ServeHTTP))
+	return s.server.Start(listen, s.withFaults(router))
+}
+
+// Leave refuses new work from now on and reports Leaving.
+func (s *Service) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+}
+
+// Stop leaves, lets the requests in flight end, and ends the service.
+func (s *Service) Stop() error {
+	s.Leave()
+	return s.server.Stop()
+}
+
+// Stats returns the counters.
+func (s *Service) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	stats := s.stats
+	stats.Incarnation = s.incarnation
+	stats.Runs = maps.Clone(stats.Runs)
+	stats.RunsOfBody = maps.Clone(stats.RunsOfBody)
+	return stats
+}
+
+// BodyHash is the key of a body in Stats.RunsOfBody.
+func BodyHash(body []byte) string {
+	return strconv.FormatUint(xxhash.Sum64(body), 16)
+}
+
+func (s *Service) withFaults(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == fault.Path || r.URL.Path == PathStats {
+			next.ServeHTTP(w, r)
+			return
+		}
+		if _, ok := server.ReadBody(w, r); !ok {
+			return
+		}
+		frozen := func() bool { return s.Faults.Get().FreezeRequests }
+		if !s.server.Hang(r, s.Faults.Changed, frozen) || s.Faults.Get().Down {
+			server.Cut()
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
+	body, ok := server.ReadBody(w, r)
+	if !ok {
+		return
+	}
+	request := ident.RequestID(r.Header.Get(engineapi.HeaderRequest))
+	w.Header().Set(engineapi.HeaderRequest, string(request))
+	w.Header().Set(engineapi.HeaderIncarnation, string(s.incarnation))
+	if s.isLeaving() || s.Faults.Get().Refuse || !s.acquire(r.Context()) {
+		s.refuse(w)
+		return
+	}
+	defer func() { <-s.slots }()
+	run := s.count(request, body)
+	// A service, unlike an engine, does not stop when its caller goes away.
+	time.Sleep(s.work())
+	if s.Faults.Take(func(f *Faults) *int { return &f.CutAfterRun }) {
+		server.Cut()
+	}
+	answer, err := json.Marshal(Echo{
+		Method: r.Method,
+		Path:   r.URL.RequestURI(),
+		Body:   string(body),
+		Run:    run,
+	})
+	server.WriteJSON(w, http.StatusOK, answer, err)
+}
+
+// acquire waits for a slot and tells whether it got one.
+func (s *Service) acquire(ctx context.Context) bool {
+	select {
+	case s.slots <- struct{}{}:
+		return true
+	default:
+	}
+	if !s.addWaiting() {
+		return false
+	}
+	defer s.removeWaiting()
+	select {
+	case s.slots <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *Service) addWaiting() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.waiting >= s.options.QueueLimit {
+		return false
+	}
+	s.waiting++
+	return true
+}
+
+func (s *Service) removeWaiting() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting--
+}
+
+func (s *Service) refuse(w http.ResponseWriter) {
+	s.mu.Lock()
+	s.stats.Refused++
+	s.mu.Unlock()
+	w.Header().Set(engineapi.HeaderNotRun, engineapi.NotRunProof)
+	w.Header().Set("Retry-After", strconv.Itoa(retryAfterSeconds))
+	http.Error(w, "not run", http.StatusServiceUnavailable)
+}
+
+func (s *Service) count(request ident.RequestID, body []byte) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.stats.Runs) >= runsKept || len(s.stats.RunsOfBody) >= runsKept {
+		s.stats.RunsNotKept++
+		return 0
+	}
+	s.stats.Runs[request]++
+	s.stats.RunsOfBody[BodyHash(body)]++
+	return s.stats.Runs[request]
+}
+
+func (s *Service) work() time.Duration {
+	if set := time.Duration(s.Faults.Get().WorkFor); set > 0 {
+		return set
+	}
+	return s.options.Work
+}
+
+func (s *Service) isLeaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving || s.Faults.Get().LeaveNow
+}
+
+func (s *Service) serveReport(w http.ResponseWriter, _ *http.Request) {
+	leaving := s.isLeaving()
+	s.mu.Lock()
+	waiting := s.waiting
+	s.mu.Unlock()
+	body, err := engineapi.EncodePlainReport(engineapi.PlainReport{
+		Incarnation: s.incarnation,
+		Running:     len(s.slots),
+		Waiting:     waiting,
+		Slots:       s.options.Slots,
+		Leaving:     leaving,
+	})
+	server.WriteJSON(w, http.StatusOK, body, err)
+}
+
+func (s *Service) serveStats(w http.ResponseWriter, _ *http.Request) {
+	body, err := json.Marshal(s.Stats())
+	server.WriteJSON(w, http.StatusOK, body, err)
+}
--- /dev/null
+++ b/internal/standin/server/server.go
@@ -0,0 +1,246 @@
+// Package server is the HTTP process life that stand-ins share: listening under
+// a tomb, a graceful stop, a crash with a later restart, and requests that hang
+// or are cut off.
+//
+// # Usage
+//
+//	var s server.Server
+//	address, err := s.Start("127.0.0.1:0", handler)
+//	...
+//	err = s.Stop() // waits for requests in flight
+package server
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/uptrace/bunrouter"
+	"gopkg.in/tomb.v2"
+)
+
+const (
+	// stopGrace is how long Stop waits for requests in flight.
+	stopGrace = 15 * time.Second
+	// headerTimeout bounds how long a client may take over a header.
+	headerTimeout = 10 * time.Second
+	// relistenPause is between two tries to get the old address back.
+	relistenPause = 20 * time.Millisecond
+	// BodyLimit bounds a request's body.
+	BodyLimit = 8 << 20
+)
+
+// Server is one stand-in's HTTP server. Its zero value is ready to start, once.
+type Server struct {
+	tomb     tomb.Tomb
+	mu       sync.Mutex
+	http     *http.Server // nil between a crash and the restart
+	handler  http.Handler
+	address  string
+	stopping chan struct{} // closed when Stop begins
+	ended    bool          // no goroutine starts any more
+}
+
+// Start listens and serves, and returns the address that it got.
+func (s *Server) Start(listen string, handler http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", listen)
+	if err != nil {
+		return "", errors.Wrap(err, "listen")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.handler = handler
+	s.address = listener.Addr().String()
+	s.stopping = make(chan struct{})
+	// A tomb whose last goroutine has ended takes no other. This one keeps it
+	// open between a crash and the restart, and while Stop waits for requests.
+	s.tomb.Go(func() error {
+		<-s.tomb.Dying()
+		return nil
+	})
+	s.serve(listener)
+	return s.address, nil
+}
+
+// Go runs f along with the server; f must end when Dying is closed. After the
+// stop it does nothing.
+func (s *Server) Go(f func() error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping != nil && !s.ended {
+		s.tomb.Go(f)
+	}
+}
+
+// Dying is closed when the server has begun to stop and its requests are done.
+func (s *Server) Dying() <-chan struct{} {
+	return s.tomb.Dying()
+}
+
+// serve is called with mu held.
+func (s *Server) serve(listener net.Listener) {
+	server := &http.Server{
+		Handler:           s.handler,
+		ReadHeaderTimeout: headerTimeout,
+	}
+	s.http = server
+	s.tomb.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrap(err, "serve")
+		}
+		return nil
+	})
+}
+
+// Stop refuses new connections, lets the requests in flight end, and returns
+// when all is over. Requests that hang by a fault are cut off at once.
+func (s *Server) Stop() error {
+	s.mu.Lock()
+	if s.stopping == nil { // never started
+		s.mu.Unlock()
+		return nil
+	}
+	select {
+	case <-s.stopping:
+	default:
+		close(s.stopping)
+	}
+	server := s.http
+	s.http = nil
+	s.mu.Unlock()
+	if server != nil {
+		shutdown(server)
+	}
+	s.mu.Lock()
+	s.ended = true
+	s.mu.Unlock()
+	s.tomb.Kill(nil)
+	return s.tomb.Wait()
+}
+
+func shutdown(server *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), stopGrace)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		_ = server.Close() // the listener is closed already: nothing else to do
+	}
+}
+
+// Crash closes the listener and every connection at once, as a process that
+// dies. After the pause it calls revive and listens on the same address again.
+func (s *Server) Crash(pause time.Duration, revive func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	server := s.http
+	if server == nil {
+		return // crashed already, or stopping
+	}
+	s.http = nil
+	_ = server.Close() // what can't be closed is closed already
+	s.tomb.Go(func() error {
+		if s.wait(pause) {
+			s.restart(revive)
+		}
+		return nil
+	})
+}
+
+func (s *Server) restart(revive func()) {
+	revive()
+	for {
+		listener, err := net.Listen("tcp", s.address)
+		if err == nil {
+			s.resume(listener)
+			return
+		}
+		// The old connections may hold the address for a moment.
+		if !s.wait(relistenPause) {
+			return
+		}
+	}
+}
+
+func (s *Server) resume(listener net.Listener) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	select {
+	case <-s.stopping:
+		_ = listener.Close() // it served nothing yet
+	default:
+		s.serve(listener)
+	}
+}
+
+// wait tells whether the pause passed before a stop.
+func (s *Server) wait(pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-s.stopping:
+		return false
+	}
+}
+
+// Hang holds a request while frozen says so, and tells whether to go on with
+// it: false when its client went away or the server stops. Each change of the
+// faults closes the channel that changed returns.
+func (s *Server) Hang(r *http.Request, changed func() <-chan struct{}, frozen func() bool) bool {
+	for {
+		change := changed()
+		if !frozen() {
+			return true
+		}
+		select {
+		case <-change:
+		case <-r.Context().Done():
+			return false
+		case <-s.stopping:
+			return false
+		}
+	}
+}
+
+// Route makes a handler for bunrouter. Its own adapter recovers from every
+// panic, also from the one by which Cut has net/http drop the connection: a cut
+// answer would look like one that ended in order.
+func Route(handler http.HandlerFunc) bunrouter.HandlerFunc {
+	return func(w http.ResponseWriter, r bunrouter.Request) error {
+		handler(w, r.Request)
+		return nil
+	}
+}
+
+// Cut ends a request by closing its connection without an answer. It does not return.
+func Cut() {
+	panic(http.ErrAbortHandler)
+}
+
+// ReadBody reads a request's body to its end and puts it back. Only then does
+// net/http notice that a client went away.
+func ReadBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, BodyLimit))
+	if err != nil {
+		http.Error(w, "body too large or cut", http.StatusRequestEntityTooLarge)
+		return nil, false
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	return body, true
+}
+
+// WriteJSON writes an encoded answer.
+func WriteJSON(w http.ResponseWriter, status int, body []byte, err error) {
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(body) // the reader is gone: nothing to tell it
+}
