command/standin: Add the command line of the stand-ins

Scenario files start each stand-in as a process and read its address from one line. Engines and plain services put themselves into the host list, and stand there as leaving while they stop.

--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,7 @@
+// Command standin takes the place of one part of the platform in tests: see
+// internal/command/standin.
+package main
+
+import "cicadaloom/internal/command/standin"
+
+func main() { standin.Main() }
--- /dev/null
+++ b/internal/command/standin/engine.go
@@ -0,0 +1,76 @@
+package standin
+
+import (
+	"context"
+	"flag"
+	"io"
+
+	"cicadaloom/internal/domain/backend"
+	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/domain/unit"
+	"cicadaloom/internal/standin/engine"
+)
+
+const engineHelp = `Serves chat completions, orders, reports and cache events as a model engine
+does. Its memory is empty at first: orders fill it.
+
+  POST /faults   sets the fault switches, GET /faults shows them
+  GET /stats     shows what was run, how often, and what was ordered
+
+The switches: Down, FreezeRequests, SlowFactor, LoseOrders, DelayOrders,
+DelayOrdersBy, CrashOnMarker, RestartAfter, ReportLag, CacheEventGaps,
+IgnoreFencing, CutStreamAfter, BreakStreamAfter, EndStreamEarly, LeaveNow.
+`
+
+func init() {
+	register(command{
+		name:    "engine",
+		summary: "a model engine",
+		help:    engineHelp,
+		prepare: prepareEngine,
+	})
+}
+
+func prepareEngine(flags *flag.FlagSet) runner {
+	var process listed
+	process.declare(flags, "engine")
+	options := engine.Options{
+		Memory: engine.DefaultMemory,
+	}
+	flags.Var((*amount)(&options.Memory), "memory", "accelerator memory, as `80GiB`")
+	flags.IntVar(&options.Slots, "slots", engine.DefaultSlots, "requests that run at once")
+	flags.IntVar(&options.QueueLimit, "queue", engine.DefaultQueueLimit, "requests that wait at most")
+	flags.DurationVar(&options.FirstToken, "first-token", engine.DefaultFirstToken, "time to the first token")
+	flags.DurationVar(&options.PerToken, "per-token", engine.DefaultPerToken, "time per further token when idle")
+	flags.StringVar(&options.Weights, "weights", "", "`address` of the weight store; without it loads take a fixed time")
+	flags.DurationVar(&options.LoadDelay, "load-delay", engine.DefaultLoadDelay, "time of a load without weight store")
+	flags.DurationVar(&options.AdapterLoadDelay, "adapter-load-delay", engine.DefaultAdapterLoadDelay, "the same for adapters")
+	flags.IntVar(&options.CacheEntries, "cache", engine.DefaultCacheEntries, "prompt prefixes that the cache holds")
+	flags.BoolVar(&options.IgnoreFencing, "ignore-fencing", false, "take orders whatever their fencing number")
+	flags.DurationVar(&options.RestartAfter, "restart-after", engine.DefaultRestartAfter, "time away after a crash")
+	return func(ctx context.Context, stdout io.Writer) error {
+		options.Name = ident.ServerName(process.name)
+		e := engine.New(options)
+		return process.serveListed(ctx, stdout, e, &e.Faults, backend.Server{
+			Kind: backend.KindEngine,
+		})
+	}
+}
+
+// amount is a flag of memory.
+type amount unit.Bytes
+
+// String gives the amount as unit.Bytes does.
+func (a *amount) String() string {
+	return unit.Bytes(*a).String()
+}
+
+// Set reads a whole number with one of the units B, KiB, MiB, GiB.
+func (a *amount) Set(text string) error {
+	parsed, err := parseAmount(text)
+	if err != nil {
+		return err
+	}
+	*a = amount(parsed)
+	return nil
+}
--- /dev/null
+++ b/internal/command/standin/plain.go
@@ -0,0 +1,46 @@
+package standin
+
+import (
+	"context"
+	"flag"
+	"io"
+
+	"cicadaloom/internal/domain/backend"
+	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/standin/plain"
+)
+
+const plainHelp = `Answers any request with an echo of it, and counts what it ran.
+
+  POST /faults   sets the fault switches, GET /faults shows them
+  GET /stats     shows the runs of each request id and each body
+
+The switches: Down, FreezeRequests, CutAfterRun, Refuse, LeaveNow, WorkFor.
+`
+
+func init() {
+	register(command{
+		name:    "plain",
+		summary: "a plain service",
+		help:    plainHelp,
+		prepare: preparePlain,
+	})
+}
+
+func preparePlain(flags *flag.FlagSet) runner {
+	var process listed
+	process.declare(flags, "plain")
+	var options plain.Options
+	var service string
+	flags.StringVar(&service, "service", "plain", "`name` of the service in the host list")
+	flags.IntVar(&options.Slots, "slots", plain.DefaultSlots, "requests that run at once")
+	flags.IntVar(&options.QueueLimit, "queue", plain.DefaultQueueLimit, "requests that wait at most")
+	flags.DurationVar(&options.Work, "work", plain.DefaultWork, "time that a request takes")
+	return func(ctx context.Context, stdout io.Writer) error {
+		p := plain.New(options)
+		return process.serveListed(ctx, stdout, p, &p.Faults, backend.Server{
+			Kind:    backend.KindService,
+			Service: ident.ServiceName(service),
+		})
+	}
+}
--- /dev/null
+++ b/internal/command/standin/weights.go
@@ -0,0 +1,41 @@
+package standin
+
+import (
+	"context"
+	"flag"
+	"io"
+
+	"cicadaloom/internal/standin/weights"
+)
+
+const weightsHelp = `Paces the loads of weights. POST /loads answers when the load is done.
+
+  GET /status    shows the loads going on and done
+  POST /faults   sets the fault switches, GET /faults shows them
+
+The switches: Down, FreezeRequests, SlowFactor, FailLoads.
+`
+
+func init() {
+	register(command{
+		name:    "weights",
+		summary: "the weight store",
+		help:    weightsHelp,
+		prepare: prepareWeights,
+	})
+}
+
+func prepareWeights(flags *flag.FlagSet) runner {
+	var process common
+	process.declare(flags)
+	var options weights.Options
+	flags.Float64Var(&options.LoadsPerSecond, "loads-per-second", weights.DefaultLoadsPerSecond, "model loads that the store gives a second")
+	flags.IntVar(&options.AtOnce, "at-once", weights.DefaultAtOnce, "model loads that go on at full speed")
+	flags.DurationVar(&options.AdapterFastest, "adapter-fastest", weights.DefaultAdapterFastest, "time of the fastest adapter")
+	flags.DurationVar(&options.AdapterSlowest, "adapter-slowest", weights.DefaultAdapterSlowest, "time of the slowest adapter")
+	flags.IntVar(&options.AdaptersAtOnce, "adapters-at-once", weights.DefaultAdaptersAtOnce, "adapters that go on at full speed")
+	return func(ctx context.Context, stdout io.Writer) error {
+		store := weights.New(options)
+		return process.serve(ctx, stdout, store, &store.Faults)
+	}
+}
--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -80,6 +80,16 @@
 	}
 }
 
+// SetJSON replaces all faults by those in the JSON, as a POST does.
+func (s *Switch[T]) SetJSON(from io.Reader) error {
+	faults, err := read[T](from)
+	if err != nil {
+		return err
+	}
+	s.Set(faults)
+	return nil
+}
+
 // Changed returns a channel that is closed when the faults are set next. Take
 // it before Get: then no change between the two is missed.
 func (s *Switch[T]) Changed() <-chan struct{} {
@@ -107,12 +117,10 @@
 // ServeHTTP shows the faults on GET and replaces them on POST.
 func (s *Switch[T]) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.Method == http.MethodPost {
-		faults, err := s.read(r.Body)
-		if err != nil {
+		if err := s.SetJSON(r.Body); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		s.Set(faults)
 	}
 	body, err := json.Marshal(s.Get())
 	if err != nil {
@@ -123,7 +131,7 @@
 	_, _ = w.Write(body) // the reader is gone: nothing to tell it
 }
 
-func (s *Switch[T]) read(from io.Reader) (T, error) {
+func read[T any](from io.Reader) (T, error) {
 	var faults T
 	body, err := io.ReadAll(io.LimitReader(from, bodyLimit))
 	if err != nil {
