--- /dev/null
+++ b/internal/command/cicadaloom/client.go
@@ -0,0 +1,92 @@
+package cicadaloom
+
+import (
+	"bytes"
+	"flag"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// tokenVariable is the environment variable with an operator's token: on the
+// command line it would stand in the list of processes.
+const tokenVariable = "CICADALOOM_TOKEN"
+
+const clientTimeout = 30 * time.Second
+
+// client talks to the administration API of an entry host.
+type client struct {
+	base  string
+	token string
+	http  http.Client
+}
+
+// clientFlags declares the flags of every command that talks to a host.
+func clientFlags(flags *flag.FlagSet) *client {
+	c := &client{}
+	flags.StringVar(&c.base, "operators", "http://127.0.0.1:8081", "the `URL` of the administration of any entry host")
+	flags.StringVar(&c.token, "token", os.Getenv(tokenVariable), "the operator's `token`; better given in "+tokenVariable)
+	return c
+}
+
+// reply is an answer of the administration API.
+type reply struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+func (c *client) call(method, path string, header http.Header, body []byte) (reply, error) {
+	base := c.base
+	if !strings.Contains(base, "://") {
+		base = "http://" + base
+	}
+	request, err := http.NewRequest(method, strings.TrimSuffix(base, "/")+path, bytes.NewReader(body))
+	if err != nil {
+		return reply{}, badInput("-operators: %v", err)
+	}
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	request.Header.Set("Authorization", "Bearer "+c.token)
+	c.http.Timeout = clientTimeout
+	response, err := c.http.Do(request)
+	if err != nil {
+		return reply{}, errors.Wrap(err, "ask the host")
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return reply{}, errors.Wrap(err, "ask the host")
+	}
+	return reply{
+		status: response.StatusCode,
+		header: response.Header,
+		body:   data,
+	}, nil
+}
+
+// get fetches a page of the administration API.
+func (c *client) get(path string) (reply, error) {
+	got, err := c.call(http.MethodGet, path, nil, nil)
+	if err != nil {
+		return got, err
+	}
+	return got, got.failure()
+}
+
+// failure gives the error that an answer says.
+func (r *reply) failure() error {
+	switch {
+	case r.status < http.StatusBadRequest:
+		return nil
+	case r.status == http.StatusBadRequest || r.status == http.StatusUnprocessableEntity:
+		return badInput("the host answered %d: %s", r.status, bytes.TrimSpace(r.body))
+	default:
+		return errors.Errorf("the host answered %d: %s", r.status, bytes.TrimSpace(r.body))
+	}
+}
--- /dev/null
+++ b/internal/command/cicadaloom/document.go
@@ -0,0 +1,140 @@
+package cicadaloom
+
+import (
+	"flag"
+	"fmt"
+	"net/http"
+	"net/url"
+	"os"
+
+	"github.com/pkg/errors"
+
+	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/peer/operator"
+)
+
+const documentHelp = `Reads and edits the documents of teams, through any entry host.
+
+  cicadaloom document list
+  cicadaloom document get -team kerlouan > kerlouan.json
+  cicadaloom document put -team kerlouan -revision 17 kerlouan.json
+  cicadaloom document history -team kerlouan
+
+get prints the document to standard output and its revision to standard error.
+put edits just that revision: where somebody else was faster, it fails and shows
+theirs, and nothing has changed. Revision 0 makes the document of a new team.
+Where the answer of a put was lost, put it again with the -edit and -again that
+the error names: it is carried out once.
+
+Exits with 2 where the document or the arguments are not in order, with 1 where
+the edit was not accepted for another reason.
+`
+
+func init() {
+	register(command{
+		name:    "document",
+		summary: "get, put or list the documents of teams",
+		help:    documentHelp,
+		prepare: prepareDocument,
+	})
+}
+
+// documentFlags are the flags of the command.
+type documentFlags struct {
+	client   *client
+	team     string
+	revision int64
+	edit     string
+	again    bool
+}
+
+func prepareDocument(flags *flag.FlagSet) runner {
+	f := documentFlags{
+		client: clientFlags(flags),
+	}
+	flags.StringVar(&f.team, "team", "", "the `name` of the team")
+	flags.Int64Var(&f.revision, "revision", -1, "the `revision` that a put starts from")
+	flags.StringVar(&f.edit, "edit", "", "the `id` of the edit; one is made where none is given")
+	flags.BoolVar(&f.again, "again", false, "the edit of this id may have been put before")
+	return func(to streams, args []string) error {
+		if len(args) == 0 {
+			return badInput("arguments: found none, allowed list, get, put or history")
+		}
+		action := args[0]
+		// Flags may stand behind the action as well, where people write them.
+		if err := flags.Parse(args[1:]); err != nil {
+			return badInput("%v", err)
+		}
+		return f.run(to, action, flags.Args())
+	}
+}
+
+func (f *documentFlags) run(to streams, action string, args []string) error {
+	if action != "list" && f.team == "" {
+		return badInput("-team: found none, allowed the name of a team")
+	}
+	path := "/admin/documents/" + url.PathEscape(f.team)
+	switch action {
+	case "list":
+		return f.show(to, "/admin/documents")
+	case "get":
+		return f.get(to, path)
+	case "history":
+		return f.show(to, path+"/history")
+	case "put":
+		return f.put(to, path, args)
+	default:
+		return badInput("arguments: found %q, allowed list, get, put or history", action)
+	}
+}
+
+func (f *documentFlags) show(to streams, path string) error {
+	got, err := f.client.get(path)
+	if err != nil {
+		return err
+	}
+	_, err = to.out.Write(got.body)
+	return err
+}
+
+func (f *documentFlags) get(to streams, path string) error {
+	got, err := f.client.get(path)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(to.err, "revision %s\n", got.header.Get("Etag"))
+	_, err = to.out.Write(got.body)
+	return err
+}
+
+func (f *documentFlags) put(to streams, path string, args []string) error {
+	if len(args) != 1 || f.revision < 0 {
+		return badInput("found -revision %d and arguments %q, allowed the revision that the edit starts from and one file", f.revision, args)
+	}
+	text, err := os.ReadFile(args[0])
+	if err != nil {
+		return badInput("%v", err)
+	}
+	if f.edit == "" {
+		f.edit = string(ident.NewEditID())
+	}
+	header := http.Header{}
+	header.Set("If-Match", fmt.Sprintf("%q", fmt.Sprint(f.revision)))
+	header.Set(operator.HeaderEdit, f.edit)
+	if f.again {
+		header.Set(operator.HeaderAgain, "true")
+	}
+	got, err := f.client.call(http.MethodPut, path, header, text)
+	if err != nil {
+		return badAnswer(err, f.edit)
+	}
+	if err := got.failure(); err != nil {
+		return err
+	}
+	_, err = to.out.Write(got.body)
+	return err
+}
+
+func badAnswer(err error, edit string) error {
+	return errors.WithMessagef(err, "the edit may have been accepted: put it again with -edit %s -again", edit)
+}
--- /dev/null
+++ b/internal/command/cicadaloom/report.go
@@ -0,0 +1,43 @@
+package cicadaloom
+
+import (
+	"flag"
+	"net/url"
+)
+
+const reportHelp = `Shows how fast each team, class and model burns its error budget, over all
+entry hosts that answer: the share of requests answered in their promised time
+over 5 minutes, 1 hour, 6 hours and 3 days, the budget left, the burn rate, and
+what used most of it up.
+
+  cicadaloom report
+  cicadaloom report -format json
+
+A burn rate of 1 uses the budget up exactly within the window. Counts live in
+the memory of the entry hosts: those of a host that was replaced are gone.
+`
+
+func init() {
+	register(command{
+		name:    "report",
+		summary: "report on service-level burn",
+		help:    reportHelp,
+		prepare: prepareReport,
+	})
+}
+
+func prepareReport(flags *flag.FlagSet) runner {
+	c := clientFlags(flags)
+	format := flags.String("format", "text", "the report's `form`: text or json")
+	return func(to streams, args []string) error {
+		if len(args) > 0 || (*format != "text" && *format != "json") {
+			return badInput("found -format %q and arguments %q, allowed text or json and no arguments", *format, args)
+		}
+		got, err := c.get("/admin/burn?format=" + url.QueryEscape(*format))
+		if err != nil {
+			return err
+		}
+		_, err = to.out.Write(got.body)
+		return err
+	}
+}
--- a/internal/control/loop/loop.go
+++ b/internal/control/loop/loop.go
@@ -14,8 +14,8 @@
 //		KeyValue: client,
 //		Log:      log,
 //	})
-//	control.Start()
-//	defer control.Stop()
+//	control.Start(peerAddress)
+//	defer control.Stop(ctx)
 //	table := control.Table()
 //
 // # Files
@@ -64,10 +64,8 @@
 // Options are what a loop is made of.
 type Options struct {
 	Settings settings.Settings
-	// PeerAddress is where this host listens for its peers.
-	PeerAddress string
-	KeyValue    KeyValue
-	Log         *zap.Logger
+	KeyValue KeyValue
+	Log      *zap.Logger
 }
 
 // Bounds of the loop.
@@ -91,6 +89,7 @@
 
 	table    atomic.Pointer[routing.Table]
 	suspects atomic.Pointer[suspects.View]
+	inForce  atomic.Pointer[documents.Snapshot]
 	dropped  atomic.Int64
 	stopping atomic.Bool
 }
@@ -116,7 +115,8 @@
 	exchanging  map[ident.HostID]bool
 	claimers    map[waiter]chan claims.Answer
 	noters      map[waiter]chan bool
-	edits       map[ident.EditID]chan documents.AnswerEdit
+	edits       map[ident.EditID][]chan documents.EditResult
+	memories    memories
 	watch       context.CancelFunc
 	demand      map[ident.ModelName]float64
 	askedFor    map[ident.ModelName]int64
@@ -124,6 +124,7 @@
 	pollAt      time.Time
 	exchangeAt  time.Time
 	planAt      time.Time
+	documentsAt time.Time
 	dirty       bool
 	lastTargets uint64
 }
@@ -140,23 +141,13 @@
 	}
 }
 
-// Start starts the control goroutine.
-func (l *Loop) Start() {
-	c := l.newControl()
+// Start starts the control goroutine. peerAddress is where this host listens
+// for its peers, as they should dial it.
+func (l *Loop) Start(peerAddress string) {
+	c := l.newControl(peerAddress)
 	l.tomb.Go(c.run)
 }
 
-// Stop ends the control goroutine and all workers.
-func (l *Loop) Stop() error {
-	l.tomb.Kill(nil)
-	err := l.tomb.Wait()
-	l.pool.Close()
-	l.engines.Close()
-	l.plains.Close()
-	l.list.Close()
-	return err
-}
-
 // Table gives the newest table, nil before the documents are known.
 func (l *Loop) Table() *routing.Table {
 	return l.table.Load()
@@ -169,13 +160,15 @@
 
 // run is the control goroutine.
 func (c *control) run() error {
-	c.begin(time.Now())
+	c.stepDocuments(time.Now(), documents.Started{
+		Watch: true,
+	})
 	timer := time.NewTimer(leastNap)
 	defer timer.Stop()
 	for {
 		select {
 		case <-c.tomb.Dying():
-			c.end()
+			c.stopWatch()
 			return nil
 		case message := <-c.inbox:
 			message.apply(time.Now(), c)
@@ -207,7 +200,7 @@
 		return
 	}
 	c.dirty = false
-	if c.documents.Snapshot().Known {
+	if c.documents.Revision() > 0 || c.documents.Snapshot().Revision > 0 {
 		c.table.Store(c.routing.Table(now))
 	}
 }
@@ -224,7 +217,7 @@
 // nap gives how long nothing is due.
 func (c *control) nap(now time.Time) time.Duration {
 	nap := idleTick
-	for _, due := range []time.Time{c.claims.NextTick(), c.orders.NextTick(), c.documents.NextTick(), c.listAt, c.pollAt, c.exchangeAt, c.planAt} {
+	for _, due := range []time.Time{c.claims.NextTick(), c.orders.NextTick(), c.documentsAt, c.listAt, c.pollAt, c.exchangeAt, c.planAt} {
 		if !due.IsZero() {
 			nap = min(nap, due.Sub(now))
 		}
--- /dev/null
+++ b/internal/control/loop/operators.go
@@ -0,0 +1,211 @@
+package loop
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"cicadaloom/internal/control/burn"
+	"cicadaloom/internal/control/documents"
+	"cicadaloom/internal/control/membership"
+	"cicadaloom/internal/control/orders"
+	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/peer/entryhost"
+)
+
+// Status is what an operator wants to see of the system, as this host knows it.
+type Status struct {
+	Host ident.HostID
+	// Documents is the revision up to which this host has every accepted edit.
+	Documents ident.Revision
+	Hosts     []HostStatus
+	Servers   []ServerStatus
+	Plan      orders.State
+	Suspects  int
+}
+
+// HostStatus is an entry host as this one hears of it.
+type HostStatus struct {
+	membership.Peer
+	Live bool
+}
+
+// ServerStatus is a backend server as this host sees it.
+type ServerStatus struct {
+	Name    ident.ServerName
+	Kind    string
+	State   string
+	Address string
+	// UnderWay is what this host has there.
+	UnderWay int64
+}
+
+// InForce counts the live hosts that have every accepted edit up to a revision.
+func (s *Status) InForce(revision ident.Revision) (int, int) {
+	have, all := 0, 0
+	for i := range s.Hosts {
+		if !s.Hosts[i].Live {
+			continue
+		}
+		all++
+		if s.Hosts[i].Documents >= revision {
+			have++
+		}
+	}
+	return have, all
+}
+
+// question asks the control goroutine something.
+type question[T any] struct {
+	ask    func(now time.Time, c *control) T
+	answer chan T
+}
+
+func (m question[T]) apply(now time.Time, c *control) {
+	m.answer <- m.ask(now, c)
+}
+
+// inquire gives what ask finds, run on the control goroutine.
+func inquire[T any](ctx context.Context, l *Loop, ask func(now time.Time, c *control) T) (T, error) {
+	answer := make(chan T, 1)
+	if !l.send(question[T]{
+		ask:    ask,
+		answer: answer,
+	}) {
+		var none T
+		return none, errEnding
+	}
+	return await(ctx, l, answer)
+}
+
+// Status gives the system's state.
+func (l *Loop) Status(ctx context.Context) (Status, error) {
+	return inquire(ctx, l, func(now time.Time, c *control) Status {
+		status := Status{
+			Host:      c.options.Settings.Host.Name,
+			Documents: c.documents.Revision(),
+			Hosts:     c.hostStatuses(now),
+			Plan:      c.orders.State(now),
+			Suspects:  len(c.suspected.All()),
+		}
+		loads := c.routing.Loads()
+		for _, server := range c.sortedServers() {
+			status.Servers = append(status.Servers, ServerStatus{
+				Name:     server.Name,
+				Kind:     string(server.Kind),
+				State:    string(server.State),
+				Address:  server.Address,
+				UnderWay: loads[server.Name],
+			})
+		}
+		return status
+	})
+}
+
+func (c *control) hostStatuses(now time.Time) []HostStatus {
+	var statuses []HostStatus
+	for _, peer := range c.membership.All() {
+		statuses = append(statuses, HostStatus{
+			Peer: peer,
+			Live: c.membership.IsLive(now, peer.Host),
+		})
+	}
+	return statuses
+}
+
+// Counts implements entryhost.Handler.
+func (l *Loop) Counts(ctx context.Context) (entryhost.Counts, error) {
+	return inquire(ctx, l, func(now time.Time, c *control) entryhost.Counts {
+		return entryhost.Counts{
+			Host: c.options.Settings.Host.Name,
+			Rows: c.burn.Rows(now),
+		}
+	})
+}
+
+// BurnReport is the report on service-level burn over all entry hosts.
+type BurnReport struct {
+	At    time.Time
+	Lines []burn.Line
+	// Hosts have given their counts, Missing have not answered in time.
+	Hosts   []ident.HostID
+	Missing []ident.HostID
+}
+
+// Burn collects the counts of all live hosts.
+func (l *Loop) Burn(ctx context.Context) (BurnReport, error) {
+	peers, err := inquire(ctx, l, func(now time.Time, c *control) []membership.Peer {
+		return c.membership.Peers(now)
+	})
+	if err != nil {
+		return BurnReport{}, err
+	}
+	counts := make([]entryhost.Counts, len(peers))
+	failures := make([]error, len(peers))
+	var group sync.WaitGroup
+	for i := range peers {
+		group.Go(func() {
+			counts[i], failures[i] = l.countsOf(ctx, peers[i])
+		})
+	}
+	group.Wait()
+	report := BurnReport{
+		At: time.Now(),
+	}
+	var rows []burn.Row
+	for i := range peers {
+		if failures[i] != nil {
+			report.Missing = append(report.Missing, peers[i].Host)
+			continue
+		}
+		report.Hosts = append(report.Hosts, peers[i].Host)
+		rows = append(rows, counts[i].Rows...)
+	}
+	report.Lines = burn.Report(report.At, rows)
+	return report, nil
+}
+
+func (l *Loop) countsOf(ctx context.Context, peer membership.Peer) (entryhost.Counts, error) {
+	if peer.Host == l.options.Settings.Host.Name {
+		return l.Counts(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, l.callTimeout())
+	defer cancel()
+	return l.pool.Burn(ctx, peer.Address)
+}
+
+// Documents gives the documents in force at this host.
+func (l *Loop) Documents() *documents.Snapshot {
+	return l.inForce.Load()
+}
+
+// Edit carries an operator's edit out and gives its answer.
+func (l *Loop) Edit(ctx context.Context, edit documents.EditSubmitted) (documents.EditResult, error) {
+	answer := make(chan documents.EditResult, 1)
+	if !l.send(editAsked{
+		edit:   edit,
+		answer: answer,
+	}) {
+		return nil, errEnding
+	}
+	return await(ctx, l, answer)
+}
+
+// History gives the superseded versions of a team's document, the oldest first.
+func (l *Loop) History(ctx context.Context, team ident.TeamName) ([]documents.Version, error) {
+	listing, err := l.options.KeyValue.List(ctx, documents.HistoryPrefix(team))
+	if err != nil {
+		return nil, errors.Wrap(err, "history")
+	}
+	versions := make([]documents.Version, 0, len(listing.Entries))
+	for _, entry := range listing.Entries {
+		version, err := documents.DecodeVersion(entry.Value)
+		if err != nil {
+			return nil, err
+		}
+		versions = append(versions, version)
+	}
+	return versions, nil
+}
--- a/internal/control/loop/peers.go
+++ b/internal/control/loop/peers.go
@@ -24,7 +24,7 @@
 	}
 	c.exchangeAt = now.Add(c.options.Settings.Control.ExchangeInterval)
 	c.membership.Step(now, membership.Beaten{
-		Documents: c.documents.Snapshot().Revision,
+		Documents: c.documents.Revision(),
 		Stopping:  c.stopping.Load(),
 	})
 	c.newHomes(now)
@@ -46,7 +46,7 @@
 		return
 	}
 	c.exchanging[peer.Host] = true
-	ours := c.knowledge(now)
+	ours := c.knowledge(now, peer.Documents)
 	c.work(c.callTimeout(), func(ctx context.Context) {
 		theirs, err := c.pool.Exchange(ctx, peer.Address, ours)
 		c.send(exchanged{
@@ -57,11 +57,11 @@
 	})
 }
 
-// knowledge is what this host tells its peers.
-func (c *control) knowledge(now time.Time) entryhost.Knowledge {
+// knowledge is what this host tells a peer that has every edit up to a revision.
+func (c *control) knowledge(now time.Time, has ident.Revision) entryhost.Knowledge {
 	return entryhost.Knowledge{
 		Peers:     c.membership.Word(now, c.lastTargets),
-		Documents: c.documentsForPeers(),
+		Documents: c.documents.Since(has),
 		Loads:     c.routing.Loads(),
 		Suspects:  c.suspected.All(),
 		Leaving:   c.routing.Leaving(),
@@ -102,7 +102,11 @@
 
 func (m asked) apply(now time.Time, c *control) {
 	c.learn(now, m.theirs)
-	m.answer <- c.knowledge(now)
+	var has ident.Revision
+	if len(m.theirs.Peers) > 0 {
+		has = m.theirs.Peers[0].Documents
+	}
+	m.answer <- c.knowledge(now, has)
 }
 
 // await waits for an answer of the control goroutine.
@@ -137,7 +141,7 @@
 	if c.suspected.Step(now, suspects.Told{
 		Suspects: theirs.Suspects,
 	}) {
-		c.Loop.suspects.Store(c.suspected.View())
+		c.suspects.Store(c.suspected.View())
 	}
 	c.dirty = true
 }
--- a/internal/control/loop/placement.go
+++ b/internal/control/loop/placement.go
@@ -76,16 +76,13 @@
 }
 
 func (c *control) planReport(now time.Time, report backend.Report) {
-	if c.servers[report.Server].Kind != backend.KindEngine {
-		return
-	}
 	c.runOrders(c.orders.Step(now, orders.Report{
 		Report:     &report,
 		ReceivedAt: now,
 	}))
 }
 
-func (c *control) planDocuments(now time.Time, snapshot documents.Snapshot) {
+func (c *control) planDocuments(now time.Time, snapshot *documents.Snapshot) {
 	all := make([]*document.Document, 0, len(snapshot.Documents))
 	for _, doc := range snapshot.Documents {
 		all = append(all, doc)
@@ -234,7 +231,7 @@
 		}
 		l.plan(orders.OrderAnswered{
 			Server:   command.Server,
-			ID:       ident.OrderID(command.Order.ID),
+			ID:       command.Order.ID,
 			Accepted: accepted && err == nil,
 		})
 	})
--- a/internal/control/loop/servers.go
+++ b/internal/control/loop/servers.go
@@ -1,8 +1,10 @@
 package loop
 
 import (
+	"cmp"
 	"context"
 	"net/url"
+	"slices"
 	"syscall"
 	"time"
 
@@ -118,11 +120,12 @@
 		}
 		servers[server.Name] = server
 	}
-	fresh := len(c.servers) == 0
-	c.servers = servers
-	if fresh {
-		c.pollAt = now
+	for name := range servers {
+		if _, known := c.servers[name]; !known {
+			c.pollAt = now
+		}
 	}
+	c.servers = servers
 	c.membership.Step(now, membership.Listed{
 		Hosts: hosts,
 	})
@@ -141,7 +144,10 @@
 	c.routing.Step(now, routing.Reported{
 		Report: m.report,
 	})
-	c.planReport(now, m.report)
+	if c.servers[m.server].Kind == backend.KindEngine {
+		c.measure(now, &m.report)
+		c.planReport(now, m.report)
+	}
 	c.dirty = true
 }
 
@@ -214,3 +220,15 @@
 	// Peers learn it at once: the caller may be sending it again through them.
 	c.exchangeAt = now
 }
+
+// sortedServers gives the listed backend servers by name.
+func (c *control) sortedServers() []backend.Server {
+	servers := make([]backend.Server, 0, len(c.servers))
+	for _, server := range c.servers {
+		servers = append(servers, server)
+	}
+	slices.SortFunc(servers, func(a, b backend.Server) int {
+		return cmp.Compare(a.Name, b.Name)
+	})
+	return servers
+}
--- a/internal/control/loop/traffic.go
+++ b/internal/control/loop/traffic.go
@@ -44,6 +44,6 @@
 	if c.suspected.Step(now, suspects.Cleared{
 		Fingerprint: m.fingerprint,
 	}) {
-		c.Loop.suspects.Store(c.suspected.View())
+		c.suspects.Store(c.suspected.View())
 	}
 }
--- a/internal/control/membership/membership.go
+++ b/internal/control/membership/membership.go
@@ -255,3 +255,21 @@
 	}
 	return result
 }
+
+// All gives every host that is remembered, this one first.
+func (m *Machine) All() []Peer {
+	all := []Peer{m.Self}
+	for _, peer := range m.sorted() {
+		all = append(all, peer.Peer)
+	}
+	return all
+}
+
+// IsLive tells whether a host is alive.
+func (m *Machine) IsLive(now time.Time, host ident.HostID) bool {
+	if host == m.Self.Host {
+		return !m.Self.Stopping
+	}
+	peer, found := m.peers[host]
+	return found && peer.live(now)
+}
--- a/internal/control/orders/leader.go
+++ b/internal/control/orders/leader.go
@@ -20,7 +20,7 @@
 // loop gives LeaderRead from a watch or from peers instead: each puts off the
 // next look.
 func (m *Machine) poll(now time.Time) []Command {
-	if now.Before(m.pollAt) || m.phase == phaseReading || m.phase == phaseLeading {
+	if m.resigned || now.Before(m.pollAt) || m.phase == phaseReading || m.phase == phaseLeading {
 		return nil
 	}
 	m.pollAt = now.Add(m.settings.LeaderPoll)
--- a/internal/control/orders/orders.go
+++ b/internal/control/orders/orders.go
@@ -69,6 +69,7 @@
 	lease      store.LeaseID
 	leaseUntil time.Time
 	leaseAsked bool
+	resigned   bool
 	pollAt     time.Time
 	leader     ident.HostID
 	term       term
@@ -151,6 +152,8 @@
 		commands = m.onPlanRead(now, event)
 	case SwapAnswered:
 		commands = m.onSwapAnswered(now, event)
+	case Resign:
+		commands = m.onResign(now)
 	case OrderAnswered, Tick:
 	}
 	commands = append(commands, m.checkLease(now)...)
--- a/internal/peer/entryhost/codec.go
+++ b/internal/peer/entryhost/codec.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cicadaloom/internal/control/burn"
+	"cicadaloom/internal/control/documents"
 	"cicadaloom/internal/control/membership"
 	"cicadaloom/internal/control/routing"
 	"cicadaloom/internal/control/suspects"
@@ -27,15 +28,18 @@
 }
 
 func encodeKnowledge(k Knowledge) *entryhostpb.Knowledge {
-	wire := &entryhostpb.Knowledge{}
+	wire := &entryhostpb.Knowledge{
+		Since:    int64(k.Documents.Since),
+		Complete: int64(k.Documents.Complete),
+	}
 	for i := range k.Peers {
 		wire.Peers = append(wire.Peers, encodePeer(&k.Peers[i]))
 	}
-	for _, document := range k.Documents {
+	for _, document := range k.Documents.Documents {
 		wire.Documents = append(wire.Documents, &entryhostpb.Document{
 			Team:     string(document.Team),
 			Revision: int64(document.Revision),
-			Text:     document.Stored,
+			Value:    document.Value,
 		})
 	}
 	for server, load := range k.Loads {
@@ -58,16 +62,20 @@
 
 func decodeKnowledge(wire *entryhostpb.Knowledge) Knowledge {
 	k := Knowledge{
+		Documents: documents.Word{
+			Since:    ident.Revision(wire.GetSince()),
+			Complete: ident.Revision(wire.GetComplete()),
+		},
 		Loads: make(map[ident.ServerName]int64, len(wire.GetLoads())),
 	}
 	for _, peer := range wire.GetPeers() {
 		k.Peers = append(k.Peers, decodePeer(peer))
 	}
 	for _, document := range wire.GetDocuments() {
-		k.Documents = append(k.Documents, Document{
+		k.Documents.Documents = append(k.Documents.Documents, documents.PeerDocument{
 			Team:     ident.TeamName(document.GetTeam()),
 			Revision: ident.Revision(document.GetRevision()),
-			Stored:   document.GetText(),
+			Value:    document.GetValue(),
 		})
 	}
 	for _, load := range wire.GetLoads() {
--- a/internal/peer/entryhost/entryhost.go
+++ b/internal/peer/entryhost/entryhost.go
@@ -33,6 +33,7 @@
 
 	"cicadaloom/internal/control/burn"
 	"cicadaloom/internal/control/claims"
+	"cicadaloom/internal/control/documents"
 	"cicadaloom/internal/control/membership"
 	"cicadaloom/internal/control/routing"
 	"cicadaloom/internal/control/suspects"
@@ -44,19 +45,12 @@
 type Knowledge struct {
 	// Peers has the sender first.
 	Peers     []membership.Peer
-	Documents []Document
+	Documents documents.Word
 	Loads     map[ident.ServerName]int64
 	Suspects  []suspects.Suspect
 	Leaving   []routing.ServerLeaving
 }
 
-// Document is an accepted document as it is stored.
-type Document struct {
-	Team     ident.TeamName
-	Revision ident.Revision
-	Stored   []byte
-}
-
 // Counts are one host's rows for the report on service-level burn.
 type Counts struct {
 	Host ident.HostID
--- /dev/null
+++ b/internal/peer/operator/documents.go
@@ -0,0 +1,232 @@
+package operator
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/uptrace/bunrouter"
+	"go.uber.org/zap"
+
+	"cicadaloom/internal/config/jsonfile"
+	"cicadaloom/internal/control/documents"
+	"cicadaloom/internal/domain/ident"
+)
+
+// Headers of edits.
+const (
+	// HeaderEdit names an edit. An edit whose answer was lost or Unknown is
+	// submitted again under the same id: it is carried out once.
+	HeaderEdit    = "Cicadaloom-Edit"
+	headerIfMatch = "If-Match"
+	headerETag    = "Etag"
+	// HeaderAgain marks an edit that is submitted again.
+	HeaderAgain = "Cicadaloom-Again"
+)
+
+type wireListed struct {
+	Team     string
+	Revision int64
+}
+
+type wireList struct {
+	Revision  int64
+	Documents []wireListed
+}
+
+func (s *Server) listDocuments(w http.ResponseWriter, _ bunrouter.Request) error {
+	list := wireList{
+		Documents: []wireListed{},
+	}
+	if snapshot := s.Control.Documents(); snapshot != nil {
+		list.Revision = int64(snapshot.Revision)
+		for team, version := range snapshot.Versions {
+			if version.Deleted {
+				continue
+			}
+			list.Documents = append(list.Documents, wireListed{
+				Team:     string(team),
+				Revision: int64(version.Revision),
+			})
+		}
+	}
+	sort.Slice(list.Documents, func(i, j int) bool { return list.Documents[i].Team < list.Documents[j].Team })
+	return writeJSON(w, http.StatusOK, list)
+}
+
+func (s *Server) getDocument(w http.ResponseWriter, request bunrouter.Request) error {
+	team := ident.TeamName(request.Param("team"))
+	snapshot := s.Control.Documents()
+	if snapshot != nil {
+		version, found := snapshot.Versions[team]
+		if found {
+			// A deleted document has a revision too: its team's next edit starts there.
+			setETag(w, version.Revision)
+		}
+		if found && !version.Deleted {
+			w.Header().Set("Content-Type", "application/json")
+			w.WriteHeader(http.StatusOK)
+			_, err := w.Write(version.Text)
+			return err
+		}
+	}
+	return writeProblem(w, http.StatusNotFound, problem{
+		Code:    codeNotFound,
+		Message: "team " + string(team) + " has no document in force at this host",
+	})
+}
+
+func setETag(w http.ResponseWriter, revision ident.Revision) {
+	w.Header().Set(headerETag, `"`+strconv.FormatInt(int64(revision), 10)+`"`)
+}
+
+func (s *Server) putDocument(w http.ResponseWriter, request bunrouter.Request) error {
+	text, err := io.ReadAll(http.MaxBytesReader(w, request.Body, maxDocument))
+	if err != nil {
+		return badInput(w, "the document could not be read: "+err.Error())
+	}
+	return s.edit(w, request, documents.EditSubmitted{
+		Text: text,
+	})
+}
+
+func (s *Server) deleteDocument(w http.ResponseWriter, request bunrouter.Request) error {
+	return s.edit(w, request, documents.EditSubmitted{
+		Delete: true,
+	})
+}
+
+func badInput(w http.ResponseWriter, message string) error {
+	return writeProblem(w, http.StatusBadRequest, problem{
+		Code:    codeBadInput,
+		Message: message,
+	})
+}
+
+func (s *Server) edit(w http.ResponseWriter, request bunrouter.Request, edit documents.EditSubmitted) error {
+	base, err := strconv.ParseInt(strings.Trim(request.Header.Get(headerIfMatch), `"`), 10, 64)
+	if err != nil || base < 0 {
+		return badInput(w, headerIfMatch+": found "+strconv.Quote(request.Header.Get(headerIfMatch))+
+			`, allowed the revision that the edit starts from, such as "17", or "0" for a new team`)
+	}
+	edit.Base = ident.Revision(base)
+	edit.Team = ident.TeamName(request.Param("team"))
+	edit.Deadline = s.Now().Add(callTimeout)
+	edit.Again = request.Header.Get(HeaderAgain) != ""
+	edit.Edit = ident.EditID(request.Header.Get(HeaderEdit))
+	if edit.Edit == "" {
+		edit.Edit = ident.NewEditID()
+	}
+	result, err := s.Control.Edit(request.Context(), edit)
+	if err != nil {
+		result = documents.Unknown{
+			RetryAt: s.Now().Add(time.Second),
+		}
+	}
+	s.Log.Info("edit", zap.String("Team", string(edit.Team)), zap.String("EditID", string(edit.Edit)), zap.Any("Result", result))
+	return s.answer(w, edit, result)
+}
+
+type wireAccepted struct {
+	Team     string
+	Revision int64
+	Edit     string
+}
+
+func (s *Server) answer(w http.ResponseWriter, edit documents.EditSubmitted, result documents.EditResult) error {
+	w.Header().Set(HeaderEdit, string(edit.Edit))
+	switch result := result.(type) {
+	case documents.Accepted:
+		setETag(w, result.Revision)
+		return writeJSON(w, http.StatusOK, wireAccepted{
+			Team:     string(edit.Team),
+			Revision: int64(result.Revision),
+			Edit:     string(edit.Edit),
+		})
+	case documents.Conflict:
+		setETag(w, result.Revision)
+		return writeProblem(w, http.StatusConflict, problem{
+			Code:     codeConflict,
+			Message:  "another edit came first; merge with it and edit its revision",
+			Revision: int64(result.Revision),
+			Theirs:   string(result.Theirs),
+			Yours:    string(result.Yours),
+		})
+	case documents.Refused:
+		return writeProblem(w, http.StatusUnprocessableEntity, problem{
+			Code:    codeRefused,
+			Message: "the document was not accepted; nothing has changed",
+			Faults:  encodeFaults(result.Faults),
+		})
+	case documents.Unavailable:
+		return writeProblem(w, http.StatusServiceUnavailable, problem{
+			Code:    codeUnavailable,
+			Message: "the edit was not carried out: " + result.Reason,
+			Edit:    string(edit.Edit),
+			RetryAt: &result.RetryAt,
+		})
+	case documents.Unknown:
+		return writeProblem(w, http.StatusGatewayTimeout, problem{
+			Code:    codeUnknown,
+			Message: "the edit may have been accepted or may be yet; submit it again under the same id with " + HeaderAgain,
+			Edit:    string(edit.Edit),
+			RetryAt: &result.RetryAt,
+		})
+	}
+	return nil
+}
+
+func encodeFaults(faults jsonfile.Faults) []wireFault {
+	wire := make([]wireFault, 0, len(faults))
+	for _, fault := range faults {
+		wire = append(wire, wireFault{
+			Path:    fault.Path,
+			Found:   fault.Found,
+			Allowed: fault.Allowed,
+		})
+	}
+	return wire
+}
+
+type wireVersion struct {
+	Revision int64
+	Edit     string
+	At       time.Time
+	Deleted  bool            `json:",omitempty"`
+	Document json.RawMessage `json:",omitempty"`
+}
+
+func (s *Server) history(w http.ResponseWriter, request bunrouter.Request) error {
+	team := ident.TeamName(request.Param("team"))
+	versions, err := s.Control.History(request.Context(), team)
+	if err != nil {
+		return unavailable(w, err)
+	}
+	if snapshot := s.Control.Documents(); snapshot != nil {
+		if current, found := snapshot.Versions[team]; found {
+			versions = append(versions, current)
+		}
+	}
+	wire := make([]wireVersion, 0, len(versions))
+	for _, version := range versions {
+		wire = append(wire, wireVersion{
+			Revision: int64(version.Revision),
+			Edit:     string(version.Edit),
+			At:       version.At,
+			Deleted:  version.Deleted,
+			Document: version.Text,
+		})
+	}
+	return writeJSON(w, http.StatusOK, wire)
+}
+
+func unavailable(w http.ResponseWriter, err error) error {
+	return writeProblem(w, http.StatusServiceUnavailable, problem{
+		Code:    codeUnavailable,
+		Message: err.Error(),
+	})
+}
--- /dev/null
+++ b/internal/peer/operator/operator.go
@@ -0,0 +1,140 @@
+// Package operator is the side that operators see: the administration API, the
+// metrics and the health page of an entry host.
+//
+//	GET    /admin/documents              the teams with the revisions in force
+//	GET    /admin/documents/TEAM         a team's document; its revision is the ETag
+//	PUT    /admin/documents/TEAM         an edit of the revision in If-Match
+//	DELETE /admin/documents/TEAM         the same, for a team that goes
+//	GET    /admin/documents/TEAM/history the versions before
+//	GET    /admin/status                 hosts, backend servers, models, moves
+//	GET    /admin/burn                   the report on service-level burn
+//	GET    /metrics                      Prometheus text
+//	GET    /healthz                      204 while the process serves
+//
+// Everything under /admin wants a bearer token from the settings. A team's
+// token may read and edit its own document; the administrators' token may read
+// everything and edit every team's. docs/API.md has the forms.
+//
+// # Usage
+//
+//	server := operator.Server{
+//		Control:  loop,
+//		Settings: settings.Operators,
+//		Log:      log,
+//	}
+//	address, err := server.Start("127.0.0.1:8081")
+package operator
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
+	"github.com/uptrace/bunrouter"
+	"go.uber.org/zap"
+	tomb "gopkg.in/tomb.v2"
+
+	"cicadaloom/internal/config/settings"
+	"cicadaloom/internal/control/documents"
+	"cicadaloom/internal/control/loop"
+	"cicadaloom/internal/domain/ident"
+)
+
+// Control is the control side of the host.
+type Control interface {
+	Documents() *documents.Snapshot
+	Edit(ctx context.Context, edit documents.EditSubmitted) (documents.EditResult, error)
+	History(ctx context.Context, team ident.TeamName) ([]documents.Version, error)
+	Status(ctx context.Context) (loop.Status, error)
+	Burn(ctx context.Context) (loop.BurnReport, error)
+}
+
+// Bounds of a request.
+const (
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+	callTimeout   = 10 * time.Second
+	maxDocument   = 1 << 20
+)
+
+// Server answers operators. Control, Settings and Log must be set.
+type Server struct {
+	Control  Control
+	Settings settings.Operators
+	Log      *zap.Logger
+	TLS      *tls.Config
+	// Now is the wall clock; time.Now unless a test sets it.
+	Now func() time.Time
+
+	tomb tomb.Tomb
+	http *http.Server
+}
+
+// Start listens at an address ("ip:port"; port 0 takes any) and gives the
+// address that it got.
+func (s *Server) Start(address string) (string, error) {
+	if s.Now == nil {
+		s.Now = time.Now
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return "", errors.Wrapf(err, "listen for operators at %s", address)
+	}
+	bound := listener.Addr().String()
+	if s.TLS != nil {
+		listener = tls.NewListener(listener, s.TLS)
+	}
+	s.http = &http.Server{
+		Handler:           s.routes(),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          zap.NewStdLog(s.Log),
+	}
+	s.tomb.Go(func() error {
+		if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrap(err, "serve operators")
+		}
+		return nil
+	})
+	return bound, nil
+}
+
+// Stop lets the requests in flight finish, within the context's time.
+func (s *Server) Stop(ctx context.Context) error {
+	s.tomb.Kill(nil)
+	if err := s.http.Shutdown(ctx); err != nil {
+		_ = s.http.Close()
+	}
+	return s.tomb.Wait()
+}
+
+func (s *Server) routes() http.Handler {
+	router := bunrouter.New(bunrouter.WithNotFoundHandler(s.notFound), bunrouter.WithMethodNotAllowedHandler(s.notFound))
+	router.GET("/healthz", func(w http.ResponseWriter, _ bunrouter.Request) error {
+		w.WriteHeader(http.StatusNoContent)
+		return nil
+	})
+	router.GET("/metrics", func(w http.ResponseWriter, _ bunrouter.Request) error {
+		metrics.WritePrometheus(w, true)
+		return nil
+	})
+	router.GET("/admin/documents", s.allowed(toRead, s.listDocuments))
+	router.GET("/admin/documents/:team", s.allowed(toRead, s.getDocument))
+	router.PUT("/admin/documents/:team", s.allowed(toEdit, s.putDocument))
+	router.DELETE("/admin/documents/:team", s.allowed(toEdit, s.deleteDocument))
+	router.GET("/admin/documents/:team/history", s.allowed(toRead, s.history))
+	router.GET("/admin/status", s.allowed(toRead, s.status))
+	router.GET("/admin/burn", s.allowed(toRead, s.burn))
+	return router
+}
+
+func (s *Server) notFound(w http.ResponseWriter, request bunrouter.Request) error {
+	return writeProblem(w, http.StatusNotFound, problem{
+		Code:    codeNotFound,
+		Message: "nothing is served at " + request.Method + " " + request.URL.Path,
+	})
+}
--- /dev/null
+++ b/internal/peer/operator/status.go
@@ -0,0 +1,248 @@
+package operator
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/uptrace/bunrouter"
+
+	"cicadaloom/internal/control/burn"
+	"cicadaloom/internal/control/loop"
+	"cicadaloom/internal/control/orders"
+)
+
+type wireStatus struct {
+	Host     string
+	Revision int64
+	// InForce counts the live hosts that have every edit up to Revision.
+	InForce   int
+	LiveHosts int
+	Leader    string
+	Fencing   int64
+	Hosts     []wireHost
+	Servers   []wireServer
+	Models    []wireModel
+	Blocked   []wireBlocked `json:",omitempty"`
+	Doubts    []wireDoubt   `json:",omitempty"`
+	Moves     map[string]int
+	Recent    []wireMove `json:",omitempty"`
+	Suspects  int
+}
+
+type wireHost struct {
+	Name       string
+	DataCentre string
+	Region     string
+	Address    string
+	Live       bool
+	Stopping   bool
+	Revision   int64
+}
+
+type wireServer struct {
+	Name     string
+	Kind     string
+	State    string
+	Address  string
+	UnderWay int64
+}
+
+type wireModel struct {
+	Model      string
+	Version    string
+	Want       int
+	Ready      int
+	ReadyOther int
+	Loading    int
+}
+
+type wireBlocked struct {
+	Model  string
+	Reason string
+	Have   int
+	Want   int
+}
+
+type wireDoubt struct {
+	Server    string
+	Order     string
+	Kind      string
+	WrittenAt time.Time
+	Tries     int
+}
+
+type wireMove struct {
+	Order  string
+	At     time.Time
+	Kind   string
+	Model  string
+	Server string
+	Reason string
+	// Have and Want are replicas of the model that gains, before the move.
+	Have int
+	Want int
+}
+
+func (s *Server) status(w http.ResponseWriter, request bunrouter.Request) error {
+	status, err := s.Control.Status(request.Context())
+	if err != nil {
+		return unavailable(w, err)
+	}
+	return writeJSON(w, http.StatusOK, encodeStatus(&status))
+}
+
+func encodeStatus(status *loop.Status) wireStatus {
+	inForce, live := status.InForce(status.Documents)
+	wire := wireStatus{
+		Host:      string(status.Host),
+		Revision:  int64(status.Documents),
+		InForce:   inForce,
+		LiveHosts: live,
+		Leader:    string(status.Plan.Leader),
+		Fencing:   int64(status.Plan.Fencing),
+		Hosts:     make([]wireHost, 0, len(status.Hosts)),
+		Servers:   make([]wireServer, 0, len(status.Servers)),
+		Moves:     make(map[string]int),
+		Suspects:  status.Suspects,
+	}
+	for i := range status.Hosts {
+		host := &status.Hosts[i]
+		wire.Hosts = append(wire.Hosts, wireHost{
+			Name:       string(host.Host),
+			DataCentre: string(host.DataCentre),
+			Region:     string(host.Region),
+			Address:    host.Address,
+			Live:       host.Live,
+			Stopping:   host.Stopping,
+			Revision:   int64(host.Documents),
+		})
+	}
+	for _, server := range status.Servers {
+		wire.Servers = append(wire.Servers, wireServer{
+			Name:     string(server.Name),
+			Kind:     server.Kind,
+			State:    server.State,
+			Address:  server.Address,
+			UnderWay: server.UnderWay,
+		})
+	}
+	wire.encodePlan(&status.Plan)
+	return wire
+}
+
+func (w *wireStatus) encodePlan(plan *orders.State) {
+	w.Models = make([]wireModel, 0, len(plan.Models))
+	for _, model := range plan.Models {
+		w.Models = append(w.Models, wireModel{
+			Model:      string(model.Model),
+			Version:    string(model.Version),
+			Want:       model.Want,
+			Ready:      model.Ready,
+			ReadyOther: model.ReadyOther,
+			Loading:    model.Loading,
+		})
+	}
+	for _, doubt := range plan.Doubts {
+		w.Doubts = append(w.Doubts, wireDoubt{
+			Server:    string(doubt.Server),
+			Order:     string(doubt.Order.ID),
+			Kind:      string(doubt.Order.Kind),
+			WrittenAt: doubt.WrittenAt,
+			Tries:     doubt.Tries,
+		})
+	}
+	for reason, count := range plan.Moves {
+		w.Moves[string(reason)] = count
+	}
+	for _, blocked := range plan.Blocked {
+		w.Blocked = append(w.Blocked, wireBlocked{
+			Model:  string(blocked.Weights.Model),
+			Reason: string(blocked.Why),
+			Have:   blocked.Have,
+			Want:   blocked.Want,
+		})
+	}
+	for _, recent := range plan.Recent {
+		w.Recent = append(w.Recent, wireMove{
+			Order:  string(recent.Order),
+			At:     recent.At,
+			Kind:   string(recent.Move.Kind),
+			Model:  string(recent.Move.Weights.Model),
+			Server: string(recent.Move.Server),
+			Reason: string(recent.Move.Reason),
+			Have:   recent.Move.Have,
+			Want:   recent.Move.Want,
+		})
+	}
+}
+
+type wireBurn struct {
+	At        time.Time
+	Objective float64
+	Hosts     []string
+	Missing   []string `json:",omitempty"`
+	Lines     []wireBurnLine
+}
+
+type wireBurnLine struct {
+	Window     string
+	Team       string
+	Class      string
+	Model      string
+	Requests   int64
+	InTime     int64
+	Late       int64
+	Refused    int64
+	Failed     int64
+	Share      float64
+	BurnRate   float64
+	BudgetLeft float64
+	UsedUpBy   string
+}
+
+// burn gives the report as JSON, or as text with ?format=text.
+func (s *Server) burn(w http.ResponseWriter, request bunrouter.Request) error {
+	report, err := s.Control.Burn(request.Context())
+	if err != nil {
+		return unavailable(w, err)
+	}
+	if request.URL.Query().Get("format") == "text" {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		_, err := w.Write([]byte(burn.Text(report.Lines)))
+		return err
+	}
+	return writeJSON(w, http.StatusOK, encodeBurn(&report))
+}
+
+func encodeBurn(report *loop.BurnReport) wireBurn {
+	wire := wireBurn{
+		At:        report.At.UTC(),
+		Objective: burn.Objective,
+		Lines:     make([]wireBurnLine, 0, len(report.Lines)),
+	}
+	for _, host := range report.Hosts {
+		wire.Hosts = append(wire.Hosts, string(host))
+	}
+	for _, host := range report.Missing {
+		wire.Missing = append(wire.Missing, string(host))
+	}
+	for i := range report.Lines {
+		line := &report.Lines[i]
+		wire.Lines = append(wire.Lines, wireBurnLine{
+			Window:     line.Window,
+			Team:       string(line.Team),
+			Class:      string(line.Class),
+			Model:      string(line.Model),
+			Requests:   line.Counts.All(),
+			InTime:     line.Counts[burn.InTime],
+			Late:       line.Counts[burn.Late],
+			Refused:    line.Counts[burn.Refused],
+			Failed:     line.Counts[burn.Failed],
+			Share:      line.Share(),
+			BurnRate:   line.Rate(),
+			BudgetLeft: line.BudgetLeft(),
+			UsedUpBy:   line.Cause(),
+		})
+	}
+	return wire
+}
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -104,7 +104,7 @@
 	attempt ident.AttemptID
 	// losses counts the backend servers that fell silent while the request was there.
 	losses int
-	log         *zap.Logger
+	log    *zap.Logger
 }
 
 func (d *Dispatcher) begin(request *Request, target *routing.Target, mayRepeat bool) *journey {
--- a/internal/traffic/host/host.go
+++ b/internal/traffic/host/host.go
@@ -184,7 +184,7 @@
 		keep(errors.Wrap(h.peers.Stop(), "peers"))
 	}
 	if h.control != nil {
-		keep(errors.Wrap(h.control.Stop(ctx), "control"))
+		keep(errors.Wrap(h.control.Stop(), "control"))
 	}
 	h.engines.Close()
 	h.plains.Close()
