--- a/internal/control/loop/placement.go
+++ b/internal/control/loop/placement.go
@@ -11,7 +11,6 @@
 	"cicadaloom/internal/control/orders"
 	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/document"
-	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/domain/store"
 )
 
