demo: Show the whole path at work in one process

The report showed requests without a class: they now get the team's default class, and a class that the team doesn't have is refused.

--- /dev/null
+++ b/internal/command/cicadaloom/demo.go
@@ -0,0 +1,187 @@
+package cicadaloom
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"cicadaloom/examples"
+	"cicadaloom/internal/config/settings"
+	"cicadaloom/internal/config/teamdoc"
+	"cicadaloom/internal/domain/document"
+	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/domain/unit"
+	"cicadaloom/internal/standin/engine"
+	"cicadaloom/internal/standin/plain"
+	"cicadaloom/internal/standin/platform"
+	"cicadaloom/internal/traffic/host"
+)
+
+const demoHelp = `Runs the whole path in one process, on this machine's loopback: stand-ins of the
+platform, three model engines and a plain service, and two entry hosts with the
+first models of the example document of Kerlouan. It serves real requests, shows
+answers and a refusal, an edit coming into force on both hosts, and the report on
+service-level burn. It ends by itself within 20 seconds.
+`
+
+func init() {
+	register(command{
+		name:    "demo",
+		summary: "show the whole path at work in one process",
+		help:    demoHelp,
+		prepare: func(*flag.FlagSet) runner { return demo },
+	})
+}
+
+// Sizes of the demo.
+const (
+	demoModels   = 3
+	demoEngines  = 3
+	demoHosts    = 2
+	demoDeadline = 18 * time.Second
+	demoToken    = "demo-token-0123456789"
+	demoTeam     = "kerlouan"
+)
+
+var demoPlace = platform.Place{
+	DataCentre: "brest-a",
+	Region:     "finistere",
+}
+
+// show is the demo as it runs.
+type show struct {
+	to       streams
+	ctx      context.Context
+	platform *platform.Platform
+	hosts    []*host.Host
+	document *document.Document
+}
+
+func demo(to streams, args []string) error {
+	if len(args) > 0 {
+		return badInput("arguments: found %q, allowed none", args)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), demoDeadline)
+	defer cancel()
+	s := &show{
+		to:  to,
+		ctx: ctx,
+	}
+	defer s.stop()
+	for _, step := range s.steps() {
+		fmt.Fprintf(to.out, "\n== %s\n", step.title)
+		if err := step.run(); err != nil {
+			return errors.Wrap(err, step.title)
+		}
+	}
+	fmt.Fprintln(to.out, "\nThat was the whole path. README.md says where to go on.")
+	return nil
+}
+
+func (s *show) startPlatform() error {
+	running, err := platform.Start(platform.Options{
+		Place: demoPlace,
+	})
+	if err != nil {
+		return err
+	}
+	s.platform = running
+	for i := range demoEngines {
+		name := ident.ServerName(fmt.Sprintf("gpu-%d", i+1))
+		address, err := running.AddEngine(name, engine.Options{
+			Memory: 80 * unit.Gibibyte,
+		})
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(s.to.out, "model engine %s at %s, 80 GiB\n", name, address)
+	}
+	address, err := running.AddPlain("desk-1", "boat-dispatch", plain.Options{})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(s.to.out, "plain service boat-dispatch at %s\n", address)
+	return nil
+}
+
+func (s *show) startHosts() error {
+	for i := range demoHosts {
+		name := ident.HostID(fmt.Sprintf("entry-%d", i+1))
+		started, err := host.Start(s.settings(name), zap.NewNop())
+		if err != nil {
+			return err
+		}
+		s.hosts = append(s.hosts, started)
+		if err := s.platform.AddEntryHost(name, started.Peers); err != nil {
+			return err
+		}
+		fmt.Fprintf(s.to.out, "entry host %s: callers at %s, operators at %s\n", name, started.Callers, started.Operators)
+	}
+	return nil
+}
+
+// settings are those of a host of the demo. Its intervals are short, so that
+// the demo is; its addresses are whatever ports are free.
+func (s *show) settings(name ident.HostID) settings.Settings {
+	result := settings.Default()
+	result.Host = settings.Host{
+		Name:       name,
+		DataCentre: demoPlace.DataCentre,
+		Region:     demoPlace.Region,
+		DataCentres: map[ident.DataCentre]ident.Region{
+			demoPlace.DataCentre: demoPlace.Region,
+		},
+	}
+	result.Listen = settings.Listen{
+		Callers:   "127.0.0.1:0",
+		Operators: "127.0.0.1:0",
+		Peers:     "127.0.0.1:0",
+	}
+	result.Platform = settings.Platform{
+		KeyValue:    []string{s.platform.KeyValue},
+		HostList:    "http://" + s.platform.HostList,
+		WeightStore: "http://" + s.platform.WeightStore,
+	}
+	result.Operators = settings.Operators{
+		Teams: []settings.TeamToken{
+			{
+				Team:  demoTeam,
+				Token: demoToken,
+			},
+		},
+	}
+	result.Control.ReportInterval = 100 * time.Millisecond
+	result.Control.ListInterval = 200 * time.Millisecond
+	result.Control.ExchangeInterval = 200 * time.Millisecond
+	result.Control.PlanInterval = 200 * time.Millisecond
+	return result
+}
+
+// declare makes the demo's document: the first models of Kerlouan's example,
+// one replica each, since the weight store loads one and a half a second.
+func (s *show) declare() error {
+	doc, err := teamdoc.Read(examples.Kerlouan)
+	if err != nil {
+		return err
+	}
+	doc.Models = doc.Models[:demoModels]
+	for i := range doc.Models {
+		doc.Models[i].Replicas = 1
+		doc.Models[i].MaxReplicas = 1
+	}
+	s.document = doc
+	return s.put()
+}
+
+func (s *show) stop() {
+	for _, running := range s.hosts {
+		_ = running.Stop(context.Background())
+	}
+	if s.platform != nil {
+		s.platform.Stop()
+	}
+}
--- a/internal/traffic/dispatch/chat.go
+++ b/internal/traffic/dispatch/chat.go
@@ -20,6 +20,9 @@
 	if !found {
 		return Untouched(CodeModelNotFound, "no team declares a model or adapter "+string(chat.Model), time.Time{})
 	}
+	if failure := classify(&chat.Request, target); failure != nil {
+		return failure
+	}
 	ctx, cancel := context.WithDeadline(ctx, chat.Deadline)
 	defer cancel()
 	j := d.begin(&chat.Request, target, target.MayRepeat)
--- a/internal/traffic/dispatch/request.go
+++ b/internal/traffic/dispatch/request.go
@@ -1,10 +1,13 @@
 package dispatch
 
 import (
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"cicadaloom/internal/control/routing"
 	"cicadaloom/internal/domain/ident"
 )
 
@@ -69,3 +72,21 @@
 func (r *Request) prefix() uint64 {
 	return xxhash.Sum64(r.Body[:min(len(r.Body), prefixLength)])
 }
+
+// classify puts a request that names no class into the team's default class. A
+// class that the team doesn't have is refused: the request would silently lose
+// the place that its caller counts on.
+func classify(request *Request, target *routing.Target) *Failure {
+	if request.Class == "" {
+		request.Class = target.Document.DefaultClass
+		return nil
+	}
+	names := make([]string, 0, len(target.Document.Classes))
+	for _, class := range target.Document.Classes {
+		if class.Name == request.Class {
+			return nil
+		}
+		names = append(names, string(class.Name))
+	}
+	return Untouched(CodeHeaderInvalid, "class: found "+strconv.Quote(string(request.Class))+", allowed "+strings.Join(names, ", "), time.Time{})
+}
--- a/internal/traffic/dispatch/service.go
+++ b/internal/traffic/dispatch/service.go
@@ -24,6 +24,9 @@
 	if !found {
 		return Untouched(CodeServiceNotFound, "no team declares a service "+string(request.Service), time.Time{})
 	}
+	if failure := classify(&request.Request, target); failure != nil {
+		return failure
+	}
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
 	j := d.begin(&request.Request, target, !target.Service.ForbidsRepeat(request.Method))
