--- a/internal/control/loop/loop.go
+++ b/internal/control/loop/loop.go
@@ -30,6 +30,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 	tomb "gopkg.in/tomb.v2"
 
@@ -66,6 +67,7 @@
 	Settings settings.Settings
 	KeyValue KeyValue
 	Log      *zap.Logger
+	Metrics  *metrics.Set
 }
 
 // Bounds of the loop.
@@ -127,6 +129,7 @@
 	documentsAt time.Time
 	dirty       bool
 	lastTargets uint64
+	gauges      gauges
 }
 
 // New makes a loop that Start sets going.
@@ -166,28 +169,36 @@
 	timer := time.NewTimer(leastNap)
 	defer timer.Stop()
 	for {
+		var woken time.Time
 		select {
 		case <-c.tomb.Dying():
 			c.stopWatch()
 			return nil
 		case message := <-c.inbox:
-			message.apply(time.Now(), c)
+			woken = time.Now()
+			c.take(message)
 			c.drain()
-		case <-timer.C:
+		case woken = <-timer.C:
 		}
 		now := time.Now()
 		c.tick(now)
 		c.publish(now)
+		c.gauges.busy.Add(time.Since(woken).Seconds())
 		timer.Reset(c.nap(now))
 	}
 }
 
+func (c *control) take(m message) {
+	c.gauges.messages.Inc()
+	m.apply(time.Now(), c)
+}
+
 // drain takes in what else has come, so that a burst of reports costs one table.
 func (c *control) drain() {
 	for range inboxSize {
 		select {
 		case message := <-c.inbox:
-			message.apply(time.Now(), c)
+			c.take(message)
 		default:
 			return
 		}
--- /dev/null
+++ b/internal/control/loop/metrics.go
@@ -0,0 +1,49 @@
+package loop
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// gauges are what the control goroutine shows to metrics.
+type gauges struct {
+	liveHosts *metrics.Gauge
+	servers   *metrics.Gauge
+	revision  *metrics.Gauge
+	leading   *metrics.Gauge
+	suspects  *metrics.Gauge
+	doubts    *metrics.Gauge
+	busy      *metrics.FloatCounter
+	messages  *metrics.Counter
+}
+
+func newGauges(set *metrics.Set, l *Loop) gauges {
+	set.NewGauge("cicadaloom_control_messages_dropped", func() float64 { return float64(l.dropped.Load()) })
+	set.NewGauge("cicadaloom_control_inbox", func() float64 { return float64(len(l.inbox)) })
+	return gauges{
+		liveHosts: set.NewGauge("cicadaloom_live_hosts", nil),
+		servers:   set.NewGauge("cicadaloom_backend_servers", nil),
+		revision:  set.NewGauge("cicadaloom_documents_revision", nil),
+		leading:   set.NewGauge("cicadaloom_leading", nil),
+		suspects:  set.NewGauge("cicadaloom_suspects", nil),
+		doubts:    set.NewGauge("cicadaloom_orders_in_doubt", nil),
+		busy:      set.NewFloatCounter("cicadaloom_control_busy_seconds_total"),
+		messages:  set.NewCounter("cicadaloom_control_messages_total"),
+	}
+}
+
+// show brings the gauges up to date, once an exchange interval.
+func (c *control) show(now time.Time) {
+	state := c.orders.State(now)
+	c.gauges.liveHosts.Set(float64(len(c.membership.Live(now))))
+	c.gauges.servers.Set(float64(len(c.servers)))
+	c.gauges.revision.Set(float64(c.documents.Revision()))
+	c.gauges.suspects.Set(float64(len(c.suspected.All())))
+	c.gauges.doubts.Set(float64(len(state.Doubts)))
+	leading := 0.0
+	if state.Leading {
+		leading = 1
+	}
+	c.gauges.leading.Set(leading)
+}
--- a/internal/control/loop/peers.go
+++ b/internal/control/loop/peers.go
@@ -28,6 +28,7 @@
 		Stopping:  c.stopping.Load(),
 	})
 	c.newHomes(now)
+	c.show(now)
 	c.lastTargets++
 	for _, peer := range c.membership.Targets(now, c.lastTargets) {
 		c.exchange(now, peer)
--- a/internal/control/loop/start.go
+++ b/internal/control/loop/start.go
@@ -46,6 +46,7 @@
 		memories:   make(memories),
 		demand:     make(map[ident.ModelName]float64),
 		askedFor:   make(map[ident.ModelName]int64),
+		gauges:     newGauges(l.options.Metrics, l),
 	}
 }
 
--- a/internal/peer/operator/operator.go
+++ b/internal/peer/operator/operator.go
@@ -61,12 +61,14 @@
 	maxDocument   = 1 << 20
 )
 
-// Server answers operators. Control, Settings and Log must be set.
+// Server answers operators. All fields but TLS must be set.
 type Server struct {
 	Control  Control
 	Settings settings.Operators
-	Log      *zap.Logger
-	TLS      *tls.Config
+	// Metrics are this host's; the process's own are shown with them.
+	Metrics *metrics.Set
+	Log     *zap.Logger
+	TLS     *tls.Config
 	// Now is the wall clock; time.Now unless a test sets it.
 	Now func() time.Time
 
@@ -119,6 +121,7 @@
 		return nil
 	})
 	router.GET("/metrics", func(w http.ResponseWriter, _ bunrouter.Request) error {
+		s.Metrics.WritePrometheus(w)
 		metrics.WritePrometheus(w, true)
 		return nil
 	})
--- a/internal/traffic/dispatch/chat.go
+++ b/internal/traffic/dispatch/chat.go
@@ -204,6 +204,7 @@
 func (j *journey) first() {
 	if j.firstAt.IsZero() {
 		j.firstAt = j.Now()
+		j.Metrics.firstToken(j.target, j.firstAt.Sub(j.arrived))
 	}
 }
 
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -79,6 +79,7 @@
 	Policy    routing.Policy
 	Budget    *Budget
 	Log       *zap.Logger
+	Metrics   Metrics
 	// Now is the wall clock; time.Now unless a test sets it.
 	Now func() time.Time
 	// Dice gives random bits.
@@ -157,15 +158,18 @@
 	case j.firstAt.After(j.promised):
 		result = burn.Late
 	}
+	key := burn.Key{
+		Team:  j.target.Team,
+		Class: j.request.Class,
+		Model: ident.ModelName(j.target.Label()),
+	}
 	j.Reporter.Finished(burn.Sample{
-		Key: burn.Key{
-			Team:  j.target.Team,
-			Class: j.request.Class,
-			Model: ident.ModelName(j.target.Label()),
-		},
+		Key:    key,
 		Result: result,
 	})
+	j.Metrics.finished(key, result)
 	if failure != nil {
+		j.Metrics.failed(failure)
 		j.log.Info("request given up", zap.String("Code", string(failure.Code)),
 			zap.String("Run", failure.Outcome.String()), zap.String("Message", failure.Message))
 	}
--- a/internal/traffic/dispatch/route.go
+++ b/internal/traffic/dispatch/route.go
@@ -66,6 +66,7 @@
 		j.routing.NumTried++
 	}
 	choice.Replica.Gauge.Begin()
+	j.Metrics.attempt(j.target)
 	j.trail.Sending(j.attempt)
 }
 
@@ -87,6 +88,7 @@
 	// Until it is known whether the server died of this request, it goes on
 	// alone: beside others it could take them along, or be blamed for theirs.
 	j.losses++
+	j.Metrics.lost(choice)
 	j.routing.Alone = true
 	j.log.Warn("attempt lost", zap.String("AttemptID", string(j.attempt)),
 		zap.String("Server", string(choice.Replica.Server)), zap.Error(cause))
--- a/internal/traffic/host/host.go
+++ b/internal/traffic/host/host.go
@@ -21,6 +21,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
@@ -42,6 +43,7 @@
 	Operators string
 	Peers     string
 
+	metrics   *metrics.Set
 	keyValue  *etcd.Client
 	control   *loop.Loop
 	callers   *caller.Server
@@ -55,6 +57,7 @@
 // starts in an outage learns what it needs from its peers.
 func Start(loaded settings.Settings, log *zap.Logger) (*Host, error) {
 	h := &Host{
+		metrics: metrics.NewSet(),
 		engines: &engine.Client{},
 		plains:  &plain.Client{},
 	}
@@ -75,6 +78,7 @@
 		Settings: loaded,
 		KeyValue: keyValue,
 		Log:      log,
+		Metrics:  h.metrics,
 	})
 	peers := &entryhost.Server{
 		Handler: h.control,
@@ -113,6 +117,7 @@
 	operators := &operator.Server{
 		Control:  h.control,
 		Settings: loaded.Operators,
+		Metrics:  h.metrics,
 		Log:      log,
 		TLS:      certificates,
 	}
@@ -139,7 +144,10 @@
 		Budget: &dispatch.Budget{
 			Percent: int64(loaded.Policy.RetryBudgetPercent),
 		},
-		Log:  log,
+		Log: log,
+		Metrics: dispatch.Metrics{
+			Set: h.metrics,
+		},
 		Now:  time.Now,
 		Dice: rand.Uint64,
 	}, nil
