scenarios: Dispatch a boat at most once under kills, freezes, lost answers and outages

Ruled out: counting runs of the service that is also asked by GET, whose empty bodies count as one more run; the crowd has a service of its own.

A repeat whose first attempt sat on a frozen host waited 15 s of its 60 s for the finish, which another host had written: open.

--- a/internal/scenario/testbed/bed_test.go
+++ b/internal/scenario/testbed/bed_test.go
@@ -21,6 +21,7 @@
 	mu         sync.Mutex
 	processes  map[string]*process
 	transcript bytes.Buffer
+	begun      map[string]*background
 }
 
 type bedKey struct{}
@@ -29,6 +30,7 @@
 func Setup(env *testscript.Env) error {
 	b := &bed{
 		processes: make(map[string]*process),
+		begun:     make(map[string]*background),
 	}
 	env.Values[bedKey{}] = b
 	env.Defer(b.endAll)
@@ -58,6 +60,8 @@
 		"many":       cmdMany,
 		"transcript": cmdTranscript,
 		"pin":        cmdPin,
+		"begin":      cmdBegin,
+		"finished":   cmdFinished,
 	}
 }
 
--- a/internal/scenario/testbed/testbed.go
+++ b/internal/scenario/testbed/testbed.go
@@ -27,6 +27,8 @@
 //	edit NAME TEAM FILE [REVISION]
 //	                             put a team's document through a host
 //	until PATTERN COMMAND ...    repeat a command until its stdout matches
+//	begin LABEL COMMAND ...      begin a request and go on
+//	finished LABEL               wait for its answer, which is stdout
 //	many N COMMAND ...           run a command N times at once; stdout is sorted
 //	transcript FILE              write all answers so far to a file
 //	pin                          forget what is in the transcript
