--- /dev/null
+++ b/internal/config/teamdoc/table.go
@@ -0,0 +1,185 @@
+package teamdoc
+
+import (
+	"net/http"
+	"regexp"
+	"time"
+
+	"cicadaloom/internal/config/jsonfile"
+	"cicadaloom/internal/domain/document"
+	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/domain/unit"
+)
+
+const (
+	longestName     = 64
+	longestTeam     = 63
+	maxModels       = 2000
+	maxAdapters     = 2000
+	maxServices     = 500
+	maxClasses      = 16
+	maxReplicas     = 1000
+	maxModelMemory  = 4096 * unit.Gibibyte
+	longestPromise  = 10 * time.Minute
+	shortestPromise = time.Millisecond
+)
+
+// Names stand in URLs, keys of the key-value service and metrics: no slash, no
+// space, nothing to escape. A team's name is also a host name's label.
+var (
+	namePattern = regexp.MustCompile(`[A-Za-z0-9]([A-Za-z0-9._-]*[A-Za-z0-9])?`)
+	teamPattern = regexp.MustCompile(`[a-z0-9]([a-z0-9-]*[a-z0-9])?`)
+)
+
+func name[S ~string]() jsonfile.Text[S] {
+	return jsonfile.Text[S]{
+		Max:     longestName,
+		Pattern: namePattern,
+		Form:    "a name of letters, digits and . _ - that starts and ends with a letter or digit,",
+	}
+}
+
+var teamName = jsonfile.Text[ident.TeamName]{
+	Max:     longestTeam,
+	Pattern: teamPattern,
+	Form:    "a name of a-z, 0-9 and - that starts and ends with a letter or digit,",
+}
+
+var documentTable = jsonfile.Object[document.Document]{
+	Members: []jsonfile.Member[document.Document]{
+		jsonfile.Need("Team", func(d *document.Document) *ident.TeamName { return &d.Team }, teamName,
+			"The team that owns the document."),
+		jsonfile.Need("Classes", func(d *document.Document) *[]document.Class { return &d.Classes },
+			jsonfile.List[document.Class]{
+				Item: classTable,
+				Min:  1,
+				Max:  maxClasses,
+			},
+			"The classes of callers, the first coming first."),
+		jsonfile.Need("DefaultClass", func(d *document.Document) *ident.ClassName { return &d.DefaultClass }, name[ident.ClassName](),
+			"The class of callers that name none: one of Classes."),
+		jsonfile.May("Models", func(d *document.Document) *[]document.Model { return &d.Models },
+			jsonfile.List[document.Model]{
+				Item: modelTable,
+				Max:  maxModels,
+			},
+			"The models, each of which stays reachable."),
+		jsonfile.May("Services", func(d *document.Document) *[]document.Service { return &d.Services },
+			jsonfile.List[document.Service]{
+				Item: serviceTable,
+				Max:  maxServices,
+			},
+			"The plain services beside the models."),
+	},
+	Check: checkDocument,
+}
+
+var classTable = jsonfile.Object[document.Class]{
+	Members: []jsonfile.Member[document.Class]{
+		jsonfile.Need("Name", func(c *document.Class) *ident.ClassName { return &c.Name }, name[ident.ClassName](),
+			"The name by which callers say their class."),
+		jsonfile.Need("Share", func(c *document.Class) *int { return &c.Share },
+			jsonfile.Integer[int]{
+				Min: 0,
+				Max: 100,
+			},
+			"The part of the team's capacity, in percent, that the class keeps even when classes before it are busy; at most 100 over all classes."),
+	},
+}
+
+// MayRepeat has no default: whoever declares a model has to think of it.
+var modelTable = jsonfile.Object[document.Model]{
+	Members: []jsonfile.Member[document.Model]{
+		jsonfile.Need("Name", func(m *document.Model) *ident.ModelName { return &m.Name }, name[ident.ModelName](),
+			"The name by which callers ask for the model; no other model, adapter or service of any team has it."),
+		jsonfile.Need("Version", func(m *document.Model) *ident.Version { return &m.Version }, name[ident.Version](),
+			"The version of the weights."),
+		jsonfile.Need("Memory", func(m *document.Model) *unit.Bytes { return &m.Memory },
+			jsonfile.Bytes{
+				Min: 1,
+				Max: maxModelMemory,
+			},
+			"What one replica takes on a backend server, without its adapters."),
+		jsonfile.Need("Replicas", func(m *document.Model) *int { return &m.Replicas }, replicas(),
+			"The least number of replicas, each on a server of its own."),
+		jsonfile.Need("MaxReplicas", func(m *document.Model) *int { return &m.MaxReplicas }, replicas(),
+			"The greatest number of replicas; at least Replicas."),
+		jsonfile.Need("MayRepeat", func(m *document.Model) *bool { return &m.MayRepeat }, jsonfile.Flag{},
+			"Whether running a request twice does no harm; false makes each request run at most once."),
+		jsonfile.Need("Promise", func(m *document.Model) *document.Promise { return &m.Promise }, modelPromiseTable,
+			""),
+		jsonfile.May("Adapters", func(m *document.Model) *[]document.Adapter { return &m.Adapters },
+			jsonfile.List[document.Adapter]{
+				Item: adapterTable,
+				Max:  maxAdapters,
+			},
+			"The model's adapters."),
+	},
+	Check: checkModel,
+}
+
+func replicas() jsonfile.Integer[int] {
+	return jsonfile.Integer[int]{
+		Min: 1,
+		Max: maxReplicas,
+	}
+}
+
+var adapterTable = jsonfile.Object[document.Adapter]{
+	Members: []jsonfile.Member[document.Adapter]{
+		jsonfile.Need("Name", func(a *document.Adapter) *ident.AdapterName { return &a.Name }, name[ident.AdapterName](),
+			"The name by which callers ask for the adapter; no other model, adapter or service of any team has it."),
+		jsonfile.Need("Version", func(a *document.Adapter) *ident.Version { return &a.Version }, name[ident.Version](),
+			"The version of the adapter's weights."),
+		jsonfile.Need("Memory", func(a *document.Adapter) *unit.Bytes { return &a.Memory },
+			jsonfile.Bytes{
+				Min: 1,
+				Max: maxModelMemory,
+			},
+			"What the adapter takes beside each replica of its model."),
+	},
+}
+
+func promise(low time.Duration) jsonfile.Duration {
+	return jsonfile.Duration{
+		Min: low,
+		Max: longestPromise,
+	}
+}
+
+var modelPromiseTable = jsonfile.Object[document.Promise]{
+	Members: []jsonfile.Member[document.Promise]{
+		jsonfile.Need("FirstToken", func(p *document.Promise) *time.Duration { return &p.FirstToken }, promise(shortestPromise),
+			"The promised time to the first token."),
+		jsonfile.Need("BetweenTokens", func(p *document.Promise) *time.Duration { return &p.BetweenTokens }, promise(shortestPromise),
+			"The promised time between two tokens."),
+	},
+}
+
+var servicePromiseTable = jsonfile.Object[document.Promise]{
+	Members: []jsonfile.Member[document.Promise]{
+		jsonfile.Need("FirstToken", func(p *document.Promise) *time.Duration { return &p.FirstToken }, promise(shortestPromise),
+			"The promised time to the service's whole answer."),
+	},
+}
+
+// ForbidRepeat has no default, for the reason that MayRepeat has none.
+var serviceTable = jsonfile.Object[document.Service]{
+	Members: []jsonfile.Member[document.Service]{
+		jsonfile.Need("Name", func(s *document.Service) *ident.ServiceName { return &s.Name }, name[ident.ServiceName](),
+			"The name by which callers ask for the service; no other model, adapter or service of any team has it."),
+		jsonfile.Need("ForbidRepeat", func(s *document.Service) *[]string { return &s.ForbidRepeat },
+			jsonfile.List[string]{
+				Item: jsonfile.Text[string]{
+					OneOf: []string{
+						http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut,
+						http.MethodPatch, http.MethodDelete, http.MethodOptions,
+					},
+				},
+			},
+			"The HTTP methods whose requests run at most once; may be empty."),
+		jsonfile.Need("Promise", func(s *document.Service) *document.Promise { return &s.Promise }, servicePromiseTable,
+			""),
+	},
+	Check: checkService,
+}
