control/documents: Decide which documents are in force on a host

Cause: an accepted configuration is in force everywhere within seconds and never reverts, though operators race, answers get lost, watches fall silent or leave changes out, and peers and readers lag. Ruled out: one history value per team, which a fresh host must read before each edit (a key per version needs no read); taking the watch's position for completeness (see below); resolving a lost answer by a read alone, as the write may still arrive (the same swap is sent again, and its compares let only one of the two take effect). An edit is one swap of the document, the version before it and the summary; each stored value names the accepted edit before it, which shows a gap.

--- /dev/null
+++ b/internal/control/documents/codec.go
@@ -0,0 +1,208 @@
+package documents
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"cicadaloom/internal/config/teamdoc"
+	"cicadaloom/internal/domain/document"
+	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/domain/unit"
+
+	"github.com/pkg/errors"
+)
+
+// The keys in the platform's key-value service.
+const (
+	Prefix        = "/cicadaloom/documents/"
+	SummaryKey    = "/cicadaloom/summary"
+	historyPrefix = "/cicadaloom/history/"
+)
+
+// Key gives the key of a team's document.
+func Key(team ident.TeamName) string {
+	return Prefix + string(team)
+}
+
+// HistoryPrefix gives the prefix of the superseded versions of a team's
+// document; each value is read by DecodeVersion.
+func HistoryPrefix(team ident.TeamName) string {
+	return historyPrefix + string(team) + "/"
+}
+
+func historyKey(team ident.TeamName, revision ident.Revision) string {
+	// Leading zeros keep the order of keys that of revisions.
+	return fmt.Sprintf("%s%019d", HistoryPrefix(team), revision)
+}
+
+// Version is one accepted version of a team's document.
+type Version struct {
+	Team     ident.TeamName
+	Revision ident.Revision
+	Edit     ident.EditID
+	// At is when the accepting host sent the swap, by that host's clock.
+	At time.Time
+	// Text is as the operator gave it; empty for a tombstone.
+	Text    []byte
+	Deleted bool
+}
+
+// ref names an earlier version.
+type ref struct {
+	edit     ident.EditID
+	revision ident.Revision
+}
+
+// stored is the value of a document's key. Its version's revision is that of
+// the entry.
+type stored struct {
+	version Version
+	// after is the revision of the accepted edit before this one, of any team.
+	after ident.Revision
+	// earlier are the versions before this one, the newest first.
+	earlier []ref
+}
+
+type wireVersion struct {
+	Team     string
+	Revision int64 `json:",omitempty"`
+	Edit     string
+	At       time.Time
+	Text     string `json:",omitempty"`
+	Deleted  bool   `json:",omitempty"`
+}
+
+type wireRef struct {
+	Edit     string
+	Revision int64
+}
+
+type wireStored struct {
+	wireVersion
+	After   int64
+	Earlier []wireRef `json:",omitempty"`
+}
+
+type wireSummary struct {
+	Edit     string
+	Team     string
+	Teams    int
+	Models   int
+	Adapters int
+	Services int
+	// Memory is what the least replicas of all models take, in bytes.
+	Memory int64
+}
+
+func encode(value any) []byte {
+	var out bytes.Buffer
+	encoder := json.NewEncoder(&out)
+	encoder.SetEscapeHTML(false)
+	// Structs of strings, numbers and times with years below 10000 always encode.
+	_ = encoder.Encode(value)
+	return bytes.TrimSuffix(out.Bytes(), []byte("\n"))
+}
+
+func (v *Version) wire() wireVersion {
+	return wireVersion{
+		Team:     string(v.Team),
+		Revision: int64(v.Revision),
+		Edit:     string(v.Edit),
+		At:       v.At.UTC(),
+		Text:     string(v.Text),
+		Deleted:  v.Deleted,
+	}
+}
+
+func (w *wireVersion) version() Version {
+	return Version{
+		Team:     ident.TeamName(w.Team),
+		Revision: ident.Revision(w.Revision),
+		Edit:     ident.EditID(w.Edit),
+		At:       w.At,
+		Text:     []byte(w.Text),
+		Deleted:  w.Deleted,
+	}
+}
+
+func encodeVersion(v *Version) []byte {
+	return encode(v.wire())
+}
+
+// DecodeVersion reads a value under HistoryPrefix.
+func DecodeVersion(value []byte) (Version, error) {
+	var wire wireVersion
+	if err := json.Unmarshal(value, &wire); err != nil {
+		return Version{}, errors.Wrap(err, "decode version")
+	}
+	return wire.version(), nil
+}
+
+func encodeStored(s *stored) []byte {
+	wire := wireStored{
+		wireVersion: s.version.wire(),
+		After:       int64(s.after),
+	}
+	wire.Revision = 0 // the service gives it
+	for _, r := range s.earlier {
+		wire.Earlier = append(wire.Earlier, wireRef{
+			Edit:     string(r.edit),
+			Revision: int64(r.revision),
+		})
+	}
+	return encode(wire)
+}
+
+// decodeStored reads the value of a document's key and the document in it, nil
+// for a tombstone.
+func decodeStored(key string, revision ident.Revision, value []byte) (*stored, *document.Document, error) {
+	var wire wireStored
+	if err := json.Unmarshal(value, &wire); err != nil {
+		return nil, nil, errors.Wrap(err, "decode stored document")
+	}
+	if strings.TrimPrefix(key, Prefix) != wire.Team {
+		return nil, nil, errors.Errorf("stored document of team %q under key %q", wire.Team, key)
+	}
+	result := &stored{
+		version: wire.version(),
+		after:   ident.Revision(wire.After),
+	}
+	result.version.Revision = revision
+	for _, r := range wire.Earlier {
+		result.earlier = append(result.earlier, ref{
+			edit:     ident.EditID(r.Edit),
+			revision: ident.Revision(r.Revision),
+		})
+	}
+	if wire.Deleted {
+		return result, nil, nil
+	}
+	doc, err := teamdoc.Read(result.version.Text)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "stored document")
+	}
+	return result, doc, nil
+}
+
+// encodeSummary tells what all documents together need. Its content is for
+// people; the machines use its revision.
+func encodeSummary(edit *EditSubmitted, docs map[ident.TeamName]*document.Document) []byte {
+	summary := wireSummary{
+		Edit:  string(edit.Edit),
+		Team:  string(edit.Team),
+		Teams: len(docs),
+	}
+	for _, doc := range docs {
+		summary.Models += len(doc.Models)
+		summary.Services += len(doc.Services)
+		for i := range doc.Models {
+			model := &doc.Models[i]
+			summary.Adapters += len(model.Adapters)
+			summary.Memory += int64(teamdoc.ReplicaMemory(model) * unit.Bytes(model.Replicas))
+		}
+	}
+	return encode(summary)
+}
