--- a/internal/control/documents/edit.go
+++ b/internal/control/documents/edit.go
@@ -231,9 +231,15 @@
 // upToDate tells whether all documents known to exist are held, so that they
 // can be checked together. Those that are not known to exist are the summary's
 // part.
+//
+// What a failed swap found of the summary counts only once a listing or the
+// edits themselves have come that far. The watch's position does not do: a watch
+// that left an edit out goes on as if it had not. The swap would then compare the
+// new summary and pass, although the check never saw the edit behind it: two
+// documents would overcommit together.
 func (m *Machine) upToDate(e *edit) bool {
 	known := m.sync.listed || m.complete > 0
-	reached := max(m.position, m.complete)
+	reached := max(m.sync.listedAt, m.complete)
 	return known && m.complete >= m.newest && reached >= max(m.sync.need, e.Base) && len(m.unreadable) == 0
 }
 
--- a/internal/control/documents/sync.go
+++ b/internal/control/documents/sync.go
@@ -15,8 +15,9 @@
 	started bool
 	// duty tells whether this host watches.
 	duty bool
-	// listed tells that a listing was read.
-	listed bool
+	// listed tells that a listing was read, listedAt the greatest revision of one.
+	listed   bool
+	listedAt ident.Revision
 	// stale asks for a listing, since changes may have been missed.
 	stale bool
 	// need is a revision that is known to exist and not to be reached yet.
@@ -98,6 +99,7 @@
 	m.attach()
 	m.position = max(m.position, event.Listing.Revision)
 	s := &m.sync
+	s.listedAt = max(s.listedAt, event.Listing.Revision)
 	if event.Call != s.call {
 		return
 	}
