--- a/internal/control/documents/edit.go
+++ b/internal/control/documents/edit.go
@@ -1,6 +1,7 @@
 package documents
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -288,13 +289,19 @@
 		// Servers that died must not keep a team from needing less.
 		return refusedFor(teamdoc.CheckNames(docs))
 	}
-	if len(m.capacity) == 0 {
+	if faults := teamdoc.CheckNames(docs); len(faults) > 0 {
+		return refusedFor(faults)
+	}
+	faults := teamdoc.CheckTogether(docs, m.capacity)
+	if len(faults) > 0 && (m.unheard > 0 || len(m.capacity) == 0) {
+		// A host that has just started, or a server that has, would otherwise make
+		// a sound document fail for good: what fits is not known yet.
 		return Unavailable{
 			RetryAt: now.Add(m.pause(1)),
-			Reason:  "no backend server has reported its memory yet",
+			Reason:  fmt.Sprintf("the documents don't fit the %d backend servers that have reported their memory, and %d are still to", len(m.capacity), m.unheard),
 		}
 	}
-	return refusedFor(teamdoc.CheckTogether(docs, m.capacity))
+	return refusedFor(faults)
 }
 
 func refusedFor(faults jsonfile.Faults) EditResult {
--- a/internal/control/documents/machine.go
+++ b/internal/control/documents/machine.go
@@ -65,6 +65,7 @@
 	sync     syncState
 	edits    []*edit
 	capacity []teamdoc.Server
+	unheard  int
 	peers    map[ident.HostID]ident.Revision
 
 	lastCall  CallID
@@ -139,6 +140,7 @@
 		m.readAnswered(now, event)
 	case CapacityChanged:
 		m.capacity = event.Servers
+		m.unheard = event.Unheard
 	case PeerSpoke:
 		m.peerSpoke(event.Word)
 	case PeerInForce:
--- a/internal/control/documents/message.go
+++ b/internal/control/documents/message.go
@@ -120,6 +120,8 @@
 // documents together have to fit.
 type CapacityChanged struct {
 	Servers []teamdoc.Server
+	// Unheard counts listed servers that are expected to report and have not yet.
+	Unheard int
 }
 
 // PeerSpoke has documents from another host.
--- a/internal/control/loop/documents.go
+++ b/internal/control/loop/documents.go
@@ -189,21 +189,29 @@
 	c.tellCapacity(now)
 }
 
+// unheardFor is how long a server that has just been listed is expected to
+// report its memory. One that never does must not hold up edits for ever.
+const unheardFor = 15 * time.Second
+
 // tellCapacity tells the documents what all listed servers have. One that is
 // silent at the moment counts with what it last said: it comes back.
 func (c *control) tellCapacity(now time.Time) {
-	var servers []teamdoc.Server
+	var event documents.CapacityChanged
 	for _, server := range c.sortedServers() {
-		if memory := c.memories[server.Name]; memory > 0 {
-			servers = append(servers, teamdoc.Server{
+		if server.Kind != backend.KindEngine {
+			continue
+		}
+		memory := c.memories[server.Name]
+		if memory > 0 {
+			event.Servers = append(event.Servers, teamdoc.Server{
 				Name:   server.Name,
 				Memory: memory,
 			})
+		} else if now.Before(c.listedAt[server.Name].Add(unheardFor)) {
+			event.Unheard++
 		}
 	}
-	c.stepDocuments(now, documents.CapacityChanged{
-		Servers: servers,
-	})
+	c.stepDocuments(now, event)
 }
 
 // memories maps backend servers to their accelerator memory.
--- a/internal/control/loop/loop.go
+++ b/internal/control/loop/loop.go
@@ -119,6 +119,7 @@
 	noters      map[waiter]chan bool
 	edits       map[ident.EditID][]chan documents.EditResult
 	memories    memories
+	listedAt    map[ident.ServerName]time.Time
 	watch       context.CancelFunc
 	demand      map[ident.ModelName]float64
 	askedFor    map[ident.ModelName]int64
--- a/internal/control/loop/servers.go
+++ b/internal/control/loop/servers.go
@@ -123,9 +123,11 @@
 	for name := range servers {
 		if _, known := c.servers[name]; !known {
 			c.pollAt = now
+			c.listedAt[name] = now
 		}
 	}
 	c.servers = servers
+	c.tellCapacity(now)
 	c.membership.Step(now, membership.Listed{
 		Hosts: hosts,
 	})
--- a/internal/control/loop/start.go
+++ b/internal/control/loop/start.go
@@ -44,6 +44,7 @@
 		noters:     make(map[waiter]chan bool),
 		edits:      make(map[ident.EditID][]chan documents.EditResult),
 		memories:   make(memories),
+		listedAt:   make(map[ident.ServerName]time.Time),
 		demand:     make(map[ident.ModelName]float64),
 		askedFor:   make(map[ident.ModelName]int64),
 		gauges:     newGauges(l.options.Metrics, l),
--- a/internal/traffic/dispatch/chat.go
+++ b/internal/traffic/dispatch/chat.go
@@ -41,7 +41,7 @@
 	}
 	// A request that can't be answered in time is refused before it costs a
 	// claim, a write in the key-value service.
-	if _, failure := j.choose(); failure != nil {
+	if _, failure := j.choose(ctx); failure != nil {
 		return failure
 	}
 	stored, failure := j.claim(ctx)
@@ -78,7 +78,7 @@
 // run sends the chat until it is answered or given up.
 func (c *conversation) run(ctx context.Context) (Whole, *Failure) {
 	for {
-		choice, failure := c.choose()
+		choice, failure := c.choose(ctx)
 		if failure != nil {
 			return c.answer, c.cutIfBegun(failure)
 		}
@@ -117,7 +117,7 @@
 		Once:      !c.mayRepeat,
 	})
 	if err != nil {
-		return c.unanswered(ctx, choice, err)
+		return c.unanswered(ctx, choice, err, watch.stalled())
 	}
 	defer stream.Close()
 	c.routing.Version = choice.Replica.Version
@@ -130,7 +130,7 @@
 	for {
 		event, err := stream.Next()
 		if err != nil {
-			return c.unanswered(ctx, choice, err)
+			return c.unanswered(ctx, choice, err, watch.stalled())
 		}
 		watch.alive(c.stall())
 		switch e := event.(type) {
@@ -147,7 +147,7 @@
 			return false, c.answered(choice, begun)
 		}
 		if err != nil {
-			return c.unanswered(ctx, choice, err)
+			return c.unanswered(ctx, choice, err, watch.stalled())
 		}
 	}
 }
@@ -209,20 +209,20 @@
 }
 
 // unanswered ends an attempt that gave no whole answer.
-func (c *conversation) unanswered(ctx context.Context, choice routing.Choice, err error) (bool, *Failure) {
+func (c *conversation) unanswered(ctx context.Context, choice routing.Choice, err error, stalled bool) (bool, *Failure) {
 	gauge := choice.Replica.Gauge
 	var refusal *engine.Refusal
 	if errors.As(err, &refusal) && refusal.ProvesNotRun() {
 		return c.refused(choice, refusal)
 	}
 	switch {
-	case ctx.Err() != nil || errors.Is(err, context.Canceled) && !errors.Is(err, errStalled):
+	case ctx.Err() != nil || !stalled && errors.Is(err, context.Canceled):
 		gauge.Cancelled()
 		return false, c.gaveUp(ctx)
 	case refusal != nil && refusal.Status >= http.StatusBadRequest && refusal.Status < http.StatusInternalServerError && refusal.Status != http.StatusTooManyRequests:
 		return false, c.rejected(choice, refusal)
 	}
-	c.lost(choice, err)
+	c.lost(choice, err, stalled)
 	if c.losses >= suspects.DeathsToRefuse {
 		return false, c.suspect()
 	}
--- a/internal/traffic/dispatch/route.go
+++ b/internal/traffic/dispatch/route.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"time"
 
 	"go.uber.org/zap"
@@ -20,13 +21,13 @@
 // choose finds the next backend server for the request, or the failure that
 // ends it. It refuses at once what can't be answered in time any more: held
 // back, the request would only take the place of one that still can.
-func (j *journey) choose() (routing.Choice, *Failure) {
+func (j *journey) choose(ctx context.Context) (routing.Choice, *Failure) {
 	now := j.Now()
-	j.routing.Now = now
 	if !now.Before(j.request.Deadline) {
 		return routing.Choice{}, j.fail(CodeDeadlinePassed, "the deadline has passed", time.Time{})
 	}
-	choice, err := j.Policy.Choose(j.target, &j.routing)
+	choice, err := j.pick(ctx)
+	now = j.Now()
 	if err != nil {
 		return routing.Choice{}, j.noReplica(now)
 	}
@@ -47,6 +48,33 @@
 	return choice, nil
 }
 
+// A request that needs a backend server to itself waits for one this long, and
+// looks this often.
+const (
+	alonePatience = 2 * time.Second
+	aloneEvery    = 10 * time.Millisecond
+)
+
+// pick asks the policy. A suspect waits for a replica with nothing else under
+// way: most of them are innocent, and their neighbours' work ends soon.
+func (j *journey) pick(ctx context.Context) (routing.Choice, error) {
+	until := j.Now().Add(alonePatience)
+	for {
+		j.routing.Now = j.Now()
+		choice, err := j.Policy.Choose(j.target, &j.routing)
+		if err == nil || !j.routing.Alone || !j.routing.Now.Before(until) {
+			return choice, err
+		}
+		timer := time.NewTimer(aloneEvery)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return choice, err
+		}
+	}
+}
+
 func (j *journey) noReplica(now time.Time) *Failure {
 	switch {
 	case j.routing.NumTried > 0:
@@ -83,13 +111,16 @@
 }
 
 // lost records that a backend server fell silent while the request was there.
-func (j *journey) lost(choice routing.Choice, cause error) {
+// One that hangs has not died of it; one whose connection was cut may have.
+func (j *journey) lost(choice routing.Choice, cause error, stalled bool) {
 	choice.Replica.Gauge.Failed(j.Now())
-	// Until it is known whether the server died of this request, it goes on
-	// alone: beside others it could take them along, or be blamed for theirs.
-	j.losses++
 	j.Metrics.lost(choice)
-	j.routing.Alone = true
+	if !stalled {
+		// Until it is known whether the server died of this request, it goes on
+		// alone: beside others it could take them along, or be blamed for theirs.
+		j.losses++
+		j.routing.Alone = true
+	}
 	j.log.Warn("attempt lost", zap.String("AttemptID", string(j.attempt)),
 		zap.String("Server", string(choice.Replica.Server)), zap.Error(cause))
 	j.Reporter.Died(j.fingerprint, suspects.Life{
--- a/internal/traffic/dispatch/service.go
+++ b/internal/traffic/dispatch/service.go
@@ -48,7 +48,7 @@
 
 func (e *errand) run(ctx context.Context) (Whole, *Failure) {
 	for {
-		choice, failure := e.choose()
+		choice, failure := e.choose(ctx)
 		if failure != nil {
 			return e.answer, failure
 		}
@@ -79,7 +79,7 @@
 		Once:      !e.mayRepeat,
 	})
 	if refusal != nil {
-		return e.unanswered(ctx, choice, refusal)
+		return e.unanswered(ctx, choice, refusal, watch.stalled())
 	}
 	return false, e.answered(choice, answer, sent)
 }
@@ -100,7 +100,7 @@
 	return nil
 }
 
-func (e *errand) unanswered(ctx context.Context, choice routing.Choice, refusal *plain.Refusal) (bool, *Failure) {
+func (e *errand) unanswered(ctx context.Context, choice routing.Choice, refusal *plain.Refusal, stalled bool) (bool, *Failure) {
 	if refusal.ProvesNotRun() {
 		return e.refused(choice, refusal)
 	}
@@ -108,7 +108,7 @@
 		choice.Replica.Gauge.Cancelled()
 		return false, e.gaveUp(ctx)
 	}
-	e.lost(choice, refusal)
+	e.lost(choice, refusal, stalled)
 	if e.mayTryAgain(false) {
 		return true, nil
 	}
--- a/internal/traffic/dispatch/watchdog.go
+++ b/internal/traffic/dispatch/watchdog.go
@@ -24,14 +24,16 @@
 // shows. An attempt that may not be repeated is left to its deadline, since
 // nothing could be done with the time that ending it early would save.
 type watchdog struct {
-	timer  *time.Timer
-	cancel context.CancelCauseFunc
+	watched context.Context
+	timer   *time.Timer
+	cancel  context.CancelCauseFunc
 }
 
 func (j *journey) watch(ctx context.Context) (context.Context, *watchdog) {
 	watched, cancel := context.WithCancelCause(ctx)
 	dog := &watchdog{
-		cancel: cancel,
+		watched: watched,
+		cancel:  cancel,
 	}
 	if j.mayRepeat {
 		patience := max(firstTokenPatience*j.target.Promise.FirstToken, leastStall)
@@ -52,6 +54,11 @@
 	}
 }
 
+// stalled tells whether it was the watchdog that ended the attempt.
+func (w *watchdog) stalled() bool {
+	return errors.Is(context.Cause(w.watched), errStalled)
+}
+
 func (w *watchdog) stop() {
 	if w.timer != nil {
 		w.timer.Stop()
--- a/internal/traffic/host/host.go
+++ b/internal/traffic/host/host.go
@@ -141,10 +141,8 @@
 		Engines:   h.engines,
 		Plains:    h.plains,
 		Policy:    policy,
-		Budget: &dispatch.Budget{
-			Percent: int64(loaded.Policy.RetryBudgetPercent),
-		},
-		Log: log,
+		Budget:    dispatch.NewBudget(loaded.Policy.RetryBudgetPercent),
+		Log:       log,
 		Metrics: dispatch.Metrics{
 			Set: h.metrics,
 		},
