--- /dev/null
+++ b/internal/standin/engine/bench_test.go
@@ -0,0 +1,145 @@
+package engine
+
+import (
+	"context"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cicadaloom/internal/domain/backend"
+	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/domain/unit"
+	peer "cicadaloom/internal/peer/engine"
+)
+
+const (
+	patience = 10 * time.Second
+	tick     = 2 * time.Millisecond
+)
+
+// bench is a running engine and a client of it.
+type bench struct {
+	*Engine
+	t       *testing.T
+	client  peer.Client
+	address string
+}
+
+func newBench(t *testing.T, options Options) *bench {
+	b := &bench{
+		Engine: New(options),
+		t:      t,
+	}
+	var err error
+	b.address, err = b.Start("127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		b.client.Close()
+		require.NoError(t, b.Stop())
+	})
+	return b
+}
+
+// quick has times that tests need not wait for.
+func quick() Options {
+	return Options{
+		FirstToken:       time.Millisecond,
+		PerToken:         time.Millisecond,
+		LoadDelay:        time.Millisecond,
+		AdapterLoadDelay: time.Millisecond,
+		RestartAfter:     time.Millisecond,
+	}
+}
+
+func (b *bench) load(id ident.OrderID, model ident.ModelName, memory unit.Bytes) backend.Order {
+	return backend.Order{
+		ID:          id,
+		Incarnation: b.Incarnation(),
+		Kind:        backend.LoadModel,
+		Model:       model,
+		Version:     "3",
+		Memory:      memory,
+	}
+}
+
+func (b *bench) send(order backend.Order) (bool, string) {
+	accepted, reason, err := b.client.SendOrder(context.Background(), b.address, order)
+	require.NoError(b.t, err)
+	return accepted, reason
+}
+
+// result is how an order ended, or empty.
+func (b *bench) result(id ident.OrderID) backend.OrderResult {
+	for _, settled := range b.Report().Settled {
+		if settled.ID == id {
+			return settled.Result
+		}
+	}
+	return ""
+}
+
+func (b *bench) settles(id ident.OrderID, want backend.OrderResult) {
+	b.t.Helper()
+	require.Eventually(b.t, func() bool { return b.result(id) != "" }, patience, tick)
+	require.Equal(b.t, want, b.result(id))
+}
+
+// ready loads the model briefing.
+func (b *bench) ready() *bench {
+	id := ident.OrderID("ready-" + b.Incarnation())
+	accepted, reason := b.send(b.load(id, "briefing", unit.Gibibyte))
+	require.True(b.t, accepted, reason)
+	b.settles(id, backend.OrderDone)
+	return b
+}
+
+func chat(attempt ident.AttemptID, model, message string, tokens int) peer.Call {
+	return peer.Call{
+		Body: []byte(`{"model":"` + model + `","stream":true,"max_tokens":` + strconv.Itoa(tokens) +
+			`,"messages":[{"role":"user","content":"` + message + `"}]}`),
+		RequestID: ident.RequestID("of-" + attempt),
+		AttemptID: attempt,
+		Stream:    true,
+	}
+}
+
+// begin sends a chat and waits for its first chunk.
+func (b *bench) begin(call peer.Call) *peer.Stream {
+	b.t.Helper()
+	stream, err := b.client.Chat(context.Background(), b.address, call)
+	require.NoError(b.t, err)
+	_, err = stream.Next()
+	require.NoError(b.t, err)
+	return stream
+}
+
+// finish reads a stream to its end or error.
+func finish(stream *peer.Stream) error {
+	defer stream.Close()
+	for {
+		event, err := stream.Next()
+		if err != nil {
+			return err
+		}
+		if _, end := event.(peer.End); end {
+			return nil
+		}
+	}
+}
+
+func (b *bench) run(call peer.Call) error {
+	stream, err := b.client.Chat(context.Background(), b.address, call)
+	if err != nil {
+		return err
+	}
+	return finish(stream)
+}
+
+func (b *bench) refused(call peer.Call) *peer.Refusal {
+	b.t.Helper()
+	var refusal *peer.Refusal
+	require.ErrorAs(b.t, b.run(call), &refusal)
+	return refusal
+}
--- /dev/null
+++ b/internal/standin/engine/orders_test.go
@@ -0,0 +1,214 @@
+package engine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"cicadaloom/internal/domain/backend"
+	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/domain/unit"
+	"cicadaloom/internal/standin/fault"
+	"cicadaloom/internal/standin/weights"
+)
+
+// All answers of a server stop: two planners each found room for a model, both
+// loaded it, and the engine died for lack of memory. The stand-in counts it.
+func TestALoadOverTheFreeMemoryIsCounted(t *testing.T) {
+	options := quick()
+	options.Memory = 10
+	options.LoadDelay = time.Hour
+	b := newBench(t, options)
+	b.send(b.load("ord-1", "briefing", 6))
+	require.False(t, b.Report().Residents[0].Ready, "memory is taken while it loads")
+	accepted, _ := b.send(b.load("ord-2", "summary", 5))
+	require.True(t, accepted)
+	b.settles("ord-2", backend.OrderFailed)
+	require.Equal(t, 1, b.Stats().Overcommits)
+	b.send(b.load("ord-3", "summary", 4))
+	require.Len(t, b.Report().Residents, 2)
+	require.Equal(t, 1, b.Stats().Overcommits)
+}
+
+// A paused former leader wakes up and orders a model out that the new leader
+// counts on. An engine that checks fencing numbers refuses; others obey.
+func TestAnOldOrderIsRefusedWhereFencingIsChecked(t *testing.T) {
+	b := newBench(t, quick())
+	newer := b.load("ord-1", "briefing", 1)
+	newer.Fencing = 7
+	accepted, _ := b.send(newer)
+	require.True(t, accepted)
+	b.settles("ord-1", backend.OrderDone)
+
+	older := b.load("ord-2", "summary", 1)
+	older.Fencing = 6
+	accepted, reason := b.send(older)
+	require.False(t, accepted)
+	require.Contains(t, reason, "fencing number 6 is smaller than 7")
+	b.settles("ord-2", backend.OrderRefused)
+
+	stray := b.load("ord-3", "summary", 1)
+	stray.Fencing = 7
+	stray.Incarnation = "inc-of-another-life"
+	accepted, reason = b.send(stray)
+	require.False(t, accepted)
+	require.Contains(t, reason, "incarnation")
+
+	accepted, reason = b.send(newer)
+	require.False(t, accepted)
+	require.Contains(t, reason, "executed before")
+
+	b.Faults.Set(Faults{
+		IgnoreFencing: true,
+	})
+	require.False(t, b.Report().ChecksFencing)
+	older.ID = "ord-4"
+	accepted, _ = b.send(older)
+	require.True(t, accepted)
+	b.settles("ord-4", backend.OrderDone)
+	require.EqualValues(t, 7, b.Report().Fencing)
+}
+
+// An order is answered 202 and never heard of again, or has its effect when
+// the plan has long moved on.
+func TestOrdersAreLostOrLate(t *testing.T) {
+	b := newBench(t, quick())
+	b.Faults.Set(Faults{
+		LoseOrders: 1,
+	})
+	lost := b.load("ord-1", "briefing", 1)
+	accepted, _ := b.send(lost)
+	require.True(t, accepted)
+	require.Empty(t, b.Report().Residents)
+	accepted, _ = b.send(lost)
+	require.True(t, accepted, "a lost order was never seen")
+	b.settles("ord-1", backend.OrderDone)
+
+	for _, ignores := range []bool{false, true} {
+		b.Faults.Set(Faults{
+			DelayOrders:   1,
+			DelayOrdersBy: fault.Duration(30 * time.Millisecond),
+			IgnoreFencing: ignores,
+		})
+		late := b.load(ident.OrderID(fmt.Sprintf("late-%t", ignores)), "summary", 1)
+		accepted, _ = b.send(late)
+		require.True(t, accepted)
+		overtaking := b.load(ident.OrderID(fmt.Sprintf("overtaking-%t", ignores)), "desk", 1)
+		overtaking.Fencing = 9
+		accepted, _ = b.send(overtaking)
+		require.True(t, accepted)
+		want := backend.OrderRefused
+		if ignores {
+			want = backend.OrderDone
+		}
+		b.settles(late.ID, want)
+	}
+	require.Equal(t, 6, b.Stats().OrdersReceived)
+}
+
+// A chase crew's briefing is cut since its model was ordered out meanwhile.
+func TestAnUnloadWaitsForTheRunsOnIt(t *testing.T) {
+	options := quick()
+	options.PerToken = 5 * time.Millisecond
+	b := newBench(t, options).ready()
+	stream := b.begin(chat("att-1", "briefing", "x", 20))
+	unload := b.load("ord-2", "briefing", 0)
+	unload.Kind = backend.UnloadModel
+	accepted, _ := b.send(unload)
+	require.True(t, accepted)
+	require.True(t, b.refused(chat("att-2", "briefing", "x", 1)).NotRun)
+	require.Equal(t, unit.Gibibyte, b.Report().Residents[0].Memory, "still taken")
+	require.NoError(t, finish(stream))
+	b.settles("ord-2", backend.OrderDone)
+	require.Empty(t, b.Report().Residents)
+}
+
+func TestAdaptersComeAndGoWithTheirModel(t *testing.T) {
+	b := newBench(t, quick())
+	adapter := b.load("early", "briefing", 1)
+	adapter.Kind = backend.LoadAdapter
+	adapter.Adapter = "wind"
+	b.send(adapter)
+	b.settles("early", backend.OrderFailed)
+	b.ready()
+	adapter.ID = "late"
+	b.send(adapter)
+	b.settles("late", backend.OrderDone)
+	require.NoError(t, b.run(chat("att-1", "wind", "x", 3)))
+
+	unload := b.load("unload", "briefing", 0)
+	unload.Kind = backend.UnloadModel
+	b.send(unload)
+	b.settles("unload", backend.OrderDone)
+	require.Empty(t, b.Report().Residents)
+	require.True(t, b.refused(chat("att-2", "wind", "x", 3)).NotRun)
+}
+
+func TestLoadsComeFromTheWeightStore(t *testing.T) {
+	store := weights.New(weights.Options{
+		LoadsPerSecond: 1000,
+	})
+	address, err := store.Start("127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, store.Stop()) }()
+	options := quick()
+	options.Weights = address
+	b := newBench(t, options).ready()
+	require.EqualValues(t, 1, store.Status().LoadsDone)
+	store.Faults.Set(weights.Faults{
+		FailLoads: 1,
+	})
+	b.send(b.load("ord-2", "summary", 1))
+	b.settles("ord-2", backend.OrderFailed)
+	require.Len(t, b.Report().Residents, 1, "a failed load frees its memory")
+}
+
+// Whatever is ordered in whatever order, memory holds, and each order ends once.
+func TestMemoryHoldsUnderAnyOrders(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		options := quick()
+		options.Memory = 10
+		b := newBench(t, options)
+		count := rapid.IntRange(1, 25).Draw(r, "orders")
+		for i := range count {
+			order := b.load(ident.OrderID(fmt.Sprintf("ord-%d", i)), "", unit.Bytes(rapid.IntRange(0, 6).Draw(r, "memory")))
+			order.Model = rapid.SampledFrom([]ident.ModelName{"a", "b", "c"}).Draw(r, "model")
+			order.Kind = rapid.SampledFrom([]backend.OrderKind{
+				backend.LoadModel, backend.UnloadModel, backend.LoadAdapter, backend.UnloadAdapter,
+			}).Draw(r, "kind")
+			if order.Kind == backend.LoadAdapter || order.Kind == backend.UnloadAdapter {
+				order.Adapter = "x"
+			}
+			require.NoError(r, b.current().takeOrder(order))
+			report := b.Report()
+			require.LessOrEqual(r, report.Taken(), report.Memory)
+		}
+		require.Eventually(r, func() bool { return len(b.Report().Settled) >= count }, patience, tick)
+		ends := make(map[ident.OrderID]int)
+		for _, settled := range b.Report().Settled {
+			ends[settled.ID]++
+			require.Equal(r, 1, ends[settled.ID], settled.ID)
+		}
+		b.client.Close()
+		require.NoError(r, b.Stop())
+	})
+}
+
+func TestOrderMemoryIsBounded(t *testing.T) {
+	life := newLife(New(quick()))
+	defer life.end()
+	for i := range seenKept + 10 {
+		unload := backend.Order{
+			ID:          ident.OrderID(fmt.Sprint(i)),
+			Incarnation: life.incarnation,
+			Kind:        backend.UnloadModel,
+			Model:       "none",
+		}
+		require.NoError(t, life.takeOrder(unload))
+	}
+	require.Len(t, life.settled, settledKept)
+	require.Len(t, life.seen.ids, seenKept)
+}
