--- /dev/null
+++ b/internal/command/standin/standin_test.go
@@ -0,0 +1,140 @@
+package standin
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"gopkg.in/tomb.v2"
+
+	"cicadaloom/internal/domain/backend"
+	"cicadaloom/internal/domain/unit"
+	"cicadaloom/internal/peer/hostlist"
+)
+
+const (
+	patience = 10 * time.Second
+	tick     = 2 * time.Millisecond
+)
+
+// started is a command that runs until its stop.
+type started struct {
+	tomb    tomb.Tomb
+	stop    context.CancelFunc
+	address string
+	status  int
+}
+
+func start(t *testing.T, arguments ...string) *started {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &started{
+		stop: cancel,
+	}
+	reader, writer := io.Pipe()
+	s.tomb.Go(func() error {
+		s.status = Run(ctx, arguments, writer, io.Discard)
+		return writer.Close()
+	})
+	t.Cleanup(func() { s.end(t) })
+	line, err := bufio.NewReader(reader).ReadString('\n')
+	require.NoError(t, err)
+	address, found := strings.CutPrefix(strings.TrimSuffix(line, "\n"), "listening ")
+	require.True(t, found, line)
+	s.address = address
+	return s
+}
+
+func (s *started) end(t *testing.T) {
+	s.stop()
+	require.NoError(t, s.tomb.Wait())
+	require.Equal(t, exitDone, s.status)
+}
+
+func TestStandInsStandInTheHostList(t *testing.T) {
+	list := start(t, "hostlist")
+	client := hostlist.Client{
+		Address: list.address,
+	}
+	defer client.Close()
+	states := func() map[string]backend.State {
+		servers, err := client.List(context.Background())
+		require.NoError(t, err)
+		states := make(map[string]backend.State)
+		for _, server := range servers {
+			states[string(server.Name)+" "+string(server.DataCentre)] = server.State
+		}
+		return states
+	}
+	engine := start(t, "engine", "-register", "http://"+list.address, "-name", "gpu-1",
+		"-data-centre", "brest-a", "-region", "finistere", "-linger", "100ms")
+	start(t, "plain", "-register", list.address, "-service", "desk", "-faults", `{"Refuse":true}`)
+	require.Equal(t, map[string]backend.State{
+		"gpu-1 brest-a": backend.StateLive,
+		"plain ":        backend.StateLive,
+	}, states())
+	engine.stop()
+	require.Eventually(t, func() bool { return states()["gpu-1 brest-a"] == backend.StateLeaving }, patience, tick)
+	engine.end(t)
+	require.Equal(t, map[string]backend.State{
+		"plain ": backend.StateLive,
+	}, states())
+	start(t, "weights")
+}
+
+func TestWrongCommandLinesSaySo(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer taken.Close()
+	for _, c := range []struct {
+		arguments string
+		status    int
+		says      string
+	}{
+		{"", exitUsage, "Usage: standin COMMAND"},
+		{"boat", exitUsage, `no command "boat"`},
+		{"help boat", exitUsage, `no command "boat"`},
+		{"engine -boat", exitUsage, "-boat"},
+		{"engine extra", exitUsage, `unexpected "extra"`},
+		{"engine -memory 3", exitUsage, "whole number"},
+		{"engine -memory 99999999999GiB", exitUsage, "whole number"},
+		{"engine -h", exitDone, "model engine"},
+		{`plain -faults {"Dwon":true}`, exitFailure, "Dwon"},
+		{"weights -listen " + taken.Addr().String(), exitFailure, "address already in use"},
+	} {
+		t.Run(c.arguments, func(t *testing.T) {
+			var stdout, stderr bytes.Buffer
+			status := Run(context.Background(), strings.Fields(c.arguments), &stdout, &stderr)
+			require.Equal(t, c.status, status)
+			require.Contains(t, stderr.String(), c.says)
+			require.Empty(t, stdout.String())
+		})
+	}
+}
+
+func TestEachCommandHasItsHelpPage(t *testing.T) {
+	for name := range commands {
+		var page bytes.Buffer
+		require.Equal(t, exitDone, Run(context.Background(), []string{"help", name}, &page, io.Discard))
+		for _, part := range []string{"standin " + name + ": ", "/faults", "-listen"} {
+			require.Contains(t, page.String(), part, name)
+		}
+	}
+	var overview bytes.Buffer
+	require.Equal(t, exitDone, Run(context.Background(), []string{"help"}, &overview, io.Discard))
+	require.Contains(t, overview.String(), "hostlist")
+}
+
+func TestAmounts(t *testing.T) {
+	parsed, err := parseAmount("80GiB")
+	require.NoError(t, err)
+	require.Equal(t, 80*unit.Gibibyte, parsed)
+	parsed, err = parseAmount("7B")
+	require.NoError(t, err)
+	require.Equal(t, 7*unit.Byte, parsed)
+}
--- /dev/null
+++ b/internal/standin/hostlist/main_test.go
@@ -0,0 +1,11 @@
+package hostlist
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
--- /dev/null
+++ b/internal/standin/plain/main_test.go
@@ -0,0 +1,11 @@
+package plain
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
--- /dev/null
+++ b/internal/standin/plain/plain_test.go
@@ -0,0 +1,119 @@
+package plain
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"gopkg.in/tomb.v2"
+
+	"cicadaloom/internal/domain/ident"
+	peer "cicadaloom/internal/peer/plain"
+	"cicadaloom/internal/standin/fault"
+)
+
+const (
+	patience = 10 * time.Second
+	tick     = 2 * time.Millisecond
+)
+
+type bench struct {
+	*Service
+	client  peer.Client
+	address string
+}
+
+func newBench(t *testing.T, options Options) *bench {
+	b := &bench{
+		Service: New(options),
+	}
+	var err error
+	b.address, err = b.Start("127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		b.client.Close()
+		require.NoError(t, b.Stop())
+	})
+	return b
+}
+
+func (b *bench) do(ctx context.Context, request ident.RequestID) error {
+	_, refusal := b.client.Do(ctx, b.address, &peer.Request{
+		Method:    http.MethodPost,
+		Path:      "/reservations",
+		Body:      []byte("wig 12"),
+		RequestID: request,
+		Once:      true,
+	})
+	if refusal != nil {
+		return refusal
+	}
+	return nil
+}
+
+func (b *bench) running() int {
+	return len(b.slots)
+}
+
+// A reservation is lost: its host gave up on a service that hung. The service
+// had not run it, though nobody can tell from outside.
+func TestAFrozenServiceRunsNothing(t *testing.T) {
+	b := newBench(t, Options{})
+	b.Faults.Set(Faults{
+		FreezeRequests: true,
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+	defer cancel()
+	var refusal *peer.Refusal
+	require.ErrorAs(t, b.do(ctx, "req-1"), &refusal)
+	require.False(t, refusal.ProvesNotRun())
+	b.Faults.Set(Faults{})
+	require.NoError(t, b.do(context.Background(), "req-2"))
+	require.Zero(t, b.Stats().Runs["req-1"])
+
+	b.Faults.Set(Faults{
+		Down: true,
+	})
+	require.Error(t, b.do(context.Background(), "req-3"))
+	require.Zero(t, b.Stats().Runs["req-3"])
+}
+
+func TestAFullServiceRefusesAndAStopLetsRequestsEnd(t *testing.T) {
+	b := newBench(t, Options{
+		Slots:      1,
+		QueueLimit: 1,
+	})
+	b.Faults.Set(Faults{
+		WorkFor: fault.Duration(100 * time.Millisecond),
+	})
+	var callers tomb.Tomb
+	callers.Go(func() error { return b.do(context.Background(), "req-1") })
+	require.Eventually(t, func() bool { return b.running() == 1 }, patience, tick)
+	callers.Go(func() error { return b.do(context.Background(), "req-2") })
+	require.Eventually(t, func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return b.waiting == 1
+	}, patience, tick)
+	var refusal *peer.Refusal
+	require.ErrorAs(t, b.do(context.Background(), "req-3"), &refusal)
+	require.True(t, refusal.ProvesNotRun())
+	require.NoError(t, b.Stop())
+	require.NoError(t, callers.Wait())
+	require.Equal(t, map[ident.RequestID]int{"req-1": 1, "req-2": 1}, b.Stats().Runs)
+	require.Equal(t, 1, b.Stats().Refused)
+}
+
+func TestCountsAreBounded(t *testing.T) {
+	service := New(Options{})
+	body := []byte("x")
+	for i := range runsKept {
+		service.stats.Runs[ident.RequestID(strconv.Itoa(i))] = 1
+	}
+	require.Zero(t, service.count("new", body))
+	require.Equal(t, 1, service.Stats().RunsNotKept)
+	require.Len(t, service.stats.Runs, runsKept)
+}
--- /dev/null
+++ b/internal/standin/server/server_test.go
@@ -0,0 +1,118 @@
+package server
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/uptrace/bunrouter"
+	"go.uber.org/goleak"
+	"gopkg.in/tomb.v2"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+const (
+	patience = 10 * time.Second
+	tick     = 2 * time.Millisecond
+)
+
+func get(address string) (int, error) {
+	transport := &http.Transport{
+		DisableKeepAlives: true,
+	}
+	response, err := (&http.Client{Transport: transport}).Get("http://" + address + "/")
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, err
+}
+
+func TestACrashedServerComesBackAtItsAddress(t *testing.T) {
+	var s Server
+	address, err := s.Start("127.0.0.1:0", http.NotFoundHandler())
+	require.NoError(t, err)
+	revived := 0
+	for range 3 {
+		s.Crash(20*time.Millisecond, func() { revived++ })
+		_, err = get(address)
+		require.Error(t, err, "connection refused")
+		require.Eventually(t, func() bool {
+			status, err := get(address)
+			return err == nil && status == http.StatusNotFound
+		}, patience, tick)
+	}
+	require.Equal(t, 3, revived)
+	require.NoError(t, s.Stop())
+	require.NoError(t, s.Stop(), "a second stop does nothing")
+	s.Go(func() error { panic("after the stop nothing starts") })
+}
+
+func TestStopEndsACrashedServer(t *testing.T) {
+	var s Server
+	address, err := s.Start("127.0.0.1:0", http.NotFoundHandler())
+	require.NoError(t, err)
+	s.Crash(time.Hour, func() { panic("never revived") })
+	require.NoError(t, s.Stop())
+	_, err = net.Dial("tcp", address)
+	require.Error(t, err)
+}
+
+// A scenario hangs for good: it froze a stand-in and stops it before the thaw.
+func TestStopCutsRequestsThatHang(t *testing.T) {
+	var s Server
+	hanging := make(chan struct{})
+	address, err := s.Start("127.0.0.1:0", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		close(hanging)
+		never := func() <-chan struct{} { return nil }
+		if !s.Hang(r, never, func() bool { return true }) {
+			Cut()
+		}
+	}))
+	require.NoError(t, err)
+	var client tomb.Tomb
+	client.Go(func() error {
+		_, err := get(address)
+		return err
+	})
+	<-hanging
+	require.NoError(t, s.Stop())
+	require.Error(t, client.Wait())
+}
+
+// A cut answer arrives as a whole one: the router's adapter recovered the panic
+// by which the handler cuts.
+func TestCutGoesThroughTheRouter(t *testing.T) {
+	var s Server
+	router := bunrouter.New()
+	router.GET("/", Route(func(w http.ResponseWriter, r *http.Request) {
+		if _, ok := ReadBody(w, r); ok {
+			Cut()
+		}
+	}))
+	router.POST("/", Route(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = ReadBody(w, r)
+	}))
+	address, err := s.Start("127.0.0.1:0", router)
+	require.NoError(t, err)
+	defer s.Stop()
+	_, err = get(address)
+	require.Error(t, err)
+
+	huge := strings.NewReader(strings.Repeat("x", BodyLimit+1))
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/", huge)
+	require.NoError(t, err)
+	request.Header.Set("Expect", "100-continue")
+	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(request)
+	require.NoError(t, err)
+	response.Body.Close()
+	require.Equal(t, http.StatusRequestEntityTooLarge, response.StatusCode)
+}
--- /dev/null
+++ b/internal/standin/weights/weights_test.go
@@ -0,0 +1,70 @@
+package weights
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"gopkg.in/tomb.v2"
+
+	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/wire/engineapi"
+)
+
+// together runs so many loads at once and returns how long they took.
+func together(store *Store, count int, adapter ident.AdapterName) time.Duration {
+	begin := time.Now()
+	var loads tomb.Tomb
+	loads.Go(func() error {
+		for range count {
+			loads.Go(func() error {
+				store.load(context.Background(), engineapi.WeightLoad{
+					Model:   "briefing",
+					Adapter: adapter,
+				})
+				return nil
+			})
+		}
+		return nil
+	})
+	_ = loads.Wait()
+	return time.Since(begin)
+}
+
+// The figures are the brief's: one and a half loads a second, ten at once at
+// full speed; adapters 6 to 20 ms up to 85 in transit, proportionally longer
+// beyond that.
+func TestPaceIsTheBriefs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := New(Options{})
+		alone := together(store, 1, "")
+		require.InDelta(t, 6.667, alone.Seconds(), 0.01)
+		require.InDelta(t, 10/1.5, together(store, 10, "").Seconds(), 0.1)
+		require.InDelta(t, 30/1.5, together(store, 30, "").Seconds(), 0.5)
+
+		one := together(store, 1, "wind")
+		require.GreaterOrEqual(t, one, DefaultAdapterFastest)
+		require.LessOrEqual(t, one, DefaultAdapterSlowest)
+		require.InDelta(t, float64(one), float64(together(store, 85, "wind")), float64(time.Millisecond))
+		require.InDelta(t, 2*float64(one), float64(together(store, 170, "wind")), float64(one)/5)
+		require.Zero(t, store.Status().InTransit)
+		require.EqualValues(t, 1+10+30+1+85+170, store.Status().LoadsDone)
+
+		store.Faults.Set(Faults{
+			SlowFactor: 3,
+		})
+		require.InDelta(t, 3*alone.Seconds(), together(store, 1, "").Seconds(), 0.01)
+	})
+}
+
+func TestALoadWithoutItsEngineEnds(t *testing.T) {
+	store := New(Options{})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	require.False(t, store.load(ctx, engineapi.WeightLoad{
+		Model: "briefing",
+	}))
+	require.Zero(t, store.Status())
+}
