standin/plain: Run frozen requests late, whoever still waits for them

The test that a given-up request is never run failed in 2 of 6 runs: the thaw raced the end of its connection.

--- a/internal/standin/plain/plain.go
+++ b/internal/standin/plain/plain.go
@@ -60,7 +60,8 @@
 type Faults struct {
 	// Down cuts each connection before anything is run.
 	Down bool
-	// FreezeRequests holds requests before they are run, until it is off.
+	// FreezeRequests holds requests until it is off, and runs them then, also
+	// those whose caller has given up: so a paused process does.
 	FreezeRequests bool
 	// CutAfterRun is how many next requests are run and then cut without an answer.
 	CutAfterRun int
@@ -177,6 +178,7 @@
 			return
 		}
 		frozen := func() bool { return s.Faults.Get().FreezeRequests }
+		r = r.WithContext(context.WithoutCancel(r.Context()))
 		if !s.server.Hang(r, s.Faults.Changed, frozen) || s.Faults.Get().Down {
 			server.Cut()
 		}
