standin/server: Keep the gate of the fault switches in one place

Engine, plain service, host list and weight store each had their own copy, and three had their own pause. Down now cuts streams that run, too.

--- a/internal/command/standin/process.go
+++ b/internal/command/standin/process.go
@@ -12,6 +12,7 @@
 	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/standin/hostlist"
+	"cicadaloom/internal/standin/server"
 )
 
 const (
@@ -119,7 +120,7 @@
 		if err == nil {
 			return nil
 		}
-		if !wait(ctx, registerPause) {
+		if !server.Pause(ctx, registerPause) {
 			return errors.Wrap(err, "register")
 		}
 	}
@@ -134,7 +135,7 @@
 	if l.register != "" {
 		_ = hostlist.Register(ctx, l.listAddress(), host)
 	}
-	wait(ctx, l.linger)
+	server.Pause(ctx, l.linger)
 	err := p.Stop()
 	if l.register != "" {
 		_ = hostlist.Deregister(ctx, l.listAddress(), host.Name)
@@ -145,15 +146,3 @@
 func (l *listed) listAddress() string {
 	return strings.TrimSuffix(strings.TrimPrefix(l.register, "http://"), "/")
 }
-
-// wait tells whether the time passed before the context ended.
-func wait(ctx context.Context, length time.Duration) bool {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/standin/engine/chat.go
+++ b/internal/standin/engine/chat.go
@@ -74,11 +74,11 @@
 	}
 	ctx, leave := life.enter(r.Context(), call.attempt)
 	defer leave()
-	life.serve(ctx, w, r, call)
+	life.serve(ctx, w, call)
 }
 
 // serve takes a call through the queue and runs it.
-func (l *life) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, call *call) {
+func (l *life) serve(ctx context.Context, w http.ResponseWriter, call *call) {
 	if !l.isReady(call.chat.Model) {
 		refuseNotRun(w, http.StatusNotFound, "model is not ready here")
 		return
@@ -99,7 +99,6 @@
 		life:    l,
 		ctx:     ctx,
 		w:       w,
-		r:       r,
 		call:    call,
 		version: taken.version,
 	}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -38,8 +38,6 @@
 package engine
 
 import (
-	"context"
-	"net/http"
 	"sync"
 	"time"
 
@@ -178,7 +176,7 @@
 	router.GET(PathStats, server.Route(e.serveStats))
 	router.GET(fault.Path, server.Route(e.Faults.ServeHTTP))
 	router.POST(fault.Path, server.Route(e.Faults.ServeHTTP))
-	address, err := e.server.Start(listen, e.withFaults(router))
+	address, err := e.server.Start(listen, e.server.Guard(e.gate(), router))
 	if err != nil {
 		return "", err
 	}
@@ -250,36 +248,11 @@
 	return !e.options.IgnoreFencing && !e.Faults.Get().IgnoreFencing
 }
 
-func (e *Engine) frozen() bool {
-	return e.Faults.Get().FreezeRequests
-}
-
-// withFaults lets the switches and the counters through and fails the rest as
-// the switches say.
-func (e *Engine) withFaults(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == fault.Path || r.URL.Path == PathStats {
-			next.ServeHTTP(w, r)
-			return
-		}
-		if _, ok := server.ReadBody(w, r); !ok {
-			return
-		}
-		if !e.server.Hang(r, e.Faults.Changed, e.frozen) || e.Faults.Get().Down {
-			server.Cut()
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
-// pause tells whether the time passed before the context ended.
-func pause(ctx context.Context, length time.Duration) bool {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
+func (e *Engine) gate() server.Gate {
+	return server.Gate{
+		Changed: e.Faults.Changed,
+		Frozen:  func() bool { return e.Faults.Get().FreezeRequests },
+		Down:    func() bool { return e.Faults.Get().Down },
+		Open:    []string{fault.Path, PathStats},
 	}
 }
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -78,7 +78,7 @@
 	if e.Faults.Take(func(f *Faults) *int { return &f.DelayOrders }) {
 		delay := time.Duration(e.Faults.Get().DelayOrdersBy)
 		e.server.Go(func() error {
-			if pause(life.ctx, delay) {
+			if server.Pause(life.ctx, delay) {
 				// The report says how it ends, as for any order.
 				_ = life.takeOrder(order)
 			}
@@ -221,7 +221,7 @@
 		if order.Kind == backend.LoadAdapter {
 			delay = e.options.AdapterLoadDelay
 		}
-		if !pause(ctx, delay) {
+		if !server.Pause(ctx, delay) {
 			return ctx.Err()
 		}
 		return nil
--- a/internal/standin/engine/run.go
+++ b/internal/standin/engine/run.go
@@ -31,7 +31,6 @@
 	life    *life
 	ctx     context.Context
 	w       http.ResponseWriter
-	r       *http.Request
 	call    *call
 	version ident.Version
 	answer  engineapi.Answer
@@ -46,7 +45,7 @@
 		Model:   r.call.chat.Model,
 	}
 	cached := r.life.lookUpPrefixes(&r.call.chat)
-	if !pause(r.ctx, r.life.firstTokenTime(cached)) {
+	if !server.Pause(r.ctx, r.life.firstTokenTime(cached)) {
 		return cancelled
 	}
 	if r.call.hasMarker(r.life.engine.Faults.Get().CrashOnMarker) {
@@ -62,11 +61,12 @@
 
 func (r *run) generate() ending {
 	script := newScript(&r.call.chat, r.version)
+	gate := r.life.engine.gate()
 	for at := r.call.resumeAt; at < script.length; at++ {
-		if at > r.call.resumeAt && !pause(r.ctx, r.life.tokenTime()) {
+		if at > r.call.resumeAt && !server.Pause(r.ctx, r.life.tokenTime()) {
 			return cancelled
 		}
-		if !r.life.engine.server.Hang(r.r, r.life.engine.Faults.Changed, r.life.engine.frozen) || r.ctx.Err() != nil {
+		if !r.life.engine.server.Pass(r.ctx, gate) {
 			return cancelled
 		}
 		if stop, how := r.interrupted(at - r.call.resumeAt); stop {
--- a/internal/standin/hostlist/hostlist.go
+++ b/internal/standin/hostlist/hostlist.go
@@ -80,7 +80,7 @@
 	router.DELETE(engineapi.PathHosts+"/:name", l.serveDelete)
 	router.GET(fault.Path, server.Route(l.Faults.ServeHTTP))
 	router.POST(fault.Path, server.Route(l.Faults.ServeHTTP))
-	return l.server.Start(listen, l.withFaults(router))
+	return l.server.Start(listen, l.server.Guard(l.gate(), router))
 }
 
 // Stop ends the stand-in.
@@ -135,21 +135,13 @@
 	return nil
 }
 
-func (l *List) withFaults(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == fault.Path {
-			next.ServeHTTP(w, r)
-			return
-		}
-		if _, ok := server.ReadBody(w, r); !ok {
-			return
-		}
-		frozen := func() bool { return l.Faults.Get().FreezeRequests }
-		if !l.server.Hang(r, l.Faults.Changed, frozen) || l.Faults.Get().Down {
-			server.Cut()
-		}
-		next.ServeHTTP(w, r)
-	})
+func (l *List) gate() server.Gate {
+	return server.Gate{
+		Changed: l.Faults.Changed,
+		Frozen:  func() bool { return l.Faults.Get().FreezeRequests },
+		Down:    func() bool { return l.Faults.Get().Down },
+		Open:    []string{fault.Path},
+	}
 }
 
 func (l *List) serveList(w http.ResponseWriter, _ *http.Request) {
--- a/internal/standin/plain/plain.go
+++ b/internal/standin/plain/plain.go
@@ -14,7 +14,6 @@
 package plain
 
 import (
-	"context"
 	"encoding/json"
 	"maps"
 	"net/http"
@@ -136,7 +135,7 @@
 	router.GET(PathStats, server.Route(s.serveStats))
 	router.GET(fault.Path, server.Route(s.Faults.ServeHTTP))
 	router.POST(fault.Path, server.Route(s.Faults.ServeHTTP))
-	return s.server.Start(listen, s.withFaults(router))
+	return s.server.Start(listen, s.server.Guard(s.gate(), router))
 }
 
 // Leave refuses new work from now on and reports Leaving.
@@ -168,22 +167,14 @@
 	return strconv.FormatUint(xxhash.Sum64(body), 16)
 }
 
-func (s *Service) withFaults(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == fault.Path || r.URL.Path == PathStats {
-			next.ServeHTTP(w, r)
-			return
-		}
-		if _, ok := server.ReadBody(w, r); !ok {
-			return
-		}
-		frozen := func() bool { return s.Faults.Get().FreezeRequests }
-		r = r.WithContext(context.WithoutCancel(r.Context()))
-		if !s.server.Hang(r, s.Faults.Changed, frozen) || s.Faults.Get().Down {
-			server.Cut()
-		}
-		next.ServeHTTP(w, r)
-	})
+func (s *Service) gate() server.Gate {
+	return server.Gate{
+		Changed:       s.Faults.Changed,
+		Frozen:        func() bool { return s.Faults.Get().FreezeRequests },
+		Down:          func() bool { return s.Faults.Get().Down },
+		Open:          []string{fault.Path, PathStats},
+		KeepAbandoned: true,
+	}
 }
 
 func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
@@ -194,7 +185,7 @@
 	request := ident.RequestID(r.Header.Get(engineapi.HeaderRequest))
 	w.Header().Set(engineapi.HeaderRequest, string(request))
 	w.Header().Set(engineapi.HeaderIncarnation, string(s.incarnation))
-	if s.isLeaving() || s.Faults.Get().Refuse || !s.acquire(r.Context()) {
+	if s.isLeaving() || s.Faults.Get().Refuse || !s.acquire() {
 		s.refuse(w)
 		return
 	}
@@ -214,8 +205,9 @@
 	server.WriteJSON(w, http.StatusOK, answer, err)
 }
 
-// acquire waits for a slot and tells whether it got one.
-func (s *Service) acquire(ctx context.Context) bool {
+// acquire waits for a slot; false where the queue is full. Like the run itself
+// it does not end with its caller.
+func (s *Service) acquire() bool {
 	select {
 	case s.slots <- struct{}{}:
 		return true
@@ -224,13 +216,9 @@
 	if !s.addWaiting() {
 		return false
 	}
-	defer s.removeWaiting()
-	select {
-	case s.slots <- struct{}{}:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	s.slots <- struct{}{}
+	s.removeWaiting()
+	return true
 }
 
 func (s *Service) addWaiting() bool {
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -11,17 +11,13 @@
 package server
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
-	"net/url"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/uptrace/bunrouter"
 	"gopkg.in/tomb.v2"
 )
 
@@ -32,8 +28,6 @@
 	headerTimeout = 10 * time.Second
 	// relistenPause is between two tries to get the old address back.
 	relistenPause = 20 * time.Millisecond
-	// BodyLimit bounds a request's body.
-	BodyLimit = 8 << 20
 )
 
 // Server is one stand-in's HTTP server. Its zero value is ready to start, once.
@@ -188,74 +182,3 @@
 		return false
 	}
 }
-
-// Hang holds a request while frozen says so, and tells whether to go on with
-// it: false when its client went away or the server stops. Each change of the
-// faults closes the channel that changed returns.
-func (s *Server) Hang(r *http.Request, changed func() <-chan struct{}, frozen func() bool) bool {
-	for {
-		change := changed()
-		if !frozen() {
-			return true
-		}
-		select {
-		case <-change:
-		case <-r.Context().Done():
-			return false
-		case <-s.stopping:
-			return false
-		}
-	}
-}
-
-// Route makes a handler for bunrouter. Its own adapter recovers from every
-// panic, also from the one by which Cut has net/http drop the connection: a cut
-// answer would look like one that ended in order.
-func Route(handler http.HandlerFunc) bunrouter.HandlerFunc {
-	return func(w http.ResponseWriter, r bunrouter.Request) error {
-		handler(w, r.Request)
-		return nil
-	}
-}
-
-// Param reads a part of the path. Where a path has escapes that matter, such as
-// %2F, bunrouter matches it as it came and leaves them in.
-func Param(r bunrouter.Request, name string) string {
-	value := r.Param(name)
-	if r.URL.RawPath == "" {
-		return value
-	}
-	unescaped, err := url.PathUnescape(value)
-	if err != nil {
-		return value
-	}
-	return unescaped
-}
-
-// Cut ends a request by closing its connection without an answer. It does not return.
-func Cut() {
-	panic(http.ErrAbortHandler)
-}
-
-// ReadBody reads a request's body to its end and puts it back. Only then does
-// net/http notice that a client went away.
-func ReadBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, BodyLimit))
-	if err != nil {
-		http.Error(w, "body too large or cut", http.StatusRequestEntityTooLarge)
-		return nil, false
-	}
-	r.Body = io.NopCloser(bytes.NewReader(body))
-	return body, true
-}
-
-// WriteJSON writes an encoded answer.
-func WriteJSON(w http.ResponseWriter, status int, body []byte, err error) {
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_, _ = w.Write(body) // the reader is gone: nothing to tell it
-}
--- a/internal/standin/server/server_test.go
+++ b/internal/standin/server/server_test.go
@@ -70,13 +70,15 @@
 func TestStopCutsRequestsThatHang(t *testing.T) {
 	var s Server
 	hanging := make(chan struct{})
-	address, err := s.Start("127.0.0.1:0", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
-		close(hanging)
-		never := func() <-chan struct{} { return nil }
-		if !s.Hang(r, never, func() bool { return true }) {
-			Cut()
-		}
-	}))
+	gate := Gate{
+		Changed: func() <-chan struct{} {
+			close(hanging)
+			return nil
+		},
+		Frozen:        func() bool { return true },
+		KeepAbandoned: true,
+	}
+	address, err := s.Start("127.0.0.1:0", s.Guard(gate, http.NotFoundHandler()))
 	require.NoError(t, err)
 	var client tomb.Tomb
 	client.Go(func() error {
--- a/internal/standin/weights/weights.go
+++ b/internal/standin/weights/weights.go
@@ -110,7 +110,7 @@
 	router.GET(engineapi.PathLoadStatus, server.Route(s.serveStatus))
 	router.GET(fault.Path, server.Route(s.Faults.ServeHTTP))
 	router.POST(fault.Path, server.Route(s.Faults.ServeHTTP))
-	return s.server.Start(listen, s.withFaults(router))
+	return s.server.Start(listen, s.server.Guard(s.gate(), router))
 }
 
 // Stop ends the stand-in when the loads going on are done.
@@ -128,21 +128,13 @@
 	}
 }
 
-func (s *Store) withFaults(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == fault.Path {
-			next.ServeHTTP(w, r)
-			return
-		}
-		if _, ok := server.ReadBody(w, r); !ok {
-			return
-		}
-		frozen := func() bool { return s.Faults.Get().FreezeRequests }
-		if !s.server.Hang(r, s.Faults.Changed, frozen) || s.Faults.Get().Down {
-			server.Cut()
-		}
-		next.ServeHTTP(w, r)
-	})
+func (s *Store) gate() server.Gate {
+	return server.Gate{
+		Changed: s.Faults.Changed,
+		Frozen:  func() bool { return s.Faults.Get().FreezeRequests },
+		Down:    func() bool { return s.Faults.Get().Down },
+		Open:    []string{fault.Path},
+	}
 }
 
 func (s *Store) serveStatus(w http.ResponseWriter, _ *http.Request) {
@@ -176,7 +168,7 @@
 	s.add(work.count, 1)
 	defer s.add(work.count, -1)
 	for left := work.alone; left > 0; left -= work.step {
-		if !pause(ctx, s.slowed(min(left, work.step), work)) {
+		if !server.Pause(ctx, s.slowed(min(left, work.step), work)) {
 			return false
 		}
 	}
@@ -232,14 +224,3 @@
 	defer s.mu.Unlock()
 	*count += change
 }
-
-func pause(ctx context.Context, length time.Duration) bool {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
