peer/engine, standin/engine: Test with the API's client, and the kept connection

A mutation trial showed that the test of the kept connection also passed without reading the tail, since the body's end came along with the end mark. The server now holds it back; without the tail the test fails.

--- a/internal/peer/engine/engine_test.go
+++ b/internal/peer/engine/engine_test.go
@@ -315,6 +315,7 @@
 	var client engine.Client
 	defer client.Close()
 	connections := make(map[string]int)
+	ended := make(chan struct{})
 	address := fake(t, func(w http.ResponseWriter, r *http.Request) {
 		connections[r.RemoteAddr]++
 		io.Copy(io.Discard, r.Body)
@@ -322,12 +323,14 @@
 		w.Header().Set("Content-Type", engineapi.ContentTypeStream)
 		io.WriteString(w, "data: [DONE]\n\n")
 		http.NewResponseController(w).Flush()
+		<-ended // so that the body's end comes after the end mark was read
 	})
 	for range 5 {
 		stream, err := client.Chat(context.Background(), address, call("att-1", 1, true))
 		require.NoError(t, err)
 		_, _, err = read(stream)
 		require.NoError(t, err)
+		ended <- struct{}{}
 		stream.Close()
 	}
 	require.Len(t, connections, 1)
