--- a/internal/peer/engine/stream.go
+++ b/internal/peer/engine/stream.go
@@ -25,7 +25,7 @@
 	// tailLimit and tailTimeout bound what Close reads after a whole stream, so
 	// that its connection can be used again.
 	tailLimit   = 4 << 10
-	tailTimeout = 50 * time.Millisecond
+	tailTimeout = 200 * time.Millisecond
 )
 
 // The ways in which an answer that began can fail. After each the request may
