--- a/internal/peer/caller/chat.go
+++ b/internal/peer/caller/chat.go
@@ -13,14 +13,6 @@
 	"cicadaloom/internal/traffic/dispatch"
 )
 
-// chatBody is the part of a chat request that matters here; the engine gets
-// the body as it came.
-type chatBody struct {
-	Model    string            `json:"model"`
-	Stream   bool              `json:"stream"`
-	Messages []json.RawMessage `json:"messages"`
-}
-
 func (s *Server) chat(w http.ResponseWriter, request bunrouter.Request) error {
 	read, failure := s.understand(w, request.Request)
 	if failure != nil {
--- a/internal/peer/caller/errors.go
+++ b/internal/peer/caller/errors.go
@@ -10,22 +10,6 @@
 	"cicadaloom/internal/traffic/dispatch"
 )
 
-// errorBody is an error in the form that the OpenAI clients read.
-type errorBody struct {
-	Error errorDetail `json:"error"`
-}
-
-type errorDetail struct {
-	Message string  `json:"message"`
-	Type    string  `json:"type"`
-	Param   *string `json:"param"`
-	Code    string  `json:"code"`
-	// Run says whether the request was run: NotRun, MayHaveRun or Ran.
-	Run string `json:"run"`
-	// RetryAt is when to come back (RFC 3339), absent where it would not help.
-	RetryAt string `json:"retry_at,omitempty"`
-}
-
 // Types of errors, as the OpenAI API names them.
 const (
 	typeInvalid = "invalid_request_error"
--- a/internal/peer/caller/models.go
+++ b/internal/peer/caller/models.go
@@ -7,18 +7,6 @@
 	"github.com/uptrace/bunrouter"
 )
 
-type modelList struct {
-	Object string      `json:"object"`
-	Data   []modelItem `json:"data"`
-}
-
-type modelItem struct {
-	ID      string `json:"id"`
-	Object  string `json:"object"`
-	Created int64  `json:"created"`
-	OwnedBy string `json:"owned_by"`
-}
-
 // models lists every model and adapter in force at this host.
 func (s *Server) models(w http.ResponseWriter, _ bunrouter.Request) error {
 	list := modelList{
--- /dev/null
+++ b/internal/peer/caller/wire.go
@@ -0,0 +1,40 @@
+package caller
+
+import "encoding/json"
+
+// chatBody is the part of a chat request that matters here; the engine gets
+// the body as it came.
+type chatBody struct {
+	Model    string            `json:"model"`
+	Stream   bool              `json:"stream"`
+	Messages []json.RawMessage `json:"messages"`
+}
+
+// errorBody is an error in the form that the OpenAI clients read.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message string  `json:"message"`
+	Type    string  `json:"type"`
+	Param   *string `json:"param"`
+	Code    string  `json:"code"`
+	// Run says whether the request was run: NotRun, MayHaveRun or Ran.
+	Run string `json:"run"`
+	// RetryAt is when to come back (RFC 3339), absent where it would not help.
+	RetryAt string `json:"retry_at,omitempty"`
+}
+
+// modelList is the list of models in the form of the OpenAI API.
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
--- a/internal/peer/operator/documents.go
+++ b/internal/peer/operator/documents.go
@@ -1,7 +1,6 @@
 package operator
 
 import (
-	"encoding/json"
 	"io"
 	"net/http"
 	"sort"
@@ -28,16 +27,6 @@
 	HeaderAgain = "Cicadaloom-Again"
 )
 
-type wireListed struct {
-	Team     string
-	Revision int64
-}
-
-type wireList struct {
-	Revision  int64
-	Documents []wireListed
-}
-
 func (s *Server) listDocuments(w http.ResponseWriter, _ bunrouter.Request) error {
 	list := wireList{
 		Documents: []wireListed{},
@@ -131,12 +120,6 @@
 	return s.answer(w, edit, result)
 }
 
-type wireAccepted struct {
-	Team     string
-	Revision int64
-	Edit     string
-}
-
 func (s *Server) answer(w http.ResponseWriter, edit documents.EditSubmitted, result documents.EditResult) error {
 	w.Header().Set(HeaderEdit, string(edit.Edit))
 	switch result := result.(type) {
@@ -192,14 +175,6 @@
 	return wire
 }
 
-type wireVersion struct {
-	Revision int64
-	Edit     string
-	At       time.Time
-	Deleted  bool            `json:",omitempty"`
-	Document json.RawMessage `json:",omitempty"`
-}
-
 func (s *Server) history(w http.ResponseWriter, request bunrouter.Request) error {
 	team := ident.TeamName(request.Param("team"))
 	versions, err := s.Control.History(request.Context(), team)
--- a/internal/peer/operator/status.go
+++ b/internal/peer/operator/status.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"time"
 
 	"github.com/uptrace/bunrouter"
 
@@ -11,78 +10,6 @@
 	"cicadaloom/internal/control/orders"
 )
 
-type wireStatus struct {
-	Host     string
-	Revision int64
-	// InForce counts the live hosts that have every edit up to Revision.
-	InForce   int
-	LiveHosts int
-	Leader    string
-	Fencing   int64
-	Hosts     []wireHost
-	Servers   []wireServer
-	Models    []wireModel
-	Blocked   []wireBlocked `json:",omitempty"`
-	Doubts    []wireDoubt   `json:",omitempty"`
-	Moves     map[string]int
-	Recent    []wireMove `json:",omitempty"`
-	Suspects  int
-}
-
-type wireHost struct {
-	Name       string
-	DataCentre string
-	Region     string
-	Address    string
-	Live       bool
-	Stopping   bool
-	Revision   int64
-}
-
-type wireServer struct {
-	Name     string
-	Kind     string
-	State    string
-	Address  string
-	UnderWay int64
-}
-
-type wireModel struct {
-	Model      string
-	Version    string
-	Want       int
-	Ready      int
-	ReadyOther int
-	Loading    int
-}
-
-type wireBlocked struct {
-	Model  string
-	Reason string
-	Have   int
-	Want   int
-}
-
-type wireDoubt struct {
-	Server    string
-	Order     string
-	Kind      string
-	WrittenAt time.Time
-	Tries     int
-}
-
-type wireMove struct {
-	Order  string
-	At     time.Time
-	Kind   string
-	Model  string
-	Server string
-	Reason string
-	// Have and Want are replicas of the model that gains, before the move.
-	Have int
-	Want int
-}
-
 func (s *Server) status(w http.ResponseWriter, request bunrouter.Request) error {
 	status, err := s.Control.Status(request.Context())
 	if err != nil {
@@ -176,30 +103,6 @@
 	}
 }
 
-type wireBurn struct {
-	At        time.Time
-	Objective float64
-	Hosts     []string
-	Missing   []string `json:",omitempty"`
-	Lines     []wireBurnLine
-}
-
-type wireBurnLine struct {
-	Window     string
-	Team       string
-	Class      string
-	Model      string
-	Requests   int64
-	InTime     int64
-	Late       int64
-	Refused    int64
-	Failed     int64
-	Share      float64
-	BurnRate   float64
-	BudgetLeft float64
-	UsedUpBy   string
-}
-
 // burn gives the report as JSON, or as text with ?format=text.
 func (s *Server) burn(w http.ResponseWriter, request bunrouter.Request) error {
 	report, err := s.Control.Burn(request.Context())
