--- a/internal/command/cicadaloom/report.go
+++ b/internal/command/cicadaloom/report.go
@@ -12,6 +12,7 @@
 
   cicadaloom report
   cicadaloom report -format json
+  cicadaloom report -format html > burn.html
 
 A burn rate of 1 uses the budget up exactly within the window. Counts live in
 the memory of the entry hosts: those of a host that was replaced are gone.
@@ -28,10 +29,10 @@
 
 func prepareReport(flags *flag.FlagSet) runner {
 	c := clientFlags(flags)
-	format := flags.String("format", "text", "the report's `form`: text or json")
+	format := flags.String("format", "text", "the report's `form`: text, json or html")
 	return func(to streams, args []string) error {
-		if len(args) > 0 || (*format != "text" && *format != "json") {
-			return badInput("found -format %q and arguments %q, allowed text or json and no arguments", *format, args)
+		if len(args) > 0 || (*format != "text" && *format != "json" && *format != "html") {
+			return badInput("found -format %q and arguments %q, allowed text, json or html and no arguments", *format, args)
 		}
 		got, err := c.get("/admin/burn?format=" + url.QueryEscape(*format))
 		if err != nil {
--- a/internal/control/burn/report.go
+++ b/internal/control/burn/report.go
@@ -6,6 +6,8 @@
 	"strings"
 	"text/tabwriter"
 	"time"
+
+	"cicadaloom/internal/domain/ident"
 )
 
 // Window is a span of time before now that a report looks at.
@@ -117,3 +119,52 @@
 	_ = table.Flush()
 	return text.String()
 }
+
+// Slice is all requests of one team in one minute.
+type Slice struct {
+	Team   ident.TeamName
+	Start  time.Time
+	Counts Counts
+}
+
+// timelineSpan is how far back a timeline goes.
+const timelineSpan = time.Hour
+
+// Timeline gives the last hour of each team by the minute, oldest first, from
+// the rows of any number of hosts.
+func Timeline(now time.Time, rows []Row) []Slice {
+	type key struct {
+		team  ident.TeamName
+		start int64
+	}
+	since := now.Add(-timelineSpan)
+	sums := make(map[key]*Slice)
+	for i := range rows {
+		row := &rows[i]
+		if row.Start.Before(since) {
+			continue
+		}
+		at := key{
+			team:  row.Team,
+			start: row.Start.Unix(),
+		}
+		if sums[at] == nil {
+			sums[at] = &Slice{
+				Team:  row.Team,
+				Start: row.Start,
+			}
+		}
+		sums[at].Counts.add(&row.Counts)
+	}
+	slices := make([]Slice, 0, len(sums))
+	for _, slice := range sums {
+		slices = append(slices, *slice)
+	}
+	sort.Slice(slices, func(i, j int) bool {
+		if slices[i].Team != slices[j].Team {
+			return slices[i].Team < slices[j].Team
+		}
+		return slices[i].Start.Before(slices[j].Start)
+	})
+	return slices
+}
--- a/internal/control/loop/operators.go
+++ b/internal/control/loop/operators.go
@@ -127,8 +127,9 @@
 
 // BurnReport is the report on service-level burn over all entry hosts.
 type BurnReport struct {
-	At    time.Time
-	Lines []burn.Line
+	At       time.Time
+	Lines    []burn.Line
+	Timeline []burn.Slice
 	// Hosts have given their counts, Missing have not answered in time.
 	Hosts   []ident.HostID
 	Missing []ident.HostID
@@ -164,6 +165,7 @@
 		rows = append(rows, counts[i].Rows...)
 	}
 	report.Lines = burn.Report(report.At, rows)
+	report.Timeline = burn.Timeline(report.At, rows)
 	return report, nil
 }
 
--- a/internal/peer/operator/status.go
+++ b/internal/peer/operator/status.go
@@ -2,12 +2,14 @@
 
 import (
 	"net/http"
+	"strconv"
 
 	"github.com/uptrace/bunrouter"
 
 	"cicadaloom/internal/control/burn"
 	"cicadaloom/internal/control/loop"
 	"cicadaloom/internal/control/orders"
+	"cicadaloom/internal/report/burnpage"
 )
 
 func (s *Server) status(w http.ResponseWriter, request bunrouter.Request) error {
@@ -103,18 +105,30 @@
 	}
 }
 
-// burn gives the report as JSON, or as text with ?format=text.
+// burn gives the report as JSON, or with ?format=text or html as such.
 func (s *Server) burn(w http.ResponseWriter, request bunrouter.Request) error {
 	report, err := s.Control.Burn(request.Context())
 	if err != nil {
 		return unavailable(w, err)
 	}
-	if request.URL.Query().Get("format") == "text" {
+	switch format := request.URL.Query().Get("format"); format {
+	case "", "json":
+		return writeJSON(w, http.StatusOK, encodeBurn(&report))
+	case "text":
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		_, err := w.Write([]byte(burn.Text(report.Lines)))
 		return err
+	case "html":
+		page, err := burnpage.Render(report.At, report.Lines, report.Timeline)
+		if err != nil {
+			return unavailable(w, err)
+		}
+		w.Header().Set("Content-Type", "text/html; charset=utf-8")
+		_, err = w.Write(page)
+		return err
+	default:
+		return badInput(w, "format: found "+strconv.Quote(format)+", allowed json, text or html")
 	}
-	return writeJSON(w, http.StatusOK, encodeBurn(&report))
 }
 
 func encodeBurn(report *loop.BurnReport) wireBurn {
--- /dev/null
+++ b/internal/report/burnpage/burnpage_test.go
@@ -0,0 +1,77 @@
+package burnpage
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cicadaloom/internal/control/burn"
+	"cicadaloom/internal/domain/ident"
+)
+
+var noon = time.Date(2026, 12, 2, 12, 0, 0, 0, time.UTC)
+
+// An hour in which one model of two burns too fast for its second half.
+func badHour() []burn.Row {
+	var machine burn.Machine
+	for minute := range 60 {
+		at := noon.Add(time.Duration(minute-59) * time.Minute)
+		for n := range 20 {
+			result := burn.InTime
+			if minute > 30 && n%4 == 0 {
+				result = burn.Late
+			}
+			machine.Count(at, sample("drift-briefing", result))
+			machine.Count(at, sample("tide-window", burn.InTime))
+		}
+	}
+	return machine.Rows(noon)
+}
+
+func sample(model ident.ModelName, result burn.Result) burn.Sample {
+	return burn.Sample{
+		Key: burn.Key{
+			Team:  "kerlouan",
+			Class: "chase-crews",
+			Model: model,
+		},
+		Result: result,
+	}
+}
+
+func TestPageNamesWhatBurns(t *testing.T) {
+	rows := badHour()
+	page, err := Render(noon, burn.Report(noon, rows), burn.Timeline(noon, rows))
+	require.NoError(t, err)
+	if file := os.Getenv("BURN_PAGE"); file != "" {
+		require.NoError(t, os.WriteFile(file, page, 0o600))
+	}
+	text := string(page)
+	require.Contains(t, text, "drift-briefing burns its budget")
+	require.Contains(t, text, "requests that were Late")
+	require.Contains(t, text, "<svg")
+	require.NotContains(t, text, "http://cdn")
+}
+
+func TestPageWithoutRequests(t *testing.T) {
+	page, err := Render(noon, nil, nil)
+	require.NoError(t, err)
+	require.Contains(t, string(page), "No requests have been counted yet")
+}
+
+// A name in a report is text of a document: it must not become markup.
+func TestNamesAreEscaped(t *testing.T) {
+	lines := []burn.Line{
+		{
+			Key: burn.Key{
+				Team: "<script>",
+			},
+			Window: "1h",
+		},
+	}
+	page, err := Render(noon, lines, nil)
+	require.NoError(t, err)
+	require.NotContains(t, string(page), "<script>")
+}
