standin/etcd: Serve the key-value service in memory with quotas and faults

Tests need the platform's service with its limits and its failures, and the etcd server can't be had as a library here.

Faults can be set while it runs, in Go or over HTTP: down, slow, answers lost after the effect, leases lapsed, silent watches.

Ruled out: older values behind a revision (nothing here reads them).

--- /dev/null
+++ b/internal/standin/etcd/admin.go
@@ -0,0 +1,96 @@
+package etcd
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/uptrace/bunrouter"
+)
+
+// adminBodyLimit bounds a request to the fault switches.
+const adminBodyLimit = 64 << 10
+
+// faultsWire is Faults as JSON; lengths of time are like "250ms".
+type faultsWire struct {
+	Down          bool
+	Slow          string
+	MaxDelay      string
+	LoseAnswers   int
+	LapseLeases   bool
+	SilentWatches bool
+}
+
+// FaultsHandler serves the fault switches: POST /faults replaces all faults by
+// those of its JSON body, GET /faults returns them, GET /stats returns Stats.
+func (s *Server) FaultsHandler() http.Handler {
+	router := bunrouter.New()
+	router.GET("/faults", func(w http.ResponseWriter, _ bunrouter.Request) error {
+		return bunrouter.JSON(w, encodeFaults(s.Faults()))
+	})
+	router.POST("/faults", func(w http.ResponseWriter, request bunrouter.Request) error {
+		faults, err := decodeFaults(http.MaxBytesReader(w, request.Body, adminBodyLimit))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return nil
+		}
+		s.SetFaults(faults)
+		return bunrouter.JSON(w, encodeFaults(s.Faults()))
+	})
+	router.GET("/stats", func(w http.ResponseWriter, _ bunrouter.Request) error {
+		return bunrouter.JSON(w, s.Stats())
+	})
+	return router
+}
+
+func encodeFaults(faults Faults) faultsWire {
+	return faultsWire{
+		Down:          faults.Down,
+		Slow:          faults.Slow.String(),
+		MaxDelay:      faults.MaxDelay.String(),
+		LoseAnswers:   faults.LoseAnswers,
+		LapseLeases:   faults.LapseLeases,
+		SilentWatches: faults.SilentWatches,
+	}
+}
+
+func decodeFaults(body io.Reader) (Faults, error) {
+	decoder := json.NewDecoder(body)
+	decoder.DisallowUnknownFields()
+	var wire faultsWire
+	if err := decoder.Decode(&wire); err != nil {
+		return Faults{}, errors.Wrap(err, "faults")
+	}
+	slow, err := decodeLength("Slow", wire.Slow)
+	if err != nil {
+		return Faults{}, err
+	}
+	maxDelay, err := decodeLength("MaxDelay", wire.MaxDelay)
+	if err != nil {
+		return Faults{}, err
+	}
+	return Faults{
+		Down:          wire.Down,
+		Slow:          slow,
+		MaxDelay:      maxDelay,
+		LoseAnswers:   wire.LoseAnswers,
+		LapseLeases:   wire.LapseLeases,
+		SilentWatches: wire.SilentWatches,
+	}, nil
+}
+
+func decodeLength(field, text string) (time.Duration, error) {
+	if text == "" {
+		return 0, nil
+	}
+	length, err := time.ParseDuration(text)
+	if err != nil {
+		return 0, errors.Wrapf(err, "faults: %s", field)
+	}
+	if length < 0 {
+		return 0, errors.Errorf("faults: %s: %s is negative", field, text)
+	}
+	return length, nil
+}
--- /dev/null
+++ b/internal/standin/etcd/kv_test.go
@@ -0,0 +1,183 @@
+package etcd
+
+import (
+	"maps"
+	"strings"
+	"testing"
+
+	pb "cicadaloom/internal/wire/etcdserverpb"
+	"cicadaloom/internal/wire/mvccpb"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"pgregory.net/rapid"
+)
+
+func putOp(key, value string) *pb.RequestOp {
+	return &pb.RequestOp{
+		Request: &pb.RequestOp_RequestPut{
+			RequestPut: &pb.PutRequest{
+				Key:   []byte(key),
+				Value: []byte(value),
+			},
+		},
+	}
+}
+
+func deleteOp(key string) *pb.RequestOp {
+	return &pb.RequestOp{
+		Request: &pb.RequestOp_RequestDeleteRange{
+			RequestDeleteRange: &pb.DeleteRangeRequest{
+				Key: []byte(key),
+			},
+		},
+	}
+}
+
+func TestRevisionsAndVersions(t *testing.T) {
+	_, connection := start(t, Options{})
+	first := put(t, connection, "a", "1", 0)
+	second := put(t, connection, "a", "2", 0)
+	require.Equal(t, first.Header.Revision+1, second.Header.Revision)
+	require.Equal(t, "1", string(second.PrevKv.Value))
+	found, err := read(connection, "a")
+	require.NoError(t, err)
+	require.Equal(t, first.Header.Revision, found.Kvs[0].CreateRevision)
+	require.Equal(t, second.Header.Revision, found.Kvs[0].ModRevision)
+	require.EqualValues(t, 2, found.Kvs[0].Version)
+
+	deleted, err := pb.NewKVClient(connection).DeleteRange(t.Context(), &pb.DeleteRangeRequest{
+		Key: []byte("a"),
+	})
+	require.NoError(t, err)
+	require.EqualValues(t, 1, deleted.Deleted)
+	third := put(t, connection, "a", "3", 0)
+	found, err = read(connection, "a")
+	require.NoError(t, err)
+	require.Equal(t, third.Header.Revision, found.Kvs[0].CreateRevision)
+	require.EqualValues(t, 1, found.Kvs[0].Version)
+}
+
+func TestRangeLimitCountAndKeys(t *testing.T) {
+	_, connection := start(t, Options{})
+	for _, key := range []string{"p/b", "q", "p/a", "p/c"} {
+		put(t, connection, key, "value", 0)
+	}
+	found, err := pb.NewKVClient(connection).Range(t.Context(), &pb.RangeRequest{
+		Key:      []byte("p/"),
+		RangeEnd: []byte("p0"),
+		Limit:    2,
+		KeysOnly: true,
+	})
+	require.NoError(t, err)
+	require.Len(t, found.Kvs, 2)
+	require.Equal(t, "p/a", string(found.Kvs[0].Key))
+	require.Empty(t, found.Kvs[0].Value)
+	require.True(t, found.More)
+	require.EqualValues(t, 3, found.Count)
+}
+
+func TestBadRequestsHaveNoEffect(t *testing.T) {
+	server, connection := start(t, Options{})
+	client := pb.NewKVClient(connection)
+	many := make([]*pb.RequestOp, maxTxnOps+1)
+	for i := range many {
+		many[i] = deleteOp("x")
+	}
+	leased := putOp("a", "1")
+	leased.GetRequestPut().Lease = 77
+	refused := func(code codes.Code, operations ...*pb.RequestOp) {
+		_, err := client.Txn(t.Context(), &pb.TxnRequest{
+			Success: operations,
+		})
+		require.Equal(t, code, status.Code(err), "%v", err)
+	}
+	refused(codes.InvalidArgument, putOp("a", "1"), putOp("a", "2"))
+	refused(codes.InvalidArgument, putOp("a", "1"), deleteOp("a"))
+	refused(codes.InvalidArgument, many...)
+	refused(codes.InvalidArgument, putOp("b", "1"), putOp("", "1"))
+	refused(codes.InvalidArgument, putOp("b", "1"), putOp("a", strings.Repeat("x", 1_000_001)))
+	refused(codes.NotFound, putOp("b", "1"), leased)
+	found, err := read(connection, "b")
+	require.NoError(t, err)
+	require.Empty(t, found.Kvs)
+	require.EqualValues(t, 1, found.Header.Revision)
+	require.EqualValues(t, 6, server.Stats().Txns)
+	put(t, connection, "page", strings.Repeat("x", 1_000_000), 0)
+}
+
+func TestCompares(t *testing.T) {
+	s := newState(DefaultHistory, DefaultValueLimit)
+	_, err := s.txn(&pb.TxnRequest{
+		Success: []*pb.RequestOp{putOp("a", "m")},
+	})
+	require.NoError(t, err)
+	holds := func(key string, compare *pb.Compare) bool {
+		compare.Key = []byte(key)
+		holds, err := s.holds(compare)
+		require.NoError(t, err)
+		return holds
+	}
+	version := func(result pb.Compare_CompareResult, than int64) *pb.Compare {
+		return &pb.Compare{
+			Result: result,
+			TargetUnion: &pb.Compare_Version{
+				Version: than,
+			},
+		}
+	}
+	value := func(than string) *pb.Compare {
+		return &pb.Compare{
+			TargetUnion: &pb.Compare_Value{
+				Value: []byte(than),
+			},
+		}
+	}
+	require.True(t, holds("a", version(pb.Compare_EQUAL, 1)))
+	require.False(t, holds("a", version(pb.Compare_GREATER, 1)))
+	require.True(t, holds("a", version(pb.Compare_LESS, 2)))
+	require.True(t, holds("b", version(pb.Compare_EQUAL, 0)))
+	require.False(t, holds("b", version(pb.Compare_NOT_EQUAL, 0)))
+	require.True(t, holds("a", value("m")))
+	require.False(t, holds("a", value("n")))
+	require.False(t, holds("b", value("")))
+	_, err = s.holds(&pb.Compare{
+		Key: []byte("a"),
+	})
+	require.Error(t, err)
+}
+
+// A host lists everything, then watches from that revision: the listing with the
+// events put on top must be what a listing of later would show, whatever was
+// written, deleted and left out of the history in between.
+func TestHistoryContinuesAnyListing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newState(rapid.IntRange(1, 8).Draw(t, "history"), DefaultValueLimit)
+		listings := map[int64]map[string]*mvccpb.KeyValue{}
+		for range rapid.IntRange(1, 40).Draw(t, "writes") {
+			key := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "key")
+			operations := []*pb.RequestOp{putOp(key, rapid.String().Draw(t, "value")), deleteOp("z" + key)}
+			if rapid.Bool().Draw(t, "delete") {
+				operations = []*pb.RequestOp{deleteOp(key), putOp("z"+key, "")}
+			}
+			_, err := s.txn(&pb.TxnRequest{
+				Success: operations,
+			})
+			require.NoError(t, err)
+			listings[s.revision] = maps.Clone(s.keys)
+		}
+		for revision, listing := range listings {
+			if revision+1 < s.history.compacted {
+				continue
+			}
+			for _, event := range s.history.since(revision+1, newKeyRange([]byte{0}, []byte{0})) {
+				delete(listing, string(event.Kv.Key))
+				if event.Type == mvccpb.Event_PUT {
+					listing[string(event.Kv.Key)] = event.Kv
+				}
+			}
+			require.Equal(t, s.keys, listing)
+		}
+	})
+}
