peer/etcd: Speak to the key-value service without guessing outcomes

Whoever takes a lost answer for "not written" runs a request twice. grpc's status codes don't tell: Unavailable is both a connection that never came about and one that broke after the write took effect.

A write's failure is ErrUnavailable only with a proof that it had no effect: grpc's stats handler saw no stream handed to a connection, or the server answered with a status alone (trailers-only) that etcd gives before executing. All else is ErrUnknownOutcome. Writes are never repeated.

--- /dev/null
+++ b/internal/peer/etcd/client_test.go
@@ -0,0 +1,67 @@
+package etcd_test
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"cicadaloom/internal/peer/etcd"
+	standin "cicadaloom/internal/standin/etcd"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/stretchr/testify/require"
+)
+
+func TestDialRefusesMalformedEndpoints(t *testing.T) {
+	for _, endpoints := range [][]string{nil, {"kv.example:2379"}, {"127.0.0.1"}, {"127.0.0.1:2379", ""}} {
+		_, err := etcd.Dial(endpoints...)
+		require.Error(t, err, "%q", endpoints)
+	}
+	client, err := etcd.Dial("127.0.0.1:2379", "[::1]:2379")
+	require.NoError(t, err)
+	require.NoError(t, client.Close())
+}
+
+// The first host of the service is gone for good, and later the second goes too.
+// Callers see the third.
+func TestNextEndpointIsTried(t *testing.T) {
+	second := start(t, standin.Options{})
+	third := start(t, standin.Options{})
+	second.mustWrite(t, "who", "second")
+	third.mustWrite(t, "who", "third")
+	kv := service{
+		Client: dial(t, etcd.Options{}, unreachable(t), second.address, third.address),
+	}
+	require.Equal(t, "second", kv.value(t, "who"))
+	require.NoError(t, second.server.Stop())
+	require.Eventually(t, func() bool {
+		entry, err := kv.Get(t.Context(), "who")
+		return err == nil && string(entry.Value) == "third"
+	}, patience, time.Millisecond)
+}
+
+func TestServiceThatComesBackIsFoundAgain(t *testing.T) {
+	kv := start(t, standin.Options{})
+	kv.mustWrite(t, "key", "1")
+	require.NoError(t, kv.server.Stop())
+	require.Eventually(t, func() bool {
+		_, err := kv.Get(t.Context(), "key")
+		return err != nil
+	}, patience, time.Millisecond)
+	_, err := kv.server.Start(kv.address)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		_, err := kv.Get(t.Context(), "key")
+		return err == nil
+	}, patience, time.Millisecond)
+}
+
+func TestCallsAreCountedInMetrics(t *testing.T) {
+	kv := start(t, standin.Options{})
+	kv.mustWrite(t, "key", "1")
+	var page bytes.Buffer
+	metrics.WritePrometheus(&page, false)
+	for _, call := range []string{"get", "list", "swap", "watch", "progress", "grant_lease", "keep_lease", "revoke_lease"} {
+		require.Contains(t, page.String(), `cicadaloom_kv_calls_total{call="`+call+`"}`)
+	}
+}
--- /dev/null
+++ b/internal/peer/etcd/lease_test.go
@@ -0,0 +1,128 @@
+package etcd_test
+
+import (
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cicadaloom/internal/domain/store"
+	"cicadaloom/internal/peer/etcd"
+	standin "cicadaloom/internal/standin/etcd"
+
+	"github.com/stretchr/testify/require"
+)
+
+// clock is a clock that tests move.
+type clock struct {
+	elapsed atomic.Int64
+}
+
+func (c *clock) Now() time.Time {
+	return time.Unix(1_000_000, c.elapsed.Load())
+}
+
+func (c *clock) advance(length time.Duration) {
+	c.elapsed.Add(int64(length))
+}
+
+func leaseKey(t *testing.T, kv service, ttl time.Duration) store.LeaseID {
+	t.Helper()
+	lease, err := kv.GrantLease(t.Context(), ttl)
+	require.NoError(t, err)
+	result, err := kv.Swap(t.Context(), store.Swap{
+		Compares: []store.Compare{{
+			Key: "/plan/leader",
+		}},
+		Puts: []store.Put{{
+			Key:   "/plan/leader",
+			Value: []byte("host"),
+			Lease: lease,
+		}},
+	})
+	require.NoError(t, err)
+	require.True(t, result.Swapped)
+	return lease
+}
+
+// The leader is paused and its lease lapses. The others see the key go, and the
+// leader learns at its next heartbeat that it leads no more.
+func TestLapsedLeaseIsSeenByWatchers(t *testing.T) {
+	now := &clock{}
+	kv := start(t, standin.Options{
+		Now: now.Now,
+	})
+	lease := leaseKey(t, kv, 1500*time.Millisecond) // two seconds
+	entry, err := kv.Get(t.Context(), "/plan/leader")
+	require.NoError(t, err)
+	require.Equal(t, lease, entry.Lease)
+	w := watch(t, kv.Client, "/plan/", entry.Revision)
+	w.next(t)
+
+	for range 3 {
+		now.advance(1900 * time.Millisecond)
+		kept, err := kv.KeepLease(t.Context(), lease)
+		require.NoError(t, err)
+		require.True(t, kept)
+	}
+	now.advance(2 * time.Second)
+	batch := w.next(t)
+	require.Len(t, batch.Events, 1)
+	require.True(t, batch.Events[0].Deleted)
+	require.Equal(t, "/plan/leader", batch.Events[0].Entry.Key)
+	kept, err := kv.KeepLease(t.Context(), lease)
+	require.NoError(t, err)
+	require.False(t, kept)
+
+	// A put under the lapsed lease must not stay for ever: it is refused.
+	_, err = kv.Swap(t.Context(), store.Swap{
+		Puts: []store.Put{{
+			Key:   "/plan/leader",
+			Lease: lease,
+		}},
+	})
+	require.ErrorIs(t, err, store.ErrUnavailable)
+	require.EqualValues(t, 4, kv.Calls().KeepLease)
+}
+
+func TestLapseLeasesFault(t *testing.T) {
+	kv := start(t, standin.Options{})
+	lease := leaseKey(t, kv, time.Hour)
+	kv.server.SetFaults(standin.Faults{
+		LapseLeases: true,
+	})
+	kept, err := kv.KeepLease(t.Context(), lease)
+	require.NoError(t, err)
+	require.False(t, kept)
+	require.Empty(t, kv.value(t, "/plan/leader"))
+}
+
+func TestRevokeDeletesKeysAndMayBeRepeated(t *testing.T) {
+	kv := start(t, standin.Options{})
+	lease := leaseKey(t, kv, time.Hour)
+	require.NoError(t, kv.RevokeLease(t.Context(), lease))
+	require.Empty(t, kv.value(t, "/plan/leader"))
+	require.NoError(t, kv.RevokeLease(t.Context(), lease))
+}
+
+// The service is down, or loses the answer, while a lease is granted, kept and
+// revoked. None of them may be reported as without effect.
+func TestLeaseCallsInAnOutage(t *testing.T) {
+	kv := start(t, standin.Options{})
+	lease := leaseKey(t, kv, time.Hour)
+	kv.server.SetFaults(standin.Faults{
+		LoseAnswers: 2,
+	})
+	_, err := kv.GrantLease(t.Context(), time.Hour)
+	require.ErrorIs(t, err, store.ErrUnknownOutcome)
+	require.ErrorIs(t, kv.RevokeLease(t.Context(), lease), store.ErrUnknownOutcome)
+	require.NoError(t, kv.RevokeLease(t.Context(), lease))
+	kv.server.SetFaults(standin.Faults{
+		Down: true,
+	})
+	_, err = kv.KeepLease(t.Context(), lease)
+	require.ErrorIs(t, err, store.ErrUnknownOutcome)
+
+	none := dial(t, etcd.Options{}, unreachable(t))
+	_, err = none.KeepLease(t.Context(), lease)
+	require.ErrorIs(t, err, store.ErrUnavailable)
+}
--- /dev/null
+++ b/internal/peer/etcd/watch_test.go
@@ -0,0 +1,217 @@
+package etcd_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/domain/store"
+	"cicadaloom/internal/peer/etcd"
+	standin "cicadaloom/internal/standin/etcd"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+	"gopkg.in/tomb.v2"
+)
+
+// watching is a watch that runs aside.
+type watching struct {
+	batches chan store.Batch
+	tomb    tomb.Tomb
+	cancel  context.CancelFunc
+}
+
+func watch(t *testing.T, client *etcd.Client, prefix string, after ident.Revision) *watching {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	w := &watching{
+		batches: make(chan store.Batch, 1000),
+		cancel:  cancel,
+	}
+	w.tomb.Go(func() error {
+		return client.Watch(ctx, prefix, after, func(batch store.Batch) error {
+			w.batches <- batch
+			return nil
+		})
+	})
+	t.Cleanup(func() {
+		cancel()
+		_ = w.tomb.Wait()
+	})
+	return w
+}
+
+func (w *watching) next(t *testing.T) store.Batch {
+	t.Helper()
+	select {
+	case batch := <-w.batches:
+		return batch
+	case <-w.tomb.Dead():
+		require.FailNow(t, "watch ended", "%v", w.tomb.Err())
+	case <-time.After(patience):
+		require.FailNow(t, "no batch")
+	}
+	return store.Batch{}
+}
+
+func (w *watching) end(t *testing.T) error {
+	t.Helper()
+	select {
+	case <-w.tomb.Dead():
+	case <-time.After(patience):
+		require.FailNow(t, "watch doesn't end")
+	}
+	return w.tomb.Err()
+}
+
+func TestWatchDeliversInOrderFromTheRevisionAfter(t *testing.T) {
+	kv := start(t, standin.Options{})
+	kv.mustWrite(t, "/docs/a", "seen")
+	read := kv.mustWrite(t, "/docs/a", "read")
+	missed := kv.mustWrite(t, "/docs/b", "1")
+	kv.mustWrite(t, "/other", "1")
+	w := watch(t, kv.Client, "/docs/", read.Revision)
+	require.Equal(t, store.Batch{
+		Revision: read.Revision,
+	}, w.next(t))
+	require.Equal(t, store.Batch{
+		Events: []store.Event{{
+			Entry: store.Entry{
+				Key:      "/docs/b",
+				Value:    []byte("1"),
+				Revision: missed.Revision,
+			},
+		}},
+		Revision: missed.Revision,
+	}, w.next(t))
+
+	both, err := kv.Swap(t.Context(), store.Swap{
+		Puts: []store.Put{{
+			Key:   "/docs/c",
+			Value: []byte("2"),
+		}},
+		Deletes: []string{"/docs/a"},
+	})
+	require.NoError(t, err)
+	batch := w.next(t)
+	require.Equal(t, both.Revision, batch.Revision)
+	require.Len(t, batch.Events, 2)
+	require.Equal(t, "/docs/c", batch.Events[0].Entry.Key)
+	require.Equal(t, store.Event{
+		Entry: store.Entry{
+			Key:      "/docs/a",
+			Revision: both.Revision,
+		},
+		Deleted: true,
+	}, batch.Events[1])
+	w.cancel()
+	require.ErrorIs(t, w.end(t), context.Canceled)
+}
+
+func TestWatchEndsWithDeliversError(t *testing.T) {
+	kv := start(t, standin.Options{})
+	enough := errors.New("enough")
+	err := kv.Watch(t.Context(), "/", 0, func(store.Batch) error { return enough })
+	require.Equal(t, enough, err)
+}
+
+// Nothing is written for longer than the silence limit. The watch must not break
+// for that: it asks, and learns the revision of writes elsewhere by the way.
+func TestQuietWatchStaysUp(t *testing.T) {
+	kv := start(t, standin.Options{})
+	client := dial(t, etcd.Options{
+		WatchSilence: time.Second,
+	}, kv.address)
+	w := watch(t, client, "/docs/", 1)
+	require.Empty(t, w.next(t).Events)
+	elsewhere := kv.mustWrite(t, "/other", "1")
+	for range 5 { // a quarter of the limit each
+		batch := w.next(t)
+		require.Empty(t, batch.Events)
+		require.Equal(t, elsewhere.Revision, batch.Revision)
+	}
+	require.GreaterOrEqual(t, client.Calls().Progress, uint64(5))
+}
+
+// The service keeps the stream open and forgets the watch. A host that takes the
+// silence for quiet serves an old document for ever.
+func TestSilentWatchIsNoticed(t *testing.T) {
+	kv := start(t, standin.Options{})
+	client := dial(t, etcd.Options{
+		WatchSilence: 200 * time.Millisecond,
+	}, kv.address)
+	w := watch(t, client, "/docs/", 1)
+	require.Empty(t, w.next(t).Events)
+	kv.server.SetFaults(standin.Faults{
+		SilentWatches: true,
+	})
+	kv.mustWrite(t, "/docs/a", "missed")
+	require.ErrorIs(t, w.end(t), store.ErrWatchBroken)
+	require.Positive(t, client.Calls().Progress)
+	require.Equal(t, "missed", kv.value(t, "/docs/a"))
+}
+
+// The service was silent from the start: the watch never came to stand.
+func TestWatchThatNeverStandsIsNoticed(t *testing.T) {
+	kv := start(t, standin.Options{})
+	kv.server.SetFaults(standin.Faults{
+		SilentWatches: true,
+	})
+	client := dial(t, etcd.Options{
+		WatchSilence: 100 * time.Millisecond,
+	}, kv.address)
+	require.ErrorIs(t, watch(t, client, "/docs/", 1).end(t), store.ErrWatchBroken)
+}
+
+// A host was paused for so long that the service dropped the changes in between.
+// It must read everything again, and is told so.
+func TestCompactedWatchIsBroken(t *testing.T) {
+	kv := start(t, standin.Options{
+		History: 2,
+	})
+	read := kv.mustWrite(t, "/docs/a", "1")
+	for _, value := range []string{"2", "3", "4"} {
+		kv.mustWrite(t, "/docs/a", value)
+	}
+	err := watch(t, kv.Client, "/docs/", read.Revision).end(t)
+	require.ErrorIs(t, err, store.ErrWatchBroken)
+	require.ErrorContains(t, err, "compacted")
+}
+
+// The service comes back empty, at a revision before the one that the host has.
+// A watch from there would be quiet until the revision grew past it.
+func TestServiceThatWentBackIsNoticed(t *testing.T) {
+	kv := start(t, standin.Options{})
+	err := watch(t, kv.Client, "/docs/", 1000).end(t)
+	require.ErrorIs(t, err, store.ErrWatchBroken)
+}
+
+func TestOutageBreaksWatches(t *testing.T) {
+	kv := start(t, standin.Options{})
+	down := watch(t, kv.Client, "/docs/", 1)
+	down.next(t)
+	kv.server.SetFaults(standin.Faults{
+		Down: true,
+	})
+	require.ErrorIs(t, down.end(t), store.ErrWatchBroken)
+	kv.server.SetFaults(standin.Faults{})
+
+	stopped := watch(t, kv.Client, "/docs/", 1)
+	stopped.next(t)
+	require.NoError(t, kv.server.Stop())
+	require.ErrorIs(t, stopped.end(t), store.ErrWatchBroken)
+	require.ErrorIs(t, watch(t, kv.Client, "/docs/", 1).end(t), store.ErrWatchBroken)
+}
+
+// A watch that had quota trouble with its progress requests alone is told apart
+// from one that is refused: the refusal ends it at once.
+func TestWatchOverTheQuotaIsBroken(t *testing.T) {
+	kv := start(t, standin.Options{
+		ReadsPerSecond: 1,
+		Now:            func() time.Time { return time.Unix(1_000_000, 0) },
+	})
+	kv.value(t, "uses up the quota")
+	require.ErrorIs(t, watch(t, kv.Client, "/docs/", 1).end(t), store.ErrWatchBroken)
+	require.EqualValues(t, 1, kv.server.Stats().QuotaRefusals)
+}
