--- a/internal/report/burnpage/burnpage.go
+++ b/internal/report/burnpage/burnpage.go
@@ -17,6 +17,7 @@
 	"fmt"
 	"html/template"
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -123,7 +124,7 @@
 		Verdict: "within its budget in the last hour",
 	}
 	if worst.Rate() > slowBurn {
-		shown.Verdict = fmt.Sprintf("%s burns its budget %.1f times too fast in the last hour, most of it by requests that were %s", worst.Model, worst.Rate(), worst.Cause())
+		shown.Verdict = fmt.Sprintf("%s burns its budget %.1f times too fast in the last hour, most of it by requests that were %s", worst.Model, worst.Rate(), strings.ToLower(worst.Cause()))
 	}
 	return shown, nil
 }
