--- a/internal/peer/etcd/refusal_test.go
+++ b/internal/peer/etcd/refusal_test.go
@@ -31,13 +31,20 @@
 }
 
 func startFake(t *testing.T, txn func(ctx context.Context) (*pb.TxnResponse, error)) *etcd.Client {
+	t.Helper()
+	return serveFake(t, func(server *grpc.Server) {
+		pb.RegisterKVServer(server, fakeKV{
+			txn: txn,
+		})
+	})
+}
+
+func serveFake(t *testing.T, register func(*grpc.Server)) *etcd.Client {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	server := grpc.NewServer()
-	pb.RegisterKVServer(server, fakeKV{
-		txn: txn,
-	})
+	register(server)
 	var running tomb.Tomb
 	running.Go(func() error { return server.Serve(listener) })
 	t.Cleanup(func() {
--- a/internal/peer/etcd/watch_test.go
+++ b/internal/peer/etcd/watch_test.go
@@ -9,9 +9,12 @@
 	"cicadaloom/internal/domain/store"
 	"cicadaloom/internal/peer/etcd"
 	standin "cicadaloom/internal/standin/etcd"
+	pb "cicadaloom/internal/wire/etcdserverpb"
+	"cicadaloom/internal/wire/mvccpb"
 
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc"
 	"gopkg.in/tomb.v2"
 )
 
@@ -215,3 +218,47 @@
 	require.ErrorIs(t, watch(t, kv.Client, "/docs/", 1).end(t), store.ErrWatchBroken)
 	require.EqualValues(t, 1, kv.server.Stats().QuotaRefusals)
 }
+
+// fakeWatch stands at revision 5, tells that 9 is complete, then sends an event
+// of 8.
+type fakeWatch struct {
+	pb.UnimplementedWatchServer
+}
+
+func (fakeWatch) Watch(stream grpc.BidiStreamingServer[pb.WatchRequest, pb.WatchResponse]) error {
+	send := func(response *pb.WatchResponse, revision int64) {
+		response.Header = &pb.ResponseHeader{
+			Revision: revision,
+		}
+		_ = stream.Send(response)
+	}
+	send(&pb.WatchResponse{
+		Created: true,
+	}, 5)
+	send(&pb.WatchResponse{}, 9)
+	send(&pb.WatchResponse{
+		Events: []*mvccpb.Event{{
+			Kv: &mvccpb.KeyValue{
+				ModRevision: 8,
+			},
+		}},
+	}, 9)
+	<-stream.Context().Done()
+	return nil
+}
+
+// Some versions of etcd answer a progress request ahead of events that they
+// still hold. A host that believed the answer would later take an older change
+// for the newest.
+func TestEventBehindProgressBreaksTheWatch(t *testing.T) {
+	client := serveFake(t, func(server *grpc.Server) {
+		pb.RegisterWatchServer(server, fakeWatch{})
+	})
+	var told []ident.Revision
+	err := client.Watch(t.Context(), "/docs/", 5, func(batch store.Batch) error {
+		told = append(told, batch.Revision)
+		return nil
+	})
+	require.ErrorIs(t, err, store.ErrWatchBroken)
+	require.Equal(t, []ident.Revision{5, 9}, told)
+}
