load: Add an open-loop load tool

Requests are a function of the plan and the seed, sent at their Poisson instants up to a bound; beyond it they count as not sent. Times count from the arrival.

net/http sends a request with an Idempotency-Key again by itself when an idle connection breaks; GetBody is unset against it. The test fails without that (three requests at the server in place of two).

--- /dev/null
+++ b/internal/command/loadtool/plan.go
@@ -0,0 +1,75 @@
+package loadtool
+
+import (
+	"context"
+	"flag"
+
+	"cicadaloom/internal/config/teamdoc"
+	"cicadaloom/internal/load/demand"
+	"cicadaloom/internal/load/sizes"
+)
+
+const planHelp = `Prints an example of a load plan at the size of one of the users, for
+"loadtool run -plan", or with -document the team document that goes with it.
+`
+
+func init() {
+	register(command{
+		name:    "plan",
+		summary: "print an example plan",
+		help:    planHelp,
+		prepare: preparePlan,
+	})
+}
+
+func preparePlan(flags *flag.FlagSet) runner {
+	var users userFlags
+	users.declare(flags)
+	document := flags.Bool("document", false, "print the team document in place of the plan")
+	scale := flags.Float64("scale", 1, "part of the user's size")
+	return func(_ context.Context, to streams) error {
+		size, err := users.size(to, *scale)
+		if err != nil {
+			return err
+		}
+		if !*document {
+			printf(to.out, "%s", demand.Write(size.Plan()))
+			return nil
+		}
+		text, err := teamdoc.Write(size.Document())
+		if err != nil {
+			return err
+		}
+		printf(to.out, "%s", text)
+		return nil
+	}
+}
+
+// userFlags choose one of the users.
+type userFlags struct {
+	kerlouan bool
+	nour     bool
+}
+
+func (u *userFlags) declare(flags *flag.FlagSet) {
+	flags.BoolVar(&u.kerlouan, "kerlouan", false, "Kerlouan Ballon Récupération")
+	flags.BoolVar(&u.nour, "nour", false, "the Nour Hair Foundation")
+}
+
+// mostScale bounds what can be asked for by mistake.
+const mostScale = 100
+
+func (u *userFlags) size(to streams, scale float64) (sizes.Size, error) {
+	if u.kerlouan == u.nour {
+		return sizes.Size{}, usage(to, "found neither or both of -kerlouan and -nour, allowed one of them")
+	}
+	if scale <= 0 || scale > mostScale {
+		return sizes.Size{}, usage(to, "-scale: found %g, allowed above 0 up to %d", scale, mostScale)
+	}
+	user := sizes.Kerlouan
+	if u.nour {
+		user = sizes.Nour
+	}
+	size, _ := sizes.Of(user, scale)
+	return size, nil
+}
--- /dev/null
+++ b/internal/command/loadtool/run.go
@@ -0,0 +1,153 @@
+package loadtool
+
+import (
+	"context"
+	"flag"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"cicadaloom/internal/load/counters"
+	"cicadaloom/internal/load/demand"
+	"cicadaloom/internal/load/openloop"
+	"cicadaloom/internal/load/result"
+)
+
+const runHelp = `Sends a plan's requests at their instants, whatever is still open, and prints
+what became of them. The same plan and seed give the same requests.
+
+  loadtool run -plan kerlouan.load.json -targets 127.0.0.1:8080,127.0.0.1:8090 \
+      -seed 7 -for 30s -accelerators 24 -out result.json \
+      -status http://127.0.0.1:8081 -token ADMIN-TOKEN -engines 127.0.0.1:9001,...
+
+Attainment is the share of all requests asked for that were answered whole and
+right with the first token, and the mean time between tokens, within the plan's
+promise. Moves come from -status; overcommits, retries, wasted tokens and
+untrue refusals from the statistics of -engines, where plain services may stand
+too. SIGINT ends the load early and prints what there is.
+`
+
+func init() {
+	register(command{
+		name:    "run",
+		summary: "send a load to entry hosts",
+		help:    runHelp,
+		prepare: prepareRun,
+	})
+}
+
+// runFlags are the flags of run.
+type runFlags struct {
+	plan         string
+	targets      string
+	seed         uint64
+	length       time.Duration
+	out          string
+	accelerators int
+	maxOpen      int
+	rate         float64
+	status       string
+	token        string
+	engines      string
+}
+
+// warmUp is how long after the command's start the first request may arrive.
+const warmUp = 100 * time.Millisecond
+
+func prepareRun(flags *flag.FlagSet) runner {
+	var f runFlags
+	flags.StringVar(&f.plan, "plan", "", "the plan's `file`")
+	flags.StringVar(&f.targets, "targets", "", "callers' `addresses` of entry hosts, with commas")
+	flags.Uint64Var(&f.seed, "seed", 1, "seed of the requests")
+	flags.DurationVar(&f.length, "for", 30*time.Second, "length of the load")
+	flags.StringVar(&f.out, "out", "", "`file` for the result as JSON")
+	flags.IntVar(&f.accelerators, "accelerators", 0, "accelerators that the fleet has")
+	flags.IntVar(&f.maxOpen, "max-open", openloop.DefaultMaxOpen, "requests that may be open at once")
+	flags.Float64Var(&f.rate, "rate", 0, "requests a second, in place of the plan's")
+	flags.StringVar(&f.status, "status", "", "`URL` of an entry host's side for operators")
+	flags.StringVar(&f.token, "token", "", "the administrators' `token` there")
+	flags.StringVar(&f.engines, "engines", "", "`addresses` of engines and plain services, with commas")
+	return f.run
+}
+
+func (f *runFlags) run(ctx context.Context, to streams) error {
+	if f.plan == "" || f.targets == "" || f.length <= 0 {
+		return usage(to, "found no -plan, no -targets or a -for of 0, allowed all three")
+	}
+	plan, err := demand.Load(f.plan)
+	if err != nil {
+		return err
+	}
+	if f.rate > 0 {
+		plan.RequestsPerSecond = f.rate
+	}
+	summary, err := f.load(ctx, plan)
+	if err != nil {
+		return err
+	}
+	printf(to.out, "%s", summary.Table())
+	if f.out == "" {
+		return nil
+	}
+	body, err := summary.JSON()
+	if err != nil {
+		return errors.Wrap(err, "-out")
+	}
+	return errors.Wrap(os.WriteFile(f.out, body, 0o644), "-out")
+}
+
+// load sends the load and reads the fleet's counters around it.
+func (f *runFlags) load(ctx context.Context, plan demand.Plan) (*result.Summary, error) {
+	reader := counters.Reader{
+		Status:  f.status,
+		Token:   f.token,
+		Servers: split(f.engines),
+	}
+	before, err := reader.Read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var collector result.Collector
+	load := openloop.Load{
+		Targets: split(f.targets),
+		MaxOpen: f.maxOpen,
+		Record:  collector.Add,
+	}
+	start := time.Now().Add(warmUp)
+	err = load.Run(ctx, demand.New(plan, demand.Span{
+		Seed:  f.seed,
+		Start: start,
+		End:   start.Add(f.length),
+	}))
+	length := f.length
+	if err != nil {
+		if ctx.Err() == nil {
+			return nil, err
+		}
+		length = time.Since(start)
+	}
+	summary := collector.Summary(length, f.accelerators)
+	if f.status == "" && f.engines == "" {
+		return &summary, nil
+	}
+	// A load that was ended early is compared too.
+	after, err := reader.Read(context.WithoutCancel(ctx))
+	if err != nil {
+		return nil, err
+	}
+	summary.Fleet = counters.Compare(before, after, summary.Tokens, collector.NotRun())
+	return &summary, nil
+}
+
+// split reads a list with commas.
+func split(list string) []string {
+	var items []string
+	for _, item := range strings.Split(list, ",") {
+		if item = strings.TrimSpace(item); item != "" {
+			items = append(items, item)
+		}
+	}
+	return items
+}
--- /dev/null
+++ b/internal/load/openloop/openloop_test.go
@@ -0,0 +1,276 @@
+package openloop
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/load/demand"
+	"cicadaloom/internal/load/result"
+	"cicadaloom/internal/peer/caller"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// requests are arrivals that a test has made.
+type requests []demand.Request
+
+func (r *requests) Next() (demand.Request, bool) {
+	if len(*r) == 0 {
+		return demand.Request{}, false
+	}
+	next := (*r)[0]
+	*r = (*r)[1:]
+	return next, true
+}
+
+// asking makes requests that arrive at once; each one's name says to the fake
+// host how to answer.
+func asking(names ...string) *requests {
+	var all requests
+	now := time.Now()
+	for i, name := range names {
+		marker := fmt.Sprintf("q00000001-%07d", i)
+		request := demand.Request{
+			ID:       ident.RequestID("id-" + marker),
+			At:       now,
+			Deadline: now.Add(10 * time.Second),
+			Name:     name,
+			Marker:   marker,
+			Message:  marker + " hello",
+			Chat: &demand.Chat{
+				Prefix: "instructions",
+				Tokens: 3,
+				Stream: name != "whole",
+			},
+		}
+		if strings.HasPrefix(name, "desk") {
+			request.Chat = nil
+			request.Key = ident.IdempotencyKey("key-" + marker)
+			request.Service = &demand.Call{
+				Method: http.MethodPost,
+				Path:   "/dispatch",
+			}
+		}
+		all = append(all, request)
+	}
+	return &all
+}
+
+// fakeHost answers as an entry host does, in the way that the model asks for.
+func fakeHost(t *testing.T) string {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		if r.URL.Path == "/services/desk/dispatch" {
+			if r.Header.Get(caller.HeaderKey) == "" {
+				w.WriteHeader(http.StatusBadRequest)
+			}
+			w.Header().Set(caller.HeaderReplayed, "true")
+			fmt.Fprintf(w, `{"Body":%q}`, body)
+			return
+		}
+		var chat wireChat
+		if json.Unmarshal(body, &chat) != nil || len(chat.Messages) != 2 || r.Header.Get(caller.HeaderDeadline) == "" {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		fakeAnswer(w, chat.Model, chat.Messages[1].Content)
+	}))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+func fakeAnswer(w http.ResponseWriter, model, message string) {
+	if model == "whole" {
+		fmt.Fprintf(w, `{"choices":[{"message":{"content":"echo of %s"}}],"usage":{"completion_tokens":3}}`, message)
+		return
+	}
+	if model == "busy" {
+		w.Header().Set(caller.HeaderRun, "NotRun")
+		w.WriteHeader(http.StatusTooManyRequests)
+		fmt.Fprint(w, `{"error":{"code":"too_busy","run":"NotRun"}}`)
+		return
+	}
+	if model == "foreign" {
+		message = "q00000001-9999999 of somebody else"
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	for i, token := range []string{"echo of " + message, " one", " two"} {
+		if model == "short" && i == 2 {
+			break
+		}
+		fmt.Fprintf(w, "data: {\"choices\":[{\"delta\":{\"content\":%q}}]}\n\n", token)
+	}
+	switch model {
+	case "cut":
+		fmt.Fprint(w, "data: {\"error\":{\"code\":\"stream_cut\",\"run\":\"MayHaveRun\"}}\n\n")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	case "unended":
+		return
+	}
+	fmt.Fprint(w, "data: [DONE]\n\n")
+}
+
+// runLoad sends requests and gives their records by name.
+func runLoad(t *testing.T, load *Load, arrivals Arrivals) map[string]*result.Record {
+	t.Helper()
+	var mu sync.Mutex
+	records := make(map[string]*result.Record)
+	load.Record = func(record *result.Record) {
+		mu.Lock()
+		defer mu.Unlock()
+		records[record.Request.Name] = record
+	}
+	require.NoError(t, load.Run(context.Background(), arrivals))
+	return records
+}
+
+func TestEachKindOfAnswerIsToldApart(t *testing.T) {
+	records := runLoad(t, &Load{
+		Targets: []string{fakeHost(t)},
+	}, asking("good", "whole", "desk", "busy", "foreign", "short", "cut", "unended"))
+	kinds := make(map[string]string)
+	for name, record := range records {
+		kinds[name] = string(record.Kind) + " " + string(record.Content)
+	}
+	require.Equal(t, map[string]string{
+		"good":    "Answered Own",
+		"whole":   "Answered Own",
+		"desk":    "Answered Own",
+		"busy":    "Refused ",
+		"foreign": "Answered Foreign",
+		"short":   "Answered Short",
+		"cut":     "Cut Own",
+		"unended": "Cut Own",
+	}, kinds)
+	require.Len(t, records["good"].Gaps, 2)
+	require.Equal(t, 3, records["whole"].Tokens)
+	require.Positive(t, records["good"].FirstToken)
+	require.True(t, records["desk"].Replayed)
+	require.Equal(t, "too_busy", records["busy"].Code)
+	require.Equal(t, "NotRun", records["busy"].Run)
+	require.Equal(t, "stream_cut", records["cut"].Code)
+}
+
+// A tool that waits for a free place before it sends measures a closed loop: a
+// server that hangs would get fewer requests, and the figures would look well.
+// Here the host hangs until all arrivals are through; the third of them is over
+// the bound and counted at once.
+func TestOverTheBoundIsNotSent(t *testing.T) {
+	release := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		<-release
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer server.Close()
+	var collector result.Collector
+	load := Load{
+		Targets: []string{server.Listener.Addr().String()},
+		MaxOpen: 2,
+		Record: func(record *result.Record) {
+			collector.Add(record)
+			if record.Kind == result.NotSent {
+				close(release)
+			}
+		},
+	}
+	require.NoError(t, load.Run(context.Background(), asking("a", "b", "c")))
+	counts := collector.Summary(time.Second, 0).Counts
+	require.Equal(t, 1, counts.NotSent)
+	require.Equal(t, 2, counts.Refused)
+}
+
+func TestTargetWithoutConnectionIsPassedOver(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, listener.Close())
+	records := runLoad(t, &Load{
+		Targets: []string{listener.Addr().String(), fakeHost(t)},
+	}, asking("good", "whole"))
+	require.Equal(t, result.Answered, records["good"].Kind)
+	require.Equal(t, result.Answered, records["whole"].Kind)
+
+	alone := runLoad(t, &Load{
+		Targets: []string{listener.Addr().String()},
+	}, asking("good"))
+	require.Equal(t, result.NoAnswer, alone["good"].Kind)
+	require.Equal(t, "no connection", alone["good"].Cause)
+}
+
+// inTurn lets a request arrive when the one before it has ended.
+type inTurn struct {
+	*requests
+	ended chan struct{}
+}
+
+func (i *inTurn) Next() (demand.Request, bool) {
+	<-i.ended
+	return i.requests.Next()
+}
+
+// A request that carries a key is sent again by net/http itself when the idle
+// connection that it took breaks before the answer. The caller would see one
+// slow answer where the server had two requests. The first request here leaves
+// the connection that the second takes.
+func TestBrokenRequestIsSentOnce(t *testing.T) {
+	var asked atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		if asked.Add(1) > 1 {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	defer server.Close()
+	arrivals := inTurn{
+		requests: asking("desk", "desk"),
+		ended:    make(chan struct{}, 3),
+	}
+	arrivals.ended <- struct{}{}
+	var kinds []result.Kind
+	load := Load{
+		Targets: []string{server.Listener.Addr().String()},
+		Record: func(record *result.Record) {
+			kinds = append(kinds, record.Kind)
+			arrivals.ended <- struct{}{}
+		},
+	}
+	require.NoError(t, load.Run(context.Background(), &arrivals))
+	require.Equal(t, []result.Kind{result.Answered, result.NoAnswer}, kinds)
+	require.Equal(t, int64(2), asked.Load())
+}
+
+func TestInterruptGivesUpWhatIsOpen(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		cancel()
+		<-r.Context().Done()
+	}))
+	defer server.Close()
+	arrivals := asking("open", "never")
+	(*arrivals)[1].At = time.Now().Add(time.Hour)
+	var collector result.Collector
+	load := Load{
+		Targets: []string{server.Listener.Addr().String()},
+		Record:  collector.Add,
+	}
+	require.ErrorIs(t, load.Run(ctx, arrivals), context.Canceled)
+	require.Equal(t, map[string]int{"interrupted": 1}, collector.Summary(time.Second, 0).Causes)
+}
