--- /dev/null
+++ b/internal/load/experiment/experiment_test.go
@@ -0,0 +1,90 @@
+package experiment
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"cicadaloom/internal/config/settings"
+	"cicadaloom/internal/load/result"
+	"cicadaloom/internal/load/sizes"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+func outcome(policy settings.Routing, rate float64, seed uint64, attainment, goodput float64) Outcome {
+	return Outcome{
+		Case:   "normal",
+		Policy: policy,
+		Rate:   rate,
+		Seed:   seed,
+		Summary: result.Summary{
+			Attainment: attainment,
+			Goodput:    goodput,
+			Fleet:      &result.Fleet{},
+		},
+	}
+}
+
+func TestTableHasMedianAndRange(t *testing.T) {
+	report := Report{
+		Outcomes: []Outcome{
+			outcome(settings.LeastCost, 1, 1, 0.90, 0),
+			outcome(settings.LeastCost, 1, 2, 0.99, 0),
+			outcome(settings.LeastCost, 1, 3, 0.95, 0),
+			outcome(settings.Random, 1, 1, 0.80, 0),
+			outcome(settings.Random, 1, 2, 0.90, 0),
+		},
+	}
+	table := report.Table()
+	require.Contains(t, table, "| normal | LeastCost | 1 | 95.0 (90.0 to 99.0) |")
+	require.Contains(t, table, "| normal | Random | 1 | 85.0 (80.0 to 90.0) |")
+}
+
+func TestSweepFindsWhereAttainmentFallsThrough(t *testing.T) {
+	report := Report{
+		Outcomes: []Outcome{
+			outcome(settings.LeastCost, 0.5, 1, 1, 50),
+			outcome(settings.LeastCost, 1, 1, 0.97, 97),
+			outcome(settings.LeastCost, 2, 1, 0.93, 186),
+			outcome(settings.LeastCost, 3, 1, 0.96, 300), // noise above the crossing
+			outcome(settings.Random, 0.5, 1, 0.99, 49),
+			outcome(settings.RoundRobin, 0.5, 1, 0.5, 25),
+		},
+	}
+	found := report.crossings()
+	require.Len(t, found, 3)
+	require.InDelta(t, 1.5, found[0].rate, 1e-9)
+	require.InDelta(t, 141.5, found[0].goodput, 1e-9)
+	require.Contains(t, report.Sweep(), "| normal | Random | at least 49 | above 0.50 |")
+	require.Contains(t, report.Sweep(), "| normal | RoundRobin | none | below the least |")
+}
+
+// A fault that is never switched on would make its case the normal one, and
+// every policy look well in it.
+func TestEachCaseRunsOnASmallFleet(t *testing.T) {
+	size, _ := sizes.Of(sizes.Nour, 0.01)
+	size.RequestsPerSecond = 20
+	hang, _ := CaseOf("hang")
+	kill, _ := CaseOf("kill")
+	report, err := Run(context.Background(), Options{
+		Size:     size,
+		Cases:    []Case{hang, kill},
+		Policies: []settings.Routing{settings.RoundRobin},
+		Seeds:    []uint64{1},
+		Length:   time.Second,
+	})
+	require.NoError(t, err)
+	require.Len(t, report.Outcomes, 2)
+	for i := range report.Outcomes {
+		summary := &report.Outcomes[i].Summary
+		require.Positive(t, summary.Attained)
+		require.Zero(t, summary.Foreign+summary.Duplicates+summary.Fleet.RunsOfRefused)
+	}
+	require.Greater(t, report.Outcomes[0].Summary.Whole.Max, size.Pace.PromiseFirstToken, "nothing has hung")
+}
