load: Leave stored answers out of the tokens delivered

They would hide as many wasted tokens. The share of streamed chats can be set for an experiment: answers in one piece meet another timeout of the hosts than streams do, and a comparison of routing wants them apart.

--- a/internal/command/loadtool/experiment.go
+++ b/internal/command/loadtool/experiment.go
@@ -49,6 +49,8 @@
 	return text.String()
 }
 
+const wholePercent = 100
+
 // mostEngines bounds the engines in one process: beyond it the machine is what
 // gets measured.
 const mostEngines = 40
@@ -67,6 +69,7 @@
 	sweep       string
 	length      time.Duration
 	rate        float64
+	streamed    int
 	movesWeight float64
 	out         string
 	log         string
@@ -82,6 +85,7 @@
 	flags.StringVar(&f.sweep, "sweep", "", "growing `multiples` of the ordinary rate, with commas")
 	flags.DurationVar(&f.length, "for", 8*time.Second, "length of each load")
 	flags.Float64Var(&f.rate, "rate", 0, "requests a second, in place of the size's")
+	flags.IntVar(&f.streamed, "streamed", -1, "`percent` of the chats that are streamed, in place of the size's")
 	flags.Float64Var(&f.movesWeight, "moves-weight", settings.Default().Policy.MovesWeight, "the policy's weight of moves, 0 to 1")
 	flags.StringVar(&f.out, "out", "", "`file` for the tables, beside standard output")
 	flags.StringVar(&f.log, "log", "", "least `level` of what the hosts log to standard error, such as warn; without it nothing")
@@ -128,6 +132,9 @@
 	if f.rate > 0 {
 		size.RequestsPerSecond = f.rate
 	}
+	if f.streamed >= 0 {
+		size.StreamedPercent = min(f.streamed, wholePercent)
+	}
 	options.Size = size
 	if options.Log, err = hostLog(f.log); err != nil {
 		return options, usage(to, "-log: %v", err)
--- a/internal/load/result/collector.go
+++ b/internal/load/result/collector.go
@@ -46,8 +46,9 @@
 	// answer that was not stored: the request ran twice.
 	Replayed   int
 	Duplicates int
-	// Tokens and AttainedTokens are what callers got, and what those got whose
-	// request was attained; TokensOfCut came in answers that were cut.
+	// Tokens are what callers got in whole answers that were not stored ones;
+	// AttainedTokens what those got whose request was attained, TokensOfCut what
+	// came in answers that were cut.
 	Tokens         int64
 	AttainedTokens int64
 	TokensOfCut    int64
@@ -83,7 +84,11 @@
 
 func (c *Collector) answered(record *Record) {
 	c.counts.Answered++
-	c.counts.Tokens += int64(record.Tokens)
+	if !record.Replayed {
+		// An engine generated the tokens of a stored answer long ago: counted here
+		// they would hide as many that were wasted.
+		c.counts.Tokens += int64(record.Tokens)
+	}
 	if record.Content != Own && record.Content != Foreign {
 		c.counts.Wrong++
 	}
--- a/internal/load/result/result_test.go
+++ b/internal/load/result/result_test.go
@@ -127,7 +127,7 @@
 		Wrong:          1,
 		Replayed:       1,
 		Duplicates:     1,
-		Tokens:         7,
+		Tokens:         6,
 		AttainedTokens: 4,
 		TokensOfCut:    2,
 	}, s.Counts)
--- a/internal/load/sizes/plan.go
+++ b/internal/load/sizes/plan.go
@@ -70,7 +70,7 @@
 			Promise:         s.promise(),
 			Adapters:        s.Models[i].Adapters,
 			AdapterPercent:  adapterPercent,
-			StreamedPercent: streamedPercent,
+			StreamedPercent: s.StreamedPercent,
 		})
 	}
 	return plan
--- a/internal/load/sizes/sizes.go
+++ b/internal/load/sizes/sizes.go
@@ -43,7 +43,9 @@
 	Service     Service
 	// RequestsPerSecond is what callers ask for on an ordinary day.
 	RequestsPerSecond float64
-	Pace              Pace
+	// StreamedPercent of the chats' answers are streamed.
+	StreamedPercent int
+	Pace            Pace
 }
 
 // Pace is how fast an engine is, and what is promised of it.
@@ -183,7 +185,8 @@
 			Replicas: scaled(serviceReplicas, scale, 2),
 			Weight:   serviceWeight,
 		},
-		Pace: defaultPace(),
+		StreamedPercent: streamedPercent,
+		Pace:            defaultPace(),
 	}
 	size.RequestsPerSecond = float64(size.Engines * perEngine)
 	return size
