--- a/internal/peer/caller/caller.go
+++ b/internal/peer/caller/caller.go
@@ -30,7 +30,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -38,19 +37,12 @@
 	"github.com/pkg/errors"
 	"github.com/uptrace/bunrouter"
 	"go.uber.org/zap"
-	tomb "gopkg.in/tomb.v2"
 
 	"cicadaloom/internal/config/settings"
+	"cicadaloom/internal/peer/httpserve"
 	"cicadaloom/internal/traffic/dispatch"
 )
 
-// Bounds against callers that hold connections without using them.
-const (
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 2 * time.Minute
-	maxHeader     = 32 << 10
-)
-
 // Paths of the API.
 const (
 	PathChat     = "/v1/chat/completions"
@@ -74,8 +66,7 @@
 	// Now is the wall clock; time.Now unless a test sets it.
 	Now func() time.Time
 
-	tomb     tomb.Tomb
-	http     *http.Server
+	http     httpserve.Server
 	inFlight atomic.Int64
 	stopping atomic.Bool
 }
@@ -86,28 +77,12 @@
 	if s.Now == nil {
 		s.Now = time.Now
 	}
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return "", errors.Wrapf(err, "listen for callers at %s", address)
-	}
-	bound := listener.Addr().String()
-	if s.TLS != nil {
-		listener = tls.NewListener(listener, s.TLS)
-	}
-	s.http = &http.Server{
-		Handler:           s.routes(),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeader,
-		ErrorLog:          zap.NewStdLog(s.Log),
-	}
-	s.tomb.Go(func() error {
-		if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			return errors.Wrap(err, "serve callers")
-		}
-		return nil
+	bound, err := s.http.Start(address, httpserve.Options{
+		Handler: s.routes(),
+		TLS:     s.TLS,
+		Log:     s.Log,
 	})
-	return bound, nil
+	return bound, errors.Wrap(err, "callers")
 }
 
 // Refuse makes the server refuse new requests with "not run" while those in
@@ -120,12 +95,7 @@
 // last has its answer or the context is done.
 func (s *Server) Stop(ctx context.Context) error {
 	s.Refuse()
-	s.tomb.Kill(nil)
-	if err := s.http.Shutdown(ctx); err != nil {
-		_ = s.http.Close()
-		return errors.Wrap(err, "requests were still in flight")
-	}
-	return s.tomb.Wait()
+	return s.http.Stop(ctx)
 }
 
 // InFlight gives the number of requests under way.
--- a/internal/peer/operator/operator.go
+++ b/internal/peer/operator/operator.go
@@ -28,7 +28,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"net"
 	"net/http"
 	"time"
 
@@ -36,12 +35,12 @@
 	"github.com/pkg/errors"
 	"github.com/uptrace/bunrouter"
 	"go.uber.org/zap"
-	tomb "gopkg.in/tomb.v2"
 
 	"cicadaloom/internal/config/settings"
 	"cicadaloom/internal/control/documents"
 	"cicadaloom/internal/control/loop"
 	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/peer/httpserve"
 )
 
 // Control is the control side of the host.
@@ -55,10 +54,8 @@
 
 // Bounds of a request.
 const (
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 2 * time.Minute
-	callTimeout   = 10 * time.Second
-	maxDocument   = 1 << 20
+	callTimeout = 10 * time.Second
+	maxDocument = 1 << 20
 )
 
 // Server answers operators. All fields but TLS must be set.
@@ -72,8 +69,7 @@
 	// Now is the wall clock; time.Now unless a test sets it.
 	Now func() time.Time
 
-	tomb tomb.Tomb
-	http *http.Server
+	http httpserve.Server
 }
 
 // Start listens at an address ("ip:port"; port 0 takes any) and gives the
@@ -82,36 +78,17 @@
 	if s.Now == nil {
 		s.Now = time.Now
 	}
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return "", errors.Wrapf(err, "listen for operators at %s", address)
-	}
-	bound := listener.Addr().String()
-	if s.TLS != nil {
-		listener = tls.NewListener(listener, s.TLS)
-	}
-	s.http = &http.Server{
-		Handler:           s.routes(),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		ErrorLog:          zap.NewStdLog(s.Log),
-	}
-	s.tomb.Go(func() error {
-		if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			return errors.Wrap(err, "serve operators")
-		}
-		return nil
+	bound, err := s.http.Start(address, httpserve.Options{
+		Handler: s.routes(),
+		TLS:     s.TLS,
+		Log:     s.Log,
 	})
-	return bound, nil
+	return bound, errors.Wrap(err, "operators")
 }
 
 // Stop lets the requests in flight finish, within the context's time.
 func (s *Server) Stop(ctx context.Context) error {
-	s.tomb.Kill(nil)
-	if err := s.http.Shutdown(ctx); err != nil {
-		_ = s.http.Close()
-	}
-	return s.tomb.Wait()
+	return s.http.Stop(ctx)
 }
 
 func (s *Server) routes() http.Handler {
