--- a/internal/traffic/host/host.go
+++ b/internal/traffic/host/host.go
@@ -69,7 +69,10 @@
 }
 
 func (h *Host) start(loaded settings.Settings, log *zap.Logger) error {
-	keyValue, err := etcd.Dial(loaded.Platform.KeyValue...)
+	keyValue, err := etcd.DialWith(etcd.Options{
+		CallLimit:    loaded.Control.CallTimeout,
+		WatchSilence: loaded.Control.WatchSilence,
+	}, loaded.Platform.KeyValue...)
 	if err != nil {
 		return err
 	}
