--- a/internal/control/claims/fleet_test.go
+++ b/internal/control/claims/fleet_test.go
@@ -96,6 +96,8 @@
 	frozen  bool
 	inbox   []Event
 	tickAt  time.Time
+	// skew is how far the host's clock goes wrong.
+	skew time.Duration
 }
 
 // message is a command on its way to whoever carries it out, or an event back.
@@ -104,6 +106,8 @@
 	life    int
 	command Command
 	event   Event
+	// mute tells that the caller has been told of no answer.
+	mute bool
 }
 
 // fleet runs machines against a model store and checks every answer.
@@ -121,6 +125,7 @@
 	truth    *truth
 	seen     map[ident.AttemptID]Answer
 	noted    map[ident.AttemptID]bool
+	notedAt  map[ident.AttemptID]time.Time
 	onAnswer func(Answer)
 	timed    events
 	seq      int
@@ -138,6 +143,7 @@
 		truth:   newTruth(),
 		seen:    make(map[ident.AttemptID]Answer),
 		noted:   make(map[ident.AttemptID]bool),
+		notedAt: make(map[ident.AttemptID]time.Time),
 		options: options,
 		lateBy:  700 * time.Millisecond,
 	}
@@ -177,7 +183,7 @@
 		h.inbox = append(h.inbox, event)
 		return
 	}
-	for _, command := range h.machine.Step(f.now, event) {
+	for _, command := range h.machine.Step(f.now.Add(h.skew), event) {
 		f.carryOut(h, command)
 	}
 	f.scheduleTick(h)
@@ -209,6 +215,7 @@
 	case Recorded:
 		if command.Origin == "" {
 			f.noted[command.Attempt] = command.Recorded
+			f.notedAt[command.Attempt] = f.now
 			return
 		}
 		f.reply(f.hosts[command.Origin], NoteForwarded{
@@ -264,7 +271,9 @@
 		f.step(f.hosts[command.To], command.Release)
 		return
 	}
-	f.post(back)
+	if !m.mute {
+		f.post(back)
+	}
 }
 
 // failed gives the event by which the loop tells that a call had no answer.
@@ -348,9 +357,11 @@
 		f.after(delay, func() { f.step(m.host, failed(m.command, store.ErrUnavailable)) })
 		return
 	case late:
-		f.after(f.lateBy, func() { f.arriveMute(m) })
+		m.mute = true
+		f.after(f.lateBy, func() { f.arrive(m) })
 	case answerLost:
-		f.after(delay, func() { f.arriveMute(m) })
+		m.mute = true
+		f.after(delay, func() { f.arrive(m) })
 	default:
 		f.after(delay, func() { f.arrive(m) })
 		return
@@ -366,19 +377,6 @@
 	return false
 }
 
-// arriveMute lets a call have its effect without an answer.
-func (f *fleet) arriveMute(m message) {
-	post := f.post
-	f.post = func(message) {}
-	if m.toStore() {
-		f.arrive(m)
-	}
-	f.post = post
-	if !m.toStore() {
-		f.arrive(m)
-	}
-}
-
 func (f *fleet) scheduleTick(h *simHost) {
 	tickAt := h.machine.NextTick()
 	if tickAt.IsZero() || tickAt.Equal(h.tickAt) {
--- a/internal/control/claims/home.go
+++ b/internal/control/claims/home.go
@@ -50,7 +50,7 @@
 	t.phase = phaseForwarded
 	switch t.kind {
 	case kindClaim:
-		t.until = m.now.Add(t.deadline.Sub(m.now) / forwardShare)
+		t.until = m.now.Add(min(t.deadline.Sub(m.now)/forwardShare, m.options.ForwardPatience))
 		claim := t.claim
 		claim.Origin = m.options.Host
 		m.emit(ForwardClaim{
@@ -58,7 +58,7 @@
 			Claim: claim,
 		})
 	case kindFinish:
-		t.until = m.now.Add(m.options.NotePatience)
+		t.until = m.now.Add(m.options.ForwardPatience)
 		finish := t.finish
 		finish.Origin = m.options.Host
 		m.emit(ForwardFinish{
@@ -66,7 +66,7 @@
 			Finish: finish,
 		})
 	case kindRelease:
-		t.until = m.now.Add(m.options.NotePatience)
+		t.until = m.now.Add(m.options.ForwardPatience)
 		m.emit(ForwardRelease{
 			To: home,
 			Release: Release{
@@ -109,6 +109,10 @@
 		m.takeBack(t)
 		return
 	}
+	if e.Answer.Verdict == ClaimedByOther && m.now.Before(t.watchEnd) {
+		m.submit(t) // the home has watched as long as a call may last
+		return
+	}
 	m.answer(t, e.Answer)
 }
 
@@ -129,7 +133,13 @@
 	}
 }
 
-// watchUntil is how long a claim waits for another attempt's finish.
-func watchUntil(now, deadline time.Time) time.Time {
-	return now.Add(deadline.Sub(now) / watchShare)
+// watchUntil is how long a claim waits for another attempt's finish. One that
+// was forwarded must be answered before its origin takes it back; the origin
+// asks again if its caller still has time.
+func (m *Machine) watchUntil(t *task) time.Time {
+	if t.local() {
+		return t.watchEnd
+	}
+	left := t.deadline.Sub(m.now)
+	return m.now.Add(min(left/(2*forwardShare), m.options.ForwardPatience/2))
 }
--- a/internal/control/claims/judge.go
+++ b/internal/control/claims/judge.go
@@ -115,7 +115,7 @@
 // caller that repeats a running request gets its answer.
 func (m *Machine) watch(p *partition, t *task) {
 	if t.until.IsZero() {
-		t.until = watchUntil(m.now, t.deadline)
+		t.until = m.watchUntil(t)
 	}
 	if !m.now.Before(t.until) {
 		m.claimedByOther(t)
--- a/internal/control/claims/options.go
+++ b/internal/control/claims/options.go
@@ -10,16 +10,16 @@
 // under 4 MB in all, the largest message that a gRPC client takes by default,
 // since a host that takes a partition over lists them in one call.
 const (
-	DefaultPartitions   = 16
-	DefaultPace         = 100 * time.Millisecond
-	DefaultSegmentSize  = 48 << 10
-	DefaultReserveSize  = 512 << 10
-	DefaultMaxSegments  = 56
-	DefaultMaxQueue     = 4096
-	DefaultBackoff      = time.Second
-	DefaultClockMargin  = 5 * time.Second
-	DefaultTombstone    = 2 * time.Minute
-	DefaultNotePatience = 2 * time.Second
+	DefaultPartitions      = 16
+	DefaultPace            = 100 * time.Millisecond
+	DefaultSegmentSize     = 48 << 10
+	DefaultReserveSize     = 512 << 10
+	DefaultMaxSegments     = 56
+	DefaultMaxQueue        = 4096
+	DefaultBackoff         = time.Second
+	DefaultClockMargin     = 5 * time.Second
+	DefaultTombstone       = 2 * time.Minute
+	DefaultForwardPatience = 2 * time.Second
 )
 
 // Largest parts of an entry. They bound a page together with ReserveSize.
@@ -38,9 +38,8 @@
 const (
 	// forwardShare is for the home to answer, the rest for a swap of our own.
 	forwardShare = 3
-	// watchShare is less, so that a home that waits for another attempt's finish
-	// answers before its origin gives it up.
-	watchShare = 4
+	// watchShare is for another attempt's finish to come.
+	watchShare = 2
 )
 
 // Options are the machine's settings. A zero field has its default.
@@ -65,8 +64,8 @@
 	// Tombstone is how long a withdrawn attempt is remembered in the log: longer
 	// than its claim may be on its way to a home.
 	Tombstone time.Duration
-	// NotePatience is how long a home may take to record a finish or release.
-	NotePatience time.Duration
+	// ForwardPatience is how long a home may take to answer, at most.
+	ForwardPatience time.Duration
 }
 
 func (o Options) withDefaults() Options {
@@ -79,7 +78,7 @@
 	setDefault(&o.Backoff, DefaultBackoff)
 	setDefault(&o.ClockMargin, DefaultClockMargin)
 	setDefault(&o.Tombstone, DefaultTombstone)
-	setDefault(&o.NotePatience, DefaultNotePatience)
+	setDefault(&o.ForwardPatience, DefaultForwardPatience)
 	return o
 }
 
--- a/internal/control/claims/task.go
+++ b/internal/control/claims/task.go
@@ -57,6 +57,8 @@
 	finish Finish
 
 	deadline time.Time
+	// watchEnd is until when a claim waits for another attempt's finish.
+	watchEnd time.Time
 }
 
 func claimTask(c Claim, step uint64, now time.Time) *task {
@@ -72,6 +74,7 @@
 		since:    now,
 		claim:    c,
 		deadline: c.Deadline,
+		watchEnd: now.Add(c.Deadline.Sub(now) / watchShare),
 	}
 }
 
