--- a/internal/control/loop/claims.go
+++ b/internal/control/loop/claims.go
@@ -61,25 +61,34 @@
 
 func (l *Loop) readPartition(command claims.ReadPartition) {
 	l.work(l.callTimeout(), func(ctx context.Context) {
-		read := claims.PageRead{
-			Partition: command.Partition,
-			Number:    command.Number,
-		}
-		if command.Head != "" {
-			entry, err := l.options.KeyValue.Get(ctx, command.Head)
-			read.Entries = []store.Entry{entry}
-			read.Err = err
-		} else {
-			listing, err := l.options.KeyValue.List(ctx, command.Prefix)
-			read.Entries = listing.Entries
-			read.Err = err
-		}
+		entries, err := l.readPages(ctx, command)
 		l.send(claimsEvent{
-			event: read,
+			event: claims.PageRead{
+				Partition: command.Partition,
+				Number:    command.Number,
+				Entries:   entries,
+				Err:       err,
+			},
 		})
 	})
 }
 
+func (l *Loop) readPages(ctx context.Context, command claims.ReadPartition) ([]store.Entry, error) {
+	if len(command.Keys) == 0 {
+		listing, err := l.options.KeyValue.List(ctx, command.Prefix)
+		return listing.Entries, err
+	}
+	entries := make([]store.Entry, 0, len(command.Keys))
+	for _, key := range command.Keys {
+		entry, err := l.options.KeyValue.Get(ctx, key)
+		if err != nil {
+			return nil, err
+		}
+		entries = append(entries, entry)
+	}
+	return entries, nil
+}
+
 func (l *Loop) swapPartition(command claims.SwapPartition) {
 	l.work(l.callTimeout(), func(ctx context.Context) {
 		result, err := l.options.KeyValue.Swap(ctx, command.Swap)
