claims: Look in the log for a finish that another host wrote

A caller that repeated a request whose first attempt had sat on a frozen host waited 15 s of its 60 s and was then told claimed_by_other, although the answer stood in the log since its first second. A watching claim saw a finish only with this machine's own swaps; two hosts that each take themselves for the home don't see each other's.

Ruled out: a slow finish (the entry was written within 100 ms of the thaw).

It now reads the log every 500 ms while a claim watches. Test: without the look, TestFinishWrittenByAnotherHomeIsFound fails with 'no answer to a2'.

--- a/internal/control/claims/judge.go
+++ b/internal/control/claims/judge.go
@@ -123,7 +123,34 @@
 	}
 	t.phase = phaseWatching
 	p.watchers[t.key] = append(p.watchers[t.key], t)
-	m.wakeTask(t, t.until)
+	m.wakeTask(t, earlier(t.until, m.now.Add(m.options.WatchLook)))
+}
+
+// lookAgain reads the log anew for a task that waits for a finish. Any host may
+// write that finish: one that was frozen, or that takes another host for the
+// home. This machine would see it only with its own next swap, and the caller
+// would wait to the end for an answer that had long been there.
+func (m *Machine) lookAgain(t *task) {
+	p := m.partitionOf(t.key)
+	waiting := p.watchers[t.key]
+	for i := range waiting {
+		if waiting[i] == t {
+			p.watchers[t.key] = append(waiting[:i:i], waiting[i+1:]...)
+			break
+		}
+	}
+	if len(p.watchers[t.key]) == 0 {
+		delete(p.watchers, t.key)
+	}
+	t.arrived = m.step
+	m.enqueue(t)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
 }
 
 func (m *Machine) claimedByOther(t *task) {
--- a/internal/control/claims/machine.go
+++ b/internal/control/claims/machine.go
@@ -193,6 +193,8 @@
 		m.claimedByOther(t)
 	case t.kind == kindClaim && !m.now.Before(t.deadline):
 		m.refuse(t, "the deadline passed before the claim was written", time.Time{})
+	case t.phase == phaseWatching:
+		m.lookAgain(t)
 	case t.phase == phaseForwarded && !m.now.Before(t.until):
 		m.takeBack(t)
 	}
--- a/internal/control/claims/options.go
+++ b/internal/control/claims/options.go
@@ -23,6 +23,7 @@
 	DefaultClockMargin     = 5 * time.Second
 	DefaultTombstone       = 2 * time.Minute
 	DefaultForwardPatience = 2 * time.Second
+	DefaultWatchLook       = 500 * time.Millisecond
 )
 
 // Largest parts of an entry. They bound a page together with ReserveSize.
@@ -81,6 +82,9 @@
 	Tombstone time.Duration
 	// ForwardPatience is how long a home may take to answer, at most.
 	ForwardPatience time.Duration
+	// WatchLook is how often the log is read for a claim that waits for another
+	// attempt's finish.
+	WatchLook time.Duration
 }
 
 func (o Options) withDefaults() Options {
@@ -96,6 +100,7 @@
 	setDefault(&o.ClockMargin, DefaultClockMargin)
 	setDefault(&o.Tombstone, DefaultTombstone)
 	setDefault(&o.ForwardPatience, DefaultForwardPatience)
+	setDefault(&o.WatchLook, DefaultWatchLook)
 	return o
 }
 
--- a/internal/control/claims/story_test.go
+++ b/internal/control/claims/story_test.go
@@ -485,3 +485,25 @@
 	require.Equal(t, Refused, f.verdict("again"))
 	require.Equal(t, ProofAttempt, f.seen["again"].Proof)
 }
+
+// Two hosts each take themselves for the home, as after a freeze or a cut. The
+// first sends a boat; its caller repeats through the second, which waits for
+// the finish. The first writes it, and nobody tells the second: it must find
+// the finish in the log, and not let its caller wait half of its deadline.
+func TestFinishWrittenByAnotherHomeIsFound(t *testing.T) {
+	f := newFleet(t, 2, Options{})
+	f.run(time.Second)
+	for _, name := range f.names {
+		f.step(f.hosts[name], Homes{
+			Hosts: []ident.HostID{name},
+		})
+	}
+	f.claim(0, "boat", "a1")
+	f.run(time.Second)
+	require.Equal(t, Granted, f.verdict("a1"))
+	f.claim(1, "boat", "a2")
+	f.run(time.Second)
+	f.finish(0, "boat", "a1", "boat 7 is out")
+	f.run(time.Second)
+	require.Equal(t, Finished, f.verdict("a2"))
+}
