--- a/internal/config/settings/claims.go
+++ b/internal/config/settings/claims.go
@@ -25,7 +25,7 @@
 		Partitions:  16,
 		Pace:        100 * time.Millisecond,
 		Keep:        24 * time.Hour,
-		SegmentSize: 256 * unit.Kibibyte,
+		SegmentSize: unit.Kibibyte,
 	}
 }
 
@@ -51,9 +51,9 @@
 			"How long a claim is remembered: a repeat after that would run again."),
 		jsonfile.May("SegmentSize", func(c *Claims) *unit.Bytes { return &c.SegmentSize },
 			jsonfile.Bytes{
-				Min: 4 * unit.Kibibyte,
+				Min: 512 * unit.Byte,
 				Max: 512 * unit.Kibibyte,
 			},
-			"How large a segment of claims grows; the key-value service holds values up to 1MiB."),
+			"How large a segment of claims grows; each write writes the newest segment anew, so a large one costs traffic."),
 	},
 }
--- a/internal/control/claims/options.go
+++ b/internal/control/claims/options.go
@@ -24,6 +24,7 @@
 	DefaultTombstone       = 2 * time.Minute
 	DefaultForwardPatience = 2 * time.Second
 	DefaultWatchLook       = 500 * time.Millisecond
+	DefaultHomeSilence     = 5 * time.Second
 )
 
 // Largest parts of an entry. They bound a page together with ReserveSize.
@@ -85,6 +86,8 @@
 	// WatchLook is how often the log is read for a claim that waits for another
 	// attempt's finish.
 	WatchLook time.Duration
+	// HomeSilence is how long a home that didn't answer isn't asked again.
+	HomeSilence time.Duration
 }
 
 func (o Options) withDefaults() Options {
@@ -101,6 +104,7 @@
 	setDefault(&o.Tombstone, DefaultTombstone)
 	setDefault(&o.ForwardPatience, DefaultForwardPatience)
 	setDefault(&o.WatchLook, DefaultWatchLook)
+	setDefault(&o.HomeSilence, DefaultHomeSilence)
 	return o
 }
 
