--- a/internal/control/suspects/suspects.go
+++ b/internal/control/suspects/suspects.go
@@ -103,16 +103,27 @@
 	case Cleared:
 		changed = m.clear(e.Fingerprint) || changed
 	case Told:
-		for _, suspect := range e.Suspects {
-			for _, life := range suspect.Deaths {
-				changed = m.add(suspect.Fingerprint, life, suspect.KeepUntil) || changed
-			}
+		for i := range e.Suspects {
+			changed = m.told(now, &e.Suspects[i]) || changed
 		}
 	}
 	m.bound()
 	return changed
 }
 
+// told takes in a peer's suspect. A peer that slept may tell one whose time is
+// over: taken in, it would go round the fleet once more.
+func (m *Machine) told(now time.Time, suspect *Suspect) bool {
+	if now.After(suspect.KeepUntil) {
+		return false
+	}
+	changed := false
+	for _, life := range suspect.Deaths {
+		changed = m.add(suspect.Fingerprint, life, suspect.KeepUntil) || changed
+	}
+	return changed
+}
+
 func (m *Machine) add(fingerprint ident.Fingerprint, life Life, keepUntil time.Time) bool {
 	suspect, known := m.suspects[fingerprint]
 	if !known {
