--- a/internal/control/loop/loop.go
+++ b/internal/control/loop/loop.go
@@ -112,9 +112,14 @@
 	suspected  suspects.Machine
 	burn       burn.Machine
 
-	servers     map[ident.ServerName]backend.Server
-	polling     map[ident.ServerName]bool
-	exchanging  map[ident.HostID]bool
+	servers map[ident.ServerName]backend.Server
+	polling map[ident.ServerName]bool
+	// exchanging has the peers with which an exchange is under way, and whether
+	// another has to follow it at once.
+	exchanging map[ident.HostID]bool
+	acquainted map[ident.HostID]*acquaintance
+	// epoch names this life of the host to its peers.
+	epoch       uint64
 	claimers    map[waiter]chan claims.Answer
 	noters      map[waiter]chan bool
 	edits       map[ident.EditID][]chan documents.EditResult
@@ -129,13 +134,12 @@
 	planAt      time.Time
 	documentsAt time.Time
 	dirty       bool
-	lastTargets uint64
 	gauges      gauges
 }
 
 // New makes a loop that Start sets going.
 func New(options Options) *Loop {
-	return &Loop{
+	l := &Loop{
 		options: options,
 		log:     options.Log,
 		inbox:   make(chan message, inboxSize),
@@ -143,6 +147,11 @@
 			Address: hostOf(options.Settings.Platform.HostList),
 		},
 	}
+	l.pool.Meter = newMeter(options.Metrics, "hosts")
+	l.engines.Count(newMeter(options.Metrics, "servers"))
+	l.plains.Count(newMeter(options.Metrics, "servers"))
+	l.list.Count(newMeter(options.Metrics, "list"))
+	return l
 }
 
 // Start starts the control goroutine. peerAddress is where this host listens
--- a/internal/peer/entryhost/entryhost.go
+++ b/internal/peer/entryhost/entryhost.go
@@ -38,19 +38,40 @@
 	"cicadaloom/internal/control/routing"
 	"cicadaloom/internal/control/suspects"
 	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/peer/meter"
 	"cicadaloom/internal/wire/entryhostpb"
 )
 
 // Knowledge is what one host tells another.
 type Knowledge struct {
 	// Peers has the sender first.
-	Peers     []membership.Peer
+	Peers []membership.Peer
+	Beats []membership.Beat
+	// Told is how far the sender has now told, From the place after which this
+	// word begins, Have how far the sender has taken in the receiver's word.
+	Told      Marks
+	From      Marks
+	Have      Marks
 	Documents documents.Word
 	Loads     map[ident.ServerName]int64
 	Suspects  []suspects.Suspect
 	Leaving   []routing.ServerLeaving
 }
 
+// Sender gives the host whose word it is, the zero Peer for an empty word.
+func (k *Knowledge) Sender() membership.Peer {
+	if len(k.Peers) == 0 {
+		return membership.Peer{}
+	}
+	return k.Peers[0]
+}
+
+// Marks are places in the news of one life of a host, its Epoch.
+type Marks struct {
+	Epoch uint64
+	Peers uint64
+}
+
 // Counts are one host's rows for the report on service-level burn.
 type Counts struct {
 	Host ident.HostID
@@ -67,6 +88,11 @@
 	ReleaseFor(ctx context.Context, release claims.Release) (bool, error)
 }
 
+// Metered is a Handler that wants to know what its peers' connections carry.
+type Metered interface {
+	Meter() *meter.Meter
+}
+
 // Bounds of a connection between peers. A peer that was cut off without a word
 // is noticed by the keepalive, not by the next claim.
 const (
@@ -96,6 +122,9 @@
 	entryhostpb.RegisterEntryHostServer(s.grpc, &service{
 		handler: s.Handler,
 	})
+	if metered, wanted := s.Handler.(Metered); wanted {
+		listener = metered.Meter().Listener(listener)
+	}
 	s.tomb.Go(func() error {
 		return s.grpc.Serve(listener)
 	})
