--- a/internal/control/routing/choose.go
+++ b/internal/control/routing/choose.go
@@ -161,7 +161,7 @@
 	if whole == 0 {
 		whole = guessWhole
 	}
-	queue := r.load.others + float64(r.Gauge.UnderWay())
+	queue := r.queue()
 	wait := r.wayBack + time.Duration(queue/r.load.slots*float64(firstToken))
 	if queue >= r.load.slots {
 		wait += time.Duration((queue - r.load.slots + 1) / r.load.slots * float64(whole))
@@ -179,6 +179,11 @@
 	return wait
 }
 
+// queue is how many requests are believed to be at the server.
+func (r *Replica) queue() float64 {
+	return r.load.others + float64(r.Gauge.UnderWay())
+}
+
 // mix is the finalizer of splitmix64: one multiplication chain turns a counter
 // into bits good enough to draw candidates with.
 func mix(x uint64) uint64 {
