routing, dispatch: Believe a server that says it lacks a model, and retry that freely

Cause: a restarted server has empty memory and refuses at once, so it looks idle and draws requests until its next report. Change: a replica whose server says 404, not run, is left out for two seconds, for that target only; a retry after a refusal that cost the server no work (404 not run, or no connection) is not charged. MaxTried bounds them. Ruled out: ejecting the server, as it may serve its other models well; a larger budget, as it would be one for overloads too.

--- a/internal/control/routing/build.go
+++ b/internal/control/routing/build.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"cicadaloom/internal/domain/backend"
@@ -187,6 +188,7 @@
 		DataCentre:  server.listed.DataCentre,
 		Region:      server.listed.Region,
 		Gauge:       server.gauge,
+		absentUntil: &atomic.Int64{},
 		warmFrom:    warmFrom,
 		wayBack:     m.wayTo(server.listed),
 	}
--- a/internal/control/routing/choose.go
+++ b/internal/control/routing/choose.go
@@ -148,7 +148,7 @@
 	if request.Version != "" && request.Version != r.Version {
 		return false
 	}
-	return !r.Gauge.Ejected(request.Now)
+	return !r.Gauge.Ejected(request.Now) && r.absentUntil.Load() <= request.Now.UnixNano()
 }
 
 // Wait gives the expected time to the first token at a replica.
--- a/internal/control/routing/story_test.go
+++ b/internal/control/routing/story_test.go
@@ -210,3 +210,17 @@
 	w.tellList()
 	require.Len(t, w.target().Replicas, 1)
 }
+
+// Every second request is refused by a server that has restarted with empty
+// memory: it refuses at once, so it looks idle and draws the requests, until its
+// next report. Its own word on one model counts until then, and for that model only.
+func TestServerThatLostTheModelDrawsNoRequests(t *testing.T) {
+	w := newWorld(2, 2, 2, 0)
+	target := w.target()
+	target.Replicas[0].Absent(w.now)
+	require.Equal(t, 0, w.picks(target, engineName(0)))
+	other, _ := w.machine.Table().Target(modelName(1))
+	require.Positive(t, w.picks(other, engineName(0)))
+	w.now = w.now.Add(absentFor)
+	require.Positive(t, w.picks(target, engineName(0)))
+}
--- a/internal/control/routing/table.go
+++ b/internal/control/routing/table.go
@@ -33,6 +33,7 @@
 package routing
 
 import (
+	"sync/atomic"
 	"time"
 
 	"cicadaloom/internal/domain/backend"
@@ -78,12 +79,26 @@
 	DataCentre  ident.DataCentre
 	Region      ident.Region
 	Gauge       *Gauge
+	// absentUntil is Unix nanoseconds: until then the server is known not to have
+	// what the target needs, whatever its last report says.
+	absentUntil *atomic.Int64
 	// warmFrom is when a new replica takes its full part of the load.
 	warmFrom time.Time
 	// wayBack is the time there and back.
 	wayBack time.Duration
 }
 
+// absentFor is longer than it takes to hear the report that says so.
+const absentFor = 2 * time.Second
+
+// Absent records that the server has said it does not have what the target needs:
+// it has restarted, or was told to unload it, and its report lags. Without this a
+// server that lost its models draws the requests of all of them, as it refuses
+// at once and so looks idle.
+func (r *Replica) Absent(now time.Time) {
+	r.absentUntil.Store(now.Add(absentFor).UnixNano())
+}
+
 // Target finds a model or adapter by the name that callers use.
 func (t *Table) Target(name ident.ModelName) (*Target, bool) {
 	if t == nil {
--- a/internal/traffic/dispatch/chat.go
+++ b/internal/traffic/dispatch/chat.go
@@ -240,7 +240,7 @@
 	if c.losses >= suspects.DeathsToRefuse {
 		return false, c.suspect()
 	}
-	if c.mayTryAgain(false) {
+	if c.mayTryAgain(false) && c.Budget.Retry() {
 		return true, nil
 	}
 	return false, c.fail(CodeBackendFailed, "the backend server fell silent: "+errors.Cause(err).Error(), c.retryAt())
@@ -266,17 +266,25 @@
 // refused ends an attempt that provably was not run.
 func (j *journey) refused(choice routing.Choice, refusal *engine.Refusal) (bool, *Failure) {
 	j.trail.Refused(j.attempt)
-	if refusal.Sent {
-		choice.Replica.Gauge.Refused(j.Now())
-	} else {
-		choice.Replica.Gauge.Failed(j.Now())
-	}
-	if j.mayTryAgain(true) {
+	now := j.Now()
+	switch {
+	case !refusal.Sent:
+		choice.Replica.Gauge.Failed(now)
+	case refusal.Status == http.StatusNotFound:
+		choice.Replica.Absent(now)
+		choice.Replica.Gauge.Refused(now)
+	default:
+		choice.Replica.Gauge.Refused(now)
+	}
+	// Only a server that has too much to do is spared a retry elsewhere: one that
+	// can't be reached, or lacks the model, was given no work.
+	idle := !refusal.Sent || refusal.Status == http.StatusNotFound
+	if j.mayTryAgain(true) && (idle || j.Budget.Retry()) {
 		return true, nil
 	}
 	retryAt := refusal.RetryAfter
 	if retryAt.IsZero() {
-		retryAt = j.Now().Add(retryAfterFailure)
+		retryAt = now.Add(retryAfterFailure)
 	}
 	return false, j.fail(CodeBackendRefused, "backend servers refused the request: "+refusal.Error(), retryAt)
 }
--- a/internal/traffic/dispatch/route.go
+++ b/internal/traffic/dispatch/route.go
@@ -99,16 +99,14 @@
 	j.trail.Sending(j.attempt)
 }
 
-// mayTryAgain tells whether the request can be sent to another backend server.
+// mayTryAgain tells whether the request can be sent to another backend server,
+// the retry budget aside.
 // safe tells that the last attempt provably did not run it.
 func (j *journey) mayTryAgain(safe bool) bool {
 	if j.routing.NumTried >= routing.MaxTried || !j.Now().Before(j.request.Deadline) {
 		return false
 	}
-	if !safe && (!j.mayRepeat || j.verdict == suspects.Alone) {
-		return false
-	}
-	return j.Budget.Retry()
+	return safe || j.mayRepeat && j.verdict != suspects.Alone
 }
 
 // lost records that a backend server fell silent while the request was there.
--- a/internal/traffic/dispatch/service.go
+++ b/internal/traffic/dispatch/service.go
@@ -112,7 +112,7 @@
 		return false, e.gaveUp(ctx)
 	}
 	e.lost(choice, refusal, stalled)
-	if e.mayTryAgain(false) {
+	if e.mayTryAgain(false) && e.Budget.Retry() {
 		return true, nil
 	}
 	return false, e.fail(CodeBackendFailed, "the service fell silent: "+errors.Cause(refusal).Error(), e.retryAt())
