--- a/internal/control/routing/choose.go
+++ b/internal/control/routing/choose.go
@@ -71,11 +71,11 @@
 
 // Costs that are not measured times.
 const (
-	// guessFirstToken and guessWhole stand in until a server has answered.
-	guessFirstToken = 50 * time.Millisecond
-	guessWhole      = 150 * time.Millisecond
+	// guessPrompt and guessGeneration stand in until a server has answered.
+	guessPrompt     = 50 * time.Millisecond
+	guessGeneration = 100 * time.Millisecond
 	// cacheSaves is the part of the first token's time that a cached prefix saves.
-	cacheSaves = 0.5
+	cacheSaves = 0.8
 	// coldSurcharge is added to the cost of a replica in its slow start.
 	coldSurcharge = 40 * time.Millisecond
 	// silentSurcharge is added where no trusted report stands behind the figures.
@@ -107,7 +107,7 @@
 	if count == 0 {
 		return best, false
 	}
-	home := from + int(request.Prefix%uint64(count))
+	home := target.home(request.Prefix, from, to)
 	consider(&best, target, request, home, home)
 	dice := mix(request.Dice + uint64(request.NumTried))
 	for range sampled {
@@ -124,6 +124,19 @@
 	return best, best.Replica != nil
 }
 
+// home gives the replica whose cache is likely to have a prefix, by rendezvous
+// hashing: every host finds the same one without any table, and when a replica
+// comes or goes only its own prefixes move.
+func (t *Target) home(prefix uint64, from, to int) int {
+	home, highest := from, uint64(0)
+	for i := from; i < to; i++ {
+		if weight := mix(prefix ^ t.Replicas[i].seed); weight > highest {
+			home, highest = i, weight
+		}
+	}
+	return home
+}
+
 func consider(best *Choice, target *Target, request *Request, index, home int) {
 	replica := &target.Replicas[index]
 	if !replica.usable(request) {
@@ -142,38 +155,34 @@
 			return false
 		}
 	}
-	if request.Alone && (r.Gauge.UnderWay() > 0 || r.load.others > 0) {
+	if request.Alone && !r.Gauge.Idle() {
 		return false
 	}
 	if request.Version != "" && request.Version != r.Version {
 		return false
 	}
-	return !r.Gauge.Ejected(request.Now)
+	return !r.Gauge.Ejected(request.Now) && r.absentUntil.Load() <= request.Now.UnixNano()
 }
 
 // Wait gives the expected time to the first token at a replica.
 func (r *Replica) Wait(now time.Time, cached bool) time.Duration {
-	firstToken := r.Gauge.FirstToken()
-	if firstToken == 0 {
-		firstToken = guessFirstToken
-	}
-	whole := r.Gauge.Whole()
-	if whole == 0 {
-		whole = guessWhole
-	}
-	queue := r.load.others + float64(r.Gauge.UnderWay())
-	wait := r.wayBack + time.Duration(queue/r.load.slots*float64(firstToken))
-	if queue >= r.load.slots {
-		wait += time.Duration((queue - r.load.slots + 1) / r.load.slots * float64(whole))
-	}
-	if cached {
-		firstToken = time.Duration(float64(firstToken) * (1 - cacheSaves))
-	}
-	wait += firstToken
-	if now.Before(r.load.warmFrom) {
+	prompt := r.Gauge.Prompt()
+	generation := r.Gauge.Generation()
+	queue := r.Gauge.Queue(now)
+	slots := r.Gauge.Slots()
+	wait := r.wayBack + time.Duration(queue/slots*float64(prompt))
+	if queue >= slots {
+		wait += time.Duration((queue - slots + 1) / slots * float64(prompt+generation))
+	}
+	cold := now.Before(r.warmFrom)
+	if cached && !cold {
+		prompt = time.Duration(float64(prompt) * (1 - cacheSaves))
+	}
+	wait += prompt
+	if cold {
 		wait += coldSurcharge
 	}
-	if !r.load.known {
+	if !r.Gauge.Known(now) {
 		wait += silentSurcharge
 	}
 	return wait
