--- a/internal/control/orders/orders.go
+++ b/internal/control/orders/orders.go
@@ -36,8 +36,19 @@
 // # What engines must do
 //
 // An engine carries out an order id at most once in an incarnation, starts each
-// incarnation empty, counts weights as resident from the start of their load to
-// the end of their unload, and never reports At smaller than before.
+// incarnation empty, and never reports At smaller than before. It counts weights
+// as resident from the start of their load to the end of their unload, and as
+// not ready while either is at work. It lists every order that it took or refused
+// in Settled at last, but for those that its fencing check refused, and keeps
+// more of them than Settings.OrdersPerServer.
+//
+// # What is left to senders
+//
+// A copy of a settled order, which is gone from the plan, can still harm an
+// engine that ignores fencing where the copy reaches a later incarnation: it is
+// carried out there, and nothing has reserved its memory. Nothing in the plan can
+// stop it, so senders give up at SendOrder.Deadline, and a host that wakes from a
+// pause drops what it had not sent.
 package orders
 
 import (
--- a/internal/control/orders/read.go
+++ b/internal/control/orders/read.go
@@ -43,7 +43,6 @@
 	}
 	m.phase = phaseLeading
 	m.ledAt = now
-	m.planAt = now
 	m.renewDispatches(now)
 	return nil
 }
--- a/internal/control/placement/demand.go
+++ b/internal/control/placement/demand.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"math"
 	"slices"
-	"time"
 
 	"cicadaloom/internal/domain/ident"
 )
@@ -216,8 +215,8 @@
 }
 
 // lossOf is the rate of requests that would be late without a replica, and
-// whether it may go: spare, not the last in its region, there for long enough,
-// and big enough.
+// whether it may go: spare, not the last in its region, of a model that did not
+// grow lately, and big enough.
 func (w *work) lossOf(candidate replica, model *modelState, rates map[regionModel]*Rate) (float64, bool) {
 	resident := w.resident(candidate)
 	number, declared := w.byName[resident.Model]
@@ -225,7 +224,7 @@
 		return 0, false
 	}
 	server := &w.servers[candidate.server]
-	if w.stayed(resident) < w.settings.MinStay || server.coming+w.released(candidate) < model.footprint {
+	if w.grewLately(&w.models[number]) || server.coming+w.released(candidate) < model.footprint {
 		return 0, false
 	}
 	owner := &w.models[number]
@@ -243,6 +242,14 @@
 	return w.late(rate, have-1) - w.late(rate, have), true
 }
 
-func (w *work) stayed(resident *Resident) time.Duration {
-	return w.input.Now.Sub(resident.Since)
+// grewLately tells whether a replica of the model is new. Then none of them
+// gives way: had only the new one to stay, an old one would go in its place, and
+// two models with swinging demand would push each other out at every swing.
+func (w *work) grewLately(model *modelState) bool {
+	for _, r := range model.replicas {
+		if w.input.Now.Sub(w.resident(r).Since) < w.settings.MinStay {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/control/placement/placement.go
+++ b/internal/control/placement/placement.go
@@ -102,7 +102,7 @@
 	Horizon time.Duration
 	// LoadTime is how long a load takes: a new replica earns nothing until then.
 	LoadTime time.Duration
-	// MinStay is how long a replica that demand brought stays at least.
+	// MinStay is how long a model that got a replica keeps all it has.
 	MinStay time.Duration
 }
 
