orders: Split the plan into 256 pages

Cause: a write replaces whole pages; with 64 of them a page of the fleet to come holds 13 servers and 6 kB.

Change: 256 pages by default.

Measured by TestPlanBytes at 1400 models on 850 servers: the greatest page with 90 orders under way falls from 9824 to 4458 bytes, the whole plan stays at 405 kB.

--- a/internal/control/orders/bench_test.go
+++ b/internal/control/orders/bench_test.go
@@ -121,7 +121,7 @@
 	}
 }
 
-// The plan's pages, 64 as in production, must stay below the service's megabyte, and a second's write
+// The plan's pages, as many as by default, must stay below the service's megabyte, and a second's write
 // must be small. Every server has the most orders that the pace allows: 10 model
 // and 80 adapter loads over the fleet.
 func TestPlanBytes(t *testing.T) {
--- a/internal/control/orders/settings.go
+++ b/internal/control/orders/settings.go
@@ -37,7 +37,7 @@
 
 // The defaults of Settings.
 const (
-	DefaultPages                = 64
+	DefaultPages                = 256
 	DefaultLeaderPoll           = 3 * time.Second
 	DefaultPlanEvery            = time.Second
 	DefaultResendAfter          = 3 * time.Second
