loop: Plan only by documents that are complete

A host that starts in an outage learns documents one by one from its peers. It told the plan of each, and a leader unloads what no document declares: elected at that moment, it would have unloaded the models of every team that it had not heard of yet. Found while reading what the orders' machine asks of its driver; ruled out that the swap's check of the documents' revision catches it, as that compares with the newest one known.

The plan now gets the documents only once every accepted edit up to the newest is known. TestPlanWaitsForAllDocuments fails without it ('Should be zero, but was 9'). Orders are also given up at their own deadline.

--- a/internal/control/loop/documents.go
+++ b/internal/control/loop/documents.go
@@ -26,6 +26,7 @@
 
 func (c *control) stepDocuments(now time.Time, event documents.Event) {
 	c.runDocuments(now, c.documents.Step(now, event))
+	c.planDocuments(now)
 }
 
 // tickDocuments lets time pass for the documents.
@@ -166,7 +167,6 @@
 		Documents: snapshot.Documents,
 		Revision:  snapshot.Revision,
 	})
-	c.planDocuments(now, snapshot)
 	c.dirty = true
 	// Peers learn it at once rather than at the next interval.
 	c.exchangeAt = now
--- a/internal/control/loop/loop.go
+++ b/internal/control/loop/loop.go
@@ -133,8 +133,10 @@
 	exchangeAt  time.Time
 	planAt      time.Time
 	documentsAt time.Time
-	dirty       bool
-	gauges      gauges
+	// planned is the revision of the documents that the plan has.
+	planned ident.Revision
+	dirty   bool
+	gauges  gauges
 }
 
 // New makes a loop that Start sets going.
--- a/internal/control/loop/placement.go
+++ b/internal/control/loop/placement.go
@@ -7,7 +7,6 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-	"cicadaloom/internal/control/documents"
 	"cicadaloom/internal/control/orders"
 	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/document"
@@ -81,7 +80,16 @@
 	}))
 }
 
-func (c *control) planDocuments(now time.Time, snapshot *documents.Snapshot) {
+// planDocuments tells the plan which documents are in force, once this host has
+// every accepted edit up to the newest of them. A host that has just started
+// learns documents one by one from its peers; a leader that planned by half of
+// them would unload the models of every team that it had not heard of yet.
+func (c *control) planDocuments(now time.Time) {
+	snapshot := c.documents.Snapshot()
+	if snapshot.Revision == c.planned || c.documents.Revision() < snapshot.Revision {
+		return
+	}
+	c.planned = snapshot.Revision
 	all := make([]*document.Document, 0, len(snapshot.Documents))
 	for _, doc := range snapshot.Documents {
 		all = append(all, doc)
@@ -222,7 +230,8 @@
 }
 
 func (l *Loop) sendOrder(command orders.SendOrder) {
-	l.work(l.callTimeout(), func(ctx context.Context) {
+	timeout := min(max(time.Until(command.Deadline), leastNap), l.callTimeout())
+	l.work(timeout, func(ctx context.Context) {
 		accepted, reason, err := l.engines.SendOrder(ctx, command.Address, command.Order)
 		if err != nil || !accepted {
 			l.log.Warn("order not accepted", zap.String("OrderID", string(command.Order.ID)),
--- /dev/null
+++ b/internal/control/loop/planned_test.go
@@ -0,0 +1,61 @@
+package loop
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"cicadaloom/internal/config/settings"
+	"cicadaloom/internal/control/documents"
+	"cicadaloom/internal/domain/ident"
+)
+
+func storedDocument(t *testing.T, team string, revision, after ident.Revision) documents.PeerDocument {
+	t.Helper()
+	text := `{"Team":"` + team + `","DefaultClass":"all","Classes":[{"Name":"all","Share":10}],"Models":[],` +
+		`"Services":[{"Name":"` + team + `-desk","ForbidRepeat":["POST"],"Promise":{"FirstToken":"1s"}}]}`
+	value, err := json.Marshal(map[string]any{
+		"Team":  team,
+		"Edit":  "edit-" + team,
+		"At":    time.Unix(0, 0).UTC(),
+		"Text":  text,
+		"After": after,
+	})
+	require.NoError(t, err)
+	return documents.PeerDocument{
+		Team:     ident.TeamName(team),
+		Revision: revision,
+		Value:    value,
+	}
+}
+
+// A host starts while the key-value service is down and hears of one team's
+// newest document before the others'. Were it elected then, it would unload the
+// models of every team that it has not heard of: the plan gets the documents
+// only when the host has all of them.
+func TestPlanWaitsForAllDocuments(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	loaded := settings.Default()
+	loaded.Host.Name = "entry-1"
+	c := New(Options{
+		Settings: loaded,
+		Log:      zap.NewNop(),
+		Metrics:  metrics.NewSet(),
+	}).newControl("127.0.0.1:1")
+	c.learnDocuments(now, documents.Word{
+		Since:     5, // the sender left out what this host might have
+		Complete:  9,
+		Documents: []documents.PeerDocument{storedDocument(t, "nour", 9, 4)},
+	})
+	require.EqualValues(t, 9, c.documents.Snapshot().Revision)
+	require.Zero(t, c.planned)
+	c.learnDocuments(now, documents.Word{
+		Complete:  9,
+		Documents: []documents.PeerDocument{storedDocument(t, "kerlouan", 4, 0), storedDocument(t, "nour", 9, 4)},
+	})
+	require.EqualValues(t, 9, c.planned)
+}
