program: Give the three programs one frame of commands

One frame says 'found ..., allowed ...' for all, and shows a page that was asked for on standard output.

Tests: three rows of the stand-in's wrong command lines name the new words; 'engine -h' moved to the test of the pages, which also wants standard error to be empty. Each is as strict as before.

--- a/cmd/loadtool/main.go
+++ b/cmd/loadtool/main.go
@@ -2,6 +2,12 @@
 // see internal/command/loadtool.
 package main
 
-import "cicadaloom/internal/command/loadtool"
+import (
+	"os"
 
-func main() { loadtool.Main() }
+	"cicadaloom/internal/command/loadtool"
+)
+
+func main() {
+	os.Exit(loadtool.Main())
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -2,6 +2,12 @@
 // internal/command/standin.
 package main
 
-import "cicadaloom/internal/command/standin"
+import (
+	"os"
 
-func main() { standin.Main() }
+	"cicadaloom/internal/command/standin"
+)
+
+func main() {
+	os.Exit(standin.Main())
+}
--- a/internal/command/cicadaloom/check.go
+++ b/internal/command/cicadaloom/check.go
@@ -1,10 +1,12 @@
 package cicadaloom
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"os"
 
+	"cicadaloom/internal/command/program"
 	"cicadaloom/internal/config/settings"
 	"cicadaloom/internal/config/teamdoc"
 )
@@ -21,23 +23,20 @@
 `
 
 func init() {
-	register(command{
-		name:    "check",
-		summary: "check a settings file or a team's document",
-		help:    checkHelp,
-		prepare: prepareCheck,
+	commands.Register(program.Command{
+		Name:    "check",
+		Summary: "check a settings file or a team's document",
+		Help:    checkHelp,
+		Prepare: prepareCheck,
 	})
 }
 
-func prepareCheck(flags *flag.FlagSet) runner {
+func prepareCheck(flags *flag.FlagSet) program.Runner {
 	settingsFile := flags.String("settings", "", "the settings `file` of an entry host")
 	documentFile := flags.String("document", "", "the `file` with a team's document")
-	return func(to streams, args []string) error {
-		if len(args) > 0 {
-			return badInput("arguments: found %q, allowed only flags", args)
-		}
+	return func(_ context.Context, to program.Streams, _ []string) error {
 		if (*settingsFile == "") == (*documentFile == "") {
-			return badInput("-settings and -document: found both or neither, allowed just one")
+			return program.BadInput("-settings and -document: found both or neither, allowed just one")
 		}
 		if *settingsFile != "" {
 			return checkFile(to, *settingsFile, checkSettings)
@@ -46,15 +45,15 @@
 	}
 }
 
-func checkFile(to streams, file string, check func(data []byte) error) error {
+func checkFile(to program.Streams, file string, check func(data []byte) error) error {
 	data, err := os.ReadFile(file)
 	if err != nil {
-		return badInput("%v", err)
+		return program.BadInput("%v", err)
 	}
 	if err := check(data); err != nil {
-		return badInput("%s is not in order:\n%v", file, err)
+		return program.BadInput("%s is not in order:\n%v", file, err)
 	}
-	fmt.Fprintf(to.out, "%s is in order\n", file)
+	fmt.Fprintf(to.Out, "%s is in order\n", file)
 	return nil
 }
 
--- a/internal/command/cicadaloom/client.go
+++ b/internal/command/cicadaloom/client.go
@@ -9,6 +9,8 @@
 	"strings"
 	"time"
 
+	"cicadaloom/internal/command/program"
+
 	"github.com/pkg/errors"
 )
 
@@ -47,7 +49,7 @@
 	}
 	request, err := http.NewRequest(method, strings.TrimSuffix(base, "/")+path, bytes.NewReader(body))
 	if err != nil {
-		return reply{}, badInput("-operators: %v", err)
+		return reply{}, program.BadInput("-operators: %v", err)
 	}
 	for name, values := range header {
 		request.Header[name] = values
@@ -85,7 +87,7 @@
 	case r.status < http.StatusBadRequest:
 		return nil
 	case r.status == http.StatusBadRequest || r.status == http.StatusUnprocessableEntity:
-		return badInput("the host answered %d: %s", r.status, bytes.TrimSpace(r.body))
+		return program.BadInput("the host answered %d: %s", r.status, bytes.TrimSpace(r.body))
 	default:
 		return errors.Errorf("the host answered %d: %s", r.status, bytes.TrimSpace(r.body))
 	}
--- a/internal/command/cicadaloom/demo.go
+++ b/internal/command/cicadaloom/demo.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"cicadaloom/examples"
+	"cicadaloom/internal/command/program"
 	"cicadaloom/internal/config/settings"
 	"cicadaloom/internal/config/teamdoc"
 	"cicadaloom/internal/domain/document"
@@ -29,11 +30,11 @@
 `
 
 func init() {
-	register(command{
-		name:    "demo",
-		summary: "show the whole path at work in one process",
-		help:    demoHelp,
-		prepare: func(*flag.FlagSet) runner { return demo },
+	commands.Register(program.Command{
+		Name:    "demo",
+		Summary: "show the whole path at work in one process",
+		Help:    demoHelp,
+		Prepare: func(*flag.FlagSet) program.Runner { return demo },
 	})
 }
 
@@ -54,18 +55,15 @@
 
 // show is the demo as it runs.
 type show struct {
-	to       streams
+	to       program.Streams
 	ctx      context.Context
 	platform *platform.Platform
 	hosts    []*host.Host
 	document *document.Document
 }
 
-func demo(to streams, args []string) error {
-	if len(args) > 0 {
-		return badInput("arguments: found %q, allowed none", args)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), demoDeadline)
+func demo(ctx context.Context, to program.Streams, _ []string) error {
+	ctx, cancel := context.WithTimeout(ctx, demoDeadline)
 	defer cancel()
 	s := &show{
 		to:  to,
@@ -73,12 +71,12 @@
 	}
 	defer s.stop()
 	for _, step := range s.steps() {
-		fmt.Fprintf(to.out, "\n== %s\n", step.title)
+		fmt.Fprintf(to.Out, "\n== %s\n", step.title)
 		if err := step.run(); err != nil {
 			return errors.Wrap(err, step.title)
 		}
 	}
-	fmt.Fprintln(to.out, "\nThat was the whole path. README.md says where to go on.")
+	fmt.Fprintln(to.Out, "\nThat was the whole path. README.md says where to go on.")
 	return nil
 }
 
@@ -98,13 +96,13 @@
 		if err != nil {
 			return err
 		}
-		fmt.Fprintf(s.to.out, "model engine %s at %s, 80 GiB\n", name, address)
+		fmt.Fprintf(s.to.Out, "model engine %s at %s, 80 GiB\n", name, address)
 	}
 	address, err := running.AddPlain("desk-1", "boat-dispatch", plain.Options{})
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(s.to.out, "plain service boat-dispatch at %s\n", address)
+	fmt.Fprintf(s.to.Out, "plain service boat-dispatch at %s\n", address)
 	return nil
 }
 
@@ -119,7 +117,7 @@
 		if err := s.platform.AddEntryHost(name, started.Peers); err != nil {
 			return err
 		}
-		fmt.Fprintf(s.to.out, "entry host %s: callers at %s, operators at %s\n", name, started.Callers, started.Operators)
+		fmt.Fprintf(s.to.Out, "entry host %s: callers at %s, operators at %s\n", name, started.Callers, started.Operators)
 	}
 	return nil
 }
--- a/internal/command/cicadaloom/demo_steps.go
+++ b/internal/command/cicadaloom/demo_steps.go
@@ -141,7 +141,7 @@
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(s.to.out, "accepted as revision %d, in force on %d of %d hosts after %s\n",
+	fmt.Fprintf(s.to.Out, "accepted as revision %d, in force on %d of %d hosts after %s\n",
 		answer.Revision, status.InForce, status.LiveHosts, time.Since(begun).Round(time.Millisecond))
 	return nil
 }
@@ -200,7 +200,7 @@
 		}
 		return true, nil
 	})
-	fmt.Fprintf(s.to.out, "%d models ready after %s\n", len(s.document.Models), time.Since(begun).Round(time.Millisecond))
+	fmt.Fprintf(s.to.Out, "%d models ready after %s\n", len(s.document.Models), time.Since(begun).Round(time.Millisecond))
 	return err
 }
 
@@ -219,7 +219,7 @@
 		if got.status != http.StatusOK {
 			return errors.Errorf("found %d, expected an answer: %s", got.status, got.body)
 		}
-		fmt.Fprintf(s.to.out, "entry-%d, stream %t, %s:\n%s\n", i+1, stream, time.Since(begun).Round(time.Millisecond), indent(got.body))
+		fmt.Fprintf(s.to.Out, "entry-%d, stream %t, %s:\n%s\n", i+1, stream, time.Since(begun).Round(time.Millisecond), indent(got.body))
 	}
 	return nil
 }
@@ -236,10 +236,10 @@
 			return err
 		}
 		replayed := got.header.Get(caller.HeaderReplayed) == "true"
-		fmt.Fprintf(s.to.out, "entry-%d: %d, the answer of an earlier run: %t\n%s\n", i+1, got.status, replayed, indent(got.body))
+		fmt.Fprintf(s.to.Out, "entry-%d: %d, the answer of an earlier run: %t\n%s\n", i+1, got.status, replayed, indent(got.body))
 	}
 	for name, service := range s.platform.Plains {
-		fmt.Fprintf(s.to.out, "%s ran %d request(s)\n", name, len(service.Stats().Runs))
+		fmt.Fprintf(s.to.Out, "%s ran %d request(s)\n", name, len(service.Stats().Runs))
 	}
 	return nil
 }
@@ -249,14 +249,14 @@
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(s.to.out, "%d, %s: %s\n%s\n", got.status, caller.HeaderRun, got.header.Get(caller.HeaderRun), indent(got.body))
+	fmt.Fprintf(s.to.Out, "%d, %s: %s\n%s\n", got.status, caller.HeaderRun, got.header.Get(caller.HeaderRun), indent(got.body))
 	return nil
 }
 
 func (s *show) edit() error {
 	model := &s.document.Models[0]
 	model.Version += "-next"
-	fmt.Fprintf(s.to.out, "model %s goes to version %s\n", model.Name, model.Version)
+	fmt.Fprintf(s.to.Out, "model %s goes to version %s\n", model.Name, model.Version)
 	if err := s.put(); err != nil {
 		return err
 	}
@@ -267,7 +267,7 @@
 		}
 		answered := strings.Contains(string(got.body), string(model.Version))
 		if answered {
-			fmt.Fprintf(s.to.out, "entry-2 answers with it:\n%s\n", indent(got.body))
+			fmt.Fprintf(s.to.Out, "entry-2 answers with it:\n%s\n", indent(got.body))
 		}
 		return answered, nil
 	})
@@ -278,6 +278,6 @@
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(s.to.out, "%s", got.body)
+	fmt.Fprintf(s.to.Out, "%s", got.body)
 	return nil
 }
--- a/internal/command/cicadaloom/document.go
+++ b/internal/command/cicadaloom/document.go
@@ -1,6 +1,7 @@
 package cicadaloom
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"net/http"
@@ -9,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"cicadaloom/internal/command/program"
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/peer/operator"
 )
@@ -31,11 +33,12 @@
 `
 
 func init() {
-	register(command{
-		name:    "document",
-		summary: "get, put or list the documents of teams",
-		help:    documentHelp,
-		prepare: prepareDocument,
+	commands.Register(program.Command{
+		Name:      "document",
+		Summary:   "get, put or list the documents of teams",
+		Help:      documentHelp,
+		Arguments: true,
+		Prepare:   prepareDocument,
 	})
 }
 
@@ -48,7 +51,7 @@
 	again    bool
 }
 
-func prepareDocument(flags *flag.FlagSet) runner {
+func prepareDocument(flags *flag.FlagSet) program.Runner {
 	f := documentFlags{
 		client: clientFlags(flags),
 	}
@@ -56,22 +59,22 @@
 	flags.Int64Var(&f.revision, "revision", -1, "the `revision` that a put starts from")
 	flags.StringVar(&f.edit, "edit", "", "the `id` of the edit; one is made where none is given")
 	flags.BoolVar(&f.again, "again", false, "the edit of this id may have been put before")
-	return func(to streams, args []string) error {
+	return func(_ context.Context, to program.Streams, args []string) error {
 		if len(args) == 0 {
-			return badInput("arguments: found none, allowed list, get, put or history")
+			return program.BadInput("arguments: found none, allowed list, get, put or history")
 		}
 		action := args[0]
 		// Flags may stand behind the action as well, where people write them.
 		if err := flags.Parse(args[1:]); err != nil {
-			return badInput("%v", err)
+			return program.BadInput("%v", err)
 		}
 		return f.run(to, action, flags.Args())
 	}
 }
 
-func (f *documentFlags) run(to streams, action string, args []string) error {
+func (f *documentFlags) run(to program.Streams, action string, args []string) error {
 	if action != "list" && f.team == "" {
-		return badInput("-team: found none, allowed the name of a team")
+		return program.BadInput("-team: found none, allowed the name of a team")
 	}
 	path := "/admin/documents/" + url.PathEscape(f.team)
 	switch action {
@@ -84,36 +87,36 @@
 	case "put":
 		return f.put(to, path, args)
 	default:
-		return badInput("arguments: found %q, allowed list, get, put or history", action)
+		return program.BadInput("arguments: found %q, allowed list, get, put or history", action)
 	}
 }
 
-func (f *documentFlags) show(to streams, path string) error {
+func (f *documentFlags) show(to program.Streams, path string) error {
 	got, err := f.client.get(path)
 	if err != nil {
 		return err
 	}
-	_, err = to.out.Write(got.body)
+	_, err = to.Out.Write(got.body)
 	return err
 }
 
-func (f *documentFlags) get(to streams, path string) error {
+func (f *documentFlags) get(to program.Streams, path string) error {
 	got, err := f.client.get(path)
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(to.err, "revision %s\n", got.header.Get("Etag"))
-	_, err = to.out.Write(got.body)
+	fmt.Fprintf(to.Err, "revision %s\n", got.header.Get("Etag"))
+	_, err = to.Out.Write(got.body)
 	return err
 }
 
-func (f *documentFlags) put(to streams, path string, args []string) error {
+func (f *documentFlags) put(to program.Streams, path string, args []string) error {
 	if len(args) != 1 || f.revision < 0 {
-		return badInput("found -revision %d and arguments %q, allowed the revision that the edit starts from and one file", f.revision, args)
+		return program.BadInput("found -revision %d and arguments %q, allowed the revision that the edit starts from and one file", f.revision, args)
 	}
 	text, err := os.ReadFile(args[0])
 	if err != nil {
-		return badInput("%v", err)
+		return program.BadInput("%v", err)
 	}
 	if f.edit == "" {
 		f.edit = string(ident.NewEditID())
@@ -131,7 +134,7 @@
 	if err := got.failure(); err != nil {
 		return err
 	}
-	_, err = to.out.Write(got.body)
+	_, err = to.Out.Write(got.body)
 	return err
 }
 
--- a/internal/command/cicadaloom/reference.go
+++ b/internal/command/cicadaloom/reference.go
@@ -1,11 +1,13 @@
 package cicadaloom
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"io"
 	"strings"
 
+	"cicadaloom/internal/command/program"
 	"cicadaloom/internal/config/settings"
 )
 
@@ -14,19 +16,19 @@
 `
 
 func init() {
-	register(command{
-		name:    "reference",
-		summary: "print the reference of all settings",
-		help:    referenceHelp,
-		prepare: func(*flag.FlagSet) runner { return reference },
+	commands.Register(program.Command{
+		Name:    "reference",
+		Summary: "print the reference of all settings",
+		Help:    referenceHelp,
+		Prepare: func(*flag.FlagSet) program.Runner { return reference },
 	})
 }
 
-func reference(to streams, _ []string) error {
-	fmt.Fprint(to.out, "# Settings of an entry host\n\nMade by `cicadaloom reference` from the tables that read and check the settings.\n\n")
-	fmt.Fprint(to.out, "| setting | kind | default | allowed | meaning |\n| --- | --- | --- | --- | --- |\n")
+func reference(_ context.Context, to program.Streams, _ []string) error {
+	fmt.Fprint(to.Out, "# Settings of an entry host\n\nMade by `cicadaloom reference` from the tables that read and check the settings.\n\n")
+	fmt.Fprint(to.Out, "| setting | kind | default | allowed | meaning |\n| --- | --- | --- | --- | --- |\n")
 	for _, field := range settings.Reference() {
-		writeRow(to.out, "`"+field.Path+"`", field.Kind, field.Default, field.Allowed, field.Meaning)
+		writeRow(to.Out, "`"+field.Path+"`", field.Kind, field.Default, field.Allowed, field.Meaning)
 	}
 	return nil
 }
--- a/internal/command/cicadaloom/report.go
+++ b/internal/command/cicadaloom/report.go
@@ -1,8 +1,11 @@
 package cicadaloom
 
 import (
+	"context"
 	"flag"
 	"net/url"
+
+	"cicadaloom/internal/command/program"
 )
 
 const reportHelp = `Shows how fast each team, class and model burns its error budget, over all
@@ -19,26 +22,26 @@
 `
 
 func init() {
-	register(command{
-		name:    "report",
-		summary: "report on service-level burn",
-		help:    reportHelp,
-		prepare: prepareReport,
+	commands.Register(program.Command{
+		Name:    "report",
+		Summary: "report on service-level burn",
+		Help:    reportHelp,
+		Prepare: prepareReport,
 	})
 }
 
-func prepareReport(flags *flag.FlagSet) runner {
+func prepareReport(flags *flag.FlagSet) program.Runner {
 	c := clientFlags(flags)
 	format := flags.String("format", "text", "the report's `form`: text, json or html")
-	return func(to streams, args []string) error {
-		if len(args) > 0 || (*format != "text" && *format != "json" && *format != "html") {
-			return badInput("found -format %q and arguments %q, allowed text, json or html and no arguments", *format, args)
+	return func(_ context.Context, to program.Streams, _ []string) error {
+		if *format != "text" && *format != "json" && *format != "html" {
+			return program.BadInput("-format: found %q, allowed text, json or html", *format)
 		}
 		got, err := c.get("/admin/burn?format=" + url.QueryEscape(*format))
 		if err != nil {
 			return err
 		}
-		_, err = to.out.Write(got.body)
+		_, err = to.Out.Write(got.body)
 		return err
 	}
 }
--- a/internal/command/cicadaloom/serve.go
+++ b/internal/command/cicadaloom/serve.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 	tomb "gopkg.in/tomb.v2"
 
+	"cicadaloom/internal/command/program"
 	"cicadaloom/internal/config/settings"
 	"cicadaloom/internal/traffic/host"
 )
@@ -30,31 +31,29 @@
 `
 
 func init() {
-	register(command{
-		name:    "serve",
-		summary: "run an entry host",
-		help:    serveHelp,
-		prepare: prepareServe,
+	commands.Register(program.Command{
+		Name:    "serve",
+		Summary: "run an entry host",
+		Help:    serveHelp,
+		Prepare: prepareServe,
 	})
 }
 
-func prepareServe(flags *flag.FlagSet) runner {
+func prepareServe(flags *flag.FlagSet) program.Runner {
 	file := flags.String("settings", "", "the settings `file` of this host")
-	return func(to streams, args []string) error {
-		if *file == "" || len(args) > 0 {
-			return badInput("found -settings %q and arguments %q, allowed a settings file and nothing else", *file, args)
+	return func(_ context.Context, to program.Streams, _ []string) error {
+		if *file == "" {
+			return program.BadInput("-settings: found none, allowed a settings file")
 		}
 		loaded, err := settings.Load(*file)
 		if err != nil {
-			return inputError{
-				cause: err,
-			}
+			return program.BadInput("%v", err)
 		}
 		return serve(to, loaded)
 	}
 }
 
-func serve(to streams, loaded settings.Settings) error {
+func serve(to program.Streams, loaded settings.Settings) error {
 	log, err := newLog(loaded)
 	if err != nil {
 		return err
@@ -67,7 +66,7 @@
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(to.out, "ready callers=%s operators=%s peers=%s\n", running.Callers, running.Operators, running.Peers)
+	fmt.Fprintf(to.Out, "ready callers=%s operators=%s peers=%s\n", running.Callers, running.Operators, running.Peers)
 	first := <-signals
 	log.Info("stopping", zap.String("Signal", first.String()))
 	ctx, cancel := context.WithTimeout(context.Background(), loaded.Callers.DrainTimeout)
--- a/internal/command/cicadaloom/status.go
+++ b/internal/command/cicadaloom/status.go
@@ -1,7 +1,10 @@
 package cicadaloom
 
 import (
+	"context"
 	"flag"
+
+	"cicadaloom/internal/command/program"
 )
 
 const statusHelp = `Shows the state of the system as an entry host knows it, as JSON: the hosts and
@@ -12,25 +15,22 @@
 `
 
 func init() {
-	register(command{
-		name:    "status",
-		summary: "show hosts, models, moves and what is in force",
-		help:    statusHelp,
-		prepare: prepareStatus,
+	commands.Register(program.Command{
+		Name:    "status",
+		Summary: "show hosts, models, moves and what is in force",
+		Help:    statusHelp,
+		Prepare: prepareStatus,
 	})
 }
 
-func prepareStatus(flags *flag.FlagSet) runner {
+func prepareStatus(flags *flag.FlagSet) program.Runner {
 	c := clientFlags(flags)
-	return func(to streams, args []string) error {
-		if len(args) > 0 {
-			return badInput("arguments: found %q, allowed only flags", args)
-		}
+	return func(_ context.Context, to program.Streams, _ []string) error {
 		got, err := c.get("/admin/status")
 		if err != nil {
 			return err
 		}
-		_, err = to.out.Write(got.body)
+		_, err = to.Out.Write(got.body)
 		return err
 	}
 }
--- a/internal/command/loadtool/experiment.go
+++ b/internal/command/loadtool/experiment.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"cicadaloom/internal/command/program"
 	"cicadaloom/internal/config/settings"
 	"cicadaloom/internal/load/experiment"
 )
@@ -32,11 +33,11 @@
 `
 
 func init() {
-	register(command{
-		name:    "experiment",
-		summary: "compare policies on fleets in one process",
-		help:    experimentHelp + caseHelp(),
-		prepare: prepareExperiment,
+	commands.Register(program.Command{
+		Name:    "experiment",
+		Summary: "compare policies on fleets in one process",
+		Help:    experimentHelp + caseHelp(),
+		Prepare: prepareExperiment,
 	})
 }
 
@@ -75,7 +76,7 @@
 	log         string
 }
 
-func prepareExperiment(flags *flag.FlagSet) runner {
+func prepareExperiment(flags *flag.FlagSet) program.Runner {
 	var f experimentFlags
 	f.users.declare(flags)
 	flags.Float64Var(&f.scale, "scale", 0.25, "part of the user's size")
@@ -92,7 +93,7 @@
 	return f.run
 }
 
-func (f *experimentFlags) run(ctx context.Context, to streams) error {
+func (f *experimentFlags) run(ctx context.Context, to program.Streams, _ []string) error {
 	options, err := f.options(to)
 	if err != nil {
 		return err
@@ -102,7 +103,7 @@
 	if f.sweep != "" {
 		text += "\n" + report.Sweep()
 	}
-	printf(to.out, "%s", text)
+	fmt.Fprintf(to.Out, "%s", text)
 	if failed != nil {
 		return failed
 	}
@@ -112,12 +113,12 @@
 	return errors.Wrap(os.WriteFile(f.out, []byte(text), 0o644), "-out")
 }
 
-func (f *experimentFlags) options(to streams) (experiment.Options, error) {
+func (f *experimentFlags) options(to program.Streams) (experiment.Options, error) {
 	options := experiment.Options{
 		Length:      f.length,
 		MovesWeight: f.movesWeight,
 		Done: func(o *experiment.Outcome) {
-			printf(to.err, "%s %s rate %g seed %d: attainment %.1f%%, %d refused, %d cut, %d without answer; %v %v\n",
+			fmt.Fprintf(to.Err, "%s %s rate %g seed %d: attainment %.1f%%, %d refused, %d cut, %d without answer; %v %v\n",
 				o.Case, o.Policy, o.Rate, o.Seed, 100*o.Summary.Attainment, o.Summary.Refused, o.Summary.Cut,
 				o.Summary.NoAnswer, o.Summary.Refusals, o.Summary.Causes)
 		},
@@ -127,7 +128,7 @@
 		return options, err
 	}
 	if size.Engines > mostEngines {
-		return options, usage(to, "-scale: found %g, which takes %d engines, allowed up to %d engines", f.scale, size.Engines, mostEngines)
+		return options, program.BadInput("-scale: found %g, which takes %d engines, allowed up to %d engines", f.scale, size.Engines, mostEngines)
 	}
 	if f.rate > 0 {
 		size.RequestsPerSecond = f.rate
@@ -137,7 +138,7 @@
 	}
 	options.Size = size
 	if options.Log, err = hostLog(f.log); err != nil {
-		return options, usage(to, "-log: %v", err)
+		return options, program.BadInput("-log: %v", err)
 	}
 	if err := f.readCases(to, &options); err != nil {
 		return options, err
@@ -145,14 +146,14 @@
 	return options, f.readNumbers(to, &options)
 }
 
-func (f *experimentFlags) readCases(to streams, options *experiment.Options) error {
+func (f *experimentFlags) readCases(to program.Streams, options *experiment.Options) error {
 	options.Cases = experiment.Cases()
 	if f.cases != "all" {
 		options.Cases = nil
 		for _, name := range split(f.cases) {
 			found, known := experiment.CaseOf(name)
 			if !known {
-				return usage(to, "-case: found %q, allowed are those of the help page", name)
+				return program.BadInput("-case: found %q, allowed are those of the help page", name)
 			}
 			options.Cases = append(options.Cases, found)
 		}
@@ -162,7 +163,7 @@
 		options.Policies = nil
 		for _, name := range split(f.policies) {
 			if !slices.Contains(policies, settings.Routing(name)) {
-				return usage(to, "-policies: found %q, allowed %v", name, policies)
+				return program.BadInput("-policies: found %q, allowed %v", name, policies)
 			}
 			options.Policies = append(options.Policies, settings.Routing(name))
 		}
@@ -170,23 +171,23 @@
 	return nil
 }
 
-func (f *experimentFlags) readNumbers(to streams, options *experiment.Options) error {
+func (f *experimentFlags) readNumbers(to program.Streams, options *experiment.Options) error {
 	for _, item := range split(f.seeds) {
 		seed, err := strconv.ParseUint(item, 10, 64)
 		if err != nil {
-			return usage(to, "-seeds: found %q, allowed a whole number of at least 0", item)
+			return program.BadInput("-seeds: found %q, allowed a whole number of at least 0", item)
 		}
 		options.Seeds = append(options.Seeds, seed)
 	}
 	for _, item := range split(f.sweep) {
 		rate, err := strconv.ParseFloat(item, 64)
 		if err != nil || rate <= 0 {
-			return usage(to, "-sweep: found %q, allowed a number above 0", item)
+			return program.BadInput("-sweep: found %q, allowed a number above 0", item)
 		}
 		options.Rates = append(options.Rates, rate)
 	}
 	if len(options.Seeds) == 0 || f.length <= 0 || f.movesWeight < 0 || f.movesWeight > 1 {
-		return usage(to, "found no -seeds, a -for of 0 or a -moves-weight outside 0 to 1")
+		return program.BadInput("found no -seeds, a -for of 0 or a -moves-weight outside 0 to 1")
 	}
 	return nil
 }
--- a/internal/command/loadtool/loadtool_test.go
+++ b/internal/command/loadtool/loadtool_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
+	"cicadaloom/internal/command/program"
 	"cicadaloom/internal/load/demand"
 )
 
@@ -49,22 +50,22 @@
 		{"experiment", "-nour", "-log", "loud"},
 	} {
 		status, stdout, stderr := tool(arguments...)
-		require.Equal(t, exitUsage, status, arguments)
+		require.Equal(t, program.ExitInput, status, arguments)
 		require.Empty(t, stdout, arguments)
 		require.NotEmpty(t, stderr, arguments)
 	}
 	status, _, stderr := tool("run", "-plan", "no-such-file", "-targets", "127.0.0.1:1")
-	require.Equal(t, exitFailure, status)
+	require.Equal(t, program.ExitFailure, status)
 	require.Contains(t, stderr, "no-such-file")
 }
 
 func TestHelpPages(t *testing.T) {
 	for _, name := range []string{"run", "plan", "experiment"} {
 		status, page, _ := tool("help", name)
-		require.Equal(t, exitDone, status)
+		require.Equal(t, program.ExitOK, status)
 		require.Contains(t, page, "Flags:")
 		status, _, _ = tool(name, "-h")
-		require.Equal(t, exitDone, status)
+		require.Equal(t, program.ExitOK, status)
 	}
 }
 
@@ -99,7 +100,7 @@
 	address := server.Listener.Addr().String()
 	status, table, stderr := tool("run", "-plan", plan, "-targets", address, "-seed", "7", "-for", "300ms",
 		"-accelerators", "4", "-status", server.URL, "-token", "t", "-engines", address, "-out", out)
-	require.Equal(t, exitDone, status, stderr)
+	require.Equal(t, program.ExitOK, status, stderr)
 	require.Regexp(t, `attainment +100\.00%`, table)
 	require.Regexp(t, `attainment per accelerator +25\.000% of 4`, table)
 	require.Regexp(t, `moves +0`, table)
@@ -111,11 +112,11 @@
 func TestPlanPrintsWhatRunReads(t *testing.T) {
 	for _, user := range []string{"-kerlouan", "-nour"} {
 		status, text, _ := tool("plan", user)
-		require.Equal(t, exitDone, status)
+		require.Equal(t, program.ExitOK, status)
 		_, err := demand.Read([]byte(text))
 		require.NoError(t, err)
 		status, text, _ = tool("plan", user, "-document")
-		require.Equal(t, exitDone, status)
+		require.Equal(t, program.ExitOK, status)
 		require.Contains(t, text, `"DefaultClass"`)
 	}
 }
--- a/internal/command/loadtool/plan.go
+++ b/internal/command/loadtool/plan.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"flag"
+	"fmt"
 
+	"cicadaloom/internal/command/program"
 	"cicadaloom/internal/config/teamdoc"
 	"cicadaloom/internal/load/demand"
 	"cicadaloom/internal/load/sizes"
@@ -14,33 +16,33 @@
 `
 
 func init() {
-	register(command{
-		name:    "plan",
-		summary: "print an example plan",
-		help:    planHelp,
-		prepare: preparePlan,
+	commands.Register(program.Command{
+		Name:    "plan",
+		Summary: "print an example plan",
+		Help:    planHelp,
+		Prepare: preparePlan,
 	})
 }
 
-func preparePlan(flags *flag.FlagSet) runner {
+func preparePlan(flags *flag.FlagSet) program.Runner {
 	var users userFlags
 	users.declare(flags)
 	document := flags.Bool("document", false, "print the team document in place of the plan")
 	scale := flags.Float64("scale", 1, "part of the user's size")
-	return func(_ context.Context, to streams) error {
+	return func(_ context.Context, to program.Streams, _ []string) error {
 		size, err := users.size(to, *scale)
 		if err != nil {
 			return err
 		}
 		if !*document {
-			printf(to.out, "%s", demand.Write(size.Plan()))
+			fmt.Fprintf(to.Out, "%s", demand.Write(size.Plan()))
 			return nil
 		}
 		text, err := teamdoc.Write(size.Document())
 		if err != nil {
 			return err
 		}
-		printf(to.out, "%s", text)
+		fmt.Fprintf(to.Out, "%s", text)
 		return nil
 	}
 }
@@ -59,12 +61,12 @@
 // mostScale bounds what can be asked for by mistake.
 const mostScale = 100
 
-func (u *userFlags) size(to streams, scale float64) (sizes.Size, error) {
+func (u *userFlags) size(to program.Streams, scale float64) (sizes.Size, error) {
 	if u.kerlouan == u.nour {
-		return sizes.Size{}, usage(to, "found neither or both of -kerlouan and -nour, allowed one of them")
+		return sizes.Size{}, program.BadInput("found neither or both of -kerlouan and -nour, allowed one of them")
 	}
 	if scale <= 0 || scale > mostScale {
-		return sizes.Size{}, usage(to, "-scale: found %g, allowed above 0 up to %d", scale, mostScale)
+		return sizes.Size{}, program.BadInput("-scale: found %g, allowed above 0 up to %d", scale, mostScale)
 	}
 	user := sizes.Kerlouan
 	if u.nour {
--- a/internal/command/loadtool/run.go
+++ b/internal/command/loadtool/run.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"flag"
+	"fmt"
 	"os"
 	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"cicadaloom/internal/command/program"
 	"cicadaloom/internal/load/counters"
 	"cicadaloom/internal/load/demand"
 	"cicadaloom/internal/load/openloop"
@@ -30,11 +32,11 @@
 `
 
 func init() {
-	register(command{
-		name:    "run",
-		summary: "send a load to entry hosts",
-		help:    runHelp,
-		prepare: prepareRun,
+	commands.Register(program.Command{
+		Name:    "run",
+		Summary: "send a load to entry hosts",
+		Help:    runHelp,
+		Prepare: prepareRun,
 	})
 }
 
@@ -56,7 +58,7 @@
 // warmUp is how long after the command's start the first request may arrive.
 const warmUp = 100 * time.Millisecond
 
-func prepareRun(flags *flag.FlagSet) runner {
+func prepareRun(flags *flag.FlagSet) program.Runner {
 	var f runFlags
 	flags.StringVar(&f.plan, "plan", "", "the plan's `file`")
 	flags.StringVar(&f.targets, "targets", "", "callers' `addresses` of entry hosts, with commas")
@@ -72,9 +74,9 @@
 	return f.run
 }
 
-func (f *runFlags) run(ctx context.Context, to streams) error {
+func (f *runFlags) run(ctx context.Context, to program.Streams, _ []string) error {
 	if f.plan == "" || f.targets == "" || f.length <= 0 {
-		return usage(to, "found no -plan, no -targets or a -for of 0, allowed all three")
+		return program.BadInput("found no -plan, no -targets or a -for of 0, allowed all three")
 	}
 	plan, err := demand.Load(f.plan)
 	if err != nil {
@@ -87,7 +89,7 @@
 	if err != nil {
 		return err
 	}
-	printf(to.out, "%s", summary.Table())
+	fmt.Fprintf(to.Out, "%s", summary.Table())
 	if f.out == "" {
 		return nil
 	}
--- a/internal/command/standin/administered.go
+++ b/internal/command/standin/administered.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -49,7 +50,7 @@
 		}
 		return nil
 	})
-	printf(stdout, "listening %s admin=%s\n", address, admin.Addr())
+	fmt.Fprintf(stdout, "listening %s admin=%s\n", address, admin.Addr())
 	<-ctx.Done()
 	_ = server.Close()
 	if err := serving.Wait(); err != nil {
--- a/internal/command/standin/engine.go
+++ b/internal/command/standin/engine.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"flag"
-	"io"
 
+	"cicadaloom/internal/command/program"
 	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/domain/unit"
@@ -23,15 +23,15 @@
 `
 
 func init() {
-	register(command{
-		name:    "engine",
-		summary: "a model engine",
-		help:    engineHelp,
-		prepare: prepareEngine,
+	commands.Register(program.Command{
+		Name:    "engine",
+		Summary: "a model engine",
+		Help:    engineHelp,
+		Prepare: prepareEngine,
 	})
 }
 
-func prepareEngine(flags *flag.FlagSet) runner {
+func prepareEngine(flags *flag.FlagSet) program.Runner {
 	var process listed
 	process.declare(flags, "engine")
 	options := engine.Options{
@@ -48,10 +48,10 @@
 	flags.IntVar(&options.CacheEntries, "cache", engine.DefaultCacheEntries, "prompt prefixes that the cache holds")
 	flags.BoolVar(&options.IgnoreFencing, "ignore-fencing", false, "take orders whatever their fencing number")
 	flags.DurationVar(&options.RestartAfter, "restart-after", engine.DefaultRestartAfter, "time away after a crash")
-	return func(ctx context.Context, stdout io.Writer) error {
+	return func(ctx context.Context, to program.Streams, _ []string) error {
 		options.Name = ident.ServerName(process.name)
 		e := engine.New(options)
-		return process.serveListed(ctx, stdout, e, &e.Faults, backend.Server{
+		return process.serveListed(ctx, to.Out, e, &e.Faults, backend.Server{
 			Kind: backend.KindEngine,
 		})
 	}
--- a/internal/command/standin/etcd.go
+++ b/internal/command/standin/etcd.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"flag"
-	"io"
 	"net/http"
 
+	"cicadaloom/internal/command/program"
 	"cicadaloom/internal/standin/etcd"
 )
 
@@ -18,23 +18,23 @@
 `
 
 func init() {
-	register(command{
-		name:    "etcd",
-		summary: "the platform's key-value service",
-		help:    etcdHelp,
-		prepare: prepareEtcd,
+	commands.Register(program.Command{
+		Name:    "etcd",
+		Summary: "the platform's key-value service",
+		Help:    etcdHelp,
+		Prepare: prepareEtcd,
 	})
 }
 
-func prepareEtcd(flags *flag.FlagSet) runner {
+func prepareEtcd(flags *flag.FlagSet) program.Runner {
 	var process administered
 	process.declare(flags)
 	var options etcd.Options
 	flags.IntVar(&options.WritesPerSecond, "writes", 0, "`writes` a second that are carried out; 0 takes the default")
 	flags.IntVar(&options.ReadsPerSecond, "reads", 0, "`reads` a second that are carried out; 0 takes the default")
-	return func(ctx context.Context, stdout io.Writer) error {
+	return func(ctx context.Context, to program.Streams, _ []string) error {
 		server := etcd.New(options)
-		return process.serve(ctx, stdout, etcdProcess{
+		return process.serve(ctx, to.Out, etcdProcess{
 			Server: server,
 		}, etcdSwitch{
 			Server:  server,
--- a/internal/command/standin/hostlist.go
+++ b/internal/command/standin/hostlist.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"flag"
-	"io"
 
+	"cicadaloom/internal/command/program"
 	"cicadaloom/internal/standin/hostlist"
 )
 
@@ -18,21 +18,21 @@
 `
 
 func init() {
-	register(command{
-		name:    "hostlist",
-		summary: "the platform's host list",
-		help:    hostlistHelp,
-		prepare: prepareHostlist,
+	commands.Register(program.Command{
+		Name:    "hostlist",
+		Summary: "the platform's host list",
+		Help:    hostlistHelp,
+		Prepare: prepareHostlist,
 	})
 }
 
-func prepareHostlist(flags *flag.FlagSet) runner {
+func prepareHostlist(flags *flag.FlagSet) program.Runner {
 	var process common
 	process.declare(flags)
 	var options hostlist.Options
 	flags.DurationVar(&options.Lag, "lag", 0, "how old the served list is")
-	return func(ctx context.Context, stdout io.Writer) error {
+	return func(ctx context.Context, to program.Streams, _ []string) error {
 		list := hostlist.New(options)
-		return process.serve(ctx, stdout, list, &list.Faults)
+		return process.serve(ctx, to.Out, list, &list.Faults)
 	}
 }
--- a/internal/command/standin/plain.go
+++ b/internal/command/standin/plain.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"flag"
-	"io"
 
+	"cicadaloom/internal/command/program"
 	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/standin/plain"
@@ -19,15 +19,15 @@
 `
 
 func init() {
-	register(command{
-		name:    "plain",
-		summary: "a plain service",
-		help:    plainHelp,
-		prepare: preparePlain,
+	commands.Register(program.Command{
+		Name:    "plain",
+		Summary: "a plain service",
+		Help:    plainHelp,
+		Prepare: preparePlain,
 	})
 }
 
-func preparePlain(flags *flag.FlagSet) runner {
+func preparePlain(flags *flag.FlagSet) program.Runner {
 	var process listed
 	process.declare(flags, "plain")
 	var options plain.Options
@@ -36,9 +36,9 @@
 	flags.IntVar(&options.Slots, "slots", plain.DefaultSlots, "requests that run at once")
 	flags.IntVar(&options.QueueLimit, "queue", plain.DefaultQueueLimit, "requests that wait at most")
 	flags.DurationVar(&options.Work, "work", plain.DefaultWork, "time that a request takes")
-	return func(ctx context.Context, stdout io.Writer) error {
+	return func(ctx context.Context, to program.Streams, _ []string) error {
 		p := plain.New(options)
-		return process.serveListed(ctx, stdout, p, &p.Faults, backend.Server{
+		return process.serveListed(ctx, to.Out, p, &p.Faults, backend.Server{
 			Kind:    backend.KindService,
 			Service: ident.ServiceName(service),
 		})
--- a/internal/command/standin/process.go
+++ b/internal/command/standin/process.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"fmt"
 	"io"
 	"strings"
 	"time"
@@ -64,7 +65,7 @@
 	if err != nil {
 		return err
 	}
-	printf(stdout, "listening %s\n", address)
+	fmt.Fprintf(stdout, "listening %s\n", address)
 	<-ctx.Done()
 	return p.Stop()
 }
@@ -104,7 +105,7 @@
 		_ = p.Stop() // the first failure is the one to tell
 		return err
 	}
-	printf(stdout, "listening %s\n", address)
+	fmt.Fprintf(stdout, "listening %s\n", address)
 	<-ctx.Done()
 	return l.leave(context.WithoutCancel(ctx), p, host)
 }
--- a/internal/command/standin/relay.go
+++ b/internal/command/standin/relay.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"flag"
-	"io"
 
+	"cicadaloom/internal/command/program"
 	"cicadaloom/internal/standin/relay"
 )
 
@@ -16,21 +16,21 @@
 `
 
 func init() {
-	register(command{
-		name:    "relay",
-		summary: "a network between two processes",
-		help:    relayHelp,
-		prepare: prepareRelay,
+	commands.Register(program.Command{
+		Name:    "relay",
+		Summary: "a network between two processes",
+		Help:    relayHelp,
+		Prepare: prepareRelay,
 	})
 }
 
-func prepareRelay(flags *flag.FlagSet) runner {
+func prepareRelay(flags *flag.FlagSet) program.Runner {
 	var process administered
 	process.declare(flags)
 	var options relay.Options
 	flags.StringVar(&options.Target, "target", "", "`address` to carry connections to")
-	return func(ctx context.Context, stdout io.Writer) error {
+	return func(ctx context.Context, to program.Streams, _ []string) error {
 		r := relay.New(options)
-		return process.serve(ctx, stdout, r, &r.Faults)
+		return process.serve(ctx, to.Out, r, &r.Faults)
 	}
 }
--- a/internal/command/standin/standin_test.go
+++ b/internal/command/standin/standin_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 	"gopkg.in/tomb.v2"
 
+	"cicadaloom/internal/command/program"
 	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/unit"
 	"cicadaloom/internal/peer/hostlist"
@@ -53,7 +54,7 @@
 func (s *started) end(t *testing.T) {
 	s.stop()
 	require.NoError(t, s.tomb.Wait())
-	require.Equal(t, exitDone, s.status)
+	require.Equal(t, program.ExitOK, s.status)
 }
 
 func TestStandInsStandInTheHostList(t *testing.T) {
@@ -96,16 +97,15 @@
 		status    int
 		says      string
 	}{
-		{"", exitUsage, "Usage: standin COMMAND"},
-		{"boat", exitUsage, `no command "boat"`},
-		{"help boat", exitUsage, `no command "boat"`},
-		{"engine -boat", exitUsage, "-boat"},
-		{"engine extra", exitUsage, `unexpected "extra"`},
-		{"engine -memory 3", exitUsage, "whole number"},
-		{"engine -memory 99999999999GiB", exitUsage, "whole number"},
-		{"engine -h", exitDone, "model engine"},
-		{`plain -faults {"Dwon":true}`, exitFailure, "Dwon"},
-		{"weights -listen " + taken.Addr().String(), exitFailure, "address already in use"},
+		{"", program.ExitInput, "Usage: standin COMMAND"},
+		{"boat", program.ExitInput, `found "boat", allowed one of those`},
+		{"help boat", program.ExitInput, `found "boat", allowed one of those`},
+		{"engine -boat", program.ExitInput, "-boat"},
+		{"engine extra", program.ExitInput, `found ["extra"], allowed only flags`},
+		{"engine -memory 3", program.ExitInput, "whole number"},
+		{"engine -memory 99999999999GiB", program.ExitInput, "whole number"},
+		{`plain -faults {"Dwon":true}`, program.ExitFailure, "Dwon"},
+		{"weights -listen " + taken.Addr().String(), program.ExitFailure, "address already in use"},
 	} {
 		t.Run(c.arguments, func(t *testing.T) {
 			var stdout, stderr bytes.Buffer
@@ -118,15 +118,19 @@
 }
 
 func TestEachCommandHasItsHelpPage(t *testing.T) {
-	for name := range commands {
+	for _, name := range commands.Names() {
 		var page bytes.Buffer
-		require.Equal(t, exitDone, Run(context.Background(), []string{"help", name}, &page, io.Discard))
+		require.Equal(t, program.ExitOK, Run(context.Background(), []string{"help", name}, &page, io.Discard))
 		for _, part := range []string{"standin " + name + ": ", "/faults", "-listen"} {
 			require.Contains(t, page.String(), part, name)
 		}
 	}
+	var asked, faults bytes.Buffer
+	require.Equal(t, program.ExitOK, Run(context.Background(), []string{"engine", "-h"}, &asked, &faults))
+	require.Contains(t, asked.String(), "model engine")
+	require.Empty(t, faults.String())
 	var overview bytes.Buffer
-	require.Equal(t, exitDone, Run(context.Background(), []string{"help"}, &overview, io.Discard))
+	require.Equal(t, program.ExitOK, Run(context.Background(), []string{"help"}, &overview, io.Discard))
 	require.Contains(t, overview.String(), "hostlist")
 }
 
--- a/internal/command/standin/weights.go
+++ b/internal/command/standin/weights.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"flag"
-	"io"
 
+	"cicadaloom/internal/command/program"
 	"cicadaloom/internal/standin/weights"
 )
 
@@ -17,15 +17,15 @@
 `
 
 func init() {
-	register(command{
-		name:    "weights",
-		summary: "the weight store",
-		help:    weightsHelp,
-		prepare: prepareWeights,
+	commands.Register(program.Command{
+		Name:    "weights",
+		Summary: "the weight store",
+		Help:    weightsHelp,
+		Prepare: prepareWeights,
 	})
 }
 
-func prepareWeights(flags *flag.FlagSet) runner {
+func prepareWeights(flags *flag.FlagSet) program.Runner {
 	var process common
 	process.declare(flags)
 	var options weights.Options
@@ -34,8 +34,8 @@
 	flags.DurationVar(&options.AdapterFastest, "adapter-fastest", weights.DefaultAdapterFastest, "time of the fastest adapter")
 	flags.DurationVar(&options.AdapterSlowest, "adapter-slowest", weights.DefaultAdapterSlowest, "time of the slowest adapter")
 	flags.IntVar(&options.AdaptersAtOnce, "adapters-at-once", weights.DefaultAdaptersAtOnce, "adapters that go on at full speed")
-	return func(ctx context.Context, stdout io.Writer) error {
+	return func(ctx context.Context, to program.Streams, _ []string) error {
 		store := weights.New(options)
-		return process.serve(ctx, stdout, store, &store.Faults)
+		return process.serve(ctx, to.Out, store, &store.Faults)
 	}
 }
--- a/internal/scenario/testbed/scenarios_test.go
+++ b/internal/scenario/testbed/scenarios_test.go
@@ -16,7 +16,7 @@
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
 		"cicadaloom": func() { os.Exit(cicadaloom.Main()) },
-		"standin":    standin.Main,
+		"standin":    func() { os.Exit(standin.Main()) },
 	})
 }
 
