dispatch, routing: Use the other region in need only, and within the link's budget

Cause: LinkBudget was a setting that nothing read. A request crossed whenever its region had no usable replica, however full the link, and never when its region was too busy to keep the promise. Weighed: counting requests instead of bytes (an answer is 200 B or 100 KB); charging answers at their end only (many long ones at once overrun the budget). Change: a leaky bucket each way per host, of the budget over the live hosts of the region. A request, and the usual size of an answer, are charged at the start, what goes beyond as it comes, the difference at the end. This region goes first; the other is looked at where this one has no replica (until the deadline) or would miss the promised time (until that), while the link has room; else 429 with the instant at which it has room again. Not whole: the hosts' division follows the live hosts that each one hears of, so a host that has just come gives the region one part too much for seconds. Exchanges between hosts and key-value traffic are not counted.

--- a/internal/control/loop/peers.go
+++ b/internal/control/loop/peers.go
@@ -28,6 +28,7 @@
 		Stopping:  c.stopping.Load(),
 	})
 	c.newHomes(now)
+	c.countHosts(now)
 	c.show(now)
 	c.lastTargets++
 	for _, peer := range c.membership.Targets(now, c.lastTargets) {
@@ -35,6 +36,20 @@
 	}
 }
 
+// countHosts tells routing over how many hosts the link's budget is divided.
+func (c *control) countHosts(now time.Time) {
+	count := 0
+	for _, peer := range c.membership.Peers(now) {
+		if peer.Region == c.membership.Self.Region {
+			count++
+		}
+	}
+	c.routing.Step(now, routing.Hosts{
+		InRegion: count,
+	})
+	c.dirty = true
+}
+
 // newHomes tells the claims who is alive, in case that has changed.
 func (c *control) newHomes(now time.Time) {
 	c.runClaims(now, c.claims.Step(now, claims.Homes{
--- a/internal/control/routing/build.go
+++ b/internal/control/routing/build.go
@@ -92,7 +92,7 @@
 	switch {
 	case m.table == nil:
 		m.table = m.wholeTable()
-	case len(m.stale) > 0:
+	case len(m.stale) > 0 || m.table.hosts != m.hosts:
 		m.table = m.changedTable()
 	}
 	clear(m.stale)
@@ -102,6 +102,7 @@
 func (m *Machine) wholeTable() *Table {
 	table := &Table{
 		Documents: m.revision,
+		hosts:     m.hosts,
 		models:    make(map[ident.ModelName]*Target, len(m.declared)),
 		services:  make(map[ident.ServiceName]*Target),
 	}
@@ -118,6 +119,7 @@
 func (m *Machine) changedTable() *Table {
 	table := &Table{
 		Documents: m.revision,
+		hosts:     m.hosts,
 		models:    maps.Clone(m.table.models),
 		services:  maps.Clone(m.table.services),
 		names:     m.table.names,
@@ -222,6 +224,7 @@
 		seed:        xxhash.Sum64String(string(server.listed.Name)),
 		absentUntil: &atomic.Int64{},
 		warmFrom:    ready.since.Add(slowStart),
+		far:         server.listed.Region != m.Place.Region,
 		wayBack:     m.wayTo(server.listed),
 	}
 }
--- a/internal/control/routing/choose.go
+++ b/internal/control/routing/choose.go
@@ -30,6 +30,8 @@
 	NumTried int
 	// Alone asks for a replica with nothing else under way.
 	Alone bool
+	// Elsewhere asks for a replica in another region instead of this one.
+	Elsewhere bool
 	// Version, where set, is the only one that can go on with a stream's answer.
 	Version ident.Version
 }
@@ -88,15 +90,16 @@
 const sampled = 2
 
 // LeastCost takes the cheapest of a few random candidates and the replica that
-// the request's prefix points to; replicas in this host's region first.
+// the request's prefix points to.
 type LeastCost struct{}
 
 // Choose implements Policy.
 func (LeastCost) Choose(target *Target, request *Request) (Choice, error) {
-	if choice, found := cheapest(target, request, 0, target.nearby); found {
-		return choice, nil
+	from, to := 0, target.nearby
+	if request.Elsewhere {
+		from, to = target.nearby, len(target.Replicas)
 	}
-	if choice, found := cheapest(target, request, target.nearby, len(target.Replicas)); found {
+	if choice, found := cheapest(target, request, from, to); found {
 		return choice, nil
 	}
 	return Choice{}, ErrNoReplica
@@ -156,6 +159,9 @@
 			return false
 		}
 	}
+	if r.far != request.Elsewhere {
+		return false
+	}
 	if request.Alone && !r.Gauge.Idle() {
 		return false
 	}
--- a/internal/control/routing/machine.go
+++ b/internal/control/routing/machine.go
@@ -41,6 +41,8 @@
 	holders map[subject][]ident.ServerName
 	// stale are the subjects whose targets have to be made anew.
 	stale map[subject]struct{}
+	// hosts counts the live entry hosts of this region.
+	hosts int
 	// table is the newest table; nil where all of it has to be made anew.
 	table *Table
 }
@@ -81,6 +83,13 @@
 	Incarnation ident.Incarnation
 }
 
+// Hosts gives the number of live entry hosts in this host's region, this one
+// among them.
+type Hosts struct {
+	InRegion int
+}
+
+func (Hosts) isEvent()         {}
 func (Documents) isEvent()     {}
 func (Servers) isEvent()       {}
 func (Reported) isEvent()      {}
@@ -103,6 +112,8 @@
 		m.peerLoads(PeerLoads{
 			Host: e.Host,
 		})
+	case Hosts:
+		m.hosts = e.InRegion
 	case ServerLeaving:
 		m.leave(e)
 	}
--- a/internal/control/routing/table.go
+++ b/internal/control/routing/table.go
@@ -50,6 +50,7 @@
 	models    map[ident.ModelName]*Target
 	services  map[ident.ServiceName]*Target
 	names     []ident.ModelName
+	hosts     int
 }
 
 // Target is something that callers ask for by name: a model, an adapter or a
@@ -89,6 +90,7 @@
 	absentUntil *atomic.Int64
 	// warmFrom is when a new replica takes its full part of the load.
 	warmFrom time.Time
+	far      bool
 	// wayBack is the time there and back.
 	wayBack time.Duration
 }
@@ -104,6 +106,25 @@
 	r.absentUntil.Store(now.Add(absentFor).UnixNano())
 }
 
+// HostsInRegion gives the number of live entry hosts in this host's region, at
+// least this one.
+func (t *Table) HostsInRegion() int {
+	if t == nil {
+		return 1
+	}
+	return max(1, t.hosts)
+}
+
+// Far tells that the way to the replica goes over the link between regions.
+func (r *Replica) Far() bool {
+	return r.far
+}
+
+// HasFar tells whether the target has replicas in another region.
+func (t *Target) HasFar() bool {
+	return t.nearby < len(t.Replicas)
+}
+
 // Target finds a model or adapter by the name that callers use.
 func (t *Table) Target(name ident.ModelName) (*Target, bool) {
 	if t == nil {
--- a/internal/traffic/dispatch/chat.go
+++ b/internal/traffic/dispatch/chat.go
@@ -10,6 +10,7 @@
 	"cicadaloom/internal/control/claims"
 	"cicadaloom/internal/control/routing"
 	"cicadaloom/internal/control/suspects"
+	"cicadaloom/internal/domain/unit"
 	"cicadaloom/internal/peer/engine"
 )
 
@@ -105,7 +106,7 @@
 // whether another attempt should be made.
 func (c *conversation) attemptAt(ctx context.Context, choice routing.Choice) (bool, *Failure) {
 	c.setOut(choice)
-	defer c.ticket.Leave(false)
+	defer c.leave()
 	watched, watch := c.watch(ctx)
 	defer watch.stop()
 	stream, err := c.Engines.Chat(watched, choice.Replica.Address, engine.Call{
@@ -136,8 +137,10 @@
 		watch.alive(c.stall())
 		switch e := event.(type) {
 		case engine.Chunk:
+			c.crossing.Received(c.Now(), unit.Bytes(len(e.Raw)))
 			err = c.chunk(e)
 		case engine.Whole:
+			c.crossing.Received(c.Now(), unit.Bytes(len(e.Raw)))
 			c.answer = Whole{
 				Status:      http.StatusOK,
 				ContentType: contentTypeJSON,
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -70,7 +70,7 @@
 	Do(ctx context.Context, address string, request *plain.Request) (*plain.Answer, *plain.Refusal)
 }
 
-// Dispatcher serves requests. All fields but Budget must be set.
+// Dispatcher serves requests. All fields but Budget and Link must be set.
 type Dispatcher struct {
 	Knowledge Knowledge
 	Claims    Claims
@@ -79,8 +79,10 @@
 	Plains    Plains
 	Policy    routing.Policy
 	Budget    *Budget
-	Log       *zap.Logger
-	Metrics   Metrics
+	// Link is the way to other regions; nil keeps requests in this one.
+	Link    *Link
+	Log     *zap.Logger
+	Metrics Metrics
 	// Now is the wall clock; time.Now unless a test sets it.
 	Now func() time.Time
 	// Dice gives random bits.
@@ -112,6 +114,8 @@
 	// ticket is the last attempt's place at its server.
 	class  int
 	ticket admission.Ticket
+	// crossing is the last attempt's way over the link, if it took that.
+	crossing Crossing
 	// losses counts the backend servers that fell silent while the request was there.
 	losses int
 	log    *zap.Logger
--- a/internal/traffic/dispatch/route.go
+++ b/internal/traffic/dispatch/route.go
@@ -10,6 +10,7 @@
 	"cicadaloom/internal/control/routing"
 	"cicadaloom/internal/control/suspects"
 	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/domain/unit"
 )
 
 // Times to come back after, where nothing better is known.
@@ -27,8 +28,19 @@
 	if !now.Before(j.request.Deadline) {
 		return routing.Choice{}, j.fail(CodeDeadlinePassed, "the deadline has passed", time.Time{})
 	}
+	j.routing.Elsewhere = false
+	choice, failure := j.look(ctx)
+	if failure == nil || !j.target.HasFar() {
+		return choice, failure
+	}
+	return j.chooseFar(ctx, failure)
+}
+
+// look finds a replica in the region that is looked at, and whether it can
+// answer in time.
+func (j *journey) look(ctx context.Context) (routing.Choice, *Failure) {
 	choice, err := j.pick(ctx)
-	now = j.Now()
+	now := j.Now()
 	if err != nil {
 		return routing.Choice{}, j.noReplica(now)
 	}
@@ -38,18 +50,48 @@
 	return choice, j.admit(choice.Replica, now)
 }
 
-// admit refuses the request if a replica can't answer it in time. The promised
-// time counts from the arrival; a caller that waits less long than that has its
-// own. Where no report stands behind the queue, nothing is refused for it.
+// chooseFar looks in the other regions for what this one can't answer, while the
+// link has room and the answer would come back in time: before the promised time
+// where this region is busy, before the deadline where it has no replica at all.
+func (j *journey) chooseFar(ctx context.Context, near *Failure) (routing.Choice, *Failure) {
+	now := j.Now()
+	freeAt, ever := j.Link.FreeAt(now)
+	if !ever {
+		return routing.Choice{}, near
+	}
+	if freeAt.After(now) {
+		return routing.Choice{}, j.fail(CodeTooBusy, near.Message+"; the link to the other region is full", freeAt)
+	}
+	j.routing.Elsewhere = true
+	choice, failure := j.look(ctx)
+	if failure != nil {
+		return routing.Choice{}, near
+	}
+	limit := j.request.Deadline
+	if near.Code == CodeTooBusy {
+		limit = j.limit()
+	}
+	if now.Add(choice.Wait).After(limit) {
+		return routing.Choice{}, near
+	}
+	return choice, nil
+}
+
+// limit is when the first token has to be there. The promised time counts from
+// the arrival; a caller that waits less long than that has its own.
+func (j *journey) limit() time.Time {
+	if j.request.Deadline.Before(j.promised) {
+		return j.request.Deadline
+	}
+	return j.promised
+}
+
+// admit refuses the request if a replica can't answer it in time. Where no report stands behind the queue, nothing is refused for it.
 func (j *journey) admit(replica *routing.Replica, now time.Time) *Failure {
 	if !replica.Gauge.Known(now) {
 		return nil
 	}
-	limit := j.promised
-	if j.request.Deadline.Before(limit) {
-		limit = j.request.Deadline
-	}
-	late, refused := replica.Team.Peek(j.class).Refuse(replica.Load(now), now, limit)
+	late, refused := replica.Team.Peek(j.class).Refuse(replica.Load(now), now, j.limit())
 	if !refused {
 		return nil
 	}
@@ -110,10 +152,19 @@
 	j.sentAt = j.Now()
 	j.ticket = choice.Replica.Team.Enter(j.class)
 	j.queued = choice.Replica.Gauge.Begin(j.sentAt)
+	if choice.Replica.Far() {
+		j.crossing = j.Link.Begin(j.sentAt, unit.Bytes(len(j.request.Body)), j.Knowledge.Table().HostsInRegion())
+	}
 	j.Metrics.attempt(j.target)
 	j.trail.Sending(j.attempt)
 }
 
+// leave ends what an attempt holds, however it ended.
+func (j *journey) leave() {
+	j.ticket.Leave(false)
+	j.crossing.End(j.Now())
+}
+
 // mayTryAgain tells whether the request can be sent to another backend server,
 // the retry budget aside.
 // safe tells that the last attempt provably did not run it.
--- a/internal/traffic/dispatch/service.go
+++ b/internal/traffic/dispatch/service.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"cicadaloom/internal/control/routing"
+	"cicadaloom/internal/domain/unit"
 	"cicadaloom/internal/peer/plain"
 )
 
@@ -61,7 +62,7 @@
 
 func (e *errand) attemptAt(ctx context.Context, choice routing.Choice) (bool, *Failure) {
 	e.setOut(choice)
-	defer e.ticket.Leave(false)
+	defer e.leave()
 	watched, watch := e.watch(ctx)
 	defer watch.stop()
 	header := http.Header{}
@@ -94,6 +95,7 @@
 		Queued:     e.queued,
 	})
 	e.ticket.Leave(true)
+	e.crossing.Received(e.firstAt, unit.Bytes(len(answer.Body)))
 	e.answer = Whole{
 		Status:      answer.Status,
 		ContentType: answer.Header.Get("Content-Type"),
--- a/internal/traffic/host/fleet_test.go
+++ b/internal/traffic/host/fleet_test.go
@@ -14,6 +14,7 @@
 
 	"cicadaloom/internal/config/settings"
 	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/domain/unit"
 	"cicadaloom/internal/standin/engine"
 	"cicadaloom/internal/standin/platform"
 )
@@ -29,6 +30,8 @@
 	t        *testing.T
 	platform *platform.Platform
 	hosts    []*Host
+	// linkBudget is for the hosts that are added next.
+	linkBudget unit.Bytes
 }
 
 func newFleet(t *testing.T, engines, hosts int) *fleet {
@@ -81,6 +84,7 @@
 		HostList:    "http://" + f.platform.HostList,
 		WeightStore: "http://" + f.platform.WeightStore,
 	}
+	result.Policy.LinkBudget = f.linkBudget
 	result.Operators.AdminToken = adminToken
 	result.Control.ReportInterval = 50 * time.Millisecond
 	result.Control.ListInterval = 50 * time.Millisecond
--- a/internal/traffic/host/host.go
+++ b/internal/traffic/host/host.go
@@ -142,7 +142,10 @@
 		Plains:    h.plains,
 		Policy:    policy,
 		Budget:    dispatch.NewBudget(loaded.Policy.RetryBudgetPercent),
-		Log:       log,
+		Link: &dispatch.Link{
+			Budget: loaded.Policy.LinkBudget,
+		},
+		Log: log,
 		Metrics: dispatch.Metrics{
 			Set: h.metrics,
 		},
