--- a/internal/control/routing/choose.go
+++ b/internal/control/routing/choose.go
@@ -5,6 +5,7 @@
 
 	"github.com/pkg/errors"
 
+	"cicadaloom/internal/control/admission"
 	"cicadaloom/internal/domain/ident"
 )
 
@@ -29,6 +30,8 @@
 	NumTried int
 	// Alone asks for a replica with nothing else under way.
 	Alone bool
+	// Elsewhere asks for a replica in another region instead of this one.
+	Elsewhere bool
 	// Version, where set, is the only one that can go on with a stream's answer.
 	Version ident.Version
 }
@@ -87,15 +90,16 @@
 const sampled = 2
 
 // LeastCost takes the cheapest of a few random candidates and the replica that
-// the request's prefix points to; replicas in this host's region first.
+// the request's prefix points to.
 type LeastCost struct{}
 
 // Choose implements Policy.
 func (LeastCost) Choose(target *Target, request *Request) (Choice, error) {
-	if choice, found := cheapest(target, request, 0, target.nearby); found {
-		return choice, nil
+	from, to := 0, target.nearby
+	if request.Elsewhere {
+		from, to = target.nearby, len(target.Replicas)
 	}
-	if choice, found := cheapest(target, request, target.nearby, len(target.Replicas)); found {
+	if choice, found := cheapest(target, request, from, to); found {
 		return choice, nil
 	}
 	return Choice{}, ErrNoReplica
@@ -155,6 +159,9 @@
 			return false
 		}
 	}
+	if r.far != request.Elsewhere {
+		return false
+	}
 	if request.Alone && !r.Gauge.Idle() {
 		return false
 	}
@@ -188,6 +195,16 @@
 	return wait
 }
 
+// Load gives what is believed of a replica's server, for admission.
+func (r *Replica) Load(now time.Time) admission.Load {
+	return admission.Load{
+		Queue: r.Gauge.Queue(now),
+		Slots: r.Gauge.Slots(),
+		Empty: r.wayBack + r.Gauge.Prompt(),
+		Whole: r.Gauge.Prompt() + r.Gauge.Generation(),
+	}
+}
+
 // mix is the finalizer of splitmix64: one multiplication chain turns a counter
 // into bits good enough to draw candidates with.
 func mix(x uint64) uint64 {
--- a/internal/control/routing/table.go
+++ b/internal/control/routing/table.go
@@ -36,6 +36,7 @@
 	"sync/atomic"
 	"time"
 
+	"cicadaloom/internal/control/admission"
 	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/document"
 	"cicadaloom/internal/domain/ident"
@@ -49,6 +50,7 @@
 	models    map[ident.ModelName]*Target
 	services  map[ident.ServiceName]*Target
 	names     []ident.ModelName
+	hosts     int
 }
 
 // Target is something that callers ask for by name: a model, an adapter or a
@@ -79,6 +81,8 @@
 	DataCentre  ident.DataCentre
 	Region      ident.Region
 	Gauge       *Gauge
+	// Team is the target's team's part of the server.
+	Team *admission.Team
 	// seed is a hash of the server's name.
 	seed uint64
 	// absentUntil is Unix nanoseconds: until then the server is known not to have
@@ -86,6 +90,7 @@
 	absentUntil *atomic.Int64
 	// warmFrom is when a new replica takes its full part of the load.
 	warmFrom time.Time
+	far      bool
 	// wayBack is the time there and back.
 	wayBack time.Duration
 }
@@ -101,6 +106,25 @@
 	r.absentUntil.Store(now.Add(absentFor).UnixNano())
 }
 
+// HostsInRegion gives the number of live entry hosts in this host's region, at
+// least this one.
+func (t *Table) HostsInRegion() int {
+	if t == nil {
+		return 1
+	}
+	return max(1, t.hosts)
+}
+
+// Far tells that the way to the replica goes over the link between regions.
+func (r *Replica) Far() bool {
+	return r.far
+}
+
+// HasFar tells whether the target has replicas in another region.
+func (t *Target) HasFar() bool {
+	return t.nearby < len(t.Replicas)
+}
+
 // Target finds a model or adapter by the name that callers use.
 func (t *Table) Target(name ident.ModelName) (*Target, bool) {
 	if t == nil {
--- a/internal/traffic/dispatch/chat.go
+++ b/internal/traffic/dispatch/chat.go
@@ -10,6 +10,7 @@
 	"cicadaloom/internal/control/claims"
 	"cicadaloom/internal/control/routing"
 	"cicadaloom/internal/control/suspects"
+	"cicadaloom/internal/domain/unit"
 	"cicadaloom/internal/peer/engine"
 )
 
@@ -105,13 +106,14 @@
 // whether another attempt should be made.
 func (c *conversation) attemptAt(ctx context.Context, choice routing.Choice) (bool, *Failure) {
 	c.setOut(choice)
+	defer c.leave()
 	watched, watch := c.watch(ctx)
 	defer watch.stop()
 	stream, err := c.Engines.Chat(watched, choice.Replica.Address, engine.Call{
 		Body:      c.chat.Body,
 		RequestID: c.chat.ID,
 		AttemptID: c.attempt,
-		Priority:  c.priority(),
+		Priority:  c.ticket.Priority(),
 		Deadline:  c.chat.Deadline,
 		ResumeAt:  c.tokens,
 		Stream:    c.chat.Stream,
@@ -135,8 +137,10 @@
 		watch.alive(c.stall())
 		switch e := event.(type) {
 		case engine.Chunk:
+			c.crossing.Received(c.Now(), unit.Bytes(len(e.Raw)))
 			err = c.chunk(e)
 		case engine.Whole:
+			c.crossing.Received(c.Now(), unit.Bytes(len(e.Raw)))
 			c.answer = Whole{
 				Status:      http.StatusOK,
 				ContentType: contentTypeJSON,
@@ -181,6 +185,7 @@
 func (c *conversation) answered(choice routing.Choice) *Failure {
 	c.trail.Finished(c.attempt)
 	choice.Replica.Gauge.Answered(c.Now(), c.timing())
+	c.ticket.Leave(true)
 	if c.verdict == suspects.Alone || c.losses > 0 {
 		c.Reporter.Cleared(c.fingerprint)
 	}
@@ -306,13 +311,3 @@
 	}
 	return j.Now().Add(retryAfterFailure)
 }
-
-// priority gives the engine the place of the request's class, the first being 0.
-func (j *journey) priority() int {
-	for i := range j.target.Document.Classes {
-		if j.target.Document.Classes[i].Name == j.request.Class {
-			return i
-		}
-	}
-	return len(j.target.Document.Classes)
-}
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -37,6 +37,7 @@
 
 	"go.uber.org/zap"
 
+	"cicadaloom/internal/control/admission"
 	"cicadaloom/internal/control/burn"
 	"cicadaloom/internal/control/routing"
 	"cicadaloom/internal/control/suspects"
@@ -69,7 +70,7 @@
 	Do(ctx context.Context, address string, request *plain.Request) (*plain.Answer, *plain.Refusal)
 }
 
-// Dispatcher serves requests. All fields but Budget must be set.
+// Dispatcher serves requests. All fields but Budget and Link must be set.
 type Dispatcher struct {
 	Knowledge Knowledge
 	Claims    Claims
@@ -78,8 +79,10 @@
 	Plains    Plains
 	Policy    routing.Policy
 	Budget    *Budget
-	Log       *zap.Logger
-	Metrics   Metrics
+	// Link is the way to other regions; nil keeps requests in this one.
+	Link    *Link
+	Log     *zap.Logger
+	Metrics Metrics
 	// Now is the wall clock; time.Now unless a test sets it.
 	Now func() time.Time
 	// Dice gives random bits.
@@ -107,6 +110,12 @@
 	// queue was expected before it.
 	sentAt time.Time
 	queued bool
+	// class is the place of the request's class in the document, the first 0;
+	// ticket is the last attempt's place at its server.
+	class  int
+	ticket admission.Ticket
+	// crossing is the last attempt's way over the link, if it took that.
+	crossing Crossing
 	// losses counts the backend servers that fell silent while the request was there.
 	losses int
 	log    *zap.Logger
@@ -122,6 +131,7 @@
 		fingerprint: request.fingerprint(target.Label()),
 		arrived:     now,
 		promised:    now.Add(target.Promise.FirstToken),
+		class:       classIndex(request.Class, target.Document),
 		log:         d.Log.With(zap.String("RequestID", string(request.ID)), zap.String("Target", target.Label())),
 	}
 	j.verdict = d.Knowledge.Suspects().Verdict(j.fingerprint)
