reports: Ask each server by two watchers, and pass its reports on as news

Cause: every host asked every server: 850 servers at 2 a second and 813 bytes are 1.4 MB/s a host, each reading of a list of 1,220 entries a second 220 KB/s more, and each message made a new table of 3.6 ms. Ruled out: gossip with random peers, each told the whole (10 KB in each of 8 messages a second); relays in each data centre (135 KB/s at a relay); neighbours by each host's own ranking (18 KB/s on the mean, but 47 KB/s at the host that most had chosen). For the leader: asking all engines itself (850 every 30 s are already 23 KB/s), or whole reports from watchers (they change at each order). Change: above 512 pairs of host and server two hosts of the server's data centre (else region, else any) ask it every 3 s. Hosts stand in two rings a region, two gates a data centre know another region. News of a server goes to neighbours that have not taken it in, the oldest first, at most 256 loads and 64 holdings a word: hash, digest, age, running, waiting; holdings when the digest changes. An older instant never replaces a newer one. In the region a report goes each 4 s, beyond each 10 s. The leader takes all regions' news and asks an engine only when its digest, which covers orders and fencing, has changed, or after 5 minutes. The list is read at 6 KB/s at most, tables take 1% of a core at most, suspects are told 64 at a time, and a dead host's load is taken off (routing.PeerGone was never sent). Below 512 pairs (7 hosts, 73 servers) hosts ask as before: TestFewHostsPollDirectly.

--- a/internal/control/loop/loop.go
+++ b/internal/control/loop/loop.go
@@ -40,6 +40,7 @@
 	"cicadaloom/internal/control/documents"
 	"cicadaloom/internal/control/membership"
 	"cicadaloom/internal/control/orders"
+	"cicadaloom/internal/control/reports"
 	"cicadaloom/internal/control/routing"
 	"cicadaloom/internal/control/suspects"
 	"cicadaloom/internal/domain/backend"
@@ -111,6 +112,17 @@
 	membership membership.Machine
 	suspected  suspects.Machine
 	burn       burn.Machine
+	reports    reports.Machine
+
+	// direct tells that this host asks every server, watched has those that it
+	// asks otherwise.
+	direct  bool
+	watched map[ident.ServerName]bool
+	// wholes has the engines' own reports, wanted those to ask for.
+	wholes    map[ident.ServerName]whole
+	wanted    map[ident.ServerName]bool
+	live      []ident.HostID
+	startedAt time.Time
 
 	servers map[ident.ServerName]backend.Server
 	polling map[ident.ServerName]bool
@@ -129,12 +141,15 @@
 	demand      map[ident.ModelName]float64
 	askedFor    map[ident.ModelName]int64
 	listAt      time.Time
+	listLength  int
 	pollAt      time.Time
 	exchangeAt  time.Time
 	planAt      time.Time
 	documentsAt time.Time
 	dirty       bool
-	gauges      gauges
+	// publishAt is when the next table may be made.
+	publishAt time.Time
+	gauges    gauges
 }
 
 // New makes a loop that Start sets going.
@@ -217,13 +232,27 @@
 
 // publish makes a new table where something has changed that tables show.
 func (c *control) publish(now time.Time) {
-	if !c.dirty {
+	if !c.dirty || now.Before(c.publishAt) {
 		return
 	}
 	c.dirty = false
 	if c.documents.Revision() > 0 || c.documents.Snapshot().Revision > 0 {
 		c.table.Store(c.routing.Table(now))
 	}
+	c.publishAt = publishAfter(now, time.Since(now))
+}
+
+// tablesShare is the part of a core's time that making tables may take, one in so
+// many, and tableWait the longest that news waits for the next one.
+const (
+	tablesShare = 100
+	tableWait   = 500 * time.Millisecond
+)
+
+// publishAfter is when the next table may be made. A table of the largest fleet
+// takes some milliseconds: made for each message, tables would take the processor.
+func publishAfter(now time.Time, cost time.Duration) time.Time {
+	return now.Add(min(cost*tablesShare, tableWait))
 }
 
 // tick does what is due.
@@ -243,6 +272,9 @@
 			nap = min(nap, due.Sub(now))
 		}
 	}
+	if c.dirty {
+		nap = min(nap, c.publishAt.Sub(now))
+	}
 	return max(nap, leastNap)
 }
 
--- a/internal/control/loop/peers.go
+++ b/internal/control/loop/peers.go
@@ -8,6 +8,7 @@
 
 	"cicadaloom/internal/control/claims"
 	"cicadaloom/internal/control/membership"
+	"cicadaloom/internal/control/reports"
 	"cicadaloom/internal/control/routing"
 	"cicadaloom/internal/control/suspects"
 	"cicadaloom/internal/domain/ident"
@@ -29,15 +30,20 @@
 	})
 	c.newHomes(now)
 	c.show(now)
-	for _, peer := range c.membership.Targets(now) {
+	for _, peer := range c.membership.Targets(now, c.orders.Leading()) {
 		c.exchange(now, peer)
 	}
 }
 
 // newHomes tells the claims who is alive, in case that has changed.
 func (c *control) newHomes(now time.Time) {
+	live := c.membership.Live(now)
+	if c.sameHosts(live) {
+		return
+	}
+	c.shareDuties(now)
 	c.runClaims(now, c.claims.Step(now, claims.Homes{
-		Hosts: c.membership.Live(now),
+		Hosts: live,
 	}))
 }
 
@@ -58,6 +64,7 @@
 		c.send(exchanged{
 			peer:   peer,
 			theirs: theirs,
+			more:   ours.More,
 			err:    err,
 		})
 	})
@@ -68,6 +75,9 @@
 	// theirs is how far this host has taken in the peer's word, ours the other way.
 	theirs entryhost.Marks
 	ours   entryhost.Marks
+	// wantsReports and allReports are the peer's wishes.
+	wantsReports bool
+	allReports   bool
 }
 
 func (c *control) acquaintance(host ident.HostID) *acquaintance {
@@ -83,27 +93,45 @@
 func (c *control) knowledge(now time.Time, peer membership.Peer) entryhost.Knowledge {
 	known := c.acquaintance(peer.Host)
 	word := c.membership.Word(now, peer.Host, known.ours.Peers)
-	return entryhost.Knowledge{
+	servers := c.reportsFor(known, reports.Reader{
+		Host:   peer.Host,
+		Region: peer.Region,
+	})
+	knowledge := entryhost.Knowledge{
 		Peers: word.Peers,
 		Beats: word.Beats,
 		Told: entryhost.Marks{
-			Epoch: c.epoch,
-			Peers: word.Through,
+			Epoch:   c.epoch,
+			Peers:   word.Through,
+			Reports: servers.Through,
 		},
-		From:      known.ours,
-		Have:      known.theirs,
-		Documents: c.documents.Since(peer.Documents),
-		Loads:     c.routing.Loads(),
-		Suspects:  c.suspected.All(),
-		Leaving:   c.routing.Leaving(),
-	}
+		From:         known.ours,
+		Have:         known.theirs,
+		Documents:    c.documents.Since(peer.Documents),
+		Suspects:     c.suspected.Some(mostSuspects),
+		Leaving:      c.routing.Leaving(),
+		WantsReports: !c.direct,
+		AllReports:   !c.direct && c.orders.Leading(),
+		Reports:      servers,
+		More:         word.More || servers.More,
+	}
+	// With many hosts the reports say more than the few peers that a host hears.
+	if c.direct {
+		knowledge.Loads = c.routing.Loads()
+	}
+	return knowledge
 }
 
+// mostSuspects bounds a word's part on suspects.
+const mostSuspects = 64
+
 // acquaint takes note of how far the two have told each other. A host that has
 // lost its memory is told everything again: its word does not know this host's
 // epoch, or it finds that a word begins after the place that it has come to.
 func (c *control) acquaint(theirs *entryhost.Knowledge) {
 	known := c.acquaintance(theirs.Sender().Host)
+	known.wantsReports = theirs.WantsReports
+	known.allReports = theirs.AllReports
 	known.ours = entryhost.Marks{}
 	if theirs.Have.Epoch == c.epoch {
 		known.ours = theirs.Have
@@ -116,13 +144,18 @@
 	if theirs.From.Peers <= known.theirs.Peers {
 		known.theirs.Peers = max(known.theirs.Peers, theirs.Told.Peers)
 	}
+	if theirs.From.Reports <= known.theirs.Reports {
+		known.theirs.Reports = max(known.theirs.Reports, theirs.Told.Reports)
+	}
 }
 
 // exchanged is the end of an exchange that this host began.
 type exchanged struct {
 	peer   membership.Peer
 	theirs entryhost.Knowledge
-	err    error
+	// more tells that this host had more to tell than fitted in.
+	more bool
+	err  error
 }
 
 func (m exchanged) apply(now time.Time, c *control) {
@@ -132,7 +165,7 @@
 		return
 	}
 	c.learn(now, m.theirs)
-	if again {
+	if again || m.more || m.theirs.More {
 		c.exchange(now, m.theirs.Sender())
 	}
 }
@@ -189,6 +222,7 @@
 		},
 	})
 	c.learnDocuments(now, theirs.Documents)
+	c.learnReports(now, sender.Host, theirs.Reports)
 	c.routing.Step(now, routing.PeerLoads{
 		Host:  sender.Host,
 		Loads: theirs.Loads,
--- a/internal/control/loop/servers.go
+++ b/internal/control/loop/servers.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"cicadaloom/internal/control/membership"
+	"cicadaloom/internal/control/reports"
 	"cicadaloom/internal/control/routing"
 	"cicadaloom/internal/control/suspects"
 	"cicadaloom/internal/domain/backend"
@@ -25,6 +26,12 @@
 	deathCheckEvery = 250 * time.Millisecond
 )
 
+// A list's bytes, measured, and what reading it may cost.
+const (
+	listEntryBytes     = 180
+	listBytesPerSecond = 6 << 10
+)
+
 // hostOf gives the host and port of a base URL, or the text itself.
 func hostOf(base string) string {
 	parsed, err := url.Parse(base)
@@ -50,7 +57,7 @@
 // tickServers reads the list and the reports that are due.
 func (c *control) tickServers(now time.Time) {
 	if !now.Before(c.listAt) {
-		c.listAt = now.Add(c.options.Settings.Control.ListInterval)
+		c.listAt = now.Add(listInterval(c.options.Settings.Control.ListInterval, c.listLength))
 		c.work(c.callTimeout(), func(ctx context.Context) {
 			servers, err := c.list.List(ctx)
 			c.send(listed{
@@ -59,15 +66,26 @@
 			})
 		})
 	}
+	c.askWanted()
 	if now.Before(c.pollAt) {
 		return
 	}
-	c.pollAt = now.Add(c.options.Settings.Control.ReportInterval)
-	for _, server := range c.servers {
-		c.poll(server)
+	c.pollAt = now.Add(c.pollInterval())
+	for name, server := range c.servers {
+		if c.polls(name) {
+			c.poll(server)
+		}
 	}
 }
 
+// listInterval is the time between two readings of the list. A list that grows
+// is read less often, so that its bytes stay the same: that a server leaves is
+// told by its reports long before.
+func listInterval(configured time.Duration, entries int) time.Duration {
+	paced := time.Duration(entries*listEntryBytes) * time.Second / listBytesPerSecond
+	return max(configured, paced)
+}
+
 // poll asks one backend server, unless it still owes the last answer.
 func (c *control) poll(server backend.Server) {
 	if c.polling[server.Name] {
@@ -107,6 +125,7 @@
 		c.log.Debug("the host list can't be read", zap.Error(m.err))
 		return
 	}
+	c.listLength = len(m.servers)
 	servers := make(map[ident.ServerName]backend.Server, len(m.servers))
 	var hosts []membership.Peer
 	for _, server := range m.servers {
@@ -132,7 +151,11 @@
 	c.membership.Step(now, membership.Listed{
 		Hosts: hosts,
 	})
+	c.reports.Step(now, reports.Listed{
+		Servers: m.servers,
+	})
 	c.forgetHosts()
+	c.shareDuties(now)
 	c.routing.Step(now, routing.Servers{
 		Servers: m.servers,
 	})
@@ -152,6 +175,10 @@
 	maps.DeleteFunc(c.acquainted, func(host ident.HostID, _ *acquaintance) bool {
 		return !known[host]
 	})
+	maps.DeleteFunc(c.wholes, func(server ident.ServerName, _ whole) bool {
+		_, listed := c.servers[server]
+		return !listed
+	})
 	c.pool.Keep(addresses)
 }
 
@@ -160,14 +187,7 @@
 	if m.err != nil {
 		return
 	}
-	c.routing.Step(now, routing.Reported{
-		Report: m.report,
-	})
-	if c.servers[m.server].Kind == backend.KindEngine {
-		c.measure(now, &m.report)
-		c.planReport(now, m.report)
-	}
-	c.dirty = true
+	c.hearWhole(now, &m.report)
 }
 
 // died is a request's word that a backend server fell silent under it.
--- a/internal/control/membership/membership.go
+++ b/internal/control/membership/membership.go
@@ -13,7 +13,7 @@
 //
 //	machine := membership.Machine{Self: self}
 //	machine.Step(now, membership.Listed{Hosts: hosts})
-//	for _, peer := range machine.Targets(now) {
+//	for _, peer := range machine.Targets(now, false) {
 //		word := machine.Word(now, peer.Host, have)
 //		// exchange it with peer.Address
 //	}
@@ -25,8 +25,8 @@
 //
 // # Cost
 //
-// Neighbours are chosen by rendezvous hash and stay the same while the live
-// hosts do, so that a word can leave out what the neighbour has. In a fleet of
+// Neighbours follow from hashes of the names and stay while the live hosts do, so
+// that a word can leave out what the neighbour has. In a fleet of
 // more than SlowBeats hosts a beat moves only every slowBeat, and goes as a hash
 // and a few bytes; the whole record goes once, when it is new or has changed.
 package membership
@@ -99,15 +99,18 @@
 	// Peers has the sender first, then records that are new to the receiver.
 	Peers []Peer
 	Beats []Beat
-	// Through is the version up to which the sender has now told everything.
+	// Through is the version up to which the sender has now told everything, More
+	// that this is not all.
 	Through uint64
+	More    bool
 }
 
 type peerState struct {
 	Peer
 	movedAt time.Time
 	listed  bool
-	// rank is this peer's place among those that this host may choose.
+	// hash is the name's, rank the place among those that this host may choose.
+	hash uint64
 	rank uint64
 	// from told the newest beat: it needs no telling.
 	from ident.HostID
@@ -222,6 +225,7 @@
 		Peer: Peer{
 			Host: host,
 		},
+		hash: hashOf(host),
 		rank: weight(hashOf(m.Self.Host), hashOf(host)),
 	}
 	m.peers[host] = known
--- a/internal/control/membership/spread.go
+++ b/internal/control/membership/spread.go
@@ -10,12 +10,14 @@
 	"cicadaloom/internal/domain/ident"
 )
 
-// Neighbours of a host: each host chooses so many, and is chosen by about as
-// many. Two choices of each host join any number of hosts, almost surely.
-const (
-	neighboursInRegion  = 2
-	neighboursElsewhere = 1
-)
+// rings is in how many rings the hosts of a region stand, each in an order of its
+// own. A host's neighbours are those after it, so that it has as many as every
+// other, and news is everywhere in a few steps.
+const rings = 2
+
+// gatesInDataCentre is how many hosts of a data centre have a neighbour in
+// another region as well.
+const gatesInDataCentre = 2
 
 // Word gives what a peer is to be told that has taken in everything up to the
 // version have: this host's record, what changed since, the oldest first, and
@@ -32,6 +34,7 @@
 		asRecord := news.recordVersion > have || m.hashes[Hash(news.Host)] == ""
 		if asRecord && len(word.Peers) == MaxPeers || len(word.Beats) == MaxBeats {
 			word.Through = news.due(have) - 1
+			word.More = true
 			return word
 		}
 		if asRecord {
@@ -74,44 +77,75 @@
 	return news
 }
 
-// Targets gives the peers to exchange with in this interval: the neighbours, and
-// one of the hosts that were only listed or seem dead, so that a healed cut and a
-// host that the list showed before it started are found again.
-func (m *Machine) Targets(now time.Time) []Peer {
-	var near, far, silent []*peerState
+// Targets gives the peers to exchange with in this interval: the neighbours, one
+// of them in another region where this host is a gate or asks for it, and one of
+// the hosts that were only listed or seem dead, so that a healed cut and a host
+// that the list showed before it started are found again.
+func (m *Machine) Targets(now time.Time, far bool) []Peer {
+	var near, live, silent []*peerState
 	for _, peer := range m.sorted() {
 		switch {
 		case peer.Stopping:
+			continue
 		case !m.live(now, peer):
 			silent = append(silent, peer)
+			continue
 		case peer.Region == m.Self.Region:
 			near = append(near, peer)
-		default:
-			far = append(far, peer)
 		}
+		live = append(live, peer)
 	}
-	chosen := first(near, neighboursInRegion)
-	chosen = append(chosen, first(far, neighboursElsewhere)...)
-	if len(far) == 0 {
-		chosen = first(near, neighboursInRegion+neighboursElsewhere)
+	var targets []Peer
+	for ring := range uint64(rings) {
+		targets = m.after(targets, near, ring)
 	}
+	targets = append(targets, m.gate(now, live, far)...)
 	if len(silent) > 0 {
-		chosen = append(chosen, silent[m.random.IntN(len(silent))])
-	}
-	targets := make([]Peer, 0, len(chosen))
-	for _, peer := range chosen {
-		targets = append(targets, peer.Peer)
+		targets = append(targets, silent[m.random.IntN(len(silent))].Peer)
 	}
 	return targets
 }
 
-// first gives the peers that this host ranks first. Each host has its own
-// ranking: were all to choose the same, these would drown.
-func first(peers []*peerState, most int) []*peerState {
-	slices.SortFunc(peers, func(a, b *peerState) int {
-		return cmp.Compare(a.rank, b.rank)
-	})
-	return slices.Clone(peers[:min(most, len(peers))])
+// after adds the host that stands after this one in a ring, or the next one
+// where that is a target already.
+func (m *Machine) after(targets []Peer, near []*peerState, ring uint64) []Peer {
+	self := weight(ring, hashOf(m.Self.Host))
+	var next *peerState
+	var least uint64
+	for _, peer := range near {
+		taken := slices.ContainsFunc(targets, func(target Peer) bool {
+			return target.Host == peer.Host
+		})
+		// The difference wraps around, as the ring does.
+		if distance := weight(ring, peer.hash) - self; !taken && (next == nil || distance < least) {
+			next, least = peer, distance
+		}
+	}
+	if next == nil {
+		return targets
+	}
+	return append(targets, next.Peer)
+}
+
+// gate gives the neighbour in another region: one of the gates there.
+func (m *Machine) gate(now time.Time, live []*peerState, asked bool) []Peer {
+	roster := m.Roster(now)
+	isGate := func(peer *Peer) bool {
+		return roster.Has(peer.Host, string(peer.DataCentre), peer.DataCentre, peer.Region, gatesInDataCentre)
+	}
+	if !asked && !isGate(&m.Self) {
+		return nil
+	}
+	var first *peerState
+	for _, peer := range live {
+		if peer.Region != m.Self.Region && (first == nil || peer.rank < first.rank) && isGate(&peer.Peer) {
+			first = peer
+		}
+	}
+	if first == nil {
+		return nil
+	}
+	return []Peer{first.Peer}
 }
 
 // hashOf is a name's place in rendezvous hashing.
--- a/internal/control/orders/orders.go
+++ b/internal/control/orders/orders.go
@@ -163,6 +163,11 @@
 	return append(commands, m.send(now)...)
 }
 
+// Leader names the host that leads, as this one last read it.
+func (m *Machine) Leader() ident.HostID {
+	return m.leader
+}
+
 // NextTick is when the machine wants a Tick at the latest.
 func (m *Machine) NextTick() time.Time {
 	if m.phase == phaseFollowing || m.phase == phaseAcquiring {
--- a/internal/control/suspects/suspects.go
+++ b/internal/control/suspects/suspects.go
@@ -195,6 +195,16 @@
 	return all
 }
 
+// Some gives at most so many suspects for peers: those of the newest deaths.
+func (m *Machine) Some(most int) []Suspect {
+	all := m.All()
+	if len(all) <= most {
+		return all
+	}
+	sort.SliceStable(all, func(i, j int) bool { return all[i].KeepUntil.After(all[j].KeepUntil) })
+	return all[:most]
+}
+
 // View is what traffic reads. It never changes; the nil View serves everything.
 type View struct {
 	verdicts map[ident.Fingerprint]Verdict
--- a/internal/peer/entryhost/codec.go
+++ b/internal/peer/entryhost/codec.go
@@ -34,8 +34,13 @@
 		Told:     encodeMarks(k.Told),
 		From:     encodeMarks(k.From),
 		Have:     encodeMarks(k.Have),
+
+		WantsReports: k.WantsReports,
+		AllReports:   k.AllReports,
+		More:         k.More,
 	}
 	encodeBeats(wire, &k)
+	encodeReports(wire, &k.Reports)
 	for i := range k.Peers {
 		wire.Peers = append(wire.Peers, encodePeer(&k.Peers[i]))
 	}
@@ -74,6 +79,11 @@
 		Told:  decodeMarks(wire.GetTold()),
 		From:  decodeMarks(wire.GetFrom()),
 		Have:  decodeMarks(wire.GetHave()),
+
+		WantsReports: wire.GetWantsReports(),
+		AllReports:   wire.GetAllReports(),
+		More:         wire.GetMore(),
+		Reports:      decodeReports(wire),
 	}
 	for _, peer := range wire.GetPeers() {
 		k.Peers = append(k.Peers, decodePeer(peer))
@@ -103,15 +113,17 @@
 
 func encodeMarks(marks Marks) *entryhostpb.Marks {
 	return &entryhostpb.Marks{
-		Epoch: marks.Epoch,
-		Peers: marks.Peers,
+		Epoch:   marks.Epoch,
+		Peers:   marks.Peers,
+		Reports: marks.Reports,
 	}
 }
 
 func decodeMarks(wire *entryhostpb.Marks) Marks {
 	return Marks{
-		Epoch: wire.GetEpoch(),
-		Peers: wire.GetPeers(),
+		Epoch:   wire.GetEpoch(),
+		Peers:   wire.GetPeers(),
+		Reports: wire.GetReports(),
 	}
 }
 
--- a/internal/peer/entryhost/codec_test.go
+++ b/internal/peer/entryhost/codec_test.go
@@ -12,9 +12,12 @@
 	"cicadaloom/internal/control/claims"
 	"cicadaloom/internal/control/documents"
 	"cicadaloom/internal/control/membership"
+	"cicadaloom/internal/control/reports"
 	"cicadaloom/internal/control/routing"
 	"cicadaloom/internal/control/suspects"
+	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/domain/unit"
 	"cicadaloom/internal/wire/entryhostpb"
 )
 
@@ -92,8 +95,48 @@
 
 func anyMarks(t *rapid.T) Marks {
 	return Marks{
-		Epoch: rapid.Uint64().Draw(t, "epoch"),
-		Peers: rapid.Uint64().Draw(t, "peers"),
+		Epoch:   rapid.Uint64().Draw(t, "epoch"),
+		Peers:   rapid.Uint64().Draw(t, "peers"),
+		Reports: rapid.Uint64().Draw(t, "reports"),
+	}
+}
+
+func anyMilli(t *rapid.T) time.Time {
+	return time.UnixMilli(rapid.Int64Range(1, 1<<42).Draw(t, "at"))
+}
+
+func anyReportLoad(t *rapid.T) reports.Load {
+	return reports.Load{
+		Server:  rapid.Uint32().Draw(t, "server"),
+		Digest:  rapid.Uint32().Draw(t, "digest"),
+		At:      anyMilli(t),
+		Running: rapid.IntRange(0, 1<<20).Draw(t, "running"),
+		Waiting: rapid.IntRange(0, 1<<20).Draw(t, "waiting"),
+	}
+}
+
+func anyHolding(t *rapid.T) reports.Holding {
+	return reports.Holding{
+		Digest: rapid.Uint32().Draw(t, "digest"),
+		Report: backend.Report{
+			Server:      text[ident.ServerName](t, "server"),
+			Incarnation: text[ident.Incarnation](t, "incarnation"),
+			At:          anyMilli(t),
+			Memory:      unit.Bytes(rapid.Int64Min(0).Draw(t, "memory")),
+			Running:     rapid.IntRange(0, 1<<20).Draw(t, "running"),
+			Waiting:     rapid.IntRange(0, 1<<20).Draw(t, "waiting"),
+			Slots:       rapid.IntRange(0, 1<<20).Draw(t, "slots"),
+			Leaving:     rapid.Bool().Draw(t, "leaving"),
+			Residents: listOf(t, "residents", func(t *rapid.T) backend.Resident {
+				return backend.Resident{
+					Model:   text[ident.ModelName](t, "model"),
+					Adapter: text[ident.AdapterName](t, "adapter"),
+					Version: text[ident.Version](t, "version"),
+					Memory:  unit.Bytes(rapid.Int64Min(0).Draw(t, "memory")),
+					Ready:   rapid.Bool().Draw(t, "ready"),
+				}
+			}),
+		},
 	}
 }
 
@@ -108,6 +151,13 @@
 				Documents: ident.Revision(rapid.Int64Min(0).Draw(t, "documents")),
 			}
 		}),
+		WantsReports: rapid.Bool().Draw(t, "wants"),
+		AllReports:   rapid.Bool().Draw(t, "all"),
+		More:         rapid.Bool().Draw(t, "more"),
+		Reports: reports.Word{
+			Loads:    listOf(t, "reports", anyReportLoad),
+			Holdings: listOf(t, "holdings", anyHolding),
+		},
 		Told: anyMarks(t),
 		From: anyMarks(t),
 		Have: anyMarks(t),
--- a/internal/peer/entryhost/entryhost.go
+++ b/internal/peer/entryhost/entryhost.go
@@ -35,6 +35,7 @@
 	"cicadaloom/internal/control/claims"
 	"cicadaloom/internal/control/documents"
 	"cicadaloom/internal/control/membership"
+	"cicadaloom/internal/control/reports"
 	"cicadaloom/internal/control/routing"
 	"cicadaloom/internal/control/suspects"
 	"cicadaloom/internal/domain/ident"
@@ -56,6 +57,14 @@
 	Loads     map[ident.ServerName]int64
 	Suspects  []suspects.Suspect
 	Leaving   []routing.ServerLeaving
+	// WantsReports tells that the sender relies on peers for reports; with
+	// AllReports, for those of every region alike.
+	WantsReports bool
+	AllReports   bool
+	// Reports is what the receiver has not heard of backend servers.
+	Reports reports.Word
+	// More tells that not everything fitted in.
+	More bool
 }
 
 // Sender gives the host whose word it is, the zero Peer for an empty word.
@@ -68,8 +77,9 @@
 
 // Marks are places in the news of one life of a host, its Epoch.
 type Marks struct {
-	Epoch uint64
-	Peers uint64
+	Epoch   uint64
+	Peers   uint64
+	Reports uint64
 }
 
 // Counts are one host's rows for the report on service-level burn.
