loop: Have documents watched by two hosts of each data centre

Change: two hosts a data centre by rendezvous hash over the live ones; the others learn by the exchange, which follows a change at once. A host takes the duty up when it knows others, or after 5 s alone.

--- a/internal/control/loop/loop.go
+++ b/internal/control/loop/loop.go
@@ -123,6 +123,10 @@
 	wanted    map[ident.ServerName]bool
 	live      []ident.HostID
 	startedAt time.Time
+	// acquaintedYet tells that this host has its duties, watches that watching
+	// the documents is one.
+	acquaintedYet bool
+	watches       bool
 
 	servers map[ident.ServerName]backend.Server
 	polling map[ident.ServerName]bool
@@ -189,7 +193,7 @@
 // run is the control goroutine.
 func (c *control) run() error {
 	c.stepDocuments(time.Now(), documents.Started{
-		Watch: true,
+		Watch: false, // it takes up the duty when it knows the other hosts
 	})
 	timer := time.NewTimer(leastNap)
 	defer timer.Stop()
--- a/internal/control/loop/peers.go
+++ b/internal/control/loop/peers.go
@@ -38,7 +38,7 @@
 // newHomes tells the claims who is alive, in case that has changed.
 func (c *control) newHomes(now time.Time) {
 	live := c.membership.Live(now)
-	if c.sameHosts(live) {
+	if c.sameHosts(live) && c.acquaintedYet {
 		return
 	}
 	c.shareDuties(now)
--- a/internal/control/loop/watch.go
+++ b/internal/control/loop/watch.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"cicadaloom/internal/control/documents"
+	"cicadaloom/internal/control/membership"
 	"cicadaloom/internal/control/reports"
 	"cicadaloom/internal/control/routing"
 	"cicadaloom/internal/domain/backend"
@@ -25,8 +27,11 @@
 	// two digests may be the same by chance.
 	wholePollsAtOnce = 12
 	wholeAgain       = 5 * time.Minute
+	// documentWatchers is how many hosts of a data centre watch the documents.
+	documentWatchers = 2
+	documentsDuty    = "documents"
 	// acquaintIn is how long a host that has just started waits for its peers
-	// before it believes that it is alone with all the servers.
+	// before it believes that it is alone, with all servers and with the documents.
 	acquaintIn = 5 * time.Second
 )
 
@@ -51,7 +56,12 @@
 	self := c.options.Settings.Host.Name
 	c.direct = pollsDirectly(len(all), len(c.servers))
 	c.watched = make(map[ident.ServerName]bool)
-	if c.direct || (roster.Size() < 2 && len(all) > 1 && now.Before(c.startedAt.Add(acquaintIn))) {
+	c.acquaintedYet = roster.Size() > 1 || !now.Before(c.startedAt.Add(acquaintIn))
+	if !c.acquaintedYet {
+		return
+	}
+	c.watchDuty(now, roster)
+	if c.direct {
 		return
 	}
 	for name, server := range c.servers {
@@ -61,6 +71,20 @@
 	}
 }
 
+// watchDuty has the documents watched by a few hosts of each data centre: each
+// watch counts as a call of the key-value service in each second, and its rates
+// grow more slowly than the fleet. The others learn by the exchange.
+func (c *control) watchDuty(now time.Time, roster *membership.Roster) {
+	self := &c.options.Settings.Host
+	watches := roster.Has(self.Name, documentsDuty, self.DataCentre, self.Region, documentWatchers)
+	if watches != c.watches {
+		c.watches = watches
+		c.stepDocuments(now, documents.WatchDuty{
+			Watch: watches,
+		})
+	}
+}
+
 // pollInterval is between two reports that this host asks of one server.
 func (c *control) pollInterval() time.Duration {
 	if c.direct {
--- a/internal/control/loop/watch_test.go
+++ b/internal/control/loop/watch_test.go
@@ -54,6 +54,17 @@
 	hearAll(c, targetStart, targetHosts)
 	require.NotEmpty(t, c.watched)
 	require.Less(t, len(c.watched), 25)
+	watching := 0
+	for i := range targetHosts {
+		one, _ := newTarget(targetHosts, 0)
+		one.options.Settings.Host.Name = ident.HostID(fmt.Sprintf("dc-%d-entry-%03d", i%targetDataCentres, i))
+		one.options.Settings.Host.DataCentre, one.options.Settings.Host.Region = placeOf(i)
+		one.watchDuty(targetStart, c.membership.Roster(targetStart))
+		if one.watches {
+			watching++
+		}
+	}
+	require.Equal(t, targetDataCentres*documentWatchers, watching)
 	for name := range c.watched {
 		require.Equal(t, "dc-0", string(c.servers[name].DataCentre))
 	}
@@ -65,8 +76,11 @@
 func TestAHostThatIsAlonePollsEverything(t *testing.T) {
 	c, _ := newTarget(targetHosts, targetServers)
 	c.startedAt = targetStart
+	c.shareDuties(targetStart)
+	require.False(t, c.watches)
 	c.shareDuties(targetStart.Add(acquaintIn))
 	require.Len(t, c.watched, targetServers)
+	require.True(t, c.watches)
 }
 
 // The leader learns by peers that an engine has settled an order, which they
