demand: Add up what callers ask for over all hosts, for the placement's leader

Cause: the leader multiplied its own callers' rates by the number of live hosts. A model whose callers come through others had no demand at all, and one that only the leader's callers use had that of a whole fleet. Ruled out: rates by the exchange: sums can't be passed on without each host's part, and these are wanted by one host only. Change: each host smooths its rates and tells the leader those that changed by more than a tenth, at most 32, at each plan interval or 50 ms for each host of the fleet; a new leader is told everything; a dead host's part goes.

--- a/internal/control/loop/loop.go
+++ b/internal/control/loop/loop.go
@@ -37,6 +37,7 @@
 	"cicadaloom/internal/config/settings"
 	"cicadaloom/internal/control/burn"
 	"cicadaloom/internal/control/claims"
+	"cicadaloom/internal/control/demand"
 	"cicadaloom/internal/control/documents"
 	"cicadaloom/internal/control/membership"
 	"cicadaloom/internal/control/orders"
@@ -142,7 +143,8 @@
 	memories    memories
 	listedAt    map[ident.ServerName]time.Time
 	watch       context.CancelFunc
-	demand      map[ident.ModelName]float64
+	demand      demand.Machine
+	demandAt    time.Time
 	askedFor    map[ident.ModelName]int64
 	listAt      time.Time
 	listLength  int
--- a/internal/control/loop/placement.go
+++ b/internal/control/loop/placement.go
@@ -14,9 +14,6 @@
 	"cicadaloom/internal/domain/store"
 )
 
-// demandWeight is the weight of the newest interval in a smoothed request rate.
-const demandWeight = 0.2
-
 // orderEvent is an event for the machine that plans and gives orders.
 type orderEvent struct {
 	event orders.Event
@@ -44,28 +41,7 @@
 	}
 	interval := c.options.Settings.Control.PlanInterval
 	c.planAt = now.Add(interval)
-	c.runOrders(c.orders.Step(now, orders.Demand{
-		Rates: c.rates(interval),
-	}))
-}
-
-// rates smooths what this host's callers asked for in the last interval. The
-// balancer spreads callers evenly over the hosts of a data centre, so that the
-// leader's own share stands for the others' until peers tell theirs.
-func (c *control) rates(interval time.Duration) []orders.DemandRate {
-	var rates []orders.DemandRate
-	for model, smoothed := range c.demand {
-		asked := float64(c.askedFor[model]) / interval.Seconds()
-		smoothed += demandWeight * (asked - smoothed)
-		c.demand[model] = smoothed
-		rates = append(rates, orders.DemandRate{
-			Model:      model,
-			DataCentre: c.options.Settings.Host.DataCentre,
-			PerSecond:  smoothed * float64(max(len(c.membership.Live(time.Now())), 1)),
-		})
-	}
-	clear(c.askedFor)
-	return rates
+	c.tickDemand(now, interval)
 }
 
 func (c *control) planServers(now time.Time, servers []backend.Server) {
--- a/internal/control/loop/start.go
+++ b/internal/control/loop/start.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cicadaloom/internal/control/claims"
+	"cicadaloom/internal/control/demand"
 	"cicadaloom/internal/control/documents"
 	"cicadaloom/internal/control/membership"
 	"cicadaloom/internal/control/orders"
@@ -53,9 +54,12 @@
 		edits:      make(map[ident.EditID][]chan documents.EditResult),
 		memories:   make(memories),
 		listedAt:   make(map[ident.ServerName]time.Time),
-		demand:     make(map[ident.ModelName]float64),
-		askedFor:   make(map[ident.ModelName]int64),
-		gauges:     newGauges(l.options.Metrics, l),
+		demand: demand.Machine{
+			Host:       host.Name,
+			DataCentre: host.DataCentre,
+		},
+		askedFor: make(map[ident.ModelName]int64),
+		gauges:   newGauges(l.options.Metrics, l),
 	}
 }
 
--- a/internal/control/loop/traffic.go
+++ b/internal/control/loop/traffic.go
@@ -23,9 +23,6 @@
 func (m finished) apply(now time.Time, c *control) {
 	c.burn.Count(now, m.sample)
 	c.askedFor[m.sample.Model]++
-	if _, known := c.demand[m.sample.Model]; !known {
-		c.demand[m.sample.Model] = 0
-	}
 }
 
 // cleared is a suspect that was answered after all.
--- a/internal/control/loop/watch.go
+++ b/internal/control/loop/watch.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"cicadaloom/internal/control/demand"
 	"cicadaloom/internal/control/documents"
 	"cicadaloom/internal/control/membership"
 	"cicadaloom/internal/control/reports"
@@ -201,6 +202,9 @@
 			c.routing.Step(time.Time{}, routing.PeerGone{
 				Host: host,
 			})
+			c.demand.Step(demand.Gone{
+				Host: host,
+			})
 		}
 	}
 	c.live = live
--- a/internal/peer/entryhost/client.go
+++ b/internal/peer/entryhost/client.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	"cicadaloom/internal/control/claims"
+	"cicadaloom/internal/control/demand"
 	"cicadaloom/internal/peer/meter"
 	"cicadaloom/internal/wire/entryhostpb"
 )
@@ -97,6 +98,16 @@
 	return decodeCounts(answer), nil
 }
 
+// Demand tells the leader of the placement what callers ask for.
+func (p *Pool) Demand(ctx context.Context, address string, told demand.Told) error {
+	peer, err := p.Peer(address)
+	if err != nil {
+		return err
+	}
+	_, err = peer.Demand(ctx, encodeDemand(told))
+	return errors.Wrapf(err, "demand to %s", address)
+}
+
 // Claim asks the home of a claim's partition to carry it out.
 func (p *Pool) Claim(ctx context.Context, address string, claim claims.Claim) (claims.Answer, error) {
 	peer, err := p.Peer(address)
--- a/internal/peer/entryhost/codec.go
+++ b/internal/peer/entryhost/codec.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cicadaloom/internal/control/burn"
+	"cicadaloom/internal/control/demand"
 	"cicadaloom/internal/control/documents"
 	"cicadaloom/internal/control/membership"
 	"cicadaloom/internal/control/routing"
@@ -203,6 +204,32 @@
 	return suspect
 }
 
+func encodeDemand(told demand.Told) *entryhostpb.DemandRequest {
+	wire := &entryhostpb.DemandRequest{
+		Host:       string(told.Host),
+		DataCentre: string(told.DataCentre),
+	}
+	for _, rate := range told.Rates {
+		wire.Models = append(wire.Models, string(rate.Model))
+		wire.PerSecond = append(wire.PerSecond, float32(rate.PerSecond))
+	}
+	return wire
+}
+
+func decodeDemand(wire *entryhostpb.DemandRequest) demand.Told {
+	told := demand.Told{
+		Host:       ident.HostID(wire.GetHost()),
+		DataCentre: ident.DataCentre(wire.GetDataCentre()),
+	}
+	for i := range min(len(wire.GetModels()), len(wire.GetPerSecond())) {
+		told.Rates = append(told.Rates, demand.Rate{
+			Model:     ident.ModelName(wire.GetModels()[i]),
+			PerSecond: float64(wire.GetPerSecond()[i]),
+		})
+	}
+	return told
+}
+
 func encodeCounts(counts Counts) *entryhostpb.BurnResponse {
 	wire := &entryhostpb.BurnResponse{
 		Host: string(counts.Host),
--- a/internal/peer/entryhost/entryhost.go
+++ b/internal/peer/entryhost/entryhost.go
@@ -1,10 +1,10 @@
 // Package entryhost is what entry hosts say to one another, over gRPC.
 //
-// There are four calls. Exchange is the heartbeat: each side tells the beats,
+// There are six calls. Exchange is the heartbeat: each side tells the beats,
 // documents, loads, suspects and leaving backend servers that it knows, and
 // each part carries what orders it, so that telling it twice or late does no
 // harm. Claim, Finish and Release go to the home of a key's
-// partition. Burn collects the
+// partition. Demand goes to the host that leads the placement. Burn collects the
 // counts for the report on service-level burn.
 //
 // # Usage
@@ -33,6 +33,7 @@
 
 	"cicadaloom/internal/control/burn"
 	"cicadaloom/internal/control/claims"
+	"cicadaloom/internal/control/demand"
 	"cicadaloom/internal/control/documents"
 	"cicadaloom/internal/control/membership"
 	"cicadaloom/internal/control/reports"
@@ -92,6 +93,7 @@
 type Handler interface {
 	Exchange(ctx context.Context, theirs Knowledge) (Knowledge, error)
 	Counts(ctx context.Context) (Counts, error)
+	Demand(ctx context.Context, told demand.Told) error
 	// The calls on claims are for an attempt of another host, their Origin.
 	ClaimFor(ctx context.Context, claim claims.Claim) (claims.Answer, error)
 	FinishFor(ctx context.Context, finish claims.Finish) (bool, error)
@@ -170,6 +172,13 @@
 	return encodeCounts(counts), nil
 }
 
+func (s *service) Demand(ctx context.Context, request *entryhostpb.DemandRequest) (*entryhostpb.DemandResponse, error) {
+	if err := s.handler.Demand(ctx, decodeDemand(request)); err != nil {
+		return nil, err
+	}
+	return &entryhostpb.DemandResponse{}, nil
+}
+
 func (s *service) Claim(ctx context.Context, request *entryhostpb.ClaimRequest) (*entryhostpb.ClaimResponse, error) {
 	answer, err := s.handler.ClaimFor(ctx, decodeClaim(request))
 	if err != nil {
--- a/internal/peer/entryhost/entryhost_test.go
+++ b/internal/peer/entryhost/entryhost_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/goleak"
 
 	"cicadaloom/internal/control/claims"
+	"cicadaloom/internal/control/demand"
 	"cicadaloom/internal/control/documents"
 	"cicadaloom/internal/control/membership"
 )
@@ -26,6 +27,7 @@
 	knows  Knowledge
 	heard  Knowledge
 	finish claims.Finish
+	demand demand.Told
 	err    error
 }
 
@@ -40,6 +42,11 @@
 	}, p.err
 }
 
+func (p *peer) Demand(_ context.Context, told demand.Told) error {
+	p.demand = told
+	return p.err
+}
+
 func (p *peer) ClaimFor(_ context.Context, claim claims.Claim) (claims.Answer, error) {
 	return claims.Answer{
 		Attempt: claim.Attempt,
@@ -115,6 +122,17 @@
 	require.NoError(t, err)
 	require.True(t, recorded)
 
+	told := demand.Told{
+		Host:       "entry-2",
+		DataCentre: "brest-a",
+		Rates: []demand.Rate{{
+			Model:     "briefing",
+			PerSecond: 2.5,
+		}},
+	}
+	require.NoError(t, pool.Demand(ctx, address, told))
+	require.Equal(t, told, handler.demand)
+
 	counts, err := pool.Burn(ctx, address)
 	require.NoError(t, err)
 	require.EqualValues(t, "entry-1", counts.Host)
