--- a/internal/control/claims/fleet_test.go
+++ b/internal/control/claims/fleet_test.go
@@ -1,9 +1,7 @@
 package claims
 
 import (
-	"container/heap"
 	"fmt"
-	"strings"
 	"testing"
 	"time"
 
@@ -20,74 +18,8 @@
 	plenty     = time.Hour
 )
 
-// fault is what befalls a message on its way.
-type fault int
-
-const (
-	noFault fault = iota
-	// down: a call of the service is refused, a forwarded one finds no host.
-	down
-	// answerLost: the call has its effect, and its caller is told of no answer.
-	answerLost
-	// late: the call has its effect long after its caller was told of no answer.
-	late
-)
-
 var dayOne = time.Date(2026, time.March, 1, 6, 0, 0, 0, time.UTC)
 
-// modelStore is the key-value service as far as the claims use it.
-type modelStore struct {
-	entries  map[string]store.Entry
-	revision ident.Revision
-	writes   int
-	reads    int
-	bytes    int
-	largest  int
-}
-
-func (s *modelStore) read(r ReadPartition) []store.Entry {
-	s.reads++
-	if r.Head != "" {
-		return []store.Entry{s.entries[r.Head]}
-	}
-	var found []store.Entry
-	for key, e := range s.entries {
-		if strings.HasPrefix(key, r.Prefix) {
-			found = append(found, e)
-		}
-	}
-	return found
-}
-
-func (s *modelStore) swap(swap store.Swap) store.SwapResult {
-	s.writes++
-	for _, c := range swap.Compares {
-		if now := s.entries[c.Key]; now.Revision != c.Revision {
-			now.Key = c.Key
-			return store.SwapResult{
-				Current: []store.Entry{now},
-			}
-		}
-	}
-	s.revision++
-	for _, put := range swap.Puts {
-		s.entries[put.Key] = store.Entry{
-			Key:      put.Key,
-			Value:    put.Value,
-			Revision: s.revision,
-		}
-		s.bytes += len(put.Value)
-		s.largest = max(s.largest, len(put.Value))
-	}
-	for _, key := range swap.Deletes {
-		delete(s.entries, key)
-	}
-	return store.SwapResult{
-		Swapped:  true,
-		Revision: s.revision,
-	}
-}
-
 // simHost is an entry host: its machine and the life that the machine is of.
 type simHost struct {
 	name    ident.HostID
@@ -96,6 +28,8 @@
 	frozen  bool
 	inbox   []Event
 	tickAt  time.Time
+	// skew is how far the host's clock goes wrong.
+	skew time.Duration
 }
 
 // message is a command on its way to whoever carries it out, or an event back.
@@ -104,6 +38,8 @@
 	life    int
 	command Command
 	event   Event
+	// mute tells that the caller has been told of no answer.
+	mute bool
 }
 
 // fleet runs machines against a model store and checks every answer.
@@ -121,6 +57,7 @@
 	truth    *truth
 	seen     map[ident.AttemptID]Answer
 	noted    map[ident.AttemptID]bool
+	notedAt  map[ident.AttemptID]time.Time
 	onAnswer func(Answer)
 	timed    events
 	seq      int
@@ -138,6 +75,7 @@
 		truth:   newTruth(),
 		seen:    make(map[ident.AttemptID]Answer),
 		noted:   make(map[ident.AttemptID]bool),
+		notedAt: make(map[ident.AttemptID]time.Time),
 		options: options,
 		lateBy:  700 * time.Millisecond,
 	}
@@ -177,7 +115,7 @@
 		h.inbox = append(h.inbox, event)
 		return
 	}
-	for _, command := range h.machine.Step(f.now, event) {
+	for _, command := range h.machine.Step(f.now.Add(h.skew), event) {
 		f.carryOut(h, command)
 	}
 	f.scheduleTick(h)
@@ -209,6 +147,7 @@
 	case Recorded:
 		if command.Origin == "" {
 			f.noted[command.Attempt] = command.Recorded
+			f.notedAt[command.Attempt] = f.now
 			return
 		}
 		f.reply(f.hosts[command.Origin], NoteForwarded{
@@ -264,146 +203,9 @@
 		f.step(f.hosts[command.To], command.Release)
 		return
 	}
-	f.post(back)
-}
-
-// failed gives the event by which the loop tells that a call had no answer.
-func failed(command Command, err error) Event {
-	switch command := command.(type) {
-	case ReadPartition:
-		return PageRead{
-			Partition: command.Partition,
-			Number:    command.Number,
-			Err:       err,
-		}
-	case SwapPartition:
-		return SwapAnswered{
-			Partition: command.Partition,
-			Number:    command.Number,
-			Err:       err,
-		}
-	case ForwardClaim:
-		return ClaimForwarded{
-			Answer: Answer{
-				Attempt: command.Claim.Attempt,
-			},
-			Err: err,
-		}
-	case ForwardFinish:
-		return NoteForwarded{
-			Attempt: command.Finish.Attempt,
-			Err:     err,
-		}
-	case ForwardRelease:
-		return NoteForwarded{
-			Attempt: command.Release.Attempt,
-			Err:     err,
-		}
-	}
-	return Tick{}
-}
-
-// at is a function to be called at an instant of simulated time.
-type at struct {
-	when time.Time
-	seq  int
-	call func()
-}
-
-type events []at
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].when.Before(e[j].when) || e[i].when.Equal(e[j].when) && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(at)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
-func (f *fleet) after(delay time.Duration, call func()) {
-	f.seq++
-	heap.Push(&f.timed, at{
-		when: f.now.Add(delay),
-		seq:  f.seq,
-		call: call,
-	})
-}
-
-// postTimed is the network: half of a call's time each way, and its faults.
-func (f *fleet) postTimed(m message) {
-	delay := hopDelay
-	if m.toStore() {
-		delay = storeDelay / 2
-	}
-	what := noFault
-	if f.fault != nil && m.event == nil {
-		what = f.fault(m)
-	}
-	switch what {
-	case down:
-		f.after(delay, func() { f.step(m.host, failed(m.command, store.ErrUnavailable)) })
-		return
-	case late:
-		f.after(f.lateBy, func() { f.arriveMute(m) })
-	case answerLost:
-		f.after(delay, func() { f.arriveMute(m) })
-	default:
-		f.after(delay, func() { f.arrive(m) })
-		return
-	}
-	f.after(2*delay, func() { f.step(m.host, failed(m.command, store.ErrUnknownOutcome)) })
-}
-
-func (m message) toStore() bool {
-	switch m.command.(type) {
-	case ReadPartition, SwapPartition:
-		return true
-	}
-	return false
-}
-
-// arriveMute lets a call have its effect without an answer.
-func (f *fleet) arriveMute(m message) {
-	post := f.post
-	f.post = func(message) {}
-	if m.toStore() {
-		f.arrive(m)
-	}
-	f.post = post
-	if !m.toStore() {
-		f.arrive(m)
-	}
-}
-
-func (f *fleet) scheduleTick(h *simHost) {
-	tickAt := h.machine.NextTick()
-	if tickAt.IsZero() || tickAt.Equal(h.tickAt) {
-		return
-	}
-	h.tickAt = tickAt
-	f.after(tickAt.Sub(f.now), func() {
-		if h.tickAt.Equal(tickAt) {
-			h.tickAt = time.Time{}
-		}
-		f.step(h, Tick{})
-	})
-}
-
-// run lets simulated time pass.
-func (f *fleet) run(duration time.Duration) {
-	end := f.now.Add(duration)
-	for len(f.timed) > 0 && !f.timed[0].when.After(end) {
-		next := heap.Pop(&f.timed).(at)
-		if next.when.After(f.now) {
-			f.now = next.when
-		}
-		next.call()
+	if !m.mute {
+		f.post(back)
 	}
-	f.now = end
 }
 
 // claim asks at a host, with a deadline a minute away and an hour's keeping.
--- a/internal/control/claims/flush.go
+++ b/internal/control/claims/flush.go
@@ -12,9 +12,11 @@
 	entries []entry
 	first   uint64
 	// raw is of the active entries with the batch's own, also where it seals them.
-	raw     []byte
-	expiry  time.Time
-	seals   bool
+	raw    []byte
+	expiry time.Time
+	seals  bool
+	// stale tells that a task waits for a fresh reading to be refused.
+	stale   bool
 	deletes []string
 }
 
@@ -49,6 +51,10 @@
 		}
 		m.wakePartition(p, due)
 	}
+	m.readWhenDue(p, stale)
+}
+
+func (m *Machine) readWhenDue(p *partition, stale bool) {
 	if !stale {
 		return
 	}
@@ -60,50 +66,73 @@
 	m.wakePartition(p, due)
 }
 
+// pace is the time that a swap of the partition uses up. Hosts that take each
+// other's swaps away, because they disagree about who is home, double it, so
+// that their fruitless swaps don't fill the service.
+func (m *Machine) pace(p *partition) time.Duration {
+	return m.options.Pace << p.losses
+}
+
 // swapDue paces the swaps of a partition. Nobody waits for a finish or release,
-// so these stay a pace longer, for claims to take them along.
+// so these wait for claims to take them along.
 func (m *Machine) swapDue(p *partition, writes []*task) time.Time {
-	due := p.lastSwap.Add(m.options.Pace)
+	due := p.paidUntil.Add(-time.Duration(m.options.Burst-1) * m.pace(p))
 	for _, t := range writes {
 		if t.kind == kindClaim {
 			return due
 		}
 	}
-	if ripe := writes[0].since.Add(m.options.Pace); ripe.After(due) {
-		return ripe
+	ripe := writes[0].since.Add(m.options.FinishDelay)
+	if m.stopping || due.After(ripe) {
+		return due
+	}
+	return ripe
+}
+
+// pay books a swap made now.
+func (m *Machine) pay(p *partition) {
+	if p.paidUntil.Before(m.now) {
+		p.paidUntil = m.now
 	}
-	return due
+	p.paidUntil = p.paidUntil.Add(m.pace(p))
 }
 
-func (m *Machine) read(p *partition) {
+// read asks for the head and the segments given, or for the whole log where it
+// isn't known. The head comes first: segments never change, so that those which
+// it names are what it was written with, though each key is read by itself.
+func (m *Machine) read(p *partition, segments ...uint64) {
 	p.number++
 	p.reading = true
-	p.headOnly = p.loaded
+	p.asked = nil
 	p.askedStep = m.step
 	p.lastRead = m.now
-	command := ReadPartition{
+	if p.loaded {
+		p.asked = append(p.asked, p.headKey())
+	}
+	for _, number := range segments {
+		p.asked = append(p.asked, p.segmentKey(number))
+	}
+	m.emit(ReadPartition{
 		Partition: p.index,
 		Number:    p.number,
+		Keys:      p.asked,
 		Prefix:    p.prefix(),
-	}
-	if p.headOnly {
-		command.Head = p.headKey()
-	}
-	m.emit(command)
+	})
 }
 
 func (m *Machine) swap(p *partition, writes []*task) {
 	b := m.fill(p, writes)
 	p.queue = stillQueued(p.queue)
 	if len(b.tasks) == 0 {
-		// All were refused at the bound; what that queued comes next.
+		// All are at the bound; what their refusal queued comes next.
 		m.wakePartition(p, m.now.Add(m.options.Pace))
+		m.readWhenDue(p, b.stale)
 		return
 	}
 	p.number++
 	p.inFlight = b
 	p.askedStep = m.step
-	p.lastSwap = m.now
+	m.pay(p)
 	m.emit(SwapPartition{
 		Partition: p.index,
 		Number:    p.number,
@@ -144,7 +173,7 @@
 		expiry: p.expiry,
 	}
 	m.dropLapsed(p, b)
-	full := int(p.active-b.first) >= m.options.MaxSegments
+	full := p.sealedFrom(b.first) >= m.options.LogSize
 	taken := make(map[keyID]bool)
 	for _, t := range writes {
 		if taken[t.key] {
@@ -154,7 +183,7 @@
 		e := m.entryOf(p, t)
 		raw := appendEntry(b.raw, &e)
 		if full && len(raw) > m.roomFor(t) {
-			m.atBound(p, t)
+			b.stale = !m.atBound(p, t) || b.stale
 			continue
 		}
 		if len(raw)-len(p.raw) > maxBatch {
@@ -183,6 +212,17 @@
 	}
 }
 
+// sealedFrom is the size of the segments that stay.
+func (p *partition) sealedFrom(first uint64) int {
+	size := 0
+	for _, s := range p.sealed {
+		if s.number >= first {
+			size += s.size
+		}
+	}
+	return size
+}
+
 // roomFor is how far a task may fill the head when no segment can be sealed.
 // Finishes and releases have a reserve, so that claims that were granted before
 // the bound still come to an end.
@@ -194,14 +234,19 @@
 }
 
 // atBound refuses rather than forgets: a key that is dropped before its
-// KeepUntil would let a repeat run a second time.
-func (m *Machine) atBound(p *partition, t *task) {
+// KeepUntil would let a repeat run a second time. It tells false where the claim
+// waits for a fresh reading, which proves that no earlier attempt has the key.
+func (m *Machine) atBound(p *partition, t *task) bool {
 	if t.kind != kindClaim {
 		m.recorded(t, false)
-		return
+		return true
 	}
 	t.sawFree = p.freshStep >= t.arrived
+	if !t.sawFree {
+		return false
+	}
 	m.refuse(t, "the log of claims is full", p.sealed[0].expiry.Add(m.options.ClockMargin))
+	return true
 }
 
 func (m *Machine) entryOf(p *partition, t *task) entry {
--- a/internal/control/claims/home.go
+++ b/internal/control/claims/home.go
@@ -48,9 +48,10 @@
 // that doesn't come; the task is taken back then, while there is time for it.
 func (m *Machine) forward(t *task, home ident.HostID) {
 	t.phase = phaseForwarded
+	t.home = home
 	switch t.kind {
 	case kindClaim:
-		t.until = m.now.Add(t.deadline.Sub(m.now) / forwardShare)
+		t.until = m.now.Add(min(t.deadline.Sub(m.now)/forwardShare, m.options.ForwardPatience))
 		claim := t.claim
 		claim.Origin = m.options.Host
 		m.emit(ForwardClaim{
@@ -58,7 +59,7 @@
 			Claim: claim,
 		})
 	case kindFinish:
-		t.until = m.now.Add(m.options.NotePatience)
+		t.until = m.now.Add(m.options.ForwardPatience)
 		finish := t.finish
 		finish.Origin = m.options.Host
 		m.emit(ForwardFinish{
@@ -66,7 +67,7 @@
 			Finish: finish,
 		})
 	case kindRelease:
-		t.until = m.now.Add(m.options.NotePatience)
+		t.until = m.now.Add(m.options.ForwardPatience)
 		m.emit(ForwardRelease{
 			To: home,
 			Release: Release{
@@ -84,7 +85,11 @@
 // carry it out as well: both write the same attempt id, and whoever comes second
 // finds it in the log. That claim is granted once, since only we, its origin,
 // grant it, and have one task for it.
+//
+// The home is left alone for a while, so that not every caller has to wait for
+// a host that is frozen or gone and still stands among the live ones.
 func (m *Machine) takeBack(t *task) {
+	m.silent[t.home] = m.now.Add(m.options.HomeSilence)
 	t.doubt = true
 	t.until = time.Time{}
 	m.enqueue(t)
@@ -98,6 +103,9 @@
 	if t == nil || !t.local() {
 		return
 	}
+	if e.Err == nil {
+		delete(m.silent, t.home)
+	}
 	if e.Err == nil && e.Answer.Verdict == Granted {
 		m.grant(t)
 		return
@@ -109,6 +117,10 @@
 		m.takeBack(t)
 		return
 	}
+	if e.Answer.Verdict == ClaimedByOther && m.now.Before(t.watchEnd) {
+		m.submit(t) // the home has watched as long as a call may last
+		return
+	}
 	m.answer(t, e.Answer)
 }
 
@@ -121,15 +133,26 @@
 		if t == nil || !t.local() || t.phase != phaseForwarded {
 			continue
 		}
-		if e.Err != nil || !e.Recorded {
+		if e.Err != nil {
 			m.takeBack(t)
 			continue
 		}
+		delete(m.silent, t.home)
+		if !e.Recorded {
+			m.enqueue(t) // its log may be behind ours
+			continue
+		}
 		m.recorded(t, true)
 	}
 }
 
-// watchUntil is how long a claim waits for another attempt's finish.
-func watchUntil(now, deadline time.Time) time.Time {
-	return now.Add(deadline.Sub(now) / watchShare)
+// watchUntil is how long a claim waits for another attempt's finish. One that
+// was forwarded must be answered before its origin takes it back; the origin
+// asks again if its caller still has time.
+func (m *Machine) watchUntil(t *task) time.Time {
+	if t.local() {
+		return t.watchEnd
+	}
+	left := t.deadline.Sub(m.now)
+	return m.now.Add(min(left/(2*forwardShare), m.options.ForwardPatience/2))
 }
--- a/internal/control/claims/story_test.go
+++ b/internal/control/claims/story_test.go
@@ -1,13 +1,12 @@
 package claims
 
 import (
-	"fmt"
-	"strings"
 	"testing"
 	"time"
 
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/domain/outcome"
+	"cicadaloom/internal/domain/store"
 
 	"github.com/stretchr/testify/require"
 )
@@ -77,24 +76,144 @@
 
 // A caller's deadline passes while its claim's swap is in doubt, so it reads
 // "not run". The swap lands after that: the key looks claimed with nobody
-// running it. The release takes it back, and a repeat is granted.
+// running it. The release takes it back, or goes before it, and a repeat is
+// granted.
 func TestClaimThatLandsAfterItsRefusalIsReleased(t *testing.T) {
+	for _, lateBy := range []time.Duration{700 * time.Millisecond, 5 * time.Second} {
+		f := newFleet(t, 1, Options{})
+		f.run(time.Second)
+		f.lateBy = lateBy
+		f.fault = func(m message) fault {
+			if isSwap(m) {
+				return late
+			}
+			return down
+		}
+		c := f.newClaim("boat", "a1")
+		c.Deadline = f.now.Add(100 * time.Millisecond)
+		f.claimWith(0, c)
+		f.run(300 * time.Millisecond)
+		f.fault = nil
+		require.Equal(t, Refused, f.verdict("a1"))
+		require.Equal(t, ProofAttempt, f.seen["a1"].Proof)
+		f.run(8 * time.Second)
+		f.claim(0, "boat", "a2")
+		f.run(time.Second)
+		require.Equal(t, Granted, f.verdict("a2"))
+	}
+}
+
+// A claim waits so long on its way to the home that its caller was refused and
+// the claim released before it arrives. It must not block the key, for nobody
+// runs it.
+func TestForwardedClaimAfterItsRelease(t *testing.T) {
+	f := newFleet(t, 2, Options{})
+	f.run(time.Second)
+	home := f.home("boat")
+	c := f.newClaim("boat", "a1")
+	c.Origin = f.names[1-home]
+	f.step(f.hosts[f.names[home]], Release{
+		Team:    team,
+		Key:     "boat",
+		Attempt: "a1",
+		Origin:  c.Origin,
+	})
+	f.run(time.Second)
+	f.step(f.hosts[f.names[home]], c)
+	f.run(time.Second)
+	f.claim(home, "boat", "a2")
+	f.run(time.Second)
+	require.Equal(t, Granted, f.verdict("a2"))
+}
+
+// A release is repeated by the network after another attempt was granted, and a
+// finish of the old attempt comes as well. Neither may touch the new claim: the
+// key would be free, or finished, under a running dispatch.
+func TestOldNotesDoNotTouchANewClaim(t *testing.T) {
 	f := newFleet(t, 1, Options{})
 	f.run(time.Second)
+	f.claim(0, "boat", "a1")
+	f.run(time.Second)
+	release := Release{
+		Team:    team,
+		Key:     "boat",
+		Attempt: "a1",
+		Outcome: (&outcome.Trail{}).Outcome(),
+	}
+	f.truth.released["a1"] = true
+	f.step(f.hosts[f.names[0]], release)
+	f.run(time.Second)
+	f.claim(0, "boat", "a2")
+	f.run(time.Second)
+	f.step(f.hosts[f.names[0]], release)
+	f.run(time.Second)
+	f.finish(0, "boat", "a1", "not so")
+	f.run(time.Second)
+	require.False(t, f.noted["a1"])
+	f.claim(0, "boat", "a3")
+	f.run(time.Minute)
+	require.Equal(t, ClaimedByOther, f.verdict("a3"))
+}
+
+// The home's swap of a forwarded claim is in doubt, and the service fails it
+// before it can look. The origin looks for itself, finds its claim, and sends the
+// boat. The home must leave the claim alone: a release would free the key while
+// the boat is under way.
+func TestHomeLeavesTheReleaseToTheOrigin(t *testing.T) {
+	f := newFleet(t, 2, Options{})
+	f.run(time.Second)
+	home := f.home("boat")
+	cutOff := f.hosts[f.names[home]]
 	f.fault = func(m message) fault {
-		if isSwap(m) {
-			return late
+		switch {
+		case m.host != cutOff || !m.toStore():
+			return noFault
+		case isSwap(m):
+			return answerLost
 		}
 		return down
 	}
+	f.claim(1-home, "boat", "a1")
+	f.run(500 * time.Millisecond)
+	f.fault = nil
+	require.Equal(t, Granted, f.verdict("a1"))
+	f.run(10 * time.Second)
+	f.claim(home, "boat", "a2")
+	f.run(time.Minute)
+	require.Equal(t, ClaimedByOther, f.verdict("a2"))
+}
+
+// A home is gone but still stands among the live hosts. The first caller pays
+// the wait for it; those after it are served by the host that they asked.
+func TestSilentHomeIsWaitedForOnce(t *testing.T) {
+	f := newFleet(t, 2, Options{})
+	f.run(time.Second)
+	home := f.home("boat")
+	f.hosts[f.names[home]].frozen = true
+	f.claim(1-home, "boat", "a1")
+	f.run(DefaultForwardPatience + 100*time.Millisecond)
+	require.Equal(t, Granted, f.verdict("a1"))
+	f.finish(1-home, "boat", "a1", "done")
+	f.claim(1-home, "boat", "a2")
+	f.step(f.hosts[f.names[1-home]], Stopping{})
+	f.run(200 * time.Millisecond)
+	require.Equal(t, Finished, f.verdict("a2"))
+	require.True(t, f.hosts[f.names[1-home]].machine.Idle())
+}
+
+// A host freezes between a swap and its answer and wakes when the caller has
+// gone. It must not send for nobody; the key is free for the repeat.
+func TestNoGrantAfterTheDeadline(t *testing.T) {
+	f := newFleet(t, 1, Options{})
+	f.run(time.Second)
 	c := f.newClaim("boat", "a1")
-	c.Deadline = f.now.Add(100 * time.Millisecond)
+	c.Deadline = f.now.Add(time.Second)
 	f.claimWith(0, c)
-	f.run(300 * time.Millisecond)
-	f.fault = nil
+	f.hosts[f.names[0]].frozen = true
+	f.run(2 * time.Second)
+	f.thaw(f.hosts[f.names[0]])
 	require.Equal(t, Refused, f.verdict("a1"))
-	require.Equal(t, ProofAttempt, f.seen["a1"].Proof)
-	f.run(3 * time.Second)
+	f.run(2 * time.Second)
 	f.claim(0, "boat", "a2")
 	f.run(time.Second)
 	require.Equal(t, Granted, f.verdict("a2"))
@@ -182,7 +301,9 @@
 		Outcome: trail.Outcome(),
 	}
 	f.step(f.hosts[f.names[0]], release)
+	f.run(time.Second)
 	require.False(t, f.noted["a1"])
+	require.Contains(t, f.noted, ident.AttemptID("a1"))
 	trail.Refused("a1")
 	release.Outcome = trail.Outcome()
 	f.truth.released["a1"] = true
@@ -194,77 +315,68 @@
 	require.Equal(t, Granted, f.verdict("a2"))
 }
 
-// The log is full of keys that must be kept. New claims are refused with the
-// time at which the oldest lapse, running ones still finish, and no old key
-// is granted again. When the oldest have lapsed, claims are granted.
-func TestBoundRefusesAndForgetsNothing(t *testing.T) {
-	f := newFleet(t, 1, Options{
-		Partitions:  1,
-		SegmentSize: 500,
-		MaxSegments: 3,
-	})
-	f.run(time.Second)
-	granted := 0
-	for ; f.seen[attemptOf(granted)].Verdict != Refused; granted++ {
-		require.Less(t, granted, 100)
-		f.claim(0, ident.IdempotencyKey(fmt.Sprint(granted)), attemptOf(granted))
+// A fault of the sender gives the same attempt to the machine twice, the second
+// time after its grant. The log shows the attempt's own claim, as it would to a
+// host that resolves a lost answer; still the boat goes out once.
+func TestSameAttemptIsGrantedOnce(t *testing.T) {
+	for host := range 2 {
+		f := newFleet(t, 2, Options{})
+		f.truth.askedTwice = true
 		f.run(time.Second)
-		if f.verdict(attemptOf(granted)) == Refused {
-			break
-		}
+		f.claim(host, "boat", "a1")
+		f.claim(host, "boat", "a1")
+		f.run(time.Second)
+		f.claim(host, "boat", "a1")
+		f.run(time.Second)
+		require.Len(t, f.truth.grants["boat"], 1)
+		require.Equal(t, ClaimedByOther, f.verdict("a1"))
 	}
-	refusal := f.seen[attemptOf(granted)]
-	require.Equal(t, ProofAttempt, refusal.Proof)
-	f.finish(0, "0", attemptOf(0), "late but recorded")
-	f.run(time.Second)
-	require.True(t, f.noted[attemptOf(0)])
-	f.claim(0, "0", "again")
-	f.run(time.Second)
-	require.Equal(t, Finished, f.verdict("again"))
-	f.run(refusal.RetryAt.Sub(f.now) + time.Second)
-	f.claim(0, "new", "a-new")
-	f.run(time.Second)
-	require.Equal(t, Granted, f.verdict("a-new"))
-	require.LessOrEqual(t, len(f.store.entries), 1+3)
 }
 
-func attemptOf(n int) ident.AttemptID {
-	return ident.AttemptID(fmt.Sprintf("att-%032x", n+1))
+// A swap is timed out and written again; then the answer to the first one comes
+// after all. It says nothing about the second: granting on it would send a boat
+// whose claim another host may have overtaken.
+func TestAnswerToAnOldSwapIsIgnored(t *testing.T) {
+	m := New(Options{
+		Partitions: 1,
+	})
+	f := newFleet(t, 1, Options{})
+	m.Step(dayOne, f.newClaim("boat", "a1"))
+	first := m.Step(dayOne, PageRead{
+		Number: 1,
+	})[0].(SwapPartition)
+	m.Step(dayOne, failed(first, store.ErrUnknownOutcome))
+	again := m.Step(dayOne, PageRead{
+		Number: first.Number + 1,
+	})
+	require.IsType(t, SwapPartition{}, again[0])
+	require.Empty(t, m.Step(dayOne, SwapAnswered{
+		Number: first.Number,
+		Result: store.SwapResult{
+			Swapped:  true,
+			Revision: 1,
+		},
+	}))
 }
 
-// All entry hosts are replaced at once. The new ones know nothing and replay
-// head and sealed segments: finished keys give their answers again, running ones
-// read "may have run", whichever page they stand in.
-func TestReplayOfSealedSegments(t *testing.T) {
-	f := newFleet(t, 2, Options{
-		Partitions:  1,
-		SegmentSize: 600,
-	})
+// Two hosts each take themselves for the home, as after a freeze or a cut. The
+// first sends a boat; its caller repeats through the second, which waits for
+// the finish. The first writes it, and nobody tells the second: it must find
+// the finish in the log, and not let its caller wait half of its deadline.
+func TestFinishWrittenByAnotherHomeIsFound(t *testing.T) {
+	f := newFleet(t, 2, Options{})
 	f.run(time.Second)
-	const keys = 30
-	for n := range keys {
-		f.claim(0, ident.IdempotencyKey(fmt.Sprint(n)), attemptOf(n))
-		f.run(200 * time.Millisecond)
-		if n%2 == 0 {
-			f.finish(1, ident.IdempotencyKey(fmt.Sprint(n)), attemptOf(n), strings.Repeat("x", n*200))
-		}
-		f.run(200 * time.Millisecond)
-	}
-	require.Greater(t, len(f.store.entries), 3)
 	for _, name := range f.names {
-		f.start(f.hosts[name])
-	}
-	for n := range keys {
-		f.claim(n%2, ident.IdempotencyKey(fmt.Sprint(n)), attemptOf(1000+n))
-	}
-	f.run(time.Minute)
-	for n := range keys {
-		a := f.seen[attemptOf(1000+n)]
-		if n%2 == 1 {
-			require.Equal(t, ClaimedByOther, a.Verdict, n)
-			continue
-		}
-		require.Equal(t, Finished, a.Verdict, n)
-		require.Equal(t, n*200 <= MaxBody, a.Whole, n)
+		f.step(f.hosts[name], Homes{
+			Hosts: []ident.HostID{name},
+		})
 	}
+	f.claim(0, "boat", "a1")
+	f.run(time.Second)
+	require.Equal(t, Granted, f.verdict("a1"))
+	f.claim(1, "boat", "a2")
+	f.run(time.Second)
+	f.finish(0, "boat", "a1", "boat 7 is out")
+	f.run(time.Second)
+	require.Equal(t, Finished, f.verdict("a2"))
 }
--- a/internal/control/claims/task.go
+++ b/internal/control/claims/task.go
@@ -41,6 +41,8 @@
 	attempt ident.AttemptID
 	origin  ident.HostID
 	phase   phase
+	// home is the host to which the task was forwarded last.
+	home ident.HostID
 	// arrived is the machine's step at which the task came in: what was read
 	// in or after it is fresh enough to answer from.
 	arrived uint64
@@ -57,6 +59,8 @@
 	finish Finish
 
 	deadline time.Time
+	// watchEnd is until when a claim waits for another attempt's finish.
+	watchEnd time.Time
 }
 
 func claimTask(c Claim, step uint64, now time.Time) *task {
@@ -72,6 +76,7 @@
 		since:    now,
 		claim:    c,
 		deadline: c.Deadline,
+		watchEnd: now.Add(c.Deadline.Sub(now) / watchShare),
 	}
 }
 
--- a/internal/control/loop/loop.go
+++ b/internal/control/loop/loop.go
@@ -152,7 +152,9 @@
 	exchangeAt  time.Time
 	planAt      time.Time
 	documentsAt time.Time
-	dirty       bool
+	// planned is the revision of the documents that the plan has.
+	planned ident.Revision
+	dirty   bool
 	// publishAt is when the next table may be made.
 	publishAt time.Time
 	gauges    gauges
@@ -213,7 +215,7 @@
 		}
 		now := time.Now()
 		c.tick(now)
-		c.publish(now)
+		c.publish(time.Now())
 		c.gauges.busy.Add(time.Since(woken).Seconds())
 		timer.Reset(c.nap(now))
 	}
@@ -243,7 +245,7 @@
 	}
 	c.dirty = false
 	if c.documents.Revision() > 0 || c.documents.Snapshot().Revision > 0 {
-		c.table.Store(c.routing.Table(now))
+		c.table.Store(c.routing.Table())
 	}
 	c.publishAt = publishAfter(now, time.Since(now))
 }
--- a/internal/control/loop/peers.go
+++ b/internal/control/loop/peers.go
@@ -29,12 +29,27 @@
 		Stopping:  c.stopping.Load(),
 	})
 	c.newHomes(now)
+	c.countHosts(now)
 	c.show(now)
 	for _, peer := range c.membership.Targets(now, c.orders.Leading()) {
 		c.exchange(now, peer)
 	}
 }
 
+// countHosts tells routing over how many hosts the link's budget is divided.
+func (c *control) countHosts(now time.Time) {
+	count := 0
+	for _, peer := range c.membership.Peers(now) {
+		if peer.Region == c.membership.Self.Region {
+			count++
+		}
+	}
+	c.routing.Step(now, routing.Hosts{
+		InRegion: count,
+	})
+	c.dirty = true
+}
+
 // newHomes tells the claims who is alive, in case that has changed.
 func (c *control) newHomes(now time.Time) {
 	live := c.membership.Live(now)
--- a/internal/control/loop/scale_test.go
+++ b/internal/control/loop/scale_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"cicadaloom/internal/config/settings"
 	"cicadaloom/internal/control/documents"
+	"cicadaloom/internal/control/reports"
 	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/document"
 	"cicadaloom/internal/domain/ident"
@@ -106,6 +108,10 @@
 		Log:      zap.NewNop(),
 		Metrics:  metrics.NewSet(),
 	})
+	l.tomb.Go(func() error { // a tomb whose last goroutine has ended takes no more
+		<-l.tomb.Dying()
+		return nil
+	})
 	c := l.newControl("10.1.0.0:7300")
 	list := targetList(hosts, servers)
 	listed{
@@ -127,7 +133,7 @@
 		b.Run(fmt.Sprint(servers), func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
-				c.routing.Table(targetStart)
+				c.routing.Table()
 			}
 		})
 	}
@@ -170,3 +176,26 @@
 		c.show(targetStart)
 	}
 }
+
+// TestMeasureMemory prints what a host's control holds at the target's size.
+func TestMeasureMemory(t *testing.T) {
+	heap := func() float64 {
+		runtime.GC()
+		var stats runtime.MemStats
+		runtime.ReadMemStats(&stats)
+		return float64(stats.HeapAlloc) / (1 << 20)
+	}
+	for _, part := range []int{4, 2, 1} {
+		before := heap()
+		c, list := newTarget(targetHosts/part, targetServers/part)
+		hearAll(c, targetStart, targetHosts/part)
+		for i, server := range list[targetHosts/part:] {
+			c.reports.Step(targetStart, reports.Polled{
+				Report: targetReport(server.Name, i, targetStart),
+			})
+		}
+		c.publish(targetStart.Add(time.Hour))
+		t.Logf("%d hosts, %d servers, %d models: %.1f MB", targetHosts/part, targetServers/part, targetModels, heap()-before)
+		runtime.KeepAlive(c)
+	}
+}
--- a/internal/control/loop/start.go
+++ b/internal/control/loop/start.go
@@ -112,6 +112,7 @@
 func (stopping) apply(now time.Time, c *control) {
 	c.exchangeAt = now
 	c.runOrders(c.orders.Step(now, orders.Resign{}))
+	c.runClaims(now, c.claims.Step(now, claims.Stopping{}))
 }
 
 // settleEvery is how often Settle looks.
--- a/internal/control/loop/watch_test.go
+++ b/internal/control/loop/watch_test.go
@@ -56,11 +56,11 @@
 	require.Less(t, len(c.watched), 25)
 	watching := 0
 	for i := range targetHosts {
-		one, _ := newTarget(targetHosts, 0)
-		one.options.Settings.Host.Name = ident.HostID(fmt.Sprintf("dc-%d-entry-%03d", i%targetDataCentres, i))
-		one.options.Settings.Host.DataCentre, one.options.Settings.Host.Region = placeOf(i)
-		one.watchDuty(targetStart, c.membership.Roster(targetStart))
-		if one.watches {
+		c.watches = false
+		c.options.Settings.Host.Name = ident.HostID(fmt.Sprintf("dc-%d-entry-%03d", i%targetDataCentres, i))
+		c.options.Settings.Host.DataCentre, c.options.Settings.Host.Region = placeOf(i)
+		c.watchDuty(targetStart, c.membership.Roster(targetStart))
+		if c.watches {
 			watching++
 		}
 	}
--- a/internal/control/routing/table.go
+++ b/internal/control/routing/table.go
@@ -3,9 +3,9 @@
 // A Machine, owned by the control goroutine, turns what the host hears
 // (accepted documents, the platform's list, load reports, peers' word) into
 // immutable Tables. Traffic goroutines read the newest Table and choose from it
-// on their own, with no lock and no allocation. What must stay fresh between
-// two tables, the requests that this very host has under way, is counted in a
-// Gauge per server that outlives the tables.
+// on their own, with no lock and no allocation. Tables say who can answer what;
+// they change seldom. Loads change with each report and each request: they stand
+// in a Gauge per server that outlives the tables.
 //
 // # Usage
 //
@@ -15,24 +15,28 @@
 //		Dice:   rand.Uint64(),
 //		Prefix: hash,
 //	})
-//	choice.Replica.Gauge.Begin(now)
-//	defer choice.Replica.Gauge.End(...)
+//	queued := choice.Replica.Gauge.Begin(now)
+//	...
+//	choice.Replica.Gauge.Answered(now, routing.Timing{...})
 //
 // # What a choice weighs
 //
 // The cost of a replica is the expected time to the first token: the queue
 // before it, the work of the prompt less what its cache saves, the way there
 // and back, and a surcharge for replicas that have just come or just failed.
-// Load reports lag, so the queue is the last report's, corrected by what this
-// host has begun and ended since, and by what its peers say they have under way.
+// Load reports lag, so the queue is what others had there in the last report,
+// fading into what is usual there, at least what peers say they have there, and
+// what this host has there now.
 // All hosts see the same lagging reports: were each to take the cheapest
 // replica, all would pick the same one. So a choice looks at a few candidates
 // only, drawn at random, and takes the cheapest of these.
 package routing
 
 import (
+	"sync/atomic"
 	"time"
 
+	"cicadaloom/internal/control/admission"
 	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/document"
 	"cicadaloom/internal/domain/ident"
@@ -46,6 +50,7 @@
 	models    map[ident.ModelName]*Target
 	services  map[ident.ServiceName]*Target
 	names     []ident.ModelName
+	hosts     int
 }
 
 // Target is something that callers ask for by name: a model, an adapter or a
@@ -76,20 +81,48 @@
 	DataCentre  ident.DataCentre
 	Region      ident.Region
 	Gauge       *Gauge
-	load        load
+	// Team is the target's team's part of the server.
+	Team *admission.Team
+	// seed is a hash of the server's name.
+	seed uint64
+	// absentUntil is Unix nanoseconds: until then the server is known not to have
+	// what the target needs, whatever its last report says.
+	absentUntil *atomic.Int64
+	// warmFrom is when a new replica takes its full part of the load.
+	warmFrom time.Time
+	far      bool
 	// wayBack is the time there and back.
 	wayBack time.Duration
 }
 
-// load is the queue at a server as far as this host knew when the table was made.
-type load struct {
-	// others is the part of the queue that is not this host's own.
-	others float64
-	slots  float64
-	// known tells that a report stands behind the figures.
-	known bool
-	// warmFrom is when a new replica takes its full part of the load.
-	warmFrom time.Time
+// absentFor is longer than it takes to hear the report that says so.
+const absentFor = 2 * time.Second
+
+// Absent records that the server has said it does not have what the target needs:
+// it has restarted, or was told to unload it, and its report lags. Without this a
+// server that lost its models draws the requests of all of them, as it refuses
+// at once and so looks idle.
+func (r *Replica) Absent(now time.Time) {
+	r.absentUntil.Store(now.Add(absentFor).UnixNano())
+}
+
+// HostsInRegion gives the number of live entry hosts in this host's region, at
+// least this one.
+func (t *Table) HostsInRegion() int {
+	if t == nil {
+		return 1
+	}
+	return max(1, t.hosts)
+}
+
+// Far tells that the way to the replica goes over the link between regions.
+func (r *Replica) Far() bool {
+	return r.far
+}
+
+// HasFar tells whether the target has replicas in another region.
+func (t *Target) HasFar() bool {
+	return t.nearby < len(t.Replicas)
 }
 
 // Target finds a model or adapter by the name that callers use.
--- a/internal/traffic/dispatch/chat.go
+++ b/internal/traffic/dispatch/chat.go
@@ -10,6 +10,7 @@
 	"cicadaloom/internal/control/claims"
 	"cicadaloom/internal/control/routing"
 	"cicadaloom/internal/control/suspects"
+	"cicadaloom/internal/domain/unit"
 	"cicadaloom/internal/peer/engine"
 )
 
@@ -26,6 +27,7 @@
 	ctx, cancel := context.WithDeadline(ctx, chat.Deadline)
 	defer cancel()
 	j := d.begin(&chat.Request, target, target.MayRepeat)
+	j.routing.Prefix = chat.prefix()
 	c := conversation{
 		journey: j,
 		chat:    &chat,
@@ -104,13 +106,14 @@
 // whether another attempt should be made.
 func (c *conversation) attemptAt(ctx context.Context, choice routing.Choice) (bool, *Failure) {
 	c.setOut(choice)
+	defer c.leave()
 	watched, watch := c.watch(ctx)
 	defer watch.stop()
 	stream, err := c.Engines.Chat(watched, choice.Replica.Address, engine.Call{
 		Body:      c.chat.Body,
 		RequestID: c.chat.ID,
 		AttemptID: c.attempt,
-		Priority:  c.priority(),
+		Priority:  c.ticket.Priority(),
 		Deadline:  c.chat.Deadline,
 		ResumeAt:  c.tokens,
 		Stream:    c.chat.Stream,
@@ -126,7 +129,6 @@
 
 // pass hands the events of one engine's answer on to the caller.
 func (c *conversation) pass(ctx context.Context, choice routing.Choice, stream *engine.Stream, watch *watchdog) (bool, *Failure) {
-	begun := c.Now()
 	for {
 		event, err := stream.Next()
 		if err != nil {
@@ -135,8 +137,10 @@
 		watch.alive(c.stall())
 		switch e := event.(type) {
 		case engine.Chunk:
+			c.crossing.Received(c.Now(), unit.Bytes(len(e.Raw)))
 			err = c.chunk(e)
 		case engine.Whole:
+			c.crossing.Received(c.Now(), unit.Bytes(len(e.Raw)))
 			c.answer = Whole{
 				Status:      http.StatusOK,
 				ContentType: contentTypeJSON,
@@ -144,7 +148,7 @@
 			}
 			c.first()
 		case engine.End:
-			return false, c.answered(choice, begun)
+			return false, c.answered(choice)
 		}
 		if err != nil {
 			return c.unanswered(ctx, choice, err, watch.stalled())
@@ -178,10 +182,10 @@
 }
 
 // answered ends a chat whose whole answer is here.
-func (c *conversation) answered(choice routing.Choice, begun time.Time) *Failure {
-	now := c.Now()
+func (c *conversation) answered(choice routing.Choice) *Failure {
 	c.trail.Finished(c.attempt)
-	choice.Replica.Gauge.Answered(max(c.firstAt.Sub(begun), 0), now.Sub(begun))
+	choice.Replica.Gauge.Answered(c.Now(), c.timing())
+	c.ticket.Leave(true)
 	if c.verdict == suspects.Alone || c.losses > 0 {
 		c.Reporter.Cleared(c.fingerprint)
 	}
@@ -200,6 +204,22 @@
 	return nil
 }
 
+// timing is what the answer teaches of the server's pace. An answer that other
+// servers have begun teaches nothing.
+func (c *conversation) timing() routing.Timing {
+	if c.routing.NumTried > 1 {
+		return routing.Timing{}
+	}
+	timing := routing.Timing{
+		Whole:  c.Now().Sub(c.sentAt),
+		Queued: c.queued,
+	}
+	if c.chat.Stream {
+		timing.FirstToken = c.firstAt.Sub(c.sentAt)
+	}
+	return timing
+}
+
 // first notes when the first token, or the whole answer, came.
 func (j *journey) first() {
 	if j.firstAt.IsZero() {
@@ -217,7 +237,7 @@
 	}
 	switch {
 	case ctx.Err() != nil || !stalled && errors.Is(err, context.Canceled):
-		gauge.Cancelled()
+		gauge.Cancelled(c.Now())
 		return false, c.gaveUp(ctx)
 	case refusal != nil && refusal.Status >= http.StatusBadRequest && refusal.Status < http.StatusInternalServerError && refusal.Status != http.StatusTooManyRequests:
 		return false, c.rejected(choice, refusal)
@@ -226,7 +246,7 @@
 	if c.losses >= suspects.DeathsToRefuse {
 		return false, c.suspect()
 	}
-	if c.mayTryAgain(false) {
+	if c.mayTryAgain(false) && c.Budget.Retry() {
 		return true, nil
 	}
 	return false, c.fail(CodeBackendFailed, "the backend server fell silent: "+errors.Cause(err).Error(), c.retryAt())
@@ -236,7 +256,7 @@
 // field, on to the caller: to send it elsewhere would only get it again.
 func (c *conversation) rejected(choice routing.Choice, refusal *engine.Refusal) *Failure {
 	c.trail.Finished(c.attempt)
-	choice.Replica.Gauge.Refused()
+	choice.Replica.Gauge.Refused(c.Now())
 	c.first()
 	c.answer = Whole{
 		Status:      refusal.Status,
@@ -252,17 +272,25 @@
 // refused ends an attempt that provably was not run.
 func (j *journey) refused(choice routing.Choice, refusal *engine.Refusal) (bool, *Failure) {
 	j.trail.Refused(j.attempt)
-	if refusal.Sent {
-		choice.Replica.Gauge.Refused()
-	} else {
-		choice.Replica.Gauge.Failed(j.Now())
+	now := j.Now()
+	switch {
+	case !refusal.Sent:
+		choice.Replica.Gauge.Failed(now)
+	case refusal.Status == http.StatusNotFound:
+		choice.Replica.Absent(now)
+		choice.Replica.Gauge.Refused(now)
+	default:
+		choice.Replica.Gauge.Refused(now)
 	}
-	if j.mayTryAgain(true) {
+	// Only a server that has too much to do is spared a retry elsewhere: one that
+	// can't be reached, or lacks the model, was given no work.
+	idle := !refusal.Sent || refusal.Status == http.StatusNotFound
+	if j.mayTryAgain(true) && (idle || j.Budget.Retry()) {
 		return true, nil
 	}
 	retryAt := refusal.RetryAfter
 	if retryAt.IsZero() {
-		retryAt = j.Now().Add(retryAfterFailure)
+		retryAt = now.Add(retryAfterFailure)
 	}
 	return false, j.fail(CodeBackendRefused, "backend servers refused the request: "+refusal.Error(), retryAt)
 }
@@ -283,13 +311,3 @@
 	}
 	return j.Now().Add(retryAfterFailure)
 }
-
-// priority gives the engine the place of the request's class, the first being 0.
-func (j *journey) priority() int {
-	for i := range j.target.Document.Classes {
-		if j.target.Document.Classes[i].Name == j.request.Class {
-			return i
-		}
-	}
-	return len(j.target.Document.Classes)
-}
--- a/internal/traffic/dispatch/route.go
+++ b/internal/traffic/dispatch/route.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"go.uber.org/zap"
@@ -9,6 +10,7 @@
 	"cicadaloom/internal/control/routing"
 	"cicadaloom/internal/control/suspects"
 	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/domain/unit"
 )
 
 // Times to come back after, where nothing better is known.
@@ -26,28 +28,82 @@
 	if !now.Before(j.request.Deadline) {
 		return routing.Choice{}, j.fail(CodeDeadlinePassed, "the deadline has passed", time.Time{})
 	}
+	j.routing.Elsewhere = false
+	choice, failure := j.look(ctx)
+	if failure == nil || !j.target.HasFar() {
+		return choice, failure
+	}
+	return j.chooseFar(ctx, failure)
+}
+
+// look finds a replica in the region that is looked at, and whether it can
+// answer in time.
+func (j *journey) look(ctx context.Context) (routing.Choice, *Failure) {
 	choice, err := j.pick(ctx)
-	now = j.Now()
+	now := j.Now()
 	if err != nil {
 		return routing.Choice{}, j.noReplica(now)
 	}
 	if j.routing.NumTried > 0 {
 		return choice, nil
 	}
-	// The promised time counts from the arrival; a caller that waits less long
-	// than that has its own.
-	limit := j.promised
-	if j.request.Deadline.Before(limit) {
-		limit = j.request.Deadline
+	return choice, j.admit(choice.Replica, now)
+}
+
+// chooseFar looks in the other regions for what this one can't answer, while the
+// link has room and the answer would come back in time: before the promised time
+// where this region is busy, before the deadline where it has no replica at all.
+func (j *journey) chooseFar(ctx context.Context, near *Failure) (routing.Choice, *Failure) {
+	now := j.Now()
+	freeAt, ever := j.Link.FreeAt(now)
+	if !ever {
+		return routing.Choice{}, near
+	}
+	if freeAt.After(now) {
+		return routing.Choice{}, j.fail(CodeTooBusy, near.Message+"; the link to the other region is full", freeAt)
+	}
+	j.routing.Elsewhere = true
+	choice, failure := j.look(ctx)
+	if failure != nil {
+		return routing.Choice{}, near
 	}
-	expected := now.Add(choice.Wait)
-	if expected.After(limit) && choice.Replica.Gauge.UnderWay() > 0 {
-		late := expected.Sub(limit)
-		return routing.Choice{}, j.fail(CodeTooBusy, "the promised time can't be met now: "+late.Round(time.Millisecond).String()+" too late", now.Add(late))
+	limit := j.request.Deadline
+	if near.Code == CodeTooBusy {
+		limit = j.limit()
+	}
+	if now.Add(choice.Wait).After(limit) {
+		return routing.Choice{}, near
 	}
 	return choice, nil
 }
 
+// limit is when the first token has to be there. The promised time counts from
+// the arrival; a caller that waits less long than that has its own.
+func (j *journey) limit() time.Time {
+	if j.request.Deadline.Before(j.promised) {
+		return j.request.Deadline
+	}
+	return j.promised
+}
+
+// admit refuses the request if a replica can't answer it in time. Where no report stands behind the queue, nothing is refused for it.
+func (j *journey) admit(replica *routing.Replica, now time.Time) *Failure {
+	if !replica.Gauge.Known(now) {
+		return nil
+	}
+	late, refused := replica.Team.Peek(j.class).Refuse(replica.Load(now), now, j.limit())
+	if !refused {
+		return nil
+	}
+	// The queue is short enough again after what the request would be late by.
+	// Those refused together should not come back together.
+	back := late + time.Duration(float64(late)*spreadOfReturns*float64(j.routing.Dice)/math.MaxUint64)
+	return j.fail(CodeTooBusy, "the promised time can't be met now: "+late.Round(time.Millisecond).String()+" too late", now.Add(back))
+}
+
+// spreadOfReturns is the part by which a time to come back is made longer at most.
+const spreadOfReturns = 0.5
+
 // A request that needs a backend server to itself waits for one this long, and
 // looks this often.
 const (
@@ -93,21 +149,30 @@
 		j.routing.Tried[j.routing.NumTried] = choice.Replica.Server
 		j.routing.NumTried++
 	}
-	choice.Replica.Gauge.Begin()
+	j.sentAt = j.Now()
+	j.ticket = choice.Replica.Team.Enter(j.class)
+	j.queued = choice.Replica.Gauge.Begin(j.sentAt)
+	if choice.Replica.Far() {
+		j.crossing = j.Link.Begin(j.sentAt, unit.Bytes(len(j.request.Body)), j.Knowledge.Table().HostsInRegion())
+	}
 	j.Metrics.attempt(j.target)
 	j.trail.Sending(j.attempt)
 }
 
-// mayTryAgain tells whether the request can be sent to another backend server.
+// leave ends what an attempt holds, however it ended.
+func (j *journey) leave() {
+	j.ticket.Leave(false)
+	j.crossing.End(j.Now())
+}
+
+// mayTryAgain tells whether the request can be sent to another backend server,
+// the retry budget aside.
 // safe tells that the last attempt provably did not run it.
 func (j *journey) mayTryAgain(safe bool) bool {
 	if j.routing.NumTried >= routing.MaxTried || !j.Now().Before(j.request.Deadline) {
 		return false
 	}
-	if !safe && (!j.mayRepeat || j.verdict == suspects.Alone) {
-		return false
-	}
-	return j.Budget.Retry()
+	return safe || j.mayRepeat && j.verdict != suspects.Alone
 }
 
 // lost records that a backend server fell silent while the request was there.
--- a/internal/traffic/dispatch/service.go
+++ b/internal/traffic/dispatch/service.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"cicadaloom/internal/control/routing"
+	"cicadaloom/internal/domain/unit"
 	"cicadaloom/internal/peer/plain"
 )
 
@@ -61,9 +62,9 @@
 
 func (e *errand) attemptAt(ctx context.Context, choice routing.Choice) (bool, *Failure) {
 	e.setOut(choice)
+	defer e.leave()
 	watched, watch := e.watch(ctx)
 	defer watch.stop()
-	sent := e.Now()
 	header := http.Header{}
 	header.Set("Content-Type", e.plain.ContentType)
 	if e.request.Key != "" {
@@ -81,14 +82,20 @@
 	if refusal != nil {
 		return e.unanswered(ctx, choice, refusal, watch.stalled())
 	}
-	return false, e.answered(choice, answer, sent)
+	return false, e.answered(choice, answer)
 }
 
-func (e *errand) answered(choice routing.Choice, answer *plain.Answer, sent time.Time) *Failure {
+func (e *errand) answered(choice routing.Choice, answer *plain.Answer) *Failure {
 	e.trail.Finished(e.attempt)
 	e.first()
-	elapsed := e.firstAt.Sub(sent)
-	choice.Replica.Gauge.Answered(elapsed, elapsed)
+	elapsed := e.firstAt.Sub(e.sentAt)
+	choice.Replica.Gauge.Answered(e.firstAt, routing.Timing{
+		FirstToken: elapsed,
+		Whole:      elapsed,
+		Queued:     e.queued,
+	})
+	e.ticket.Leave(true)
+	e.crossing.Received(e.firstAt, unit.Bytes(len(answer.Body)))
 	e.answer = Whole{
 		Status:      answer.Status,
 		ContentType: answer.Header.Get("Content-Type"),
@@ -105,11 +112,11 @@
 		return e.refused(choice, refusal)
 	}
 	if ctx.Err() != nil {
-		choice.Replica.Gauge.Cancelled()
+		choice.Replica.Gauge.Cancelled(e.Now())
 		return false, e.gaveUp(ctx)
 	}
 	e.lost(choice, refusal, stalled)
-	if e.mayTryAgain(false) {
+	if e.mayTryAgain(false) && e.Budget.Retry() {
 		return true, nil
 	}
 	return false, e.fail(CodeBackendFailed, "the service fell silent: "+errors.Cause(refusal).Error(), e.retryAt())
--- a/internal/traffic/host/host.go
+++ b/internal/traffic/host/host.go
@@ -69,7 +69,10 @@
 }
 
 func (h *Host) start(loaded settings.Settings, log *zap.Logger) error {
-	keyValue, err := etcd.Dial(loaded.Platform.KeyValue...)
+	keyValue, err := etcd.DialWith(etcd.Options{
+		CallLimit:    loaded.Control.CallTimeout,
+		WatchSilence: loaded.Control.WatchSilence,
+	}, loaded.Platform.KeyValue...)
 	if err != nil {
 		return err
 	}
@@ -142,7 +145,10 @@
 		Plains:    h.plains,
 		Policy:    policy,
 		Budget:    dispatch.NewBudget(loaded.Policy.RetryBudgetPercent),
-		Log:       log,
+		Link: &dispatch.Link{
+			Budget: loaded.Policy.LinkBudget,
+		},
+		Log: log,
 		Metrics: dispatch.Metrics{
 			Set: h.metrics,
 		},
