decisions: Say why a request was refused or a model moved

Cause: an operator who asked why a request was refused had the caller's error text and the log of whichever host had served it; a move was in "status" of the leader until some newer ones came.

Weighed: telling the control goroutine by a message (its inbox drops messages just in a storm of refusals, when somebody will ask); a key in the key-value service per refusal (a write each). Taken: a ring under a lock, filled on the goroutine of the request that failed.

Burn gathers in the same way now, so that a host that stops is still counted, and one that fell silent is named as missing instead of left out.

Every line about a request goes through dispatch.Records, which both log and ring are written by; the word of a lost attempt to the control side carries request and attempt for its line.

--- a/internal/control/loop/loop.go
+++ b/internal/control/loop/loop.go
@@ -37,6 +37,7 @@
 	"cicadaloom/internal/config/settings"
 	"cicadaloom/internal/control/burn"
 	"cicadaloom/internal/control/claims"
+	"cicadaloom/internal/control/decisions"
 	"cicadaloom/internal/control/documents"
 	"cicadaloom/internal/control/membership"
 	"cicadaloom/internal/control/orders"
@@ -68,6 +69,8 @@
 	KeyValue KeyValue
 	Log      *zap.Logger
 	Metrics  *metrics.Set
+	// Decisions is where moves are kept for those who ask; nil keeps none.
+	Decisions *decisions.Log
 }
 
 // Bounds of the loop.
--- a/internal/control/loop/operators.go
+++ b/internal/control/loop/operators.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -130,39 +129,26 @@
 	At       time.Time
 	Lines    []burn.Line
 	Timeline []burn.Slice
-	// Hosts have given their counts, Missing have not answered in time.
+	// Hosts have given their counts. Missing have not: what they counted is not
+	// in the report.
 	Hosts   []ident.HostID
 	Missing []ident.HostID
 }
 
-// Burn collects the counts of all live hosts.
+// Burn collects the counts of all hosts that answer.
 func (l *Loop) Burn(ctx context.Context) (BurnReport, error) {
-	peers, err := inquire(ctx, l, func(now time.Time, c *control) []membership.Peer {
-		return c.membership.Peers(now)
-	})
+	got, err := gather(ctx, l, l.countsOf)
 	if err != nil {
 		return BurnReport{}, err
 	}
-	counts := make([]entryhost.Counts, len(peers))
-	failures := make([]error, len(peers))
-	var group sync.WaitGroup
-	for i := range peers {
-		group.Go(func() {
-			counts[i], failures[i] = l.countsOf(ctx, peers[i])
-		})
+	var rows []burn.Row
+	for i := range got.answers {
+		rows = append(rows, got.answers[i].Rows...)
 	}
-	group.Wait()
 	report := BurnReport{
-		At: time.Now(),
-	}
-	var rows []burn.Row
-	for i := range peers {
-		if failures[i] != nil {
-			report.Missing = append(report.Missing, peers[i].Host)
-			continue
-		}
-		report.Hosts = append(report.Hosts, peers[i].Host)
-		rows = append(rows, counts[i].Rows...)
+		At:      time.Now(),
+		Hosts:   got.hosts,
+		Missing: got.missing,
 	}
 	report.Lines = burn.Report(report.At, rows)
 	report.Timeline = burn.Timeline(report.At, rows)
@@ -173,8 +159,6 @@
 	if peer.Host == l.options.Settings.Host.Name {
 		return l.Counts(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, l.callTimeout())
-	defer cancel()
 	return l.pool.Burn(ctx, peer.Address)
 }
 
--- a/internal/control/loop/placement.go
+++ b/internal/control/loop/placement.go
@@ -119,6 +119,7 @@
 		case orders.SendOrder:
 			c.sendOrder(command)
 		case orders.Note:
+			c.keepMove(&command.Move)
 			c.log.Info("move", zap.Any("Move", command.Move.Move), zap.String("OrderID", string(command.Move.Order)))
 		}
 	}
--- a/internal/control/loop/servers.go
+++ b/internal/control/loop/servers.go
@@ -172,17 +172,13 @@
 
 // died is a request's word that a backend server fell silent under it.
 type died struct {
-	fingerprint ident.Fingerprint
-	life        suspects.Life
-	address     string
+	suspects.Loss
 }
 
 // Died implements dispatch.Reporter.
-func (l *Loop) Died(fingerprint ident.Fingerprint, life suspects.Life, address string) {
+func (l *Loop) Died(loss suspects.Loss) {
 	l.tell(died{
-		fingerprint: fingerprint,
-		life:        life,
-		address:     address,
+		Loss: loss,
 	})
 }
 
@@ -191,7 +187,7 @@
 // and a request is not to be refused for that. A refused connection or another
 // incarnation does prove it.
 func (m died) apply(_ time.Time, c *control) {
-	server := c.servers[m.life.Server]
+	server := c.servers[m.Life.Server]
 	if server.Kind != backend.KindEngine {
 		return
 	}
@@ -215,11 +211,11 @@
 func (l *Loop) provenDead(ctx context.Context, m died) bool {
 	ctx, cancel := context.WithTimeout(ctx, deathCheckEvery)
 	defer cancel()
-	report, err := l.engines.Report(ctx, m.address)
+	report, err := l.engines.Report(ctx, m.Address)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
-	return report.Incarnation != m.life.Incarnation
+	return report.Incarnation != m.Life.Incarnation
 }
 
 // proven is a death that has been found out.
@@ -227,14 +223,15 @@
 
 func (m proven) apply(now time.Time, c *control) {
 	changed := c.suspected.Step(now, suspects.Death{
-		Fingerprint: m.fingerprint,
-		Life:        m.life,
+		Fingerprint: m.Fingerprint,
+		Life:        m.Life,
 	})
 	if !changed {
 		return
 	}
 	c.log.Warn("request under way at a backend server that died",
-		zap.Uint64("Fingerprint", uint64(m.fingerprint)), zap.String("Server", string(m.life.Server)))
+		zap.String("RequestID", string(m.Request)), zap.String("AttemptID", string(m.Attempt)),
+		zap.Uint64("Fingerprint", uint64(m.Fingerprint)), zap.String("Server", string(m.Life.Server)))
 	c.suspects.Store(c.suspected.View())
 	// Peers learn it at once: the caller may be sending it again through them.
 	c.exchangeAt = now
--- a/internal/control/membership/membership.go
+++ b/internal/control/membership/membership.go
@@ -343,6 +343,18 @@
 	return peers
 }
 
+// Answering gives the records of the hosts that can be asked, this host's first:
+// the live ones and those that stop but still beat.
+func (m *Machine) Answering(now time.Time) []Peer {
+	answering := []Peer{m.Self}
+	for _, peer := range m.sorted() {
+		if m.moves(now, peer) {
+			answering = append(answering, peer.Peer)
+		}
+	}
+	return answering
+}
+
 // Address gives where a host listens for its peers.
 func (m *Machine) Address(host ident.HostID) (string, bool) {
 	peer, found := m.peers[host]
--- a/internal/control/suspects/suspects.go
+++ b/internal/control/suspects/suspects.go
@@ -66,6 +66,16 @@
 // Event is something that the machine hears.
 type Event interface{ isEvent() }
 
+// Loss is an attempt at a request under which a backend server fell silent. It
+// is no event: whether the server died of it is yet to be found out.
+type Loss struct {
+	Fingerprint ident.Fingerprint
+	Request     ident.RequestID
+	Attempt     ident.AttemptID
+	Life        Life
+	Address     string
+}
+
 // Death tells that a backend server died while a request was under way there.
 type Death struct {
 	Fingerprint ident.Fingerprint
--- a/internal/peer/caller/caller.go
+++ b/internal/peer/caller/caller.go
@@ -39,6 +39,7 @@
 	"go.uber.org/zap"
 
 	"cicadaloom/internal/config/settings"
+	"cicadaloom/internal/control/decisions"
 	"cicadaloom/internal/peer/httpserve"
 	"cicadaloom/internal/traffic/dispatch"
 )
@@ -56,13 +57,15 @@
 	Plain(ctx context.Context, plain dispatch.Plain, sink dispatch.Sink) *dispatch.Failure
 }
 
-// Server answers callers. All fields but TLS must be set.
+// Server answers callers. All fields but TLS and Decisions must be set.
 type Server struct {
 	Dispatcher Dispatcher
 	Knowledge  dispatch.Knowledge
 	Settings   settings.Callers
 	Log        *zap.Logger
-	TLS        *tls.Config
+	// Decisions keeps refusals for those who ask why; nil keeps none.
+	Decisions *decisions.Log
+	TLS       *tls.Config
 	// Now is the wall clock; time.Now unless a test sets it.
 	Now func() time.Time
 
@@ -91,6 +94,11 @@
 	s.stopping.Store(true)
 }
 
+// Admit takes Refuse back.
+func (s *Server) Admit() {
+	s.stopping.Store(false)
+}
+
 // Stop refuses new requests, lets those in flight finish, and ends when the
 // last has its answer or the context is done.
 func (s *Server) Stop(ctx context.Context) error {
@@ -135,11 +143,11 @@
 	return func(w http.ResponseWriter, request bunrouter.Request) error {
 		if s.stopping.Load() {
 			w.Header().Set("Connection", "close")
-			return s.refuse(w, dispatch.CodeStopping, "this host is stopping; ask another", s.Now())
+			return s.turnAwayUnread(w, request.Request, dispatch.Untouched(dispatch.CodeStopping, "this host is stopping; ask another", s.Now()))
 		}
 		defer s.inFlight.Add(-1)
 		if s.inFlight.Add(1) > int64(s.Settings.MaxInFlight) {
-			return s.refuse(w, dispatch.CodeTooBusy, "too many requests in flight at this host", s.Now().Add(time.Second))
+			return s.turnAwayUnread(w, request.Request, dispatch.Untouched(dispatch.CodeTooBusy, "too many requests in flight at this host", s.Now().Add(time.Second)))
 		}
 		return next(w, request)
 	}
--- a/internal/peer/caller/chat.go
+++ b/internal/peer/caller/chat.go
@@ -16,15 +16,16 @@
 func (s *Server) chat(w http.ResponseWriter, request bunrouter.Request) error {
 	read, failure := s.understand(w, request.Request)
 	if failure != nil {
-		return s.fail(w, failure)
+		return s.turnAway(w, &read, "", failure)
 	}
 	var body chatBody
 	if err := json.Unmarshal(read.Body, &body); err != nil {
-		return s.refuse(w, dispatch.CodeMalformed, "the body is not a chat request: "+err.Error(), time.Time{})
+		return s.turnAway(w, &read, "", dispatch.Untouched(dispatch.CodeMalformed, "the body is not a chat request: "+err.Error(), time.Time{}))
 	}
 	if body.Model == "" || len(body.Messages) == 0 {
-		return s.refuse(w, dispatch.CodeMalformed, "model and messages: found none, allowed a model's or adapter's name and at least one message", time.Time{})
+		return s.turnAway(w, &read, body.Model, dispatch.Untouched(dispatch.CodeMalformed, "model and messages: found none, allowed a model's or adapter's name and at least one message", time.Time{}))
 	}
+	w.Header().Set(HeaderRequest, string(read.ID))
 	sink := newSink(s, w, read.ID)
 	failure = s.Dispatcher.Chat(request.Context(), dispatch.Chat{
 		Request: read,
@@ -40,7 +41,6 @@
 	if err != nil {
 		return read, dispatch.Untouched(dispatch.CodeHeaderInvalid, err.Error(), time.Time{})
 	}
-	w.Header().Set(HeaderRequest, string(read.ID))
 	limited := http.MaxBytesReader(w, request.Body, int64(s.Settings.MaxBody))
 	read.Body, err = io.ReadAll(limited)
 	var tooLarge *http.MaxBytesError
--- a/internal/peer/caller/errors.go
+++ b/internal/peer/caller/errors.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/traffic/dispatch"
 )
 
@@ -59,3 +60,26 @@
 func (s *Server) refuse(w http.ResponseWriter, code dispatch.Code, message string, retryAt time.Time) error {
 	return s.fail(w, dispatch.Untouched(code, message, retryAt))
 }
+
+// turnAway answers a request that was refused before it came to the dispatcher,
+// and records it.
+func (s *Server) turnAway(w http.ResponseWriter, read *dispatch.Request, target string, failure *dispatch.Failure) error {
+	w.Header().Set(HeaderRequest, string(read.ID))
+	records := dispatch.Records{
+		Log:       s.Log,
+		Decisions: s.Decisions,
+	}
+	about := read.About(target)
+	records.Failed(s.Now(), &about, failure)
+	return s.fail(w, failure)
+}
+
+// turnAwayUnread does so with a request of which nothing has been read but its
+// id, where that is in order: the answer has to cost little.
+func (s *Server) turnAwayUnread(w http.ResponseWriter, request *http.Request, failure *dispatch.Failure) error {
+	read := dispatch.Request{}
+	if err := readIdentifier(request.Header, HeaderRequest, (*string)(&read.ID)); err != nil || read.ID == "" {
+		read.ID = ident.NewRequestID()
+	}
+	return s.turnAway(w, &read, "", failure)
+}
--- a/internal/peer/caller/service.go
+++ b/internal/peer/caller/service.go
@@ -15,7 +15,7 @@
 func (s *Server) service(w http.ResponseWriter, request bunrouter.Request) error {
 	read, failure := s.understand(w, request.Request)
 	if failure != nil {
-		return s.fail(w, failure)
+		return s.turnAway(w, &read, request.Param("service"), failure)
 	}
 	name := request.Param("service")
 	path := strings.TrimPrefix(request.URL.EscapedPath(), PathServices+name)
@@ -25,6 +25,7 @@
 	if request.URL.RawQuery != "" {
 		path += "?" + request.URL.RawQuery
 	}
+	w.Header().Set(HeaderRequest, string(read.ID))
 	sink := newSink(s, w, read.ID)
 	failure = s.Dispatcher.Plain(request.Context(), dispatch.Plain{
 		Request:     read,
--- a/internal/peer/entryhost/entryhost.go
+++ b/internal/peer/entryhost/entryhost.go
@@ -1,11 +1,11 @@
 // Package entryhost is what entry hosts say to one another, over gRPC.
 //
-// There are four calls. Exchange is the heartbeat: each side tells the beats,
+// Exchange is the heartbeat: each side tells the beats,
 // documents, loads, suspects and leaving backend servers that it knows, and
 // each part carries what orders it, so that telling it twice or late does no
 // harm. Claim, Finish and Release go to the home of a key's
-// partition. Burn collects the
-// counts for the report on service-level burn.
+// partition. Burn collects the counts for the report on service-level burn, and
+// Decisions what a host decided of late, for whoever asks why.
 //
 // # Usage
 //
@@ -33,6 +33,7 @@
 
 	"cicadaloom/internal/control/burn"
 	"cicadaloom/internal/control/claims"
+	"cicadaloom/internal/control/decisions"
 	"cicadaloom/internal/control/documents"
 	"cicadaloom/internal/control/membership"
 	"cicadaloom/internal/control/routing"
@@ -82,6 +83,8 @@
 type Handler interface {
 	Exchange(ctx context.Context, theirs Knowledge) (Knowledge, error)
 	Counts(ctx context.Context) (Counts, error)
+	// Decisions gives what this host itself decided.
+	Decisions(ctx context.Context, query decisions.Query) ([]decisions.Decision, error)
 	// The calls on claims are for an attempt of another host, their Origin.
 	ClaimFor(ctx context.Context, claim claims.Claim) (claims.Answer, error)
 	FinishFor(ctx context.Context, finish claims.Finish) (bool, error)
--- a/internal/peer/entryhost/entryhost_test.go
+++ b/internal/peer/entryhost/entryhost_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/goleak"
 
 	"cicadaloom/internal/control/claims"
+	"cicadaloom/internal/control/decisions"
 	"cicadaloom/internal/control/documents"
 	"cicadaloom/internal/control/membership"
 )
@@ -27,6 +28,9 @@
 	heard  Knowledge
 	finish claims.Finish
 	err    error
+
+	query   decisions.Query
+	decided []decisions.Decision
 }
 
 func (p *peer) Exchange(_ context.Context, theirs Knowledge) (Knowledge, error) {
@@ -40,6 +44,11 @@
 	}, p.err
 }
 
+func (p *peer) Decisions(_ context.Context, query decisions.Query) ([]decisions.Decision, error) {
+	p.query = query
+	return p.decided, p.err
+}
+
 func (p *peer) ClaimFor(_ context.Context, claim claims.Claim) (claims.Answer, error) {
 	return claims.Answer{
 		Attempt: claim.Attempt,
@@ -120,6 +129,44 @@
 	require.EqualValues(t, "entry-1", counts.Host)
 }
 
+// A person asks one host about a refusal of another: every field of the answer
+// comes over as it was, and so does who asks.
+func TestDecisionsComeOverWhole(t *testing.T) {
+	handler := &peer{
+		decided: []decisions.Decision{{
+			Kind:    decisions.KindMove,
+			At:      time.Unix(0, 7),
+			Host:    "entry-1",
+			Team:    "kerlouan",
+			Request: "req-1",
+			Attempt: "att-1",
+			Order:   "ord-1",
+			Target:  "briefing",
+			Class:   "Crew",
+			Server:  "gpu-1",
+			Code:    "Load",
+			Run:     "NotRun",
+			Message: "Required",
+			RetryAt: time.Unix(0, 9),
+			Have:    1,
+			Want:    3,
+		}},
+	}
+	address, pool := serve(t, handler)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	query := decisions.Query{
+		ID:       "ord-1",
+		Team:     "kerlouan",
+		AllTeams: true,
+		Limit:    5,
+	}
+	found, err := pool.Decisions(ctx, address, query)
+	require.NoError(t, err)
+	require.Equal(t, query, handler.query)
+	require.Equal(t, handler.decided, found)
+}
+
 // A host starts with empty memory while the key-value service is out and asks a
 // peer for all documents. They are more than gRPC's default of 4 MiB: an answer
 // refused for its size would leave the host without documents for the outage.
--- a/internal/peer/operator/operator.go
+++ b/internal/peer/operator/operator.go
@@ -8,6 +8,7 @@
 //	GET    /admin/documents/TEAM/history the versions before
 //	GET    /admin/status                 hosts, backend servers, models, moves
 //	GET    /admin/burn                   the report on service-level burn
+//	GET    /admin/decisions              recent decisions and why, or one by its id
 //	GET    /metrics                      Prometheus text
 //	GET    /healthz                      204 while the process serves
 //
@@ -37,6 +38,7 @@
 	"go.uber.org/zap"
 
 	"cicadaloom/internal/config/settings"
+	"cicadaloom/internal/control/decisions"
 	"cicadaloom/internal/control/documents"
 	"cicadaloom/internal/control/loop"
 	"cicadaloom/internal/domain/ident"
@@ -50,6 +52,7 @@
 	History(ctx context.Context, team ident.TeamName) ([]documents.Version, error)
 	Status(ctx context.Context) (loop.Status, error)
 	Burn(ctx context.Context) (loop.BurnReport, error)
+	Explain(ctx context.Context, query decisions.Query) (loop.Decided, error)
 }
 
 // Bounds of a request.
@@ -109,6 +112,7 @@
 	router.GET("/admin/documents/:team/history", s.allowed(toRead, s.history))
 	router.GET("/admin/status", s.allowed(toRead, s.status))
 	router.GET("/admin/burn", s.allowed(toRead, s.burn))
+	router.GET("/admin/decisions", s.allowed(toRead, s.decisions))
 	return router
 }
 
--- a/internal/peer/operator/status.go
+++ b/internal/peer/operator/status.go
@@ -135,14 +135,10 @@
 	wire := wireBurn{
 		At:        report.At.UTC(),
 		Objective: burn.Objective,
+		Hosts:     namesOf(report.Hosts),
+		Missing:   namesOf(report.Missing),
 		Lines:     make([]wireBurnLine, 0, len(report.Lines)),
 	}
-	for _, host := range report.Hosts {
-		wire.Hosts = append(wire.Hosts, string(host))
-	}
-	for _, host := range report.Missing {
-		wire.Missing = append(wire.Missing, string(host))
-	}
 	for i := range report.Lines {
 		line := &report.Lines[i]
 		wire.Lines = append(wire.Lines, wireBurnLine{
--- a/internal/peer/operator/wire.go
+++ b/internal/peer/operator/wire.go
@@ -122,6 +122,33 @@
 	Want int
 }
 
+type wireDecisions struct {
+	// Hosts have answered, Missing have not: what they decided is not here.
+	Hosts     []string
+	Missing   []string `json:",omitempty"`
+	Decisions []wireDecision
+}
+
+type wireDecision struct {
+	Kind    string
+	At      time.Time
+	Host    string
+	Team    string     `json:",omitempty"`
+	Request string     `json:",omitempty"`
+	Attempt string     `json:",omitempty"`
+	Order   string     `json:",omitempty"`
+	Target  string     `json:",omitempty"`
+	Class   string     `json:",omitempty"`
+	Server  string     `json:",omitempty"`
+	Code    string     `json:",omitempty"`
+	Run     string     `json:",omitempty"`
+	Message string     `json:",omitempty"`
+	RetryAt *time.Time `json:",omitempty"`
+	// Have and Want are a move's: replicas of the model that gains, before it.
+	Have *int `json:",omitempty"`
+	Want *int `json:",omitempty"`
+}
+
 type wireBurn struct {
 	At        time.Time
 	Objective float64
--- a/internal/traffic/dispatch/chat.go
+++ b/internal/traffic/dispatch/chat.go
@@ -19,10 +19,10 @@
 func (d *Dispatcher) Chat(ctx context.Context, chat Chat, sink Sink) *Failure {
 	target, found := d.Knowledge.Table().Target(chat.Model)
 	if !found {
-		return Untouched(CodeModelNotFound, "no team declares a model or adapter "+string(chat.Model), time.Time{})
+		return d.turnedAway(&chat.Request, string(chat.Model), "", Untouched(CodeModelNotFound, "no team declares a model or adapter "+string(chat.Model), time.Time{}))
 	}
 	if failure := classify(&chat.Request, target); failure != nil {
-		return failure
+		return d.turnedAway(&chat.Request, target.Label(), target.Team, failure)
 	}
 	ctx, cancel := context.WithDeadline(ctx, chat.Deadline)
 	defer cancel()
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -39,6 +39,7 @@
 
 	"cicadaloom/internal/control/admission"
 	"cicadaloom/internal/control/burn"
+	"cicadaloom/internal/control/decisions"
 	"cicadaloom/internal/control/routing"
 	"cicadaloom/internal/control/suspects"
 	"cicadaloom/internal/domain/ident"
@@ -56,7 +57,7 @@
 // Reporter takes what the request's way has shown. It must not block.
 type Reporter interface {
 	Finished(sample burn.Sample)
-	Died(fingerprint ident.Fingerprint, life suspects.Life, address string)
+	Died(loss suspects.Loss)
 	Cleared(fingerprint ident.Fingerprint)
 }
 
@@ -70,7 +71,7 @@
 	Do(ctx context.Context, address string, request *plain.Request) (*plain.Answer, *plain.Refusal)
 }
 
-// Dispatcher serves requests. All fields but Budget and Link must be set.
+// Dispatcher serves requests. All fields but Budget, Link and Decisions must be set.
 type Dispatcher struct {
 	Knowledge Knowledge
 	Claims    Claims
@@ -83,6 +84,8 @@
 	Link    *Link
 	Log     *zap.Logger
 	Metrics Metrics
+	// Decisions keeps failures for those who ask why; nil keeps none.
+	Decisions *decisions.Log
 	// Now is the wall clock; time.Now unless a test sets it.
 	Now func() time.Time
 	// Dice gives random bits.
@@ -118,7 +121,6 @@
 	crossing Crossing
 	// losses counts the backend servers that fell silent while the request was there.
 	losses int
-	log    *zap.Logger
 }
 
 func (d *Dispatcher) begin(request *Request, target *routing.Target, mayRepeat bool) *journey {
@@ -132,7 +134,6 @@
 		arrived:     now,
 		promised:    now.Add(target.Promise.FirstToken),
 		class:       classIndex(request.Class, target.Document),
-		log:         d.Log.With(zap.String("RequestID", string(request.ID)), zap.String("Target", target.Label())),
 	}
 	j.verdict = d.Knowledge.Suspects().Verdict(j.fingerprint)
 	j.routing = routing.Request{
@@ -164,7 +165,9 @@
 	result := burn.InTime
 	switch {
 	case failure != nil && failure.Code == CodeCancelled:
-		return failure // nobody waited any more: it says nothing about the service
+		// Nobody waited any more: it says nothing about the service.
+		j.records().cancelled(j.about(), failure)
+		return failure
 	case failure != nil && failure.Outcome.IsNotRun():
 		result = burn.Refused
 	case failure != nil:
@@ -182,10 +185,11 @@
 		Result: result,
 	})
 	j.Metrics.finished(key, result)
-	if failure != nil {
-		j.Metrics.failed(failure)
-		j.log.Info("request given up", zap.String("Code", string(failure.Code)),
-			zap.String("Run", failure.Outcome.String()), zap.String("Message", failure.Message))
+	if failure == nil {
+		j.records().answered(j.about(), result, j.Now().Sub(j.arrived))
+		return nil
 	}
+	j.Metrics.failed(failure)
+	j.records().Failed(j.Now(), j.about(), failure)
 	return failure
 }
--- a/internal/traffic/dispatch/route.go
+++ b/internal/traffic/dispatch/route.go
@@ -5,8 +5,6 @@
 	"math"
 	"time"
 
-	"go.uber.org/zap"
-
 	"cicadaloom/internal/control/routing"
 	"cicadaloom/internal/control/suspects"
 	"cicadaloom/internal/domain/ident"
@@ -186,10 +184,15 @@
 		j.losses++
 		j.routing.Alone = true
 	}
-	j.log.Warn("attempt lost", zap.String("AttemptID", string(j.attempt)),
-		zap.String("Server", string(choice.Replica.Server)), zap.Error(cause))
-	j.Reporter.Died(j.fingerprint, suspects.Life{
-		Server:      choice.Replica.Server,
-		Incarnation: choice.Replica.Incarnation,
-	}, choice.Replica.Address)
+	j.records().lost(j.Now(), j.about(), choice, cause)
+	j.Reporter.Died(suspects.Loss{
+		Fingerprint: j.fingerprint,
+		Request:     j.request.ID,
+		Attempt:     j.attempt,
+		Life: suspects.Life{
+			Server:      choice.Replica.Server,
+			Incarnation: choice.Replica.Incarnation,
+		},
+		Address: choice.Replica.Address,
+	})
 }
--- a/internal/traffic/dispatch/service.go
+++ b/internal/traffic/dispatch/service.go
@@ -23,10 +23,10 @@
 func (d *Dispatcher) Plain(ctx context.Context, request Plain, sink Sink) *Failure {
 	target, found := d.Knowledge.Table().Service(request.Service)
 	if !found {
-		return Untouched(CodeServiceNotFound, "no team declares a service "+string(request.Service), time.Time{})
+		return d.turnedAway(&request.Request, string(request.Service), "", Untouched(CodeServiceNotFound, "no team declares a service "+string(request.Service), time.Time{}))
 	}
 	if failure := classify(&request.Request, target); failure != nil {
-		return failure
+		return d.turnedAway(&request.Request, target.Label(), target.Team, failure)
 	}
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
--- a/internal/traffic/host/host.go
+++ b/internal/traffic/host/host.go
@@ -26,6 +26,7 @@
 	"go.uber.org/zap"
 
 	"cicadaloom/internal/config/settings"
+	"cicadaloom/internal/control/decisions"
 	"cicadaloom/internal/control/loop"
 	"cicadaloom/internal/control/routing"
 	"cicadaloom/internal/peer/caller"
@@ -44,6 +45,7 @@
 	Peers     string
 
 	metrics   *metrics.Set
+	decisions *decisions.Log
 	keyValue  *etcd.Client
 	control   *loop.Loop
 	callers   *caller.Server
@@ -57,9 +59,10 @@
 // starts in an outage learns what it needs from its peers.
 func Start(loaded settings.Settings, log *zap.Logger) (*Host, error) {
 	h := &Host{
-		metrics: metrics.NewSet(),
-		engines: &engine.Client{},
-		plains:  &plain.Client{},
+		metrics:   metrics.NewSet(),
+		decisions: decisions.NewLog(loaded.Host.Name),
+		engines:   &engine.Client{},
+		plains:    &plain.Client{},
 	}
 	if err := h.start(loaded, log); err != nil {
 		_ = h.Stop(context.Background())
@@ -78,10 +81,11 @@
 	}
 	h.keyValue = keyValue
 	h.control = loop.New(loop.Options{
-		Settings: loaded,
-		KeyValue: keyValue,
-		Log:      log,
-		Metrics:  h.metrics,
+		Settings:  loaded,
+		KeyValue:  keyValue,
+		Log:       log,
+		Metrics:   h.metrics,
+		Decisions: h.decisions,
 	})
 	peers := &entryhost.Server{
 		Handler: h.control,
@@ -109,6 +113,7 @@
 		Dispatcher: dispatcher,
 		Knowledge:  h.control,
 		Settings:   loaded.Callers,
+		Decisions:  h.decisions,
 		Log:        log,
 		TLS:        certificates,
 	}
@@ -148,7 +153,8 @@
 		Link: &dispatch.Link{
 			Budget: loaded.Policy.LinkBudget,
 		},
-		Log: log,
+		Log:       log,
+		Decisions: h.decisions,
 		Metrics: dispatch.Metrics{
 			Set: h.metrics,
 		},
