host, operator: Let an operator drain a host without ending it

Cause: the only planned stop was SIGTERM, whose process ends when Callers.DrainTimeout is over: an operator could not see a host empty first, nor change his mind.

Change: POST /admin/drain (administrators' token, each attempt logged) does the first half of a planned stop: new requests are refused as not run, /healthz answers 503, leadership and partitions go to other hosts, what is in flight goes on, operators and peers are still answered. DELETE takes it back until the process has been told to end (409 after that): the host serves, may be home of partitions and may lead again; whoever leads by then goes on.

A host that had resigned no longer looked for the leader: the look that was due stayed due, so that its loop would have woken every millisecond for as long as it drained, and its status named no leader.

A new command of scenarios, "logged", looks at the lines of a host's log.

--- a/internal/control/claims/events.go
+++ b/internal/control/claims/events.go
@@ -98,6 +98,9 @@
 // delay from now on.
 type Stopping struct{}
 
+// Resumed takes Stopping back.
+type Resumed struct{}
+
 // Tick tells only the time.
 type Tick struct{}
 
@@ -110,4 +113,5 @@
 func (ClaimForwarded) claimsEvent() {}
 func (NoteForwarded) claimsEvent()  {}
 func (Stopping) claimsEvent()       {}
+func (Resumed) claimsEvent()        {}
 func (Tick) claimsEvent()           {}
--- a/internal/control/claims/machine.go
+++ b/internal/control/claims/machine.go
@@ -67,6 +67,8 @@
 		m.onNoteForwarded(event)
 	case Stopping:
 		m.onStopping()
+	case Resumed:
+		m.stopping = false
 	}
 	m.fireTimers()
 	return m.commands
--- a/internal/control/loop/start.go
+++ b/internal/control/loop/start.go
@@ -107,6 +107,22 @@
 	c.runClaims(now, c.claims.Step(now, claims.Stopping{}))
 }
 
+// Resume takes Stopping back: the host may be the home of partitions and may lead
+// again. What others have taken over meanwhile stays theirs until they are asked.
+func (l *Loop) Resume() {
+	l.stopping.Store(false)
+	l.send(resuming{})
+}
+
+// resuming makes the next exchange come at once.
+type resuming struct{}
+
+func (resuming) apply(now time.Time, c *control) {
+	c.exchangeAt = now
+	c.runOrders(c.orders.Step(now, orders.Rejoin{}))
+	c.runClaims(now, c.claims.Step(now, claims.Resumed{}))
+}
+
 // settleEvery is how often Settle looks.
 const settleEvery = 10 * time.Millisecond
 
--- a/internal/control/orders/leader.go
+++ b/internal/control/orders/leader.go
@@ -20,7 +20,7 @@
 // loop gives LeaderRead from a watch or from peers instead: each puts off the
 // next look.
 func (m *Machine) poll(now time.Time) []Command {
-	if m.resigned || now.Before(m.pollAt) || m.phase == phaseReading || m.phase == phaseLeading {
+	if now.Before(m.pollAt) || m.phase == phaseReading || m.phase == phaseLeading {
 		return nil
 	}
 	m.pollAt = now.Add(m.settings.LeaderPoll)
@@ -39,7 +39,9 @@
 		return m.sawLeader(event.Entry)
 	}
 	m.leader = ""
-	if m.phase == phaseAcquiring {
+	// A host that has resigned goes on looking: it may drain for hours, and the
+	// look that is due would stay due and wake the loop every millisecond.
+	if m.phase == phaseAcquiring || m.resigned {
 		return nil
 	}
 	if m.lease == 0 {
--- a/internal/control/orders/orders.go
+++ b/internal/control/orders/orders.go
@@ -160,6 +160,8 @@
 		commands = m.onSwapAnswered(now, event)
 	case Resign:
 		commands = m.onResign(now)
+	case Rejoin:
+		m.onRejoin(now)
 	case OrderAnswered, Tick:
 	}
 	commands = append(commands, m.checkLease(now)...)
--- a/internal/control/orders/resign.go
+++ b/internal/control/orders/resign.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// Resign gives the leadership back for good: this host is stopping. Without it
-// the others would wait for the lease to lapse before they plan again.
+// Resign gives the leadership back until Rejoin: this host is stopping. Without
+// it the others would wait for the lease to lapse before they plan again.
 type Resign struct{}
 
 func (Resign) event() {}
@@ -14,3 +14,14 @@
 	m.stepDown(now)
 	return m.dropLease()
 }
+
+// Rejoin takes Resign back: the host may be elected again. Whoever leads by then
+// goes on leading.
+type Rejoin struct{}
+
+func (Rejoin) event() {}
+
+func (m *Machine) onRejoin(now time.Time) {
+	m.resigned = false
+	m.pollAt = now
+}
--- a/internal/peer/operator/operator.go
+++ b/internal/peer/operator/operator.go
@@ -9,17 +9,20 @@
 //	GET    /admin/status                 hosts, backend servers, models, moves
 //	GET    /admin/burn                   the report on service-level burn
 //	GET    /admin/decisions              recent decisions and why, or one by its id
+//	POST   /admin/drain                  a planned stop of this host, but for its end
+//	DELETE /admin/drain                  takes that back
 //	GET    /metrics                      Prometheus text
 //	GET    /healthz                      204 while the process serves
 //
 // Everything under /admin wants a bearer token from the settings. A team's
 // token may read and edit its own document; the administrators' token may read
-// everything and edit every team's. docs/API.md has the forms.
+// everything, edit every team's and drain hosts. docs/API.md has the forms.
 //
 // # Usage
 //
 //	server := operator.Server{
 //		Control:  loop,
+//		Host:     host,
 //		Settings: settings.Operators,
 //		Log:      log,
 //	}
@@ -55,6 +58,17 @@
 	Explain(ctx context.Context, query decisions.Query) (loop.Decided, error)
 }
 
+// Drainer is the host's side of a planned stop that an operator begins.
+type Drainer interface {
+	// Drain refuses new requests and hands over what this host leads.
+	Drain()
+	// Resume takes Drain back, or tells that the process is already ending.
+	Resume() bool
+	Stopping() bool
+	// InFlight is the number of callers' requests under way.
+	InFlight() int64
+}
+
 // Bounds of a request.
 const (
 	callTimeout = 10 * time.Second
@@ -64,6 +78,7 @@
 // Server answers operators. All fields but TLS must be set.
 type Server struct {
 	Control  Control
+	Host     Drainer
 	Settings settings.Operators
 	// Metrics are this host's; the process's own are shown with them.
 	Metrics *metrics.Set
@@ -112,6 +127,8 @@
 	router.GET("/admin/documents/:team/history", s.allowed(toRead, s.history))
 	router.GET("/admin/status", s.allowed(toRead, s.status))
 	router.GET("/admin/burn", s.allowed(toRead, s.burn))
+	router.POST("/admin/drain", s.allowed(toDrain, s.drain))
+	router.DELETE("/admin/drain", s.allowed(toDrain, s.resume))
 	router.GET("/admin/decisions", s.allowed(toRead, s.decisions))
 	return router
 }
--- a/internal/peer/operator/status.go
+++ b/internal/peer/operator/status.go
@@ -17,7 +17,10 @@
 	if err != nil {
 		return unavailable(w, err)
 	}
-	return writeJSON(w, http.StatusOK, encodeStatus(&status))
+	wire := encodeStatus(&status)
+	wire.Stopping = s.Host.Stopping()
+	wire.InFlight = s.Host.InFlight()
+	return writeJSON(w, http.StatusOK, wire)
 }
 
 func encodeStatus(status *loop.Status) wireStatus {
--- a/internal/peer/operator/token.go
+++ b/internal/peer/operator/token.go
@@ -18,6 +18,8 @@
 const (
 	toRead purpose = "Read"
 	toEdit purpose = "Edit"
+	// toDrain is for administrators: a host serves all teams.
+	toDrain purpose = "Drain"
 )
 
 // bearer is who holds a token.
@@ -28,8 +30,23 @@
 
 // may tells whether the bearer may do something with a team's document; the
 // empty team stands for what concerns all teams.
-func (b bearer) may(team ident.TeamName) bool {
-	return b.admin || team == "" || b.team == team
+func (b bearer) may(wanted purpose, team ident.TeamName) bool {
+	switch {
+	case b.admin:
+		return true
+	case wanted == toDrain:
+		return false
+	default:
+		return team == "" || b.team == team
+	}
+}
+
+// needed names the tokens that may do it.
+func needed(team ident.TeamName) string {
+	if team == "" {
+		return "the administrators'"
+	}
+	return "that of team " + string(team) + " or the administrators'"
 }
 
 // allowed lets only requests with a fitting token through, and logs the others.
@@ -45,11 +62,11 @@
 				Message: "found no known token, allowed Authorization: Bearer TOKEN with one of the settings",
 			})
 		}
-		if !who.may(team) {
+		if !who.may(wanted, team) {
 			s.logRefused(request, wanted, "token of team "+string(who.team))
 			return writeProblem(w, http.StatusForbidden, problem{
 				Code:    codeForbidden,
-				Message: "found the token of team " + string(who.team) + ", allowed that of team " + string(team) + " or the administrators'",
+				Message: "found the token of team " + string(who.team) + ", allowed " + needed(team),
 			})
 		}
 		return next(w, request)
--- a/internal/peer/operator/wire.go
+++ b/internal/peer/operator/wire.go
@@ -56,16 +56,20 @@
 	// InForce counts the live hosts that have every edit up to Revision.
 	InForce   int
 	LiveHosts int
-	Leader    string
-	Fencing   int64
-	Hosts     []wireHost
-	Servers   []wireServer
-	Models    []wireModel
-	Blocked   []wireBlocked `json:",omitempty"`
-	Doubts    []wireDoubt   `json:",omitempty"`
-	Moves     map[string]int
-	Recent    []wireMove `json:",omitempty"`
-	Suspects  int
+	// Stopping and InFlight are of the host that answers: it takes no new
+	// requests, and how many it still has.
+	Stopping bool
+	InFlight int64
+	Leader   string
+	Fencing  int64
+	Hosts    []wireHost
+	Servers  []wireServer
+	Models   []wireModel
+	Blocked  []wireBlocked `json:",omitempty"`
+	Doubts   []wireDoubt   `json:",omitempty"`
+	Moves    map[string]int
+	Recent   []wireMove `json:",omitempty"`
+	Suspects int
 }
 
 type wireHost struct {
@@ -122,6 +126,11 @@
 	Want int
 }
 
+type wireDrain struct {
+	Stopping bool
+	InFlight int64
+}
+
 type wireDecisions struct {
 	// Hosts have answered, Missing have not: what they decided is not here.
 	Hosts     []string
--- a/internal/scenario/testbed/bed_test.go
+++ b/internal/scenario/testbed/bed_test.go
@@ -62,6 +62,7 @@
 		"pin":        cmdPin,
 		"begin":      cmdBegin,
 		"finished":   cmdFinished,
+		"logged":     cmdLogged,
 	}
 }
 
--- /dev/null
+++ b/internal/scenario/testbed/logged_test.go
@@ -0,0 +1,97 @@
+package testbed
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// logLine is one line of an entry host's log.
+type logLine map[string]any
+
+// everywhere are the fields that every line has.
+var everywhere = []string{"Time", "Level", "Message", "Host", "DataCentre"}
+
+// cmdLogged waits until a host has logged a message, and checks every line with
+// it: its level, and that each field is there and not empty. A field may be
+// given as NAME=VALUE: then only the lines with that value are looked at. All
+// lines of the log must have the fields of everywhere, and every line about a
+// request its id.
+func cmdLogged(ts *testscript.TestScript, neg bool, args []string) {
+	usage(ts, !neg && len(args) >= 3, "logged NAME LEVEL MESSAGE [FIELD | FIELD=VALUE]...")
+	file := args[0] + ".log"
+	deadline := time.Now().Add(waitMost)
+	for time.Now().Before(deadline) {
+		lines := logLines(ts, ts.ReadFile(file))
+		if found := chosen(lines, args[2], args[3:]); len(found) > 0 {
+			for _, line := range found {
+				checkLine(ts, line, args[1], args[3:])
+			}
+			return
+		}
+		time.Sleep(waitEvery)
+	}
+	ts.Fatalf("%s has no line %q with %v: %s", file, args[2], args[3:], tail(ts.ReadFile(file)))
+}
+
+func logLines(ts *testscript.TestScript, text string) []logLine {
+	var lines []logLine
+	// The last line may still be on its way.
+	for _, raw := range strings.Split(text[:strings.LastIndex(text, "\n")+1], "\n") {
+		if raw == "" {
+			continue
+		}
+		var line logLine
+		if err := json.Unmarshal([]byte(raw), &line); err != nil {
+			ts.Fatalf("a log line is no JSON object: %s", raw)
+		}
+		for _, field := range everywhere {
+			require(ts, line, field)
+		}
+		message := line["Message"].(string)
+		if strings.HasPrefix(message, "request ") || strings.HasPrefix(message, "attempt ") {
+			require(ts, line, "RequestID")
+		}
+		for field := range line {
+			if field[:1] != strings.ToUpper(field[:1]) {
+				ts.Fatalf("the field %s of a log line is not in Pascal case: %s", field, raw)
+			}
+		}
+		lines = append(lines, line)
+	}
+	return lines
+}
+
+func chosen(lines []logLine, message string, fields []string) []logLine {
+	var found []logLine
+	for _, line := range lines {
+		fits := line["Message"] == message
+		for _, field := range fields {
+			if name, value, given := strings.Cut(field, "="); given && line[name] != value {
+				fits = false
+			}
+		}
+		if fits {
+			found = append(found, line)
+		}
+	}
+	return found
+}
+
+func checkLine(ts *testscript.TestScript, line logLine, level string, fields []string) {
+	if got := line["Level"]; !strings.EqualFold(got.(string), level) {
+		ts.Fatalf("%v is at level %v, not %s", line, got, level)
+	}
+	for _, field := range fields {
+		name, _, _ := strings.Cut(field, "=")
+		require(ts, line, name)
+	}
+}
+
+func require(ts *testscript.TestScript, line logLine, field string) {
+	if value, found := line[field]; !found || value == "" {
+		ts.Fatalf("a log line has no %s: %v", field, line)
+	}
+}
--- a/internal/traffic/host/host.go
+++ b/internal/traffic/host/host.go
@@ -13,6 +13,9 @@
 // are refused as not run. Those in flight go on to their ends, within the
 // context's time. Then what they have left to tell of their claims is written,
 // the leadership is given back, and the host ends.
+//
+// Drain does the first half by itself, for an operator who wants to see the host
+// empty before its process ends; Resume takes that back.
 package host
 
 import (
@@ -53,6 +56,7 @@
 	peers     *entryhost.Server
 	engines   *engine.Client
 	plains    *plain.Client
+	drain     drain
 }
 
 // Start starts an entry host. It does not wait for the platform: a host that
@@ -124,6 +128,7 @@
 	h.callers = callers
 	operators := &operator.Server{
 		Control:  h.control,
+		Host:     h,
 		Settings: loaded.Operators,
 		Metrics:  h.metrics,
 		Log:      log,
@@ -187,9 +192,8 @@
 			first = err
 		}
 	}
+	h.end()
 	if h.callers != nil {
-		h.callers.Refuse()
-		h.control.Stopping()
 		keep(errors.Wrap(h.callers.Stop(ctx), "callers"))
 	}
 	if h.control != nil {
