command/cicadaloom, scenario: Check every log line about a request

Cause: nothing looked at the log. A scenario that reads entry-1.log found two faults at once: zap named errors "error", in lower case, and put the stack that pkg/errors keeps beside them, 2 KiB with the paths of the build machine in each line about a lost attempt.

Scenario logs: one line for an answered request at Debug, for a refused or failed one at Info (also where it came to no attempt, no team or no body), for a lost attempt at Warn, each with RequestID, with AttemptID once one was made, Host and DataCentre; all fields of all lines in Pascal case.

--- a/internal/scenario/testbed/bed_test.go
+++ b/internal/scenario/testbed/bed_test.go
@@ -63,6 +63,7 @@
 		"begin":      cmdBegin,
 		"finished":   cmdFinished,
 		"logged":     cmdLogged,
+		"once":       cmdOnce,
 	}
 }
 
--- a/internal/scenario/testbed/logged_test.go
+++ b/internal/scenario/testbed/logged_test.go
@@ -36,6 +36,21 @@
 	ts.Fatalf("%s has no line %q with %v: %s", file, args[2], args[3:], tail(ts.ReadFile(file)))
 }
 
+// cmdOnce checks that just one line of a host's log has a field with a value.
+func cmdOnce(ts *testscript.TestScript, neg bool, args []string) {
+	usage(ts, !neg && len(args) == 2 && strings.Contains(args[1], "="), "once NAME FIELD=VALUE")
+	name, value, _ := strings.Cut(args[1], "=")
+	count := 0
+	for _, line := range logLines(ts, ts.ReadFile(args[0]+".log")) {
+		if line[name] == value {
+			count++
+		}
+	}
+	if count != 1 {
+		ts.Fatalf("%d lines have %s", count, args[1])
+	}
+}
+
 func logLines(ts *testscript.TestScript, text string) []logLine {
 	var lines []logLine
 	// The last line may still be on its way.
@@ -54,6 +69,9 @@
 		if strings.HasPrefix(message, "request ") || strings.HasPrefix(message, "attempt ") {
 			require(ts, line, "RequestID")
 		}
+		if strings.HasPrefix(message, "attempt ") {
+			require(ts, line, "AttemptID")
+		}
 		for field := range line {
 			if field[:1] != strings.ToUpper(field[:1]) {
 				ts.Fatalf("the field %s of a log line is not in Pascal case: %s", field, raw)
