--- a/internal/control/loop/loop.go
+++ b/internal/control/loop/loop.go
@@ -37,6 +37,7 @@
 	"cicadaloom/internal/config/settings"
 	"cicadaloom/internal/control/burn"
 	"cicadaloom/internal/control/claims"
+	"cicadaloom/internal/control/decisions"
 	"cicadaloom/internal/control/demand"
 	"cicadaloom/internal/control/documents"
 	"cicadaloom/internal/control/membership"
@@ -70,6 +71,8 @@
 	KeyValue KeyValue
 	Log      *zap.Logger
 	Metrics  *metrics.Set
+	// Decisions is where moves are kept for those who ask; nil keeps none.
+	Decisions *decisions.Log
 }
 
 // Bounds of the loop.
--- a/internal/peer/entryhost/entryhost.go
+++ b/internal/peer/entryhost/entryhost.go
@@ -1,11 +1,12 @@
 // Package entryhost is what entry hosts say to one another, over gRPC.
 //
-// There are six calls. Exchange is the heartbeat: each side tells the beats,
+// There are seven calls. Exchange is the heartbeat: each side tells the beats,
 // documents, loads, suspects and leaving backend servers that it knows, and
 // each part carries what orders it, so that telling it twice or late does no
-// harm. Claim, Finish and Release go to the home of a key's
-// partition. Demand goes to the host that leads the placement. Burn collects the
-// counts for the report on service-level burn.
+// harm. Claim, Finish and Release go to the home of a key's partition. Demand
+// goes to the host that leads the placement. Burn collects the counts for the
+// report on service-level burn, and Decisions what a host decided of late, for
+// whoever asks why.
 //
 // # Usage
 //
@@ -33,6 +34,7 @@
 
 	"cicadaloom/internal/control/burn"
 	"cicadaloom/internal/control/claims"
+	"cicadaloom/internal/control/decisions"
 	"cicadaloom/internal/control/demand"
 	"cicadaloom/internal/control/documents"
 	"cicadaloom/internal/control/membership"
@@ -94,6 +96,8 @@
 	Exchange(ctx context.Context, theirs Knowledge) (Knowledge, error)
 	Counts(ctx context.Context) (Counts, error)
 	Demand(ctx context.Context, told demand.Told) error
+	// Decisions gives what this host itself decided.
+	Decisions(ctx context.Context, query decisions.Query) ([]decisions.Decision, error)
 	// The calls on claims are for an attempt of another host, their Origin.
 	ClaimFor(ctx context.Context, claim claims.Claim) (claims.Answer, error)
 	FinishFor(ctx context.Context, finish claims.Finish) (bool, error)
--- a/internal/scenario/testbed/bed_test.go
+++ b/internal/scenario/testbed/bed_test.go
@@ -62,6 +62,8 @@
 		"pin":        cmdPin,
 		"begin":      cmdBegin,
 		"finished":   cmdFinished,
+		"logged":     cmdLogged,
+		"once":       cmdOnce,
 	}
 }
 
--- a/internal/traffic/host/host.go
+++ b/internal/traffic/host/host.go
@@ -13,6 +13,9 @@
 // are refused as not run. Those in flight go on to their ends, within the
 // context's time. Then what they have left to tell of their claims is written,
 // the leadership is given back, and the host ends.
+//
+// Drain does the first half by itself, for an operator who wants to see the host
+// empty before its process ends; Resume takes that back.
 package host
 
 import (
@@ -26,6 +29,7 @@
 	"go.uber.org/zap"
 
 	"cicadaloom/internal/config/settings"
+	"cicadaloom/internal/control/decisions"
 	"cicadaloom/internal/control/loop"
 	"cicadaloom/internal/control/routing"
 	"cicadaloom/internal/peer/caller"
@@ -44,6 +48,7 @@
 	Peers     string
 
 	metrics   *metrics.Set
+	decisions *decisions.Log
 	keyValue  *etcd.Client
 	control   *loop.Loop
 	callers   *caller.Server
@@ -51,15 +56,17 @@
 	peers     *entryhost.Server
 	engines   *engine.Client
 	plains    *plain.Client
+	drain     drain
 }
 
 // Start starts an entry host. It does not wait for the platform: a host that
 // starts in an outage learns what it needs from its peers.
 func Start(loaded settings.Settings, log *zap.Logger) (*Host, error) {
 	h := &Host{
-		metrics: metrics.NewSet(),
-		engines: &engine.Client{},
-		plains:  &plain.Client{},
+		metrics:   metrics.NewSet(),
+		decisions: decisions.NewLog(loaded.Host.Name),
+		engines:   &engine.Client{},
+		plains:    &plain.Client{},
 	}
 	if err := h.start(loaded, log); err != nil {
 		_ = h.Stop(context.Background())
@@ -78,10 +85,11 @@
 	}
 	h.keyValue = keyValue
 	h.control = loop.New(loop.Options{
-		Settings: loaded,
-		KeyValue: keyValue,
-		Log:      log,
-		Metrics:  h.metrics,
+		Settings:  loaded,
+		KeyValue:  keyValue,
+		Log:       log,
+		Metrics:   h.metrics,
+		Decisions: h.decisions,
 	})
 	peers := &entryhost.Server{
 		Handler: h.control,
@@ -109,6 +117,7 @@
 		Dispatcher: dispatcher,
 		Knowledge:  h.control,
 		Settings:   loaded.Callers,
+		Decisions:  h.decisions,
 		Log:        log,
 		TLS:        certificates,
 	}
@@ -119,6 +128,7 @@
 	h.callers = callers
 	operators := &operator.Server{
 		Control:  h.control,
+		Host:     h,
 		Settings: loaded.Operators,
 		Metrics:  h.metrics,
 		Log:      log,
@@ -148,7 +158,8 @@
 		Link: &dispatch.Link{
 			Budget: loaded.Policy.LinkBudget,
 		},
-		Log: log,
+		Log:       log,
+		Decisions: h.decisions,
 		Metrics: dispatch.Metrics{
 			Set: h.metrics,
 		},
@@ -181,9 +192,8 @@
 			first = err
 		}
 	}
+	h.end()
 	if h.callers != nil {
-		h.callers.Refuse()
-		h.control.Stopping()
 		keep(errors.Wrap(h.callers.Stop(ctx), "callers"))
 	}
 	if h.control != nil {
