dispatch: Give a whole answer the time that its tokens need

Cause: the watchdog gave an answer in one piece only twice the promised time of a first token, though it comes with its last token. A chat of 700 tokens that streamed in 4.6 s was given up at 3.2 s when asked for whole, tried elsewhere and given up again, and each time counted as a lost server.

Ruled out: asking the engine for a stream and putting it together here (the body goes on as it came).

Change: the bound is the first token's patience and the promised time of max_tokens; without max_tokens only the deadline ends it. Whether an answer was in time counts the same way: a whole answer has its tokens' time, and a stream must keep the time between tokens too.

LeastReported now compares the reported queue that its name promises; it compared the queue less this host's own, which flattered LeastCost.

--- a/internal/control/routing/baseline.go
+++ b/internal/control/routing/baseline.go
@@ -31,7 +31,7 @@
 		if !replica.usable(request) {
 			continue
 		}
-		if best == nil || replica.Gauge.others.Load() < best.Gauge.others.Load() {
+		if best == nil || replica.Gauge.queue.Load() < best.Gauge.queue.Load() {
 			best = replica
 		}
 	}
--- a/internal/control/routing/gauge.go
+++ b/internal/control/routing/gauge.go
@@ -52,7 +52,9 @@
 	// own; reportedAt is Unix nanoseconds: when the server took that report.
 	others     atomic.Int64
 	reportedAt atomic.Int64
-	usual      atomic.Uint64 // others, smoothed over the reports, as float64 bits
+	// queue is the last report's whole queue, for the baseline LeastReported.
+	queue atomic.Int64
+	usual atomic.Uint64 // others, smoothed over the reports, as float64 bits
 	// peers is what the peers' last words add up to.
 	peers atomic.Int64
 	// uses has the classes and teams that share the server.
@@ -169,8 +171,9 @@
 	return g.underWay.Load() == 0 && g.others.Load() == 0 && g.peers.Load() == 0
 }
 
-// reported takes in what others had at the server when a report was taken.
-func (g *Gauge) reported(at time.Time, others int64) {
+// reported takes in a report's queue and the part of it that was not this host's.
+func (g *Gauge) reported(at time.Time, queue, others int64) {
+	g.queue.Store(queue)
 	g.others.Store(others)
 	g.reportedAt.Store(at.UnixNano())
 	smooth(&g.usual, float64(others), usualWeight)
--- a/internal/control/routing/server.go
+++ b/internal/control/routing/server.go
@@ -138,7 +138,8 @@
 	// The report is of an earlier instant: what this host had there at that
 	// instant is in it, and what it has there now is counted apart.
 	own := state.gauge.UnderWayAt(report.At, now)
-	state.gauge.reported(report.At, max(int64(report.Running+report.Waiting)-own, 0))
+	queue := int64(report.Running + report.Waiting)
+	state.gauge.reported(report.At, queue, max(queue-own, 0))
 	if state.listed.Kind == backend.KindEngine {
 		m.residents(now, state, reborn)
 	}
--- a/internal/domain/document/document.go
+++ b/internal/domain/document/document.go
@@ -72,6 +72,11 @@
 	BetweenTokens time.Duration
 }
 
+// Between gives the promised time from the first token to the last of an answer.
+func (p Promise) Between(tokens unit.Tokens) time.Duration {
+	return time.Duration(max(tokens-1, 0)) * p.BetweenTokens
+}
+
 // Class is a class of callers.
 type Class struct {
 	Name ident.ClassName
--- a/internal/peer/caller/chat.go
+++ b/internal/peer/caller/chat.go
@@ -10,6 +10,7 @@
 	"github.com/uptrace/bunrouter"
 
 	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/domain/unit"
 	"cicadaloom/internal/traffic/dispatch"
 )
 
@@ -28,9 +29,10 @@
 	w.Header().Set(HeaderRequest, string(read.ID))
 	sink := newSink(s, w, read.ID)
 	failure = s.Dispatcher.Chat(request.Context(), dispatch.Chat{
-		Request: read,
-		Model:   ident.ModelName(body.Model),
-		Stream:  body.Stream,
+		Request:   read,
+		Model:     ident.ModelName(body.Model),
+		Stream:    body.Stream,
+		MaxTokens: unit.Tokens(max(body.MaxTokens, body.MaxCompletionTokens, 0)),
 	}, sink)
 	return sink.end(failure)
 }
--- a/internal/peer/caller/wire.go
+++ b/internal/peer/caller/wire.go
@@ -8,6 +8,9 @@
 	Model    string            `json:"model"`
 	Stream   bool              `json:"stream"`
 	Messages []json.RawMessage `json:"messages"`
+	// MaxTokens is the older name of MaxCompletionTokens.
+	MaxTokens           int64 `json:"max_tokens"`
+	MaxCompletionTokens int64 `json:"max_completion_tokens"`
 }
 
 // errorBody is an error in the form that the OpenAI clients read.
--- a/internal/peer/engine/stream.go
+++ b/internal/peer/engine/stream.go
@@ -14,6 +14,7 @@
 	"github.com/tmaxmax/go-sse"
 
 	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/domain/unit"
 	"cicadaloom/internal/peer/httpsend"
 	"cicadaloom/internal/wire/engineapi"
 )
@@ -57,7 +58,8 @@
 
 // Whole is an answer in one piece.
 type Whole struct {
-	Raw []byte
+	Raw    []byte
+	Tokens unit.Tokens
 }
 
 // End tells that the answer came whole.
@@ -177,12 +179,14 @@
 	if err != nil {
 		return nil, s.fault(err)
 	}
-	if _, _, err := engineapi.ParseWhole(body); err != nil {
+	_, usage, err := engineapi.ParseWhole(body)
+	if err != nil {
 		return nil, errors.Wrap(ErrBrokenStream, err.Error())
 	}
 	s.answered = true
 	return Whole{
-		Raw: body,
+		Raw:    body,
+		Tokens: unit.Tokens(usage.Completion),
 	}, nil
 }
 
--- a/internal/traffic/dispatch/chat.go
+++ b/internal/traffic/dispatch/chat.go
@@ -107,7 +107,7 @@
 func (c *conversation) attemptAt(ctx context.Context, choice routing.Choice) (bool, *Failure) {
 	c.setOut(choice)
 	defer c.leave()
-	watched, watch := c.watch(ctx)
+	watched, watch := c.watch(ctx, c.firstWord())
 	defer watch.stop()
 	stream, err := c.Engines.Chat(watched, choice.Replica.Address, engine.Call{
 		Body:      c.chat.Body,
@@ -147,6 +147,7 @@
 				Body:        e.Raw,
 			}
 			c.first()
+			c.late = c.firstAt.After(c.promised.Add(c.target.Promise.Between(e.Tokens)))
 		case engine.End:
 			return false, c.answered(choice)
 		}
@@ -191,6 +192,7 @@
 		c.Reporter.Cleared(c.fingerprint)
 	}
 	if c.chat.Stream {
+		c.late = c.streamedLate()
 		c.keep(streamEnd)
 		c.answer = Whole{
 			Status:      http.StatusOK,
@@ -205,6 +207,13 @@
 	return nil
 }
 
+// streamedLate tells whether the stream broke its promise, by its first token
+// or by the time from there to its last.
+func (c *conversation) streamedLate() bool {
+	promised := c.target.Promise.Between(unit.Tokens(c.tokens))
+	return c.firstAt.After(c.promised) || c.Now().Sub(c.firstAt) > promised && promised > 0
+}
+
 // timing is what the answer teaches of the server's pace. An answer that other
 // servers have begun teaches nothing.
 func (c *conversation) timing() routing.Timing {
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -108,6 +108,8 @@
 	arrived     time.Time
 	promised    time.Time
 	firstAt     time.Time
+	// late tells that the answer came whole and not in its promised time.
+	late bool
 	// claimed is the attempt id that holds the request's claim; each send has
 	// an attempt id of its own.
 	claimed ident.AttemptID
@@ -178,7 +180,7 @@
 		result = burn.Refused
 	case failure != nil:
 		result = burn.Failed
-	case j.firstAt.After(j.promised):
+	case j.late:
 		result = burn.Late
 	}
 	key := burn.Key{
--- a/internal/traffic/dispatch/request.go
+++ b/internal/traffic/dispatch/request.go
@@ -10,6 +10,7 @@
 	"cicadaloom/internal/control/routing"
 	"cicadaloom/internal/domain/document"
 	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/domain/unit"
 	"cicadaloom/internal/wire/engineapi"
 )
 
@@ -28,6 +29,8 @@
 	Request
 	Model  ident.ModelName
 	Stream bool
+	// MaxTokens bounds the answer; zero where its caller sets no bound.
+	MaxTokens unit.Tokens
 }
 
 // Plain is a request to a plain service.
--- a/internal/traffic/dispatch/service.go
+++ b/internal/traffic/dispatch/service.go
@@ -63,7 +63,7 @@
 func (e *errand) attemptAt(ctx context.Context, choice routing.Choice) (bool, *Failure) {
 	e.setOut(choice)
 	defer e.leave()
-	watched, watch := e.watch(ctx)
+	watched, watch := e.watch(ctx, e.firstWord())
 	defer watch.stop()
 	header := http.Header{}
 	header.Set("Content-Type", e.plain.ContentType)
@@ -88,6 +88,7 @@
 func (e *errand) answered(choice routing.Choice, answer *plain.Answer) *Failure {
 	e.trail.Finished(e.attempt)
 	e.first()
+	e.late = e.firstAt.After(e.promised)
 	elapsed := e.firstAt.Sub(e.sentAt)
 	choice.Replica.Gauge.Answered(e.firstAt, routing.Timing{
 		FirstToken: elapsed,
--- a/internal/traffic/dispatch/watchdog.go
+++ b/internal/traffic/dispatch/watchdog.go
@@ -29,19 +29,39 @@
 	cancel  context.CancelCauseFunc
 }
 
-func (j *journey) watch(ctx context.Context) (context.Context, *watchdog) {
+// watch starts a watchdog with the patience for the first word; zero is for
+// attempts that only the deadline ends.
+func (j *journey) watch(ctx context.Context, patience time.Duration) (context.Context, *watchdog) {
 	watched, cancel := context.WithCancelCause(ctx)
 	dog := &watchdog{
 		watched: watched,
 		cancel:  cancel,
 	}
-	if j.mayRepeat {
-		patience := max(firstTokenPatience*j.target.Promise.FirstToken, leastStall)
+	if j.mayRepeat && patience > 0 {
 		dog.timer = time.AfterFunc(patience, func() { cancel(errStalled) })
 	}
 	return watched, dog
 }
 
+// firstWord gives how long a backend server may take for its first word.
+func (j *journey) firstWord() time.Duration {
+	return max(firstTokenPatience*j.target.Promise.FirstToken, leastStall)
+}
+
+// firstWord gives how long an engine may take for its first word. An answer in
+// one piece comes with its last token: nothing tells a long one from a hang
+// where its length has no bound, and only the deadline ends it.
+func (c *conversation) firstWord() time.Duration {
+	switch {
+	case c.chat.Stream:
+		return c.journey.firstWord()
+	case c.chat.MaxTokens == 0:
+		return 0
+	default:
+		return c.journey.firstWord() + firstTokenPatience*c.target.Promise.Between(c.chat.MaxTokens)
+	}
+}
+
 // stall gives how long a stream may pause.
 func (j *journey) stall() time.Duration {
 	return max(betweenPatience*j.target.Promise.BetweenTokens, leastStall)
