--- a/internal/traffic/host/fleet_test.go
+++ b/internal/traffic/host/fleet_test.go
@@ -69,6 +69,7 @@
 
 func (f *fleet) settings(name ident.HostID) settings.Settings {
 	result := f.platform.HostSettings(name)
+	result.Policy.LinkBudget = f.linkBudget
 	result.Operators.AdminToken = adminToken
 	result.Control.ReportInterval = 50 * time.Millisecond
 	result.Control.ListInterval = 50 * time.Millisecond
