command/cicadaloom: Check that every example passes the check

Cause: examples were read by teamdoc's tests, each by its name; a new file would have been tested by nobody, and the command itself by none.

Change: every JSON file under examples goes through "cicadaloom check". Wrong command lines of drain and explain join the list of those.

--- a/internal/command/cicadaloom/command_test.go
+++ b/internal/command/cicadaloom/command_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"os"
+	"path/filepath"
 	"testing"
 
 	"cicadaloom/internal/command/program"
@@ -35,6 +36,23 @@
 	}
 }
 
+// What an operator copies from the examples passes the check that they are told
+// to run first. A file of another name is no settings and no document: it fails.
+func TestExamplesPassTheCheck(t *testing.T) {
+	files, err := filepath.Glob("../../../examples/*/*.json")
+	require.NoError(t, err)
+	require.GreaterOrEqual(t, len(files), 4)
+	for _, file := range files {
+		kind := "-settings"
+		if filepath.Base(file) == "document.json" {
+			kind = "-document"
+		}
+		code, out, complaint := run("check", kind, file)
+		require.Equal(t, program.ExitOK, code, complaint)
+		require.Contains(t, out, "is in order", file)
+	}
+}
+
 func TestWrongCommandLines(t *testing.T) {
 	for _, args := range [][]string{
 		{},
@@ -48,6 +66,9 @@
 		{"document", "frobnicate", "-team", "kerlouan"},
 		{"report", "-format", "xml"},
 		{"status", "extra"},
+		{"drain", "extra"},
+		{"explain", "one", "two"},
+		{"explain", "-format", "html"},
 	} {
 		code, out, err := run(args...)
 		require.Equal(t, program.ExitInput, code, args)
