--- a/internal/scenario/testbed/testbed.go
+++ b/internal/scenario/testbed/testbed.go
@@ -30,6 +30,9 @@
 //	begin LABEL COMMAND ...      begin a request and go on
 //	finished LABEL               wait for its answer, which is stdout
 //	many N COMMAND ...           run a command N times at once; stdout is sorted
+//	logged NAME LEVEL MESSAGE [FIELD | FIELD=VALUE]...
+//	                             wait for a line in a host's log; check its fields
+//	once NAME FIELD=VALUE        check that just one line of a host's log has it
 //	transcript FILE              write all answers so far to a file
 //	pin                          forget what is in the transcript
 //
