--- a/internal/control/decisions/decisions.go
+++ b/internal/control/decisions/decisions.go
@@ -2,10 +2,10 @@
 // taken, so that an operator can ask about one by its id: a request that was
 // refused or failed, an attempt that was lost, a move of a model.
 //
-// A Log is bounded: each kind has a ring of its own, so that a storm of refusals
-// pushes out older refusals and nothing else. Adding costs a short critical
-// section and no allocation once the ring is full; only failures and moves are
-// added, never a request that was answered.
+// A Log is bounded, to 1 MiB and the texts in it: each kind has a ring of its
+// own, so that a storm of refusals pushes out older refusals and nothing else.
+// Adding costs a short critical section and no allocation once the ring is full;
+// only failures and moves are added, never a request that was answered.
 //
 // # Usage
 //
