--- a/internal/control/loop/loop.go
+++ b/internal/control/loop/loop.go
@@ -38,9 +38,11 @@
 	"cicadaloom/internal/control/burn"
 	"cicadaloom/internal/control/claims"
 	"cicadaloom/internal/control/decisions"
+	"cicadaloom/internal/control/demand"
 	"cicadaloom/internal/control/documents"
 	"cicadaloom/internal/control/membership"
 	"cicadaloom/internal/control/orders"
+	"cicadaloom/internal/control/reports"
 	"cicadaloom/internal/control/routing"
 	"cicadaloom/internal/control/suspects"
 	"cicadaloom/internal/domain/backend"
@@ -114,6 +116,21 @@
 	membership membership.Machine
 	suspected  suspects.Machine
 	burn       burn.Machine
+	reports    reports.Machine
+
+	// direct tells that this host asks every server, watched has those that it
+	// asks otherwise.
+	direct  bool
+	watched map[ident.ServerName]bool
+	// wholes has the engines' own reports, wanted those to ask for.
+	wholes    map[ident.ServerName]whole
+	wanted    map[ident.ServerName]bool
+	live      []ident.HostID
+	startedAt time.Time
+	// acquaintedYet tells that this host has its duties, watches that watching
+	// the documents is one.
+	acquaintedYet bool
+	watches       bool
 
 	servers map[ident.ServerName]backend.Server
 	polling map[ident.ServerName]bool
@@ -129,9 +146,11 @@
 	memories    memories
 	listedAt    map[ident.ServerName]time.Time
 	watch       context.CancelFunc
-	demand      map[ident.ModelName]float64
+	demand      demand.Machine
+	demandAt    time.Time
 	askedFor    map[ident.ModelName]int64
 	listAt      time.Time
+	listLength  int
 	pollAt      time.Time
 	exchangeAt  time.Time
 	planAt      time.Time
@@ -139,7 +158,9 @@
 	// planned is the revision of the documents that the plan has.
 	planned ident.Revision
 	dirty   bool
-	gauges  gauges
+	// publishAt is when the next table may be made.
+	publishAt time.Time
+	gauges    gauges
 }
 
 // New makes a loop that Start sets going.
@@ -179,7 +200,7 @@
 // run is the control goroutine.
 func (c *control) run() error {
 	c.stepDocuments(time.Now(), documents.Started{
-		Watch: true,
+		Watch: false, // it takes up the duty when it knows the other hosts
 	})
 	timer := time.NewTimer(leastNap)
 	defer timer.Stop()
@@ -197,7 +218,7 @@
 		}
 		now := time.Now()
 		c.tick(now)
-		c.publish()
+		c.publish(time.Now())
 		c.gauges.busy.Add(time.Since(woken).Seconds())
 		timer.Reset(c.nap(now))
 	}
@@ -221,14 +242,28 @@
 }
 
 // publish makes a new table where something has changed that tables show.
-func (c *control) publish() {
-	if !c.dirty {
+func (c *control) publish(now time.Time) {
+	if !c.dirty || now.Before(c.publishAt) {
 		return
 	}
 	c.dirty = false
 	if c.documents.Revision() > 0 || c.documents.Snapshot().Revision > 0 {
 		c.table.Store(c.routing.Table())
 	}
+	c.publishAt = publishAfter(now, time.Since(now))
+}
+
+// tablesShare is the part of a core's time that making tables may take, one in so
+// many, and tableWait the longest that news waits for the next one.
+const (
+	tablesShare = 100
+	tableWait   = 500 * time.Millisecond
+)
+
+// publishAfter is when the next table may be made. A table of the largest fleet
+// takes some milliseconds: made for each message, tables would take the processor.
+func publishAfter(now time.Time, cost time.Duration) time.Time {
+	return now.Add(min(cost*tablesShare, tableWait))
 }
 
 // tick does what is due.
@@ -248,6 +283,9 @@
 			nap = min(nap, due.Sub(now))
 		}
 	}
+	if c.dirty {
+		nap = min(nap, c.publishAt.Sub(now))
+	}
 	return max(nap, leastNap)
 }
 
--- a/internal/peer/entryhost/codec.go
+++ b/internal/peer/entryhost/codec.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cicadaloom/internal/control/burn"
+	"cicadaloom/internal/control/demand"
 	"cicadaloom/internal/control/documents"
 	"cicadaloom/internal/control/membership"
 	"cicadaloom/internal/control/routing"
@@ -34,8 +35,13 @@
 		Told:     encodeMarks(k.Told),
 		From:     encodeMarks(k.From),
 		Have:     encodeMarks(k.Have),
+
+		WantsReports: k.WantsReports,
+		AllReports:   k.AllReports,
+		More:         k.More,
 	}
 	encodeBeats(wire, &k)
+	encodeReports(wire, &k.Reports)
 	for i := range k.Peers {
 		wire.Peers = append(wire.Peers, encodePeer(&k.Peers[i]))
 	}
@@ -74,6 +80,11 @@
 		Told:  decodeMarks(wire.GetTold()),
 		From:  decodeMarks(wire.GetFrom()),
 		Have:  decodeMarks(wire.GetHave()),
+
+		WantsReports: wire.GetWantsReports(),
+		AllReports:   wire.GetAllReports(),
+		More:         wire.GetMore(),
+		Reports:      decodeReports(wire),
 	}
 	for _, peer := range wire.GetPeers() {
 		k.Peers = append(k.Peers, decodePeer(peer))
@@ -103,15 +114,17 @@
 
 func encodeMarks(marks Marks) *entryhostpb.Marks {
 	return &entryhostpb.Marks{
-		Epoch: marks.Epoch,
-		Peers: marks.Peers,
+		Epoch:   marks.Epoch,
+		Peers:   marks.Peers,
+		Reports: marks.Reports,
 	}
 }
 
 func decodeMarks(wire *entryhostpb.Marks) Marks {
 	return Marks{
-		Epoch: wire.GetEpoch(),
-		Peers: wire.GetPeers(),
+		Epoch:   wire.GetEpoch(),
+		Peers:   wire.GetPeers(),
+		Reports: wire.GetReports(),
 	}
 }
 
@@ -191,6 +204,32 @@
 	return suspect
 }
 
+func encodeDemand(told demand.Told) *entryhostpb.DemandRequest {
+	wire := &entryhostpb.DemandRequest{
+		Host:       string(told.Host),
+		DataCentre: string(told.DataCentre),
+	}
+	for _, rate := range told.Rates {
+		wire.Models = append(wire.Models, string(rate.Model))
+		wire.PerSecond = append(wire.PerSecond, float32(rate.PerSecond))
+	}
+	return wire
+}
+
+func decodeDemand(wire *entryhostpb.DemandRequest) demand.Told {
+	told := demand.Told{
+		Host:       ident.HostID(wire.GetHost()),
+		DataCentre: ident.DataCentre(wire.GetDataCentre()),
+	}
+	for i := range min(len(wire.GetModels()), len(wire.GetPerSecond())) {
+		told.Rates = append(told.Rates, demand.Rate{
+			Model:     ident.ModelName(wire.GetModels()[i]),
+			PerSecond: float64(wire.GetPerSecond()[i]),
+		})
+	}
+	return told
+}
+
 func encodeCounts(counts Counts) *entryhostpb.BurnResponse {
 	wire := &entryhostpb.BurnResponse{
 		Host: string(counts.Host),
--- a/internal/peer/entryhost/entryhost.go
+++ b/internal/peer/entryhost/entryhost.go
@@ -1,11 +1,12 @@
 // Package entryhost is what entry hosts say to one another, over gRPC.
 //
-// Exchange is the heartbeat: each side tells the beats,
+// There are seven calls. Exchange is the heartbeat: each side tells the beats,
 // documents, loads, suspects and leaving backend servers that it knows, and
 // each part carries what orders it, so that telling it twice or late does no
-// harm. Claim, Finish and Release go to the home of a key's
-// partition. Burn collects the counts for the report on service-level burn, and
-// Decisions what a host decided of late, for whoever asks why.
+// harm. Claim, Finish and Release go to the home of a key's partition. Demand
+// goes to the host that leads the placement. Burn collects the counts for the
+// report on service-level burn, and Decisions what a host decided of late, for
+// whoever asks why.
 //
 // # Usage
 //
@@ -34,8 +35,10 @@
 	"cicadaloom/internal/control/burn"
 	"cicadaloom/internal/control/claims"
 	"cicadaloom/internal/control/decisions"
+	"cicadaloom/internal/control/demand"
 	"cicadaloom/internal/control/documents"
 	"cicadaloom/internal/control/membership"
+	"cicadaloom/internal/control/reports"
 	"cicadaloom/internal/control/routing"
 	"cicadaloom/internal/control/suspects"
 	"cicadaloom/internal/domain/ident"
@@ -57,6 +60,14 @@
 	Loads     map[ident.ServerName]int64
 	Suspects  []suspects.Suspect
 	Leaving   []routing.ServerLeaving
+	// WantsReports tells that the sender relies on peers for reports; with
+	// AllReports, for those of every region alike.
+	WantsReports bool
+	AllReports   bool
+	// Reports is what the receiver has not heard of backend servers.
+	Reports reports.Word
+	// More tells that not everything fitted in.
+	More bool
 }
 
 // Sender gives the host whose word it is, the zero Peer for an empty word.
@@ -69,8 +80,9 @@
 
 // Marks are places in the news of one life of a host, its Epoch.
 type Marks struct {
-	Epoch uint64
-	Peers uint64
+	Epoch   uint64
+	Peers   uint64
+	Reports uint64
 }
 
 // Counts are one host's rows for the report on service-level burn.
@@ -83,6 +95,7 @@
 type Handler interface {
 	Exchange(ctx context.Context, theirs Knowledge) (Knowledge, error)
 	Counts(ctx context.Context) (Counts, error)
+	Demand(ctx context.Context, told demand.Told) error
 	// Decisions gives what this host itself decided.
 	Decisions(ctx context.Context, query decisions.Query) ([]decisions.Decision, error)
 	// The calls on claims are for an attempt of another host, their Origin.
@@ -163,6 +176,13 @@
 	return encodeCounts(counts), nil
 }
 
+func (s *service) Demand(ctx context.Context, request *entryhostpb.DemandRequest) (*entryhostpb.DemandResponse, error) {
+	if err := s.handler.Demand(ctx, decodeDemand(request)); err != nil {
+		return nil, err
+	}
+	return &entryhostpb.DemandResponse{}, nil
+}
+
 func (s *service) Claim(ctx context.Context, request *entryhostpb.ClaimRequest) (*entryhostpb.ClaimResponse, error) {
 	answer, err := s.handler.ClaimFor(ctx, decodeClaim(request))
 	if err != nil {
--- a/internal/peer/entryhost/entryhost_test.go
+++ b/internal/peer/entryhost/entryhost_test.go
@@ -12,6 +12,7 @@
 
 	"cicadaloom/internal/control/claims"
 	"cicadaloom/internal/control/decisions"
+	"cicadaloom/internal/control/demand"
 	"cicadaloom/internal/control/documents"
 	"cicadaloom/internal/control/membership"
 )
@@ -27,6 +28,7 @@
 	knows  Knowledge
 	heard  Knowledge
 	finish claims.Finish
+	demand demand.Told
 	err    error
 
 	query   decisions.Query
@@ -44,6 +46,11 @@
 	}, p.err
 }
 
+func (p *peer) Demand(_ context.Context, told demand.Told) error {
+	p.demand = told
+	return p.err
+}
+
 func (p *peer) Decisions(_ context.Context, query decisions.Query) ([]decisions.Decision, error) {
 	p.query = query
 	return p.decided, p.err
@@ -124,6 +131,17 @@
 	require.NoError(t, err)
 	require.True(t, recorded)
 
+	told := demand.Told{
+		Host:       "entry-2",
+		DataCentre: "brest-a",
+		Rates: []demand.Rate{{
+			Model:     "briefing",
+			PerSecond: 2.5,
+		}},
+	}
+	require.NoError(t, pool.Demand(ctx, address, told))
+	require.Equal(t, told, handler.demand)
+
 	counts, err := pool.Burn(ctx, address)
 	require.NoError(t, err)
 	require.EqualValues(t, "entry-1", counts.Host)
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -90,6 +90,9 @@
 	Now func() time.Time
 	// Dice gives random bits.
 	Dice func() uint64
+
+	proven proven
+	deaths deaths
 }
 
 // journey is one request on its way through this host.
@@ -105,6 +108,8 @@
 	arrived     time.Time
 	promised    time.Time
 	firstAt     time.Time
+	// late tells that the answer came whole and not in its promised time.
+	late bool
 	// claimed is the attempt id that holds the request's claim; each send has
 	// an attempt id of its own.
 	claimed ident.AttemptID
@@ -142,6 +147,9 @@
 		Dice:     d.Dice(),
 		Prefix:   uint64(j.fingerprint),
 		Alone:    j.verdict == suspects.Alone,
+
+		Fingerprint: uint64(j.fingerprint),
+		Confined:    !d.proven.has(j.fingerprint),
 	}
 	return j
 }
@@ -172,7 +180,7 @@
 		result = burn.Refused
 	case failure != nil:
 		result = burn.Failed
-	case j.firstAt.After(j.promised):
+	case j.late:
 		result = burn.Late
 	}
 	key := burn.Key{
