caller: Find a refusal for a bad header under its request's id

Cause: the headers were read in the order of a map. Where one of them was refused, the request's id had been read or not, so that the log line and the decision stood under the caller's id in some runs and under one that was made in others; with two bad headers the message differed as well.

Change: a fixed order, the id first.

--- a/internal/peer/caller/headers.go
+++ b/internal/peer/caller/headers.go
@@ -49,14 +49,30 @@
 	result := dispatch.Request{
 		ID: ident.NewRequestID(),
 	}
-	names := map[string]*string{
-		HeaderRequest: (*string)(&result.ID),
-		HeaderClass:   (*string)(&result.Class),
-		HeaderCaller:  (*string)(&result.Caller),
-		HeaderKey:     (*string)(&result.Key),
-	}
-	for header, target := range names {
-		if err := readIdentifier(request.Header, header, target); err != nil {
+	// The request's id comes first: a refusal for another header is looked for
+	// under it.
+	for _, header := range []struct {
+		name   string
+		target *string
+	}{
+		{
+			name:   HeaderRequest,
+			target: (*string)(&result.ID),
+		},
+		{
+			name:   HeaderCaller,
+			target: (*string)(&result.Caller),
+		},
+		{
+			name:   HeaderClass,
+			target: (*string)(&result.Class),
+		},
+		{
+			name:   HeaderKey,
+			target: (*string)(&result.Key),
+		},
+	} {
+		if err := readIdentifier(request.Header, header.name, header.target); err != nil {
 			return result, err
 		}
 	}
--- a/internal/traffic/dispatch/records_test.go
+++ b/internal/traffic/dispatch/records_test.go
@@ -1,11 +1,13 @@
 package dispatch
 
 import (
+	"os"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
 
 	"cicadaloom/internal/control/burn"
@@ -62,6 +64,17 @@
 			records.Failed(now, about, failure)
 		}
 	})
+	b.Run("FailedAndLogged", func(b *testing.B) {
+		sink, err := os.OpenFile(os.DevNull, os.O_WRONLY, 0)
+		require.NoError(b, err)
+		defer func() { _ = sink.Close() }()
+		logged := records
+		logged.Log = zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), sink, zap.InfoLevel))
+		b.ReportAllocs()
+		for b.Loop() {
+			logged.Failed(now, about, failure)
+		}
+	})
 	b.Run("Answered", func(b *testing.B) {
 		b.ReportAllocs()
 		for b.Loop() {
