dispatch: Tell requests under one key apart by all that they ask for

Cause: a plain request's fingerprint had the service's name and the body, not its method, path, query or content type. A dispatch of boat 9 under the key of boat 6 with the same body was answered with boat 6's stored answer, as its own. Found while reading the claims' key against the promise that a caller gets its own answer and never a neighbour's.

Ruled out: the claims themselves (they compare the fingerprint they get).

Before: 200, Cicadaloom-Replayed. After: 422 key_reused, not run. Scenario at_most_once fails without the change.

--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -128,14 +128,16 @@
 	losses int
 }
 
-func (d *Dispatcher) begin(request *Request, target *routing.Target, mayRepeat bool) *journey {
+// begin starts a journey. asked is what of the request is neither in its target
+// nor in its body.
+func (d *Dispatcher) begin(request *Request, target *routing.Target, mayRepeat bool, asked ...string) *journey {
 	now := d.Now()
 	j := &journey{
 		Dispatcher:  d,
 		request:     request,
 		target:      target,
 		mayRepeat:   mayRepeat,
-		fingerprint: request.fingerprint(target.Label()),
+		fingerprint: request.fingerprint(append(asked, target.Label())...),
 		arrived:     now,
 		promised:    now.Add(target.Promise.FirstToken),
 		class:       classIndex(request.Class, target.Document),
--- a/internal/traffic/dispatch/request.go
+++ b/internal/traffic/dispatch/request.go
@@ -62,14 +62,23 @@
 }
 
 // fingerprint finds the request again when its caller sends it under a new id.
-func (r *Request) fingerprint(name string) ident.Fingerprint {
+// What is asked for is part of it, whole: two requests with the same key and
+// body that ask for different things are different requests, and the second must
+// not get the first one's answer.
+func (r *Request) fingerprint(asked ...string) ident.Fingerprint {
 	var digest xxhash.Digest
 	digest.Reset()
-	_, _ = digest.WriteString(name)
+	for _, part := range asked {
+		_, _ = digest.WriteString(part)
+		_, _ = digest.Write(endOfPart)
+	}
 	_, _ = digest.Write(r.Body)
 	return ident.Fingerprint(digest.Sum64())
 }
 
+// endOfPart stands in no name, method or path.
+var endOfPart = []byte{0}
+
 // homeMessages is how many messages at a chat's beginning choose its home
 // replica: the instructions and the first question. The turns of a conversation
 // so share a home, and conversations with the same instructions don't crowd one.
--- a/internal/traffic/dispatch/service.go
+++ b/internal/traffic/dispatch/service.go
@@ -30,7 +30,8 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
-	j := d.begin(&request.Request, target, !target.Service.ForbidsRepeat(request.Method))
+	j := d.begin(&request.Request, target, !target.Service.ForbidsRepeat(request.Method),
+		request.Method, request.Path, request.ContentType)
 	e := errand{
 		journey: j,
 		plain:   &request,
