caller: Pass plain requests on as they came

Headers other than the content type stayed behind both ways: a service saw no Authorization or Accept, and its caller no Location or cookie. A service whose name was escaped in the path was not found.

A stored answer still has no headers but the content type.

--- a/internal/peer/caller/headers.go
+++ b/internal/peer/caller/headers.go
@@ -28,6 +28,9 @@
 	HeaderRequest = "X-Request-Id"
 )
 
+// ownHeaders begins the names of the headers that are this system's.
+const ownHeaders = "Cicadaloom-"
+
 // Headers of answers.
 const (
 	// HeaderRun says of a failed request whether it was run.
--- a/internal/peer/caller/service.go
+++ b/internal/peer/caller/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/url"
 	"strings"
 
 	"github.com/uptrace/bunrouter"
@@ -17,22 +18,43 @@
 	if failure != nil {
 		return s.turnAway(w, &read, request.Param("service"), failure)
 	}
-	name := request.Param("service")
-	path := strings.TrimPrefix(request.URL.EscapedPath(), PathServices+name)
-	if path == "" {
-		path = "/"
-	}
-	if request.URL.RawQuery != "" {
-		path += "?" + request.URL.RawQuery
+	// The router gives the name as the caller escaped it.
+	name, err := url.PathUnescape(request.Param("service"))
+	if err != nil {
+		name = request.Param("service")
 	}
 	w.Header().Set(HeaderRequest, string(read.ID))
 	sink := newSink(s, w, read.ID)
 	failure = s.Dispatcher.Plain(request.Context(), dispatch.Plain{
-		Request:     read,
-		Service:     ident.ServiceName(name),
-		Method:      request.Method,
-		Path:        path,
-		ContentType: request.Header.Get("Content-Type"),
+		Request: read,
+		Service: ident.ServiceName(name),
+		Method:  request.Method,
+		Path:    pathBehind(request.URL),
+		Header:  headerFor(request.Header),
 	}, sink)
 	return sink.end(failure)
 }
+
+// pathBehind gives the path and query that the service is asked for, as the
+// caller escaped them. The service's own name may be escaped as well.
+func pathBehind(asked *url.URL) string {
+	rest := strings.TrimPrefix(asked.EscapedPath(), PathServices)
+	_, path, _ := strings.Cut(rest, "/")
+	path = "/" + path
+	if asked.RawQuery != "" {
+		path += "?" + asked.RawQuery
+	}
+	return path
+}
+
+// headerFor gives the headers that go on to a service: all but those that were
+// meant for this host.
+func headerFor(header http.Header) http.Header {
+	passed := header.Clone()
+	for name := range passed {
+		if strings.HasPrefix(name, ownHeaders) {
+			delete(passed, name)
+		}
+	}
+	return passed
+}
--- a/internal/peer/caller/sink.go
+++ b/internal/peer/caller/sink.go
@@ -64,6 +64,12 @@
 func (s *sink) Whole(answer dispatch.Whole) error {
 	s.whole = true
 	header := s.writer.Header()
+	for name, values := range answer.Header {
+		// The request's id is the one that this host answers under.
+		if name != HeaderRequest {
+			header[name] = values
+		}
+	}
 	if answer.ContentType != "" {
 		header.Set("Content-Type", answer.ContentType)
 	}
--- a/internal/traffic/dispatch/request.go
+++ b/internal/traffic/dispatch/request.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -36,17 +37,21 @@
 // Plain is a request to a plain service.
 type Plain struct {
 	Request
-	Service     ident.ServiceName
-	Method      string
-	Path        string
-	ContentType string
+	Service ident.ServiceName
+	Method  string
+	// Path has the query too.
+	Path   string
+	Header http.Header
 }
 
 // Whole is a whole answer.
 type Whole struct {
 	Status      int
 	ContentType string
-	Body        []byte
+	// Header has the other headers of a plain service's answer; a stored answer
+	// has none.
+	Header http.Header
+	Body   []byte
 	// Replayed tells that the request had run before and this is its stored answer.
 	Replayed bool
 }
--- a/internal/traffic/dispatch/service.go
+++ b/internal/traffic/dispatch/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
@@ -31,7 +30,7 @@
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
 	j := d.begin(&request.Request, target, !target.Service.ForbidsRepeat(request.Method),
-		request.Method, request.Path, request.ContentType)
+		request.Method, request.Path, request.Header.Get("Content-Type"))
 	e := errand{
 		journey: j,
 		plain:   &request,
@@ -66,15 +65,10 @@
 	defer e.leave()
 	watched, watch := e.watch(ctx, e.firstWord())
 	defer watch.stop()
-	header := http.Header{}
-	header.Set("Content-Type", e.plain.ContentType)
-	if e.request.Key != "" {
-		header.Set("Idempotency-Key", string(e.request.Key))
-	}
 	answer, refusal := e.Plains.Do(watched, choice.Replica.Address, &plain.Request{
 		Method:    e.plain.Method,
 		Path:      e.plain.Path,
-		Header:    header,
+		Header:    e.plain.Header,
 		Body:      e.plain.Body,
 		RequestID: e.plain.ID,
 		Deadline:  e.plain.Deadline,
@@ -102,6 +96,7 @@
 	e.answer = Whole{
 		Status:      answer.Status,
 		ContentType: answer.Header.Get("Content-Type"),
+		Header:      answer.Header,
 		Body:        answer.Body,
 	}
 	if err := e.sink.Whole(e.answer); err != nil {
