dispatch: Wait for a long answer in one piece, and for slow readers

Cause: the watchdog gave an answer in one piece the time of a first token, twice FirstToken. An idle engine with a promise of 500 ms that needed 2 s for 200 tokens was given up as hanging, at one engine after the other, and the caller got 502 backend_failed. The watchdog also ran while the caller was written to, so that a write held up by a slow reader would count as the engine's silence.

Ruled out: an engine fault; the stand-in worked on the answer all the time.

Change: an answer in one piece gets the time of its tokens (max_tokens, at most 4096) at twice the promise between tokens as well; the watch pauses during writes to the caller.

--- a/internal/traffic/dispatch/chat.go
+++ b/internal/traffic/dispatch/chat.go
@@ -105,7 +105,7 @@
 // whether another attempt should be made.
 func (c *conversation) attemptAt(ctx context.Context, choice routing.Choice) (bool, *Failure) {
 	c.setOut(choice)
-	watched, watch := c.watch(ctx)
+	watched, watch := c.watch(ctx, c.firstSign())
 	defer watch.stop()
 	stream, err := c.Engines.Chat(watched, choice.Replica.Address, engine.Call{
 		Body:      c.chat.Body,
@@ -132,10 +132,11 @@
 		if err != nil {
 			return c.unanswered(ctx, choice, err, watch.stalled())
 		}
-		watch.alive(c.stall())
+		watch.pause()
 		switch e := event.(type) {
 		case engine.Chunk:
 			err = c.chunk(e)
+			watch.alive(c.stall())
 		case engine.Whole:
 			c.answer = Whole{
 				Status:      http.StatusOK,
--- a/internal/traffic/dispatch/service.go
+++ b/internal/traffic/dispatch/service.go
@@ -61,7 +61,7 @@
 
 func (e *errand) attemptAt(ctx context.Context, choice routing.Choice) (bool, *Failure) {
 	e.setOut(choice)
-	watched, watch := e.watch(ctx)
+	watched, watch := e.watch(ctx, e.firstSign())
 	defer watch.stop()
 	header := http.Header{}
 	header.Set("Content-Type", e.plain.ContentType)
--- a/internal/traffic/dispatch/watchdog.go
+++ b/internal/traffic/dispatch/watchdog.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"cicadaloom/internal/wire/engineapi"
 )
 
 // errStalled ends an attempt whose backend server has said nothing for too long.
@@ -17,8 +19,31 @@
 	firstTokenPatience = 2
 	betweenPatience    = 40
 	leastStall         = 500 * time.Millisecond
+	// unboundedTokens is the length that an answer in one piece may have where
+	// its request gives no bound.
+	unboundedTokens = 4096
 )
 
+// firstSign is how long the first token may take.
+func (j *journey) firstSign() time.Duration {
+	return max(firstTokenPatience*j.target.Promise.FirstToken, leastStall)
+}
+
+// firstSign is how long a chat's first sign of life may take. An answer in one
+// piece gives none before its last token: given up after the time of a first
+// token, every long one would fail at one engine after the other.
+func (c *conversation) firstSign() time.Duration {
+	patience := c.journey.firstSign()
+	if c.chat.Stream {
+		return patience
+	}
+	tokens := unboundedTokens
+	if parsed, err := engineapi.ParseChat(c.chat.Body); err == nil && parsed.MaxTokens > 0 {
+		tokens = min(parsed.MaxTokens, unboundedTokens)
+	}
+	return patience + firstTokenPatience*time.Duration(tokens)*c.target.Promise.BetweenTokens
+}
+
 // watchdog ends an attempt at a backend server that hangs: a frozen process or
 // a cut network keeps the connection open without a word, and only its silence
 // shows. An attempt that may not be repeated is left to its deadline, since
@@ -29,14 +54,13 @@
 	cancel  context.CancelCauseFunc
 }
 
-func (j *journey) watch(ctx context.Context) (context.Context, *watchdog) {
+func (j *journey) watch(ctx context.Context, patience time.Duration) (context.Context, *watchdog) {
 	watched, cancel := context.WithCancelCause(ctx)
 	dog := &watchdog{
 		watched: watched,
 		cancel:  cancel,
 	}
 	if j.mayRepeat {
-		patience := max(firstTokenPatience*j.target.Promise.FirstToken, leastStall)
 		dog.timer = time.AfterFunc(patience, func() { cancel(errStalled) })
 	}
 	return watched, dog
@@ -48,6 +72,14 @@
 }
 
 // alive grants the attempt another while.
+// pause stops the watch while the caller is written to: one that reads slowly
+// holds the answer up, and its engine must not be taken for hanging by that.
+func (w *watchdog) pause() {
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
+
 func (w *watchdog) alive(patience time.Duration) {
 	if w.timer != nil {
 		w.timer.Reset(patience)
