loop: Show a backend server as leaving once it says so

Cause: status showed the state of the platform's list, which lags; an operator saw a server as live that this host gave no work any more, and a scenario had nothing to wait for.

Change: a server that says itself, or of which a peer says, that it leaves is shown as Leaving. Routing is as before.

Conclusion: leaving.txtar waits for it, within the three seconds promised.

--- a/internal/control/loop/operators.go
+++ b/internal/control/loop/operators.go
@@ -11,6 +11,7 @@
 	"cicadaloom/internal/control/documents"
 	"cicadaloom/internal/control/membership"
 	"cicadaloom/internal/control/orders"
+	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/peer/entryhost"
 )
@@ -91,7 +92,15 @@
 			Suspects:  len(c.suspected.All()),
 		}
 		loads := c.routing.Loads()
+		leaving := make(map[ident.ServerName]bool)
+		for _, server := range c.routing.Leaving() {
+			leaving[server.Server] = true
+		}
 		for _, server := range c.sortedServers() {
+			// The list lags: a server's own word, or a peer's, is what counts here.
+			if leaving[server.Name] {
+				server.State = backend.StateLeaving
+			}
 			status.Servers = append(status.Servers, ServerStatus{
 				Name:     server.Name,
 				Kind:     string(server.Kind),
