--- a/internal/command/standin/engine.go
+++ b/internal/command/standin/engine.go
@@ -19,7 +19,8 @@
 
 The switches: Down, FreezeRequests, SlowFactor, LoseOrders, DelayOrders,
 DelayOrdersBy, CrashOnMarker, RestartAfter, ReportLag, CacheEventGaps,
-IgnoreFencing, CutStreamAfter, BreakStreamAfter, EndStreamEarly, LeaveNow.
+IgnoreFencing, CutStreamAfter, BreakStreamAfter, EndStreamEarly,
+ForeignAnswers, LeaveNow.
 `
 
 func init() {
--- a/internal/scenario/testbed/ask_test.go
+++ b/internal/scenario/testbed/ask_test.go
@@ -208,6 +208,14 @@
 	request(ts, neg, "operator", at, put)
 }
 
+// cmdRevision keeps the revision of a team's document that is in force at a
+// host, as an edit names it, in a variable.
+func cmdRevision(ts *testscript.TestScript, neg bool, args []string) {
+	usage(ts, !neg && len(args) == 3, "revision NAME TEAM VARIABLE")
+	header := ifMatch(located(ts, args[0]+"_operators"), args)
+	ts.Setenv(args[2], strings.TrimPrefix(header, "If-Match: "))
+}
+
 // ifMatch gives the header with the revision that an edit starts from.
 func ifMatch(at string, args []string) string {
 	if len(args) == 4 {
@@ -223,10 +231,22 @@
 // cmdUntil repeats a request until its answer matches.
 func cmdUntil(ts *testscript.TestScript, neg bool, args []string) {
 	usage(ts, !neg && len(args) >= 4, "until PATTERN ask|operator NAME ...")
+	until(ts, waitMost, args)
+}
+
+// cmdWithin does the same where the time that it takes is itself promised.
+func cmdWithin(ts *testscript.TestScript, neg bool, args []string) {
+	usage(ts, !neg && len(args) >= 5, "within DURATION PATTERN ask|operator NAME ...")
+	most, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	until(ts, most, args[1:])
+}
+
+func until(ts *testscript.TestScript, most time.Duration, args []string) {
 	pattern, err := regexp.Compile(args[0])
 	ts.Check(err)
 	at, p := resolve(ts, args[1:])
-	deadline := time.Now().Add(waitMost)
+	deadline := time.Now().Add(most)
 	last := ""
 	for time.Now().Before(deadline) {
 		if got, err := call(p.method, "http://"+at+p.path, p.headers, p.body); err == nil {
@@ -289,6 +309,9 @@
 	if run := a.header.Get("Cicadaloom-Run"); run != "" {
 		text += " " + run
 	}
+	if a.header.Get("Retry-After") != "" {
+		text += ", come back"
+	}
 	if a.header.Get("Cicadaloom-Replayed") != "" {
 		text += " replayed"
 	}
--- a/internal/scenario/testbed/bed_test.go
+++ b/internal/scenario/testbed/bed_test.go
@@ -57,6 +57,8 @@
 		"operator":   cmdOperator,
 		"edit":       cmdEdit,
 		"until":      cmdUntil,
+		"within":     cmdWithin,
+		"revision":   cmdRevision,
 		"many":       cmdMany,
 		"transcript": cmdTranscript,
 		"pin":        cmdPin,
--- a/internal/scenario/testbed/testbed.go
+++ b/internal/scenario/testbed/testbed.go
@@ -26,7 +26,10 @@
 //	                             the same at a host's administration
 //	edit NAME TEAM FILE [REVISION]
 //	                             put a team's document through a host
+//	revision NAME TEAM VARIABLE  keep the revision in force at a host in a variable
 //	until PATTERN COMMAND ...    repeat a command until its stdout matches
+//	within DURATION PATTERN COMMAND ...
+//	                             the same where the time that it takes is promised
 //	begin LABEL COMMAND ...      begin a request and go on
 //	finished LABEL               wait for its answer, which is stdout
 //	many N COMMAND ...           run a command N times at once; stdout is sorted
--- a/internal/standin/engine/chat.go
+++ b/internal/standin/engine/chat.go
@@ -16,6 +16,15 @@
 	"cicadaloom/internal/wire/engineapi"
 )
 
+// foreignAttempt and foreignMessage are the neighbour's whose answer
+// ForeignAnswers mixes up.
+const foreignAttempt = "att-neighbour"
+
+var foreignMessage = engineapi.Message{
+	Role: "user",
+	Text: "a neighbour",
+}
+
 // call is a chat request as its headers and body give it.
 type call struct {
 	request  ident.RequestID
@@ -68,7 +77,12 @@
 		refuse(w, http.StatusBadRequest, err.Error())
 		return
 	}
+	if e.Faults.Take(func(f *Faults) *int { return &f.ForeignAnswers }) {
+		w.Header().Set(engineapi.HeaderAttempt, foreignAttempt)
+		call.chat.Messages = []engineapi.Message{foreignMessage}
+	}
 	if e.isLeaving() {
+		e.ledger.refusedLeaving()
 		refuseNotRun(w, http.StatusServiceUnavailable, "engine is leaving")
 		return
 	}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -116,6 +116,9 @@
 	CutStreamAfter   int
 	BreakStreamAfter int
 	EndStreamEarly   int
+	// ForeignAnswers is how many next requests get a neighbour's answer, under
+	// the neighbour's attempt id.
+	ForeignAnswers int
 	// LeaveNow refuses new work and reports Leaving.
 	LeaveNow bool
 }
--- a/internal/standin/engine/ledger.go
+++ b/internal/standin/engine/ledger.go
@@ -30,6 +30,8 @@
 	// Overcommits counts loads over the free memory.
 	Overcommits int
 	Crashes     int
+	// RefusedLeaving counts requests that came although the engine was leaving.
+	RefusedLeaving int `json:",omitempty"`
 }
 
 // ledger counts. Its zero value is empty.
@@ -86,6 +88,10 @@
 	l.count(func(s *Stats) { s.Crashes++ })
 }
 
+func (l *ledger) refusedLeaving() {
+	l.count(func(s *Stats) { s.RefusedLeaving++ })
+}
+
 // Stats returns the counters.
 func (e *Engine) Stats() Stats {
 	e.ledger.mu.Lock()
