--- a/internal/traffic/dispatch/chat.go
+++ b/internal/traffic/dispatch/chat.go
@@ -134,11 +134,12 @@
 		if err != nil {
 			return c.unanswered(ctx, choice, err, watch.stalled())
 		}
-		watch.alive(c.stall())
+		watch.pause()
 		switch e := event.(type) {
 		case engine.Chunk:
 			c.crossing.Received(c.Now(), unit.Bytes(len(e.Raw)))
 			err = c.chunk(e)
+			watch.alive(c.stall())
 		case engine.Whole:
 			c.crossing.Received(c.Now(), unit.Bytes(len(e.Raw)))
 			c.answer = Whole{
--- a/internal/traffic/dispatch/watchdog.go
+++ b/internal/traffic/dispatch/watchdog.go
@@ -67,6 +67,14 @@
 	return max(betweenPatience*j.target.Promise.BetweenTokens, leastStall)
 }
 
+// pause stops the watch while the caller is written to: one that reads slowly
+// holds the answer up, and its engine must not be taken for hanging by that.
+func (w *watchdog) pause() {
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
+
 // alive grants the attempt another while.
 func (w *watchdog) alive(patience time.Duration) {
 	if w.timer != nil {
