settings: Remove what nothing reads, and refuse what looks safe and isn't

ExchangePeers went unused when exchanges got lasting neighbours, and the weight store is asked by engines only: both could be set and did nothing. The host list is asked in the clear whatever its URL says, and its path was ignored: https and a path are refused now.

--- a/internal/config/settings/control.go
+++ b/internal/config/settings/control.go
@@ -14,8 +14,6 @@
 	ReportInterval   time.Duration
 	ListInterval     time.Duration
 	ExchangeInterval time.Duration
-	// ExchangePeers is with how many peers a host exchanges each time.
-	ExchangePeers int
 	// PlanInterval is between two looks of the leader at the placement.
 	PlanInterval time.Duration
 	// LeaderLease is how long the planning leader's lease lasts unless kept.
@@ -31,7 +29,6 @@
 		ReportInterval:   500 * time.Millisecond,
 		ListInterval:     time.Second,
 		ExchangeInterval: time.Second,
-		ExchangePeers:    3,
 		PlanInterval:     time.Second,
 		LeaderLease:      5 * time.Second,
 		WatchSilence:     5 * time.Second,
@@ -47,12 +44,6 @@
 			"Between two readings of the host list."),
 		jsonfile.May("ExchangeInterval", func(c *Control) *time.Duration { return &c.ExchangeInterval }, interval(),
 			"Between two exchanges with other entry hosts."),
-		jsonfile.May("ExchangePeers", func(c *Control) *int { return &c.ExchangePeers },
-			jsonfile.Integer[int]{
-				Min: 1,
-				Max: 16,
-			},
-			"With how many entry hosts a host exchanges each time."),
 		jsonfile.May("PlanInterval", func(c *Control) *time.Duration { return &c.PlanInterval }, interval(),
 			"Between two looks of the leader at the placement."),
 		jsonfile.May("LeaderLease", func(c *Control) *time.Duration { return &c.LeaderLease },
--- a/internal/config/settings/platform.go
+++ b/internal/config/settings/platform.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/url"
 	"strconv"
+	"strings"
 
 	"cicadaloom/internal/config/jsonfile"
 )
@@ -12,9 +13,8 @@
 type Platform struct {
 	// KeyValue has the endpoints of the key-value service, as host:port.
 	KeyValue []string
-	// HostList and WeightStore are base URLs.
-	HostList    string
-	WeightStore string
+	// HostList is a base URL.
+	HostList string
 }
 
 const maxEndpoints = 16
@@ -33,15 +33,13 @@
 			"The endpoints of the key-value service, tried in this order."),
 		jsonfile.Need("HostList", func(p *Platform) *string { return &p.HostList }, baseURL(),
 			"The base URL of the list of live and leaving hosts."),
-		jsonfile.Need("WeightStore", func(p *Platform) *string { return &p.WeightStore }, baseURL(),
-			"The base URL of the weight store."),
 	},
 }
 
 func baseURL() jsonfile.Text[string] {
 	return jsonfile.Text[string]{
 		Check: isBaseURL,
-		Form:  "a URL with http or https and a host, without query or fragment,",
+		Form:  "a URL with http and a host, without path, query or fragment,",
 	}
 }
 
@@ -59,5 +57,6 @@
 	if err != nil || parsed.Host == "" || parsed.RawQuery != "" || parsed.Fragment != "" {
 		return false
 	}
-	return parsed.Scheme == "http" || parsed.Scheme == "https"
+	// The list is asked in the clear: https in the settings would only look safe.
+	return parsed.Scheme == "http" && strings.Trim(parsed.Path, "/") == ""
 }
--- a/internal/config/settings/settings_test.go
+++ b/internal/config/settings/settings_test.go
@@ -18,7 +18,7 @@
   "Host": {"Name": "brest-a-1", "DataCentre": "brest-a", "Region": "finistere",
     "DataCentres": {"brest-a": "finistere", "lannion-a": "cotes-d-armor"}},
   "Listen": {"Callers": "127.0.0.1:8080", "Operators": "127.0.0.1:8081", "Peers": "127.0.0.1:8082"},
-  "Platform": {"KeyValue": ["127.0.0.1:2379"], "HostList": "http://127.0.0.1:8500", "WeightStore": "http://127.0.0.1:8600"},
+  "Platform": {"KeyValue": ["127.0.0.1:2379"], "HostList": "http://127.0.0.1:8500"},
   "Operators": {"Teams": [{"Team": "kerlouan", "Token": "kerlouan-0123456789"}]}
 }`
 
@@ -101,5 +101,5 @@
 	require.Equal(t, `"24h"`, defaults["Claims.Keep"])
 	require.Equal(t, "required", defaults["Host.Name"])
 	require.Equal(t, "required", defaults["Operators.Teams[].Token"])
-	require.Len(t, defaults, 38)
+	require.Len(t, defaults, 36)
 }
--- a/internal/load/fleet/fleet.go
+++ b/internal/load/fleet/fleet.go
@@ -74,6 +74,7 @@
 
 	options  Options
 	platform settings.Platform
+	weights  string
 	servers  []string
 	killed   []bool
 }
@@ -134,10 +135,10 @@
 	if err != nil {
 		return err
 	}
+	f.weights = store
 	f.platform = settings.Platform{
-		KeyValue:    []string{keyValue.String()},
-		HostList:    "http://" + list,
-		WeightStore: "http://" + store,
+		KeyValue: []string{keyValue.String()},
+		HostList: "http://" + list,
 	}
 	return nil
 }
@@ -151,7 +152,7 @@
 			Memory:     size.Memory,
 			FirstToken: size.Pace.FirstToken,
 			PerToken:   size.Pace.PerToken,
-			Weights:    f.platform.WeightStore[len("http://"):],
+			Weights:    f.weights,
 		})
 		f.Engines = append(f.Engines, one)
 		address, err := one.Start(anyPort)
--- a/internal/scenario/testbed/fleet_test.go
+++ b/internal/scenario/testbed/fleet_test.go
@@ -88,9 +88,8 @@
 			"Peers":     "127.0.0.1:0",
 		},
 		"Platform": map[string]any{
-			"KeyValue":    []any{ts.Getenv("kv")},
-			"HostList":    "http://" + ts.Getenv("hostlist"),
-			"WeightStore": "http://" + ts.Getenv("weights"),
+			"KeyValue": []any{ts.Getenv("kv")},
+			"HostList": "http://" + ts.Getenv("hostlist"),
 		},
 		"Operators": map[string]any{
 			"Teams": []any{
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -166,9 +166,8 @@
 		Peers:     anyPort,
 	}
 	result.Platform = settings.Platform{
-		KeyValue:    []string{p.KeyValue},
-		HostList:    "http://" + p.HostList,
-		WeightStore: "http://" + p.WeightStore,
+		KeyValue: []string{p.KeyValue},
+		HostList: "http://" + p.HostList,
 	}
 	return result
 }
