caller: Let a caller go that has stopped reading

Each piece of an answer now has 30 s, and more for long ones at 16 KB/s.

An empty host list no longer takes every replica away from a host that knew some. The administration's refusals have Retry-After.

--- a/internal/control/loop/servers.go
+++ b/internal/control/loop/servers.go
@@ -130,6 +130,12 @@
 		c.log.Debug("the host list can't be read", zap.Error(m.err))
 		return
 	}
+	if len(m.servers) == 0 && len(c.servers) > 0 {
+		// A list that has just been started shows nobody. Taken at its word, it
+		// would leave every model without a replica while all of them serve on.
+		c.log.Warn("the host list is empty; the one before stays")
+		return
+	}
 	c.listLength = len(m.servers)
 	servers := make(map[ident.ServerName]backend.Server, len(m.servers))
 	var hosts []membership.Peer
--- a/internal/peer/caller/caller.go
+++ b/internal/peer/caller/caller.go
@@ -69,7 +69,10 @@
 	// Now is the wall clock; time.Now unless a test sets it.
 	Now func() time.Time
 
-	http     httpserve.Server
+	http httpserve.Server
+	// patience is how long a caller may take to read one piece of an answer;
+	// writePatience unless a test sets it.
+	patience time.Duration
 	inFlight atomic.Int64
 	stopping atomic.Bool
 }
@@ -80,6 +83,9 @@
 	if s.Now == nil {
 		s.Now = time.Now
 	}
+	if s.patience == 0 {
+		s.patience = writePatience
+	}
 	bound, err := s.http.Start(address, httpserve.Options{
 		Handler: s.routes(),
 		TLS:     s.TLS,
--- a/internal/peer/caller/sink.go
+++ b/internal/peer/caller/sink.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -53,7 +54,20 @@
 	return s.write(event)
 }
 
+// writePatience is how long a caller may take to read what is written to it. One
+// that has stopped reading, and keeps its connection, would hold its request and
+// with it the host's planned stop for ever.
+const (
+	writePatience = 30 * time.Second
+	// slowestReader is how many bytes a second a caller must take.
+	slowestReader = 16 << 10
+)
+
 func (s *sink) write(data []byte) error {
+	patience := s.server.patience + time.Duration(len(data)/slowestReader)*time.Second
+	if err := s.flusher.SetWriteDeadline(time.Now().Add(patience)); err != nil {
+		return errors.Wrap(err, "write to the caller")
+	}
 	if _, err := s.writer.Write(data); err != nil {
 		return errors.Wrap(err, "write to the caller")
 	}
@@ -77,10 +91,7 @@
 		header.Set(HeaderReplayed, "true")
 	}
 	s.writer.WriteHeader(answer.Status)
-	if _, err := s.writer.Write(answer.Body); err != nil {
-		return errors.Wrap(err, "write to the caller")
-	}
-	return nil
+	return s.write(answer.Body)
 }
 
 // end gives the caller the end mark or the failure. A stream that was cut gets
--- a/internal/peer/operator/codec.go
+++ b/internal/peer/operator/codec.go
@@ -2,7 +2,10 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/http"
+	"strconv"
+	"time"
 )
 
 // problemCode is the stable name of an administration error.
@@ -20,6 +23,10 @@
 )
 
 func writeProblem(w http.ResponseWriter, status int, p problem) error {
+	if p.RetryAt != nil {
+		wait := max(time.Until(*p.RetryAt), 0)
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(wait.Seconds()))))
+	}
 	return writeJSON(w, status, p)
 }
 
--- a/internal/traffic/dispatch/chat.go
+++ b/internal/traffic/dispatch/chat.go
@@ -268,6 +268,11 @@
 func (c *conversation) rejected(choice routing.Choice, refusal *engine.Refusal) *Failure {
 	c.trail.Finished(c.attempt)
 	choice.Replica.Gauge.Refused(c.Now())
+	if c.begun {
+		// The caller has a part of a stream from another engine: an error in one
+		// piece can't follow it.
+		return c.fail(CodeBackendFailed, "the engine that was to go on refused: "+refusal.Error(), c.retryAt())
+	}
 	c.first()
 	c.answer = Whole{
 		Status:      refusal.Status,
