--- a/internal/control/loop/peers.go
+++ b/internal/control/loop/peers.go
@@ -27,7 +27,9 @@
 	c.membership.Step(now, membership.Beaten{
 		Documents: c.documents.Revision(),
 		Stopping:  c.stopping.Load(),
+		Leads:     c.orders.Leads(),
 	})
+	c.runOrders(c.orders.Step(now, leaderWord(&c.membership, now)))
 	c.newHomes(now)
 	c.countHosts(now)
 	c.show(now)
--- a/internal/control/membership/membership.go
+++ b/internal/control/membership/membership.go
@@ -79,6 +79,9 @@
 	Stopping bool
 	// Documents is the revision of the documents in force there.
 	Documents ident.Revision
+	// Leads is the fencing number of the term in which the host holds the plan's
+	// leader key, as it believes, or zero.
+	Leads ident.FencingNumber
 }
 
 // Beat is the part of a peer's record that moves.
@@ -137,6 +140,7 @@
 type Beaten struct {
 	Documents ident.Revision
 	Stopping  bool
+	Leads     ident.FencingNumber
 }
 
 func (Listed) isEvent() {}
@@ -179,7 +183,7 @@
 // mere count would run ahead of the clock with every exchange that comes early,
 // and a restarted host would stay dead for as long as it had been ahead.
 func (m *Machine) beat(now time.Time, e Beaten) {
-	news := m.Self.Documents != e.Documents || m.Self.Stopping != e.Stopping
+	news := m.Self.Documents != e.Documents || m.Self.Stopping != e.Stopping || m.Self.Leads != e.Leads
 	if len(m.peers) > SlowBeats && !news && now.Before(m.beatAt.Add(slowBeat)) {
 		return
 	}
@@ -187,6 +191,7 @@
 	m.Self.Beat = max(m.Self.Beat+1, uint64(now.UnixMilli()))
 	m.Self.Documents = e.Documents
 	m.Self.Stopping = e.Stopping
+	m.Self.Leads = e.Leads
 }
 
 // list takes in the platform's list: new hosts are asked some time, hosts that
@@ -292,7 +297,8 @@
 }
 
 func sameRecord(a, b *Peer) bool {
-	return a.DataCentre == b.DataCentre && a.Region == b.Region && a.Address == b.Address && a.Stopping == b.Stopping
+	return a.DataCentre == b.DataCentre && a.Region == b.Region && a.Address == b.Address && a.Stopping == b.Stopping &&
+		a.Leads == b.Leads
 }
 
 func (m *Machine) forget(now time.Time) {
@@ -394,3 +400,21 @@
 	peer, found := m.peers[host]
 	return found && m.live(now, peer)
 }
+
+// Leader gives the live host that says that it leads, of several the one with
+// the greatest fencing number; the zero Peer where none does.
+func (m *Machine) Leader(now time.Time) Peer {
+	var leader Peer
+	if !m.Self.Stopping {
+		leader = m.Self
+	}
+	for _, peer := range m.peers {
+		if peer.Leads > leader.Leads && m.live(now, peer) {
+			leader = peer.Peer
+		}
+	}
+	if leader.Leads == 0 {
+		return Peer{}
+	}
+	return leader
+}
--- a/internal/control/membership/roster.go
+++ b/internal/control/membership/roster.go
@@ -84,3 +84,30 @@
 	}
 	return false
 }
+
+// Rank gives a host's place in the order of a duty over all live hosts, from
+// zero, and their number, without the one that is excepted. A host that is not
+// among them comes last.
+func (r *Roster) Rank(host ident.HostID, duty string, except ident.HostID) (rank, hosts int) {
+	hash := hashOf(duty)
+	own := weight(hash, hashOf(host))
+	found := false
+	for i := range r.all {
+		one := &r.all[i]
+		switch {
+		case one.host == host:
+			found = true
+			hosts++
+		case one.host == except:
+		default:
+			hosts++
+			if weight(hash, one.hash) < own {
+				rank++
+			}
+		}
+	}
+	if !found {
+		return hosts, hosts + 1
+	}
+	return rank, hosts
+}
--- a/internal/control/orders/chaos_test.go
+++ b/internal/control/orders/chaos_test.go
@@ -128,6 +128,7 @@
 		c.time, c.time, c.serve, c.serve, c.serve, c.serve, c.serve, c.arrive, c.arrive, c.arrive,
 		c.work, c.work, c.work, c.reportNow, c.reportNow, c.reportNow, c.reportLate, c.repeat, c.lose, c.restart,
 		c.freeze, c.wake, c.lapse, c.landLate, c.declareVersion, c.leave, c.demand, c.pass, c.vanish,
+		c.hint,
 	}
 	actions[rapid.IntRange(0, len(actions)-1).Draw(c.T, "action")]()
 }
@@ -173,6 +174,18 @@
 	}
 }
 
+// hint gives a host a word on the leadership that is right or wrong as it falls.
+func (c *chaos) hint() {
+	h, _ := pick(c, c.world.hosts)
+	hosts := rapid.IntRange(0, 20).Draw(c.T, "order")
+	c.world.tell(h, LeaderWord{
+		Host:    rapid.SampledFrom([]ident.HostID{"", "entry-0", "entry-1", "entry-9"}).Draw(c.T, "named"),
+		Fencing: ident.FencingNumber(rapid.IntRange(0, 12).Draw(c.T, "fencing")),
+		Rank:    rapid.IntRange(0, max(0, hosts-1)).Draw(c.T, "rank"),
+		Hosts:   hosts,
+	})
+}
+
 func (c *chaos) work() {
 	e, _ := pick(c, c.world.engines)
 	if len(e.working) > 0 {
--- a/internal/control/orders/leader.go
+++ b/internal/control/orders/leader.go
@@ -16,14 +16,12 @@
 	PageKey   = Prefix + "page/"
 )
 
-// poll lets a follower look at the leader key now and then. At many hosts the
-// loop gives LeaderRead from a watch or from peers instead: each puts off the
-// next look.
+// poll lets a follower look at the leader key when its next look is due.
 func (m *Machine) poll(now time.Time) []Command {
 	if now.Before(m.pollAt) || m.phase == phaseReading || m.phase == phaseLeading {
 		return nil
 	}
-	m.pollAt = now.Add(m.settings.LeaderPoll)
+	m.pollAt = m.nextLook(now)
 	if m.phase == phaseAcquiring {
 		return nil
 	}
@@ -34,11 +32,12 @@
 	if event.Failed || (m.phase != phaseFollowing && m.phase != phaseAcquiring) {
 		return nil
 	}
-	m.pollAt = now.Add(m.settings.LeaderPoll)
+	m.pollAt = m.nextLook(now)
 	if event.Entry.Revision != 0 {
 		return m.sawLeader(event.Entry)
 	}
 	m.leader = ""
+	m.read = 0
 	// A host that has resigned goes on looking: it may drain for hours, and the
 	// look that is due would stay due and wake the loop every millisecond.
 	if m.phase == phaseAcquiring || m.resigned {
@@ -58,6 +57,7 @@
 		return nil
 	}
 	m.leader = value.Host
+	m.read = value.Fencing
 	if m.lease == 0 || entry.Lease != m.lease {
 		return m.dropLease()
 	}
@@ -177,7 +177,7 @@
 
 func (m *Machine) onAcquireAnswered(now time.Time, event SwapAnswered) []Command {
 	m.phase = phaseFollowing
-	m.pollAt = now.Add(m.settings.LeaderPoll)
+	m.pollAt = m.nextLook(now)
 	switch event.Outcome {
 	case SwapDone:
 		return m.elected(term{
@@ -259,7 +259,7 @@
 	m.waiting = 0
 	m.leader = ""
 	m.pending = nil
-	m.pollAt = now.Add(m.settings.LeaderPoll)
+	m.pollAt = m.nextLook(now)
 	clear(m.dispatches)
 	clear(m.pages)
 	m.blocked = nil
--- a/internal/control/orders/orders.go
+++ b/internal/control/orders/orders.go
@@ -82,8 +82,11 @@
 	leaseAsked bool
 	resigned   bool
 	pollAt     time.Time
+	word       LeaderWord
 	leader     ident.HostID
-	term       term
+	// read is the leader's fencing number as this host last read it.
+	read ident.FencingNumber
+	term term
 	// sequence numbers commands; waiting is the one whose answer is due.
 	sequence int64
 	waiting  int64
@@ -154,6 +157,8 @@
 		m.onLeaseLost(now, event)
 	case LeaderRead:
 		commands = m.onLeaderRead(now, event)
+	case LeaderWord:
+		m.onLeaderWord(now, event)
 	case PlanRead:
 		commands = m.onPlanRead(now, event)
 	case SwapAnswered:
@@ -171,7 +176,7 @@
 	return append(commands, m.send(now)...)
 }
 
-// Leader names the host that leads, as this one last read it.
+// Leader names the host that leads, as this one last read or heard.
 func (m *Machine) Leader() ident.HostID {
 	return m.leader
 }
--- a/internal/peer/entryhost/codec.go
+++ b/internal/peer/entryhost/codec.go
@@ -161,6 +161,7 @@
 		Beat:              peer.Beat,
 		Stopping:          peer.Stopping,
 		DocumentsRevision: int64(peer.Documents),
+		Leads:             int64(peer.Leads),
 	}
 }
 
@@ -173,6 +174,7 @@
 		Beat:       wire.GetBeat(),
 		Stopping:   wire.GetStopping(),
 		Documents:  ident.Revision(wire.GetDocumentsRevision()),
+		Leads:      ident.FencingNumber(wire.GetLeads()),
 	}
 }
 
--- a/internal/peer/entryhost/codec_test.go
+++ b/internal/peer/entryhost/codec_test.go
@@ -60,6 +60,7 @@
 		Beat:       rapid.Uint64().Draw(t, "beat"),
 		Stopping:   rapid.Bool().Draw(t, "stopping"),
 		Documents:  ident.Revision(rapid.Int64Min(0).Draw(t, "documents")),
+		Leads:      ident.FencingNumber(rapid.Int64Min(0).Draw(t, "leads")),
 	}
 }
 
