--- a/internal/control/membership/membership_test.go
+++ b/internal/control/membership/membership_test.go
@@ -97,6 +97,7 @@
 		host.Step(f.clock(host), list)
 		host.Step(f.clock(host), Beaten{
 			Stopping: host.Self.Stopping,
+			Leads:    host.Self.Leads,
 		})
 		for _, target := range host.Targets(f.clock(host), false) {
 			f.met[target.Host]++
--- a/internal/control/orders/look_test.go
+++ b/internal/control/orders/look_test.go
@@ -94,4 +94,24 @@
 		Rank:    8,
 	})
 	require.EqualValues(t, "entry-3", m.Leader())
+	require.Zero(t, m.Fencing(), "a term is only ever learnt from its key")
+}
+
+// Places change just when a look is due. It is done all the same.
+func TestADueLookIsNotPutOff(t *testing.T) {
+	m := New(Settings{})
+	m.Step(epoch, wordAt(5, 50))
+	m.pollAt = epoch.Add(time.Second)
+	require.Equal(t, []Command{ReadLeader{}}, m.Step(epoch.Add(time.Second), wordAt(7, 60)))
+}
+
+// While no live host says that it leads, turns come five times as often.
+func TestTurnsAreHastyWhileNobodyLeads(t *testing.T) {
+	looks := looksOf(New(Settings{}), time.Hour, func(int) LeaderWord {
+		return LeaderWord{
+			Rank:  9,
+			Hosts: 52,
+		}
+	})
+	require.InDelta(t, 240, looks, 2)
 }
