--- a/internal/control/membership/roster.go
+++ b/internal/control/membership/roster.go
@@ -84,3 +84,38 @@
 	}
 	return false
 }
+
+// Place is a host's place in the order of a duty, from zero, among so many.
+type Place struct {
+	Rank  int
+	Hosts int
+}
+
+// Place gives a host's place among all live hosts but the one that is excepted. A
+// host that is not among them comes last.
+func (r *Roster) Place(host ident.HostID, duty string, except ident.HostID) Place {
+	hash := hashOf(duty)
+	own := weight(hash, hashOf(host))
+	place := Place{
+		Hosts: 1,
+	}
+	live := false
+	for i := range r.all {
+		one := &r.all[i]
+		if one.host == host {
+			live = true
+			continue
+		}
+		if one.host == except {
+			continue
+		}
+		place.Hosts++
+		if weight(hash, one.hash) < own {
+			place.Rank++
+		}
+	}
+	if !live {
+		place.Rank = place.Hosts - 1
+	}
+	return place
+}
