--- a/internal/control/loop/gather.go
+++ b/internal/control/loop/gather.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
+	tomb "gopkg.in/tomb.v2"
+
 	"cicadaloom/internal/control/membership"
 	"cicadaloom/internal/domain/ident"
 )
@@ -30,13 +31,9 @@
 	defer cancel()
 	answers := make([]T, len(hosts.peers))
 	failures := make([]error, len(hosts.peers))
-	var group sync.WaitGroup
-	for i := range hosts.peers {
-		group.Go(func() {
-			answers[i], failures[i] = ask(ctx, hosts.peers[i])
-		})
-	}
-	group.Wait()
+	atOnce(len(hosts.peers), func(i int) {
+		answers[i], failures[i] = ask(ctx, hosts.peers[i])
+	})
 	got := gathered[T]{
 		missing: hosts.silent,
 	}
@@ -51,6 +48,22 @@
 	return got, nil
 }
 
+// atOnce does a number of jobs at once and waits for all of them.
+func atOnce(jobs int, job func(i int)) {
+	var group tomb.Tomb
+	// Started from inside, so that the tomb lives until the last is started.
+	group.Go(func() error {
+		for i := range jobs {
+			group.Go(func() error {
+				job(i)
+				return nil
+			})
+		}
+		return nil
+	})
+	_ = group.Wait() // no job gives an error
+}
+
 // asking is which hosts to ask, and which are known but can't be.
 type asking struct {
 	peers  []membership.Peer
--- a/internal/scenario/testbed/ask.go
+++ b/internal/scenario/testbed/ask.go
@@ -7,11 +7,11 @@
 	"regexp"
 	"sort"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rogpeppe/go-internal/testscript"
+	tomb "gopkg.in/tomb.v2"
 )
 
 // answer is what a request got.
@@ -282,16 +282,23 @@
 	ts.Check(err)
 	names := strings.Split(args[2], ",")
 	p := parse(ts, args[3:])
-	results := make([]string, count)
-	var group sync.WaitGroup
-	for i := range count {
-		at := located(ts, names[i%len(names)])
-		group.Go(func() {
-			got, err := call(p.method, "http://"+at+p.path, p.headers, p.body)
-			results[i] = got.brief(err)
-		})
+	addresses := make([]string, len(names))
+	for i, name := range names {
+		addresses[i] = located(ts, name)
 	}
-	group.Wait()
+	results := make([]string, count)
+	var group tomb.Tomb
+	group.Go(func() error {
+		for i := range count {
+			group.Go(func() error {
+				got, err := call(p.method, "http://"+addresses[i%len(addresses)]+p.path, p.headers, p.body)
+				results[i] = got.brief(err)
+				return nil
+			})
+		}
+		return nil
+	})
+	ts.Check(group.Wait())
 	counts := make(map[string]int)
 	for _, result := range results {
 		counts[result]++
