--- a/internal/control/loop/servers_test.go
+++ b/internal/control/loop/servers_test.go
@@ -12,7 +12,7 @@
 // a full one says nothing.
 func TestEmptyListTakesNobodyAway(t *testing.T) {
 	c, list := newTarget(3, 4)
-	defer func() { require.NoError(t, c.Loop.Stop()) }()
+	defer func() { require.NoError(t, c.Stop()) }()
 	listed{}.apply(targetStart.Add(time.Second), c)
 	require.Len(t, c.servers, 4)
 	listed{
