--- a/internal/control/loop/servers.go
+++ b/internal/control/loop/servers.go
@@ -151,14 +151,7 @@
 		}
 		servers[server.Name] = server
 	}
-	for name := range servers {
-		if _, known := c.servers[name]; !known {
-			c.pollAt = now
-			c.listedAt[name] = now
-		}
-	}
-	c.servers = servers
-	c.tellCapacity(now)
+	c.relist(now, servers)
 	c.membership.Step(now, membership.Listed{
 		Hosts: hosts,
 	})
@@ -175,6 +168,25 @@
 	c.dirty = true
 }
 
+// relist takes note of the backend servers that have come, asks them soon, and
+// lets go of what was kept for those that have gone.
+func (c *control) relist(now time.Time, servers map[ident.ServerName]backend.Server) {
+	for name := range servers {
+		if _, known := c.servers[name]; !known {
+			c.pollAt = now
+			c.listedAt[name] = now
+		}
+	}
+	for name := range c.servers {
+		if _, stays := servers[name]; !stays {
+			delete(c.listedAt, name)
+			delete(c.memories, name)
+		}
+	}
+	c.servers = servers
+	c.tellCapacity(now)
+}
+
 // forgetHosts lets go of what was kept for hosts that have been replaced: some
 // hundreds a day in a large fleet, each with a connection.
 func (c *control) forgetHosts() {
