host: Don't hold up a planned stop for an outage's length

A stop waited for the claims' last writes up to DrainTimeout, ten minutes, while the key-value service was down. It waits 15 s now; what can't be written leaves its key claimed, which says 'may have run' and is true.

--- a/internal/traffic/host/fleet_test.go
+++ b/internal/traffic/host/fleet_test.go
@@ -16,6 +16,7 @@
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/domain/unit"
 	"cicadaloom/internal/standin/engine"
+	"cicadaloom/internal/standin/plain"
 	"cicadaloom/internal/standin/platform"
 )
 
@@ -116,3 +117,12 @@
 	}
 	f.platform.Stop()
 }
+
+// addPlain starts a plain service.
+func (f *fleet) addPlain(service ident.ServiceName, options plain.Options) *plain.Service {
+	f.t.Helper()
+	name := ident.ServerName(service + "-1")
+	_, err := f.platform.AddPlain(name, service, options)
+	require.NoError(f.t, err)
+	return f.platform.Plains[name]
+}
--- a/internal/traffic/host/host.go
+++ b/internal/traffic/host/host.go
@@ -57,6 +57,19 @@
 	engines   *engine.Client
 	plains    *plain.Client
 	drain     drain
+	// patience is how long a stop waits for the claims' last writes.
+	patience time.Duration
+}
+
+// settlePatience bounds that wait. What can't be written by then, since the
+// key-value service is down, is lost, and the keys say "may have run" for as long
+// as they are kept: true, and no reason to hold up a stop for the whole outage.
+const settlePatience = 15 * time.Second
+
+func (h *Host) settle(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, h.patience)
+	defer cancel()
+	return h.control.Settle(ctx)
 }
 
 // Start starts an entry host. It does not wait for the platform: a host that
@@ -65,6 +78,7 @@
 	h := &Host{
 		metrics:   metrics.NewSet(),
 		decisions: decisions.NewLog(loaded.Host.Name),
+		patience:  settlePatience,
 		engines:   &engine.Client{},
 		plains:    &plain.Client{},
 	}
@@ -197,7 +211,7 @@
 		keep(errors.Wrap(h.callers.Stop(ctx), "callers"))
 	}
 	if h.control != nil {
-		keep(errors.Wrap(h.control.Settle(ctx), "claims"))
+		keep(errors.Wrap(h.settle(ctx), "claims"))
 	}
 	if h.operators != nil {
 		keep(errors.Wrap(h.operators.Stop(ctx), "operators"))
