host: Serve on until the balancer knows that the host stops

At SIGTERM the host closed its address at once.

The health page now answers 503 for Callers.LameDuck (5 s) while the host serves on; then it refuses, finishes and ends as before.

--- a/internal/config/settings/callers.go
+++ b/internal/config/settings/callers.go
@@ -16,6 +16,9 @@
 	MaxDeadline     time.Duration
 	// DrainTimeout is how long a stopping host lets requests in flight finish.
 	DrainTimeout time.Duration
+	// LameDuck is how long a stopping host serves on while its health page says
+	// that it stops, so that the balancer sends callers elsewhere.
+	LameDuck time.Duration
 	// MaxInFlight is how many requests the host holds at once.
 	MaxInFlight int
 }
@@ -26,6 +29,7 @@
 		DefaultDeadline: 60 * time.Second,
 		MaxDeadline:     10 * time.Minute,
 		DrainTimeout:    10 * time.Minute,
+		LameDuck:        5 * time.Second,
 		MaxInFlight:     4096,
 	}
 }
@@ -56,6 +60,12 @@
 				Max: time.Hour,
 			},
 			"How long a stopping host lets requests in flight finish; at least MaxDeadline, so that a planned stop cuts none."),
+		jsonfile.May("LameDuck", func(c *Callers) *time.Duration { return &c.LameDuck },
+			jsonfile.Duration{
+				Min: 0,
+				Max: time.Minute,
+			},
+			"How long a stopping host serves on while its health page already answers 503: longer than the balancer takes to notice."),
 		jsonfile.May("MaxInFlight", func(c *Callers) *int { return &c.MaxInFlight },
 			jsonfile.Integer[int]{
 				Min: 1,
--- a/internal/config/settings/settings_test.go
+++ b/internal/config/settings/settings_test.go
@@ -101,5 +101,5 @@
 	require.Equal(t, `"24h"`, defaults["Claims.Keep"])
 	require.Equal(t, "required", defaults["Host.Name"])
 	require.Equal(t, "required", defaults["Operators.Teams[].Token"])
-	require.Len(t, defaults, 36)
+	require.Len(t, defaults, 37)
 }
--- a/internal/load/fleet/fleet.go
+++ b/internal/load/fleet/fleet.go
@@ -219,6 +219,7 @@
 func (f *Fleet) settings(name ident.HostID, number int) settings.Settings {
 	size := &f.options.Size
 	loaded := settings.Default()
+	loaded.Callers.LameDuck = 0 // there is no balancer
 	loaded.Host = settings.Host{
 		Name:        name,
 		DataCentre:  f.dataCentre(number),
--- a/internal/peer/caller/caller.go
+++ b/internal/peer/caller/caller.go
@@ -75,6 +75,7 @@
 	patience time.Duration
 	inFlight atomic.Int64
 	stopping atomic.Bool
+	lameDuck atomic.Bool
 }
 
 // Start listens at an address ("ip:port"; port 0 takes any) and gives the
@@ -100,6 +101,11 @@
 	s.stopping.Store(true)
 }
 
+// Leave makes the health page say that the host stops, while it serves on.
+func (s *Server) Leave() {
+	s.lameDuck.Store(true)
+}
+
 // Admit takes Refuse back.
 func (s *Server) Admit() {
 	s.stopping.Store(false)
@@ -166,7 +172,7 @@
 // health tells the platform's balancer whether to send callers here.
 func (s *Server) health(w http.ResponseWriter, _ bunrouter.Request) error {
 	switch {
-	case s.stopping.Load():
+	case s.stopping.Load() || s.lameDuck.Load():
 		return s.refuse(w, dispatch.CodeStopping, "this host is stopping", s.Now())
 	case s.Knowledge.Table() == nil:
 		return s.refuse(w, dispatch.CodeNoReplica, "this host has not learnt the documents yet", s.Now().Add(time.Second))
--- a/internal/scenario/testbed/fleet.go
+++ b/internal/scenario/testbed/fleet.go
@@ -91,6 +91,9 @@
 			"KeyValue": []any{ts.Getenv("kv")},
 			"HostList": "http://" + ts.Getenv("hostlist"),
 		},
+		"Callers": map[string]any{
+			"LameDuck": "0s",
+		},
 		"Operators": map[string]any{
 			"Teams": []any{
 				map[string]any{"Team": "kerlouan", "Token": TeamToken},
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -165,6 +165,8 @@
 		Operators: anyPort,
 		Peers:     anyPort,
 	}
+	// There is no balancer in front of it.
+	result.Callers.LameDuck = 0
 	result.Platform = settings.Platform{
 		KeyValue: []string{p.KeyValue},
 		HostList: "http://" + p.HostList,
--- a/internal/traffic/host/host.go
+++ b/internal/traffic/host/host.go
@@ -8,10 +8,10 @@
 //
 // # A planned stop
 //
-// Stop cuts no request. The host first says that it is stopping: the balancer
-// sees it at the health page, peers by their next exchange, and new requests
-// are refused as not run. Those in flight go on to their ends, within the
-// context's time. Then what they have left to tell of their claims is written,
+// Stop cuts no request. The host first says at its health page that it is
+// stopping and serves on, until the balancer has had time to see it. Then peers
+// are told by the next exchange, and new requests are refused as not run. Those
+// in flight go on to their ends, within the context's time. Then what they have left to tell of their claims is written,
 // the leadership is given back, and the host ends.
 //
 // Drain does the first half by itself, for an operator who wants to see the host
@@ -57,6 +57,7 @@
 	engines   *engine.Client
 	plains    *plain.Client
 	drain     drain
+	lameDuck  time.Duration
 	// patience is how long a stop waits for the claims' last writes.
 	patience time.Duration
 }
@@ -79,6 +80,7 @@
 		metrics:   metrics.NewSet(),
 		decisions: decisions.NewLog(loaded.Host.Name),
 		patience:  settlePatience,
+		lameDuck:  loaded.Callers.LameDuck,
 		engines:   &engine.Client{},
 		plains:    &plain.Client{},
 	}
@@ -206,6 +208,7 @@
 			first = err
 		}
 	}
+	h.leave(ctx)
 	h.end()
 	if h.callers != nil {
 		keep(errors.Wrap(h.callers.Stop(ctx), "callers"))
--- a/internal/traffic/host/stop_test.go
+++ b/internal/traffic/host/stop_test.go
@@ -41,3 +41,28 @@
 	f.hosts = nil
 	require.ErrorContains(t, stopped.Stop(context.Background()), "claims")
 }
+
+// The platform stops a host while its balancer still sends callers there. They
+// are served as long as the balancer needs to see the health page, and none
+// finds the address closed.
+func TestStoppingHostServesUntilTheBalancerKnows(t *testing.T) {
+	f := newFleet(t, 2, 1)
+	f.put("testdata/kerlouan.json", 2)
+	stopped := f.hosts[0]
+	stopped.lameDuck = time.Second
+	f.hosts = nil
+	ended := make(chan error, 1)
+	go func() { ended <- stopped.Stop(context.Background()) }()
+	require.Eventually(t, func() bool {
+		answer, err := http.Get("http://" + stopped.Callers + "/healthz")
+		require.NoError(t, err)
+		require.NoError(t, answer.Body.Close())
+		return answer.StatusCode == http.StatusServiceUnavailable
+	}, waitMost, waitEvery)
+	status, _, text, err := post(stopped.Callers, "/v1/chat/completions", chatBody("late", 2, false))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status, text)
+	require.NoError(t, <-ended)
+	_, _, _, err = post(stopped.Callers, "/v1/chat/completions", chatBody("too late", 2, false))
+	require.Error(t, err)
+}
