control, standin/etcd: Take defaults by cmp.Or

The engine stand-in's orDefault stays: it takes negative values for unset as well.

Behaviour as before: -race tests of claims, documents, orders, placement, loop, settings and standin/etcd pass, unchanged.

--- a/internal/control/claims/options.go
+++ b/internal/control/claims/options.go
@@ -1,6 +1,7 @@
 package claims
 
 import (
+	"cmp"
 	"time"
 
 	"cicadaloom/internal/domain/ident"
@@ -91,25 +92,19 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.Partitions, DefaultPartitions)
-	setDefault(&o.Pace, DefaultPace)
-	setDefault(&o.Burst, DefaultBurst)
-	setDefault(&o.FinishDelay, DefaultFinishDelay)
-	setDefault(&o.SegmentSize, DefaultSegmentSize)
-	setDefault(&o.ReserveSize, DefaultReserveSize)
-	setDefault(&o.LogSize, DefaultLogSize)
-	setDefault(&o.MaxQueue, DefaultMaxQueue)
-	setDefault(&o.Backoff, DefaultBackoff)
-	setDefault(&o.ClockMargin, DefaultClockMargin)
-	setDefault(&o.Tombstone, DefaultTombstone)
-	setDefault(&o.ForwardPatience, DefaultForwardPatience)
-	setDefault(&o.WatchLook, DefaultWatchLook)
-	setDefault(&o.HomeSilence, DefaultHomeSilence)
+	o.Partitions = cmp.Or(o.Partitions, DefaultPartitions)
+	o.Pace = cmp.Or(o.Pace, DefaultPace)
+	o.Burst = cmp.Or(o.Burst, DefaultBurst)
+	o.FinishDelay = cmp.Or(o.FinishDelay, DefaultFinishDelay)
+	o.SegmentSize = cmp.Or(o.SegmentSize, DefaultSegmentSize)
+	o.ReserveSize = cmp.Or(o.ReserveSize, DefaultReserveSize)
+	o.LogSize = cmp.Or(o.LogSize, DefaultLogSize)
+	o.MaxQueue = cmp.Or(o.MaxQueue, DefaultMaxQueue)
+	o.Backoff = cmp.Or(o.Backoff, DefaultBackoff)
+	o.ClockMargin = cmp.Or(o.ClockMargin, DefaultClockMargin)
+	o.Tombstone = cmp.Or(o.Tombstone, DefaultTombstone)
+	o.ForwardPatience = cmp.Or(o.ForwardPatience, DefaultForwardPatience)
+	o.WatchLook = cmp.Or(o.WatchLook, DefaultWatchLook)
+	o.HomeSilence = cmp.Or(o.HomeSilence, DefaultHomeSilence)
 	return o
 }
-
-func setDefault[T int | time.Duration](field *T, value T) {
-	if *field == 0 {
-		*field = value
-	}
-}
--- a/internal/control/documents/machine.go
+++ b/internal/control/documents/machine.go
@@ -1,6 +1,7 @@
 package documents
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -30,15 +31,9 @@
 )
 
 func (c Config) withDefaults() Config {
-	if c.CallTimeout == 0 {
-		c.CallTimeout = defaultCallTimeout
-	}
-	if c.WatchSilence == 0 {
-		c.WatchSilence = defaultWatchSilence
-	}
-	if c.Refresh == 0 {
-		c.Refresh = defaultRefresh
-	}
+	c.CallTimeout = cmp.Or(c.CallTimeout, defaultCallTimeout)
+	c.WatchSilence = cmp.Or(c.WatchSilence, defaultWatchSilence)
+	c.Refresh = cmp.Or(c.Refresh, defaultRefresh)
 	return c
 }
 
--- a/internal/control/orders/settings.go
+++ b/internal/control/orders/settings.go
@@ -1,6 +1,7 @@
 package orders
 
 import (
+	"cmp"
 	"time"
 
 	"cicadaloom/internal/control/placement"
@@ -50,22 +51,15 @@
 )
 
 func (s Settings) withDefaults() Settings {
-	setDefault(&s.Pages, DefaultPages)
-	setDefault(&s.LeaderPoll, DefaultLeaderPoll)
-	setDefault(&s.PlanEvery, DefaultPlanEvery)
-	setDefault(&s.ResendAfter, DefaultResendAfter)
-	setDefault(&s.FreshFor, DefaultFreshFor)
-	setDefault(&s.DeadAfter, DefaultDeadAfter)
-	setDefault(&s.ModelsInTransit, DefaultModelsInTransit)
-	setDefault(&s.AdaptersInTransit, DefaultAdaptersInTransit)
-	setDefault(&s.ModelStartsPerSecond, DefaultModelStartsPerSecond)
-	setDefault(&s.OrdersPerServer, DefaultOrdersPerServer)
+	s.Pages = cmp.Or(s.Pages, DefaultPages)
+	s.LeaderPoll = cmp.Or(s.LeaderPoll, DefaultLeaderPoll)
+	s.PlanEvery = cmp.Or(s.PlanEvery, DefaultPlanEvery)
+	s.ResendAfter = cmp.Or(s.ResendAfter, DefaultResendAfter)
+	s.FreshFor = cmp.Or(s.FreshFor, DefaultFreshFor)
+	s.DeadAfter = cmp.Or(s.DeadAfter, DefaultDeadAfter)
+	s.ModelsInTransit = cmp.Or(s.ModelsInTransit, DefaultModelsInTransit)
+	s.AdaptersInTransit = cmp.Or(s.AdaptersInTransit, DefaultAdaptersInTransit)
+	s.ModelStartsPerSecond = cmp.Or(s.ModelStartsPerSecond, DefaultModelStartsPerSecond)
+	s.OrdersPerServer = cmp.Or(s.OrdersPerServer, DefaultOrdersPerServer)
 	return s
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/internal/control/placement/placement.go
+++ b/internal/control/placement/placement.go
@@ -36,6 +36,7 @@
 package placement
 
 import (
+	"cmp"
 	"time"
 
 	"cicadaloom/internal/domain/backend"
@@ -115,18 +116,10 @@
 )
 
 func (s Settings) withDefaults() Settings {
-	if s.ReplicaPerSecond == 0 {
-		s.ReplicaPerSecond = DefaultReplicaPerSecond
-	}
-	if s.Horizon == 0 {
-		s.Horizon = DefaultHorizon
-	}
-	if s.LoadTime == 0 {
-		s.LoadTime = DefaultLoadTime
-	}
-	if s.MinStay == 0 {
-		s.MinStay = DefaultMinStay
-	}
+	s.ReplicaPerSecond = cmp.Or(s.ReplicaPerSecond, DefaultReplicaPerSecond)
+	s.Horizon = cmp.Or(s.Horizon, DefaultHorizon)
+	s.LoadTime = cmp.Or(s.LoadTime, DefaultLoadTime)
+	s.MinStay = cmp.Or(s.MinStay, DefaultMinStay)
 	return s
 }
 
--- a/internal/standin/etcd/server.go
+++ b/internal/standin/etcd/server.go
@@ -36,6 +36,7 @@
 package etcd
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"net"
@@ -87,21 +88,11 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
-	if o.WritesPerSecond == 0 {
-		o.WritesPerSecond = DefaultWritesPerSecond
-	}
-	if o.ReadsPerSecond == 0 {
-		o.ReadsPerSecond = DefaultReadsPerSecond
-	}
-	if o.History == 0 {
-		o.History = DefaultHistory
-	}
-	if o.ValueLimit == 0 {
-		o.ValueLimit = DefaultValueLimit
-	}
-	if o.ProgressNotifyTime == 0 {
-		o.ProgressNotifyTime = DefaultProgressNotifyTime
-	}
+	o.WritesPerSecond = cmp.Or(o.WritesPerSecond, DefaultWritesPerSecond)
+	o.ReadsPerSecond = cmp.Or(o.ReadsPerSecond, DefaultReadsPerSecond)
+	o.History = cmp.Or(o.History, DefaultHistory)
+	o.ValueLimit = cmp.Or(o.ValueLimit, DefaultValueLimit)
+	o.ProgressNotifyTime = cmp.Or(o.ProgressNotifyTime, DefaultProgressNotifyTime)
 	return o
 }
 
