--- a/internal/traffic/dispatch/route.go
+++ b/internal/traffic/dispatch/route.go
@@ -85,7 +85,8 @@
 	return j.promised
 }
 
-// admit refuses the request if a replica can't answer it in time. Where no report stands behind the queue, nothing is refused for it.
+// admit refuses the request if a replica can't answer it in time. Where no report
+// stands behind the queue, nothing is refused for it.
 func (j *journey) admit(replica *routing.Replica, now time.Time) *Failure {
 	if !replica.Gauge.Known(now) {
 		return nil
@@ -176,7 +177,7 @@
 	}
 }
 
-// set out records an attempt before its first byte leaves.
+// setOut records an attempt before its first byte leaves.
 func (j *journey) setOut(choice routing.Choice) {
 	j.attempt = ident.NewAttemptID()
 	if j.routing.NumTried < routing.MaxTried {
@@ -200,8 +201,7 @@
 }
 
 // mayTryAgain tells whether the request can be sent to another backend server,
-// the retry budget aside.
-// safe tells that the last attempt provably did not run it.
+// the retry budget aside. safe tells that the last attempt provably did not run it.
 func (j *journey) mayTryAgain(safe bool) bool {
 	if j.routing.NumTried >= routing.MaxTried || !j.Now().Before(j.request.Deadline) {
 		return false
