gateway: Refuse late streams on a stop, and watch the key-value service once

Ruled out: connections cut by the client. Change: streams later than 3 s after the signal are refused at once, and what is under way 0.9 s before the end gets its final answer.

--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -82,7 +82,6 @@
 // Layout says where the operator and the backend servers write in the key-value
 // service, and reads what they write.
 type Layout struct {
-	OperatorPrefix      string
 	ConfigurationKey    string
 	RegistrationPrefix  string
 	ReadyPath           string
@@ -124,6 +123,8 @@
 	holding  atomic.Pointer[tenure]
 	stopping atomic.Bool
 	seeds    atomic.Pointer[[]string]
+	// endRequests has every request answered at once.
+	endRequests context.CancelFunc
 	missed   chan struct{}
 }
 
@@ -151,6 +152,8 @@
 	g.up = &upstream.Client{
 		Dialed: dialed.Inc,
 	}
+	ended, end := context.WithCancel(context.Background())
+	g.endRequests = end
 	g.handler = &relay.Handler{
 		Codec:     options.Codec,
 		Knowledge: g,
@@ -160,6 +163,7 @@
 		Metrics:   relay.NewMetrics(options.Metrics),
 		Now:       time.Now,
 		Dice:      rand.Uint64,
+		Ended:     ended,
 	}
 	if err := g.listen(); err != nil {
 		_ = g.Stop(context.Background())
@@ -193,10 +197,7 @@
 
 func (g *Gateway) start() {
 	g.tomb.Go(func() error { return newControl(g).run() })
-	layout := &g.options.Layout
-	g.tomb.Go(func() error { return g.watch(layout.OperatorPrefix, g.configurationWatcher()) })
-	g.tomb.Go(func() error { return g.watch(layout.RegistrationPrefix, g.registrationWatcher()) })
-	g.tomb.Go(func() error { return g.watch(ownPrefix, g.hostWatcher()) })
+	g.tomb.Go(g.watch)
 	g.tomb.Go(g.register)
 	g.tomb.Go(g.hold)
 	g.tomb.Go(g.exchange)
@@ -248,9 +249,11 @@
 const (
 	// serveOn is how long new requests are served as usual, with the word to close
 	// the connection: clients still come meanwhile.
-	serveOn = 3200 * time.Millisecond
-	// leastLeft is what is kept of the grace for the end of the process itself.
-	leastLeft = 700 * time.Millisecond
+	serveOn = 3 * time.Second
+	// leastLeft is what is kept of the grace for the end of the process itself, and
+	// lastAnswers for the answers to what is still under way then.
+	leastLeft   = 500 * time.Millisecond
+	lastAnswers = 400 * time.Millisecond
 	idlePoll  = 50 * time.Millisecond
 )
 
@@ -262,13 +265,13 @@
 func (g *Gateway) Stop(ctx context.Context) error {
 	begun := time.Now()
 	g.stopping.Store(true)
-	if g.handler != nil {
-		g.handler.StopSoon()
-	}
 	end := begun.Add(g.options.Settings.Bounds.Grace - leastLeft)
+	answersEnd := end.Add(-lastAnswers)
+	g.handler.StopBy(begun.Add(serveOn), answersEnd)
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
-	g.waitUntilIdle(ctx, begun.Add(serveOn))
+	g.waitUntilIdle(ctx, begun.Add(serveOn), answersEnd)
+	g.endRequests()
 	err := g.callers.Stop(ctx)
 	g.tomb.Kill(nil)
 	_ = g.ready.Stop(ctx)
@@ -282,8 +285,9 @@
 	return errors.Wrap(err, "stop")
 }
 
-// waitUntilIdle waits until an instant, and on until nothing is under way.
-func (g *Gateway) waitUntilIdle(ctx context.Context, from time.Time) {
+// waitUntilIdle waits until an instant, and on until nothing is under way or
+// another instant has come.
+func (g *Gateway) waitUntilIdle(ctx context.Context, from, until time.Time) {
 	ticker := time.NewTicker(idlePoll)
 	defer ticker.Stop()
 	for {
@@ -291,7 +295,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			if now.After(from) && g.handler.UnderWay() == 0 {
+			if now.After(until) || now.After(from) && g.handler.UnderWay() == 0 {
 				return
 			}
 		}
--- a/internal/host/gateway/messages.go
+++ b/internal/host/gateway/messages.go
@@ -29,23 +29,42 @@
 	c.registry.Troubled(now)
 }
 
-// serversListed brings all servers' entries.
-type serversListed struct {
+// listed brings all that stands in the key-value service.
+type listed struct {
 	entries []store.Entry
 }
 
-func (m serversListed) apply(now time.Time, c *control) {
+func (m listed) apply(now time.Time, c *control) {
 	registrations := make([]backend.Registration, 0, len(m.entries))
+	hosts := make(map[ident.HostID]bool)
+	c.holder = ""
 	for i := range m.entries {
-		if registration, readable := c.registration(&m.entries[i], now); readable {
-			registrations = append(registrations, registration)
+		entry := &m.entries[i]
+		switch {
+		case entry.Key == c.options.Layout.ConfigurationKey:
+			c.install(now, entry.Value, fromKeyValue)
+		case strings.HasPrefix(entry.Key, c.options.Layout.RegistrationPrefix):
+			if registration, readable := c.registration(entry, now); readable {
+				registrations = append(registrations, registration)
+			}
+		case strings.HasPrefix(entry.Key, ownPrefix):
+			hosts[c.hostEntry(entry)] = true
 		}
 	}
 	c.registry.Replace(now, registrations)
-	c.listed.Store(true)
+	for name, host := range c.hosts {
+		if !hosts[name] && host.missingSince.IsZero() {
+			host.missingSince = now
+		}
+	}
+	c.vacant.Store(c.holder == "")
+	c.Gateway.listed.Store(true)
 	c.dirty = true
 }
 
+// fromKeyValue names where a configuration came from.
+const fromKeyValue = "key-value service"
+
 // registration reads a server's entry. One that can't be read names no server to
 // use; what an earlier entry said of it no longer holds either.
 func (c *control) registration(entry *store.Entry, now time.Time) (backend.Registration, bool) {
@@ -57,35 +76,61 @@
 	return registration, true
 }
 
-// serversChanged brings changes of servers' entries.
-type serversChanged struct {
+// changed brings changes of what stands there.
+type changed struct {
 	events []store.Event
 }
 
-func (m serversChanged) apply(now time.Time, c *control) {
+func (m changed) apply(now time.Time, c *control) {
 	for i := range m.events {
-		entry := &m.events[i].Entry
-		name := ident.ServerName(strings.TrimPrefix(entry.Key, c.options.Layout.RegistrationPrefix))
-		if m.events[i].Deleted {
-			c.log.Info("server's entry removed", zap.String("Server", string(name)), zap.Int64("Revision", int64(entry.Revision)))
-			c.registry.Remove(now, name)
-			continue
-		}
-		registration, readable := c.registration(entry, now)
-		if !readable {
-			c.registry.Remove(now, name)
-			continue
-		}
-		c.log.Debug("server's entry changed", zap.String("Server", string(name)), zap.String("State", string(registration.Server.State)),
-			zap.String("Incarnation", string(registration.Report.Incarnation)), zap.Int64("Revision", int64(entry.Revision)))
-		if registration.Report.Leaving {
-			c.log.Info("server leaves", zap.String("Server", string(name)), zap.Int64("Revision", int64(entry.Revision)))
+		event := &m.events[i]
+		key := event.Entry.Key
+		switch {
+		case key == c.options.Layout.ConfigurationKey && !event.Deleted:
+			c.install(now, event.Entry.Value, fromKeyValue)
+		case strings.HasPrefix(key, c.options.Layout.RegistrationPrefix):
+			c.serverChanged(now, event)
+		case strings.HasPrefix(key, ownPrefix):
+			c.hostChanged(now, event)
 		}
-		c.registry.Put(now, registration)
 	}
+	c.vacant.Store(c.holder == "")
 	c.dirty = true
 }
 
+func (c *control) serverChanged(now time.Time, event *store.Event) {
+	entry := &event.Entry
+	name := ident.ServerName(strings.TrimPrefix(entry.Key, c.options.Layout.RegistrationPrefix))
+	if event.Deleted {
+		c.log.Info("server's entry removed", zap.String("Server", string(name)), zap.Int64("Revision", int64(entry.Revision)))
+		c.registry.Remove(now, name)
+		return
+	}
+	registration, readable := c.registration(entry, now)
+	if !readable {
+		c.registry.Remove(now, name)
+		return
+	}
+	c.log.Info("server's entry changed", zap.String("Server", string(name)), zap.String("State", string(registration.Server.State)),
+		zap.String("Incarnation", string(registration.Report.Incarnation)), zap.Int64("OrdersAccepted", registration.Report.OrdersAccepted),
+		zap.Int64("Revision", int64(entry.Revision)))
+	c.registry.Put(now, registration)
+}
+
+func (c *control) hostChanged(now time.Time, event *store.Event) {
+	key := event.Entry.Key
+	switch {
+	case !event.Deleted:
+		c.hostEntry(&event.Entry)
+	case key == holderKey:
+		c.holder = ""
+	default:
+		if host, known := c.hosts[ident.HostID(strings.TrimPrefix(key, hostPrefix))]; known {
+			host.missingSince = now
+		}
+	}
+}
+
 // holdsOf gives what requests may ask for by a report.
 func holdsOf(report *backend.Report) []request.Weights {
 	holds := make([]request.Weights, 0, len(report.Residents))
@@ -98,28 +143,6 @@
 	return holds
 }
 
-// hostsListed brings all entries of hosts, and the holder's key.
-type hostsListed struct {
-	entries []store.Entry
-}
-
-func (m hostsListed) apply(now time.Time, c *control) {
-	seen := make(map[ident.HostID]bool)
-	c.holder = ""
-	for i := range m.entries {
-		if name := c.hostEntry(&m.entries[i]); name != "" {
-			seen[name] = true
-		}
-	}
-	for name, host := range c.hosts {
-		if !seen[name] && host.missingSince.IsZero() {
-			host.missingSince = now
-		}
-	}
-	c.vacant.Store(c.holder == "")
-	c.dirty = true
-}
-
 // hostEntry takes in one entry under the hosts' own prefix.
 func (c *control) hostEntry(entry *store.Entry) ident.HostID {
 	if entry.Key == holderKey {
@@ -137,26 +160,3 @@
 	c.hosts[name] = &host
 	return name
 }
-
-// hostsChanged brings changes of these.
-type hostsChanged struct {
-	events []store.Event
-}
-
-func (m hostsChanged) apply(now time.Time, c *control) {
-	for i := range m.events {
-		entry := &m.events[i].Entry
-		switch {
-		case !m.events[i].Deleted:
-			c.hostEntry(entry)
-		case entry.Key == holderKey:
-			c.holder = ""
-		default:
-			if host, known := c.hosts[ident.HostID(strings.TrimPrefix(entry.Key, hostPrefix))]; known {
-				host.missingSince = now
-			}
-		}
-	}
-	c.vacant.Store(c.holder == "")
-	c.dirty = true
-}
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -39,6 +39,7 @@
 package relay
 
 import (
+	"context"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -119,15 +120,32 @@
 	Metrics   *Metrics
 	Now       func() time.Time
 	Dice      func() uint64
+	// Ended is done when every request must have its final answer at once, since
+	// the process ends.
+	Ended context.Context
 
-	stopping atomic.Bool
+	stop     atomic.Pointer[stop]
 	underWay atomic.Int64
 }
 
-// StopSoon has every answer from now on close its connection, so that clients
-// find another host for their next request.
-func (h *Handler) StopSoon() {
-	h.stopping.Store(true)
+// stop is a planned stop of the host.
+type stop struct {
+	// lastStart is until when streams are taken on; end is when all requests must
+	// have their answer.
+	lastStart time.Time
+	end       time.Time
+}
+
+// StopBy tells that the host stops at an instant. Every answer from now on closes
+// its connection, so that clients find another host for their next request. A
+// stream that comes after lastStart, or any request that might not have its answer
+// by the end, is refused at once: it would be cut. What is still under way at the
+// end gets its final answer then, by the end of Handler.Ended.
+func (h *Handler) StopBy(lastStart, end time.Time) {
+	h.stop.Store(&stop{
+		lastStart: lastStart,
+		end:       end,
+	})
 }
 
 // UnderWay counts the requests that are being served.
@@ -150,7 +168,8 @@
 		ctx:     r.Context(),
 		arrived: now,
 	}
-	if h.stopping.Load() {
+	stop := h.stop.Load()
+	if stop != nil {
 		w.Header().Set("Connection", "close")
 	}
 	decoded, err := h.Codec.Decode(r, now)
@@ -169,12 +188,27 @@
 		return
 	}
 	s.configuration = table.Configuration().Version
+	if stop != nil && stop.tooLate(now, s.route) {
+		s.refuse(elsewhere, "the host stops")
+		return
+	}
 	if !s.readBody(r, table.Configuration().Limits) {
 		return
 	}
 	s.serve()
 }
 
+// elsewhere is when a client may come back that another host will serve.
+const elsewhere = 20 * time.Millisecond
+
+// tooLate tells that a request might be cut by the stop.
+func (s *stop) tooLate(now time.Time, r *route.Route) bool {
+	if r.Kind == route.Stream {
+		return now.After(s.lastStart)
+	}
+	return now.Add(r.Timeout).After(s.end)
+}
+
 // readBody reads the body in full: a request is sent only once it is whole, and
 // may be sent again.
 func (s *serving) readBody(r *http.Request, limits route.Limits) bool {
--- a/internal/traffic/relay/serving.go
+++ b/internal/traffic/relay/serving.go
@@ -92,12 +92,21 @@
 	}
 }
 
-// limited gives a context that ends with the client or at the deadline.
+// limited gives a context that ends with the client, at the deadline, or with the
+// host.
 func (s *serving) limited() (context.Context, context.CancelFunc) {
+	var ctx context.Context
+	var cancel context.CancelFunc
 	if s.deadline.IsZero() {
-		return context.WithCancel(s.ctx)
+		ctx, cancel = context.WithCancel(s.ctx)
+	} else {
+		ctx, cancel = context.WithDeadline(s.ctx, s.deadline)
+	}
+	release := context.AfterFunc(s.handler.Ended, cancel)
+	return ctx, func() {
+		release()
+		cancel()
 	}
-	return context.WithDeadline(s.ctx, s.deadline)
 }
 
 // attempt makes one send. It tells whether another one is to be made.
@@ -235,13 +244,17 @@
 }
 
 func (s *serving) timeOut() {
+	why := "the time is over"
+	if s.handler.Ended.Err() != nil {
+		why = "the host stops"
+	}
 	switch {
 	case s.stream.begun:
-		s.abort("the time is over")
+		s.abort(why)
 	case s.trail.Outcome().IsNotRun():
-		s.refuse(retryBusy, "the time is over")
+		s.refuse(retryBusy, why)
 	default:
-		s.fail(http.StatusGatewayTimeout, "the time is over")
+		s.fail(http.StatusGatewayTimeout, why)
 	}
 }
 
