loading, pacing: Follow demand in engines' time, keep room free, pace prompts

Change: reading time learned by model; replicas by a goal of work for each; room kept free; one host for each engine gives the instants to send prompts at.

--- a/internal/control/balance/balance.go
+++ b/internal/control/balance/balance.go
@@ -111,11 +111,12 @@
 	list []*server
 	// perServer bounds what this host has under way at one server.
 	perServer int
-	// perToken is how long the servers take to read one prompt token.
-	perToken float64 // seconds
+	// perToken is how long an engine takes to read one prompt token, in seconds, by
+	// model: large models take up to ten times as long as small ones.
+	perToken map[ident.ModelName]float64
 	// work is how long servers without models take.
 	work     time.Duration
-	prompt   float64 // mean prompt, in tokens
+	prompt   float64 // mean work of a prompt, in seconds
 	changed  chan struct{}
 	demand   map[request.Weights]*Demand
 	hasModel bool
@@ -130,13 +131,15 @@
 	Missed   int64
 	// Waiting counts the requests that wait for the weights now.
 	Waiting int64
+	// Work is how long one engine takes to read all of the prompts, in seconds.
+	Work float64
 }
 
 // Starting values, until the servers have answered.
 const (
-	startPerToken = 70e-6 // seconds
+	startPerToken = 55e-6 // seconds
 	startWork     = 20 * time.Millisecond
-	startPrompt   = 900
+	startPrompt   = 0.05 // seconds
 )
 
 // NewPool gives a pool without servers.
@@ -145,7 +148,7 @@
 		place:     place,
 		servers:   make(map[ident.ServerName]*server),
 		perServer: 1 << 20,
-		perToken:  startPerToken,
+		perToken:  make(map[ident.ModelName]float64),
 		work:      startWork,
 		prompt:    startPrompt,
 		changed:   make(chan struct{}),
@@ -240,7 +243,9 @@
 	d := p.demandOf(weights)
 	d.Requests++
 	d.Tokens += int64(prompt)
-	p.prompt += (float64(prompt) - p.prompt) * slowWeight
+	work := p.reading(weights.Model, float64(prompt))
+	d.Work += work
+	p.prompt += (work - p.prompt) * slowWeight
 }
 
 // Missed counts a request of which no server held the weights when it came.
--- a/internal/control/balance/choose.go
+++ b/internal/control/balance/choose.go
@@ -40,16 +40,24 @@
 	Server      ident.ServerName
 	Incarnation ident.Incarnation
 	Address     string
+	Region      ident.Region
+	// Reading is how long the server will read the prompt; zero for servers without
+	// models.
+	Reading time.Duration
 	// Expected is the expected time to the first byte of the answer.
 	Expected time.Duration
 	Cost     time.Duration
 	// Load is what was known to be under way there.
 	Load int
 
-	pool    *Pool
-	server  *server
-	ask     Ask
-	tokens  float64
+	pool   *Pool
+	server *server
+	ask    Ask
+	tokens float64
+	// work is how long the engine takes to read the prompt, in seconds. alone tells
+	// that nothing else of this host was to be read there.
+	work    float64
+	alone   bool
 	since   time.Time
 	started bool
 	ended   bool
@@ -64,22 +72,29 @@
 		return nil, verdict
 	}
 	tokens := max(float64(ask.Prompt)-best.cached(&ask), 1)
-	expected := p.expected(best, tokens)
+	work := p.reading(ask.Weights.Model, tokens)
+	expected := p.expected(now, best, work)
 	ticket := &Ticket{
 		Server:      best.known.Name,
 		Incarnation: best.known.Incarnation,
 		Address:     best.known.Address,
+		Region:      best.known.Region,
 		Expected:    expected + p.way(best),
-		Cost:        p.cost(best, &ask),
+		Cost:        p.cost(now, best, &ask),
 		Load:        best.load(),
 		pool:        p,
 		server:      best,
 		ask:         ask,
 		tokens:      tokens,
+		work:        work,
+		alone:       best.pending == 0,
 		since:       now,
 	}
+	if best.known.Kind == backend.KindEngine {
+		ticket.Reading = time.Duration(work * float64(time.Second))
+	}
 	best.own++
-	best.pending += tokens
+	best.pending += work
 	best.probing = best.failures > 0
 	return ticket, Found
 }
@@ -100,7 +115,7 @@
 			continue
 		}
 		dice = mix(dice)
-		cost := float64(p.cost(s, ask)) * (1 + blur*float64(dice%1024)/1024)
+		cost := float64(p.cost(now, s, ask)) * (1 + blur*float64(dice%1024)/1024)
 		if best == nil || cost < lowest {
 			best, lowest = s, cost
 		}
@@ -114,9 +129,9 @@
 
 // cost is the expected time to the first byte with what else speaks against a
 // server.
-func (p *Pool) cost(s *server, ask *Ask) time.Duration {
+func (p *Pool) cost(now time.Time, s *server, ask *Ask) time.Duration {
 	tokens := max(float64(ask.Prompt)-s.cached(ask), 1)
-	cost := p.expected(s, tokens) + p.way(s)
+	cost := p.expected(now, s, p.reading(ask.Weights.Model, tokens)) + p.way(s)
 	if s.retiring[ask.Weights.Model] {
 		cost += retiringCost
 	}
@@ -137,8 +152,46 @@
 	}
 }
 
+// reading is how long an engine takes to read tokens of a prompt, in seconds.
+func (p *Pool) reading(model ident.ModelName, tokens float64) float64 {
+	perToken, measured := p.perToken[model]
+	if !measured {
+		perToken = startPerToken
+	}
+	return tokens * perToken
+}
+
+// Weights of the measure of reading time, and its bounds in seconds a token. What
+// is measured has waits in it that nobody told of, so a shorter time says more than
+// a longer one.
+const (
+	shorterWeight = 0.3
+	longerWeight  = 0.02
+	leastPerToken = 2e-6
+	mostPerToken  = 150e-6
+	// stepTime is what an answer takes beside the reading.
+	stepTime = 14 * time.Millisecond
+)
+
+// measureReading takes in how long the first token of an answer took.
+func (p *Pool) measureReading(model ident.ModelName, tokens float64, took time.Duration) {
+	known, measured := p.perToken[model]
+	if !measured {
+		known = startPerToken
+	}
+	sample := min(max((took-stepTime).Seconds()/tokens, leastPerToken), mostPerToken)
+	weight := longerWeight
+	if sample < known {
+		weight = shorterWeight
+	}
+	p.perToken[model] = known + (sample-known)*weight
+}
+
+// leastSample is how many tokens a prompt needs to measure reading time by.
+const leastSample = 200
+
 // expected is the expected time at the server to the first byte.
-func (p *Pool) expected(s *server, tokens float64) time.Duration {
+func (p *Pool) expected(now time.Time, s *server, work float64) time.Duration {
 	queued := max(s.load()-s.known.Slots+1, 0)
 	if s.known.Kind != backend.KindEngine {
 		work := s.work
@@ -148,8 +201,8 @@
 		share := float64(s.load()) / float64(max(s.known.Slots, 1))
 		return time.Duration(float64(work)*(1+share)) + time.Duration(queued)*work/time.Duration(max(s.known.Slots, 1))
 	}
-	before := s.pending + float64(s.othersWaiting)*p.prompt
-	reading := time.Duration((before + tokens) * p.perToken * float64(time.Second))
+	before := max(s.pending, s.busyUntil.Sub(now).Seconds(), 0) + float64(s.othersWaiting)*p.prompt
+	reading := time.Duration((before + work) * float64(time.Second))
 	wait := reading + time.Duration(s.load())*perRunning + time.Duration(queued)*perQueued
 	return time.Duration(float64(wait) * s.slowness)
 }
@@ -168,6 +221,18 @@
 	return shares[(len(shares)-1)/2]
 }
 
+// Paced tells when the prompt is to be sent: until then the server has prompts of
+// other hosts to read.
+func (t *Ticket) Paced(at time.Time) {
+	t.pool.mu.Lock()
+	defer t.pool.mu.Unlock()
+	until := at.Add(t.Reading)
+	if until.After(t.server.busyUntil) {
+		t.server.busyUntil = until
+	}
+	t.since = at
+}
+
 // Started tells that the first bytes of the answer are there.
 func (t *Ticket) Started(now time.Time) {
 	t.pool.mu.Lock()
@@ -179,6 +244,9 @@
 	s, p := t.server, t.pool
 	took := now.Sub(t.since)
 	s.remember(t.ask.Weights, t.ask.Parts)
+	if s.known.Kind == backend.KindEngine && t.alone && t.tokens >= leastSample {
+		p.measureReading(t.ask.Weights.Model, t.tokens, took-p.way(s))
+	}
 	if s.known.Kind == backend.KindEngine && t.Expected > 0 {
 		ratio := min(max(float64(took)/float64(t.Expected), 0.2), 8)
 		s.slowness = min(max(s.slowness*(1+(ratio-1)*fastWeight), 0.3), 8)
@@ -195,7 +263,7 @@
 
 func (t *Ticket) start() {
 	t.started = true
-	t.server.pending = max(t.server.pending-t.tokens, 0)
+	t.server.pending = max(t.server.pending-t.work, 0)
 }
 
 // Heard takes in the load that a server's answer tells.
--- a/internal/control/balance/server.go
+++ b/internal/control/balance/server.go
@@ -12,10 +12,12 @@
 	known    Server
 	holds    map[request.Weights]bool
 	retiring map[ident.ModelName]bool
-	// own counts what this host has under way there, pending the prompt tokens of
-	// those that have not started.
+	// own counts what this host has under way there, pending the reading time of
+	// those that have not started, in seconds.
 	own     int
 	pending float64
+	// busyUntil is until when the server has prompts to read, by its pacer's last word.
+	busyUntil time.Time
 	// others and othersWaiting are what all other hosts have there, by the last word.
 	others        int
 	othersWaiting int
--- a/internal/control/loading/demand.go
+++ b/internal/control/loading/demand.go
@@ -16,21 +16,21 @@
 	longSpan  = 5 * time.Second
 )
 
-// waitingTokens is the work that a request stands for which waits for its weights.
-const waitingTokens = 1000
-
 // Demand is what one host has been asked for since it last told.
 type Demand struct {
 	Requests int64
 	Tokens   int64
 	Missed   int64
 	Waiting  int64
+	// Work is how long one engine takes to read all of the prompts, in seconds.
+	Work float64
 }
 
 // rate is the smoothed demand for one set of weights.
 type rate struct {
 	at time.Time
-	// short and long are tokens a second; requests is a long average.
+	// short and long are engines' time a second: 1 keeps one engine busy with reading
+	// prompts. requests is a long average, a second.
 	short    float64
 	long     float64
 	requests float64
@@ -51,11 +51,10 @@
 		p.demand[weights] = r
 	}
 	r.decay(now)
-	tokens := float64(demand.Tokens)
-	r.short += tokens / shortSpan.Seconds()
-	r.long += tokens / longSpan.Seconds()
+	r.short += demand.Work / shortSpan.Seconds()
+	r.long += demand.Work / longSpan.Seconds()
 	r.requests += float64(demand.Requests) / longSpan.Seconds()
-	r.regions[region] += tokens / longSpan.Seconds()
+	r.regions[region] += demand.Work / longSpan.Seconds()
 	if demand.Requests > 0 || demand.Waiting > 0 {
 		r.lastAsk = now
 	}
@@ -79,17 +78,25 @@
 	}
 }
 
-// work is the demand for a model with all its adapters, in tokens a second.
-func (p *Planner) work(now time.Time, name ident.ModelName) float64 {
-	total := 0.0
+// expectedWork is the demand for a model with all its adapters, in engines' time a
+// second: what it is now, or what it will be in a moment if it rises.
+func (p *Planner) expectedWork(now time.Time, name ident.ModelName) float64 {
+	short, long := 0.0, 0.0
 	for weights, r := range p.demand {
 		if weights.Model != name {
 			continue
 		}
 		r.decay(now)
-		total += max(r.short, r.long*longPart)
+		short += r.short
+		long += r.long
 	}
-	return total
+	if short <= long {
+		return max(short, long*longPart)
+	}
+	// The averages of a steady rise lie as far apart as it grows in the difference of
+	// their spans.
+	rise := (short - long) / (longSpan - shortSpan).Seconds()
+	return short + rise*riseAhead
 }
 
 // longPart is what the long average counts beside the short one: a model whose
--- a/internal/control/loading/loading.go
+++ b/internal/control/loading/loading.go
@@ -75,6 +75,9 @@
 	// startTrust is how long an order that was accepted may go without a sign of
 	// it in reports, which lag by some hundred milliseconds.
 	startTrust = 2 * time.Second
+	// reportLag is how long reports may lag behind an accepted order: they are some
+	// hundred milliseconds old when they come.
+	reportLag = 800 * time.Millisecond
 	// coldLoads is how many loads may begin at once over the pace.
 	coldLoads = 2
 	// unresolvedLoad is how long a load that got no answer may still begin.
@@ -98,7 +101,28 @@
 	list   []*engine
 	demand map[request.Weights]*rate
 	// begun are the instants at which loads from the weight store may have begun.
-	begun []time.Time
+	begun     []time.Time
+	decisions []Decision
+}
+
+// Decision is one replica that has to make way, and why.
+type Decision struct {
+	Server ident.ServerName
+	Model  ident.ModelName
+	// For is the model that needs the room; empty where it is kept free.
+	For ident.ModelName
+	// Work is the demand for Model, Left what each of the Replicas that stay will
+	// have of it, with what else spoke against the server.
+	Work     float64
+	Left     float64
+	Replicas int
+}
+
+// TakeDecisions gives the decisions since the last call.
+func (p *Planner) TakeDecisions() []Decision {
+	taken := p.decisions
+	p.decisions = nil
+	return taken
 }
 
 // model is a declared model.
@@ -115,8 +139,10 @@
 	Server
 	report   backend.Report
 	reported bool
-	// accepted is the count of accepted orders, by reports and by answers.
-	accepted int64
+	// accepted is the count of accepted orders, by reports and by answers, the last of
+	// which came at acceptedAt.
+	accepted   int64
+	acceptedAt time.Time
 	// adapters has the adapters that answers prove to be there, with the instant
 	// from which requests may ask for them.
 	adapters map[request.Weights]time.Time
@@ -198,10 +224,16 @@
 }
 
 // Report takes in an engine's word. One of another life, or from before an order
-// that the engine has accepted since, says nothing of what holds now.
+// that the engine has accepted since, says nothing of what holds now. But where
+// reports go on to show less than the answers told, the answers were wrong: an
+// engine that was not believed any more would count as dead, and all it holds as
+// gone.
 func (p *Planner) Report(report *backend.Report) {
 	e, known := p.engines[report.Server]
-	if !known || report.Incarnation != e.Incarnation || report.OrdersAccepted < e.accepted {
+	if !known || report.Incarnation != e.Incarnation {
+		return
+	}
+	if report.OrdersAccepted < e.accepted && report.At.Sub(e.acceptedAt) < reportLag {
 		return
 	}
 	e.report = *report
@@ -243,9 +275,6 @@
 
 func (p *Planner) accept(now time.Time, e *engine, answer backend.OrderAnswer) {
 	order := &e.pending.order
-	if answer == backend.OrderAccepted || order.Kind == backend.UnloadAdapter || order.Kind == backend.LoadAdapter {
-		e.pending.acceptedAt = now
-	}
 	weights := request.Weights{
 		Model:   order.Model,
 		Adapter: order.Adapter,
@@ -253,32 +282,26 @@
 	switch order.Kind {
 	case backend.LoadAdapter:
 		e.adapters[weights] = now.Add(adapterTime)
-		p.advance(e, answer)
 	case backend.UnloadAdapter:
 		delete(e.adapters, weights)
 		e.dropResident(weights)
-		p.advance(e, answer)
-	default:
-		if answer == backend.OrderHolds {
-			e.pending = nil
-			e.waitUntil = now.Add(turnedDownPause)
-			return
-		}
-		e.accepted = order.AfterOrders + 1
+	}
+	if answer == backend.OrderHolds {
+		e.pending = nil
+		e.waitUntil = now.Add(turnedDownPause)
+		return
+	}
+	e.accepted = order.AfterOrders + 1
+	e.acceptedAt = now
+	e.pending.acceptedAt = now
+	if order.Adapter != "" {
+		e.pending = nil // engines carry it out beside others
 	}
 }
 
 // adapterTime is how long an adapter takes to come, with what the network adds.
 const adapterTime = 40 * time.Millisecond
 
-// advance ends an order on an adapter: engines carry it out beside others.
-func (p *Planner) advance(e *engine, answer backend.OrderAnswer) {
-	if answer == backend.OrderAccepted || e.pending.order.Kind == backend.UnloadAdapter {
-		e.accepted = e.pending.order.AfterOrders + 1
-	}
-	e.pending = nil
-}
-
 // settle ends orders whose effect reports show.
 func (p *Planner) settle(now time.Time) {
 	for _, e := range p.list {
--- a/internal/control/loading/moves.go
+++ b/internal/control/loading/moves.go
@@ -2,23 +2,38 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
 	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/domain/request"
+	"cicadaloom/internal/domain/unit"
 )
 
-// Thresholds of moves.
+// Thresholds of moves. Work is in engines' time a second.
 const (
-	// worthALoad is the work for each replica, in tokens a second, below which a
-	// model gets no further one: about a twentieth of what an engine reads.
-	worthALoad = 900
+	// goalWork is the work for each replica that a model is given replicas for. An
+	// engine reads prompts between the steps of the answers under way: at a fifth of
+	// its time the pauses in these stay well under a third of a second, also when
+	// several long prompts come at once.
+	goalWork = 0.2
+	// leastWork is the work below which one replica does, whatever the goal.
+	leastWork = 0.1
 	// gainOverLoss is how much more work for each replica the model that gets a
 	// place must have than the one that loses it is left with. Below it, two models
 	// of like demand would take turns at the same place.
 	gainOverLoss = 1.5
+	// leastGain is what it must have besides.
+	leastGain = 0.04
+	// freeShare is the part of the servers that are to have room for another model:
+	// a load into free memory takes a second or two, while a model that has to make
+	// way first serves its requests to their ends, some seconds more.
+	freeShare = 0.5
+	// riseAhead is how many seconds of a rise are added to the demand: a load takes
+	// as long.
+	riseAhead = 1.5
 )
 
 // loadMissing loads the models that no server holds, the most wanted first.
@@ -31,20 +46,38 @@
 	}
 	p.sortByWork(now, missing)
 	var orders []backend.Order
+	coming := p.roomComing()
 	for _, m := range missing {
 		if order, found := p.place(now, m); found {
 			orders = append(orders, order)
 			continue
 		}
+		// Room that is on its way will do: each step would retire one more replica
+		// otherwise, for as long as the first takes.
+		if coming > 0 {
+			coming--
+			continue
+		}
 		p.makeWay(now, m, 0)
 	}
 	return orders
 }
 
+// roomComing counts the servers where a replica is on its way out.
+func (p *Planner) roomComing() int {
+	count := 0
+	for _, e := range p.list {
+		if len(e.retiring) > 0 || e.pending != nil && e.pending.order.Kind == backend.UnloadModel {
+			count++
+		}
+	}
+	return count
+}
+
 func (p *Planner) sortByWork(now time.Time, models []*model) {
 	works := make(map[*model]float64, len(models))
 	for _, m := range models {
-		works[m] = p.work(now, m.spec.Name)
+		works[m] = p.expectedWork(now, m.spec.Name)
 	}
 	slices.SortFunc(models, func(a, b *model) int {
 		return cmp.Or(cmp.Compare(works[b], works[a]), cmp.Compare(a.spec.Name, b.spec.Name))
@@ -134,33 +167,104 @@
 	return regions
 }
 
-// followDemand gives the places to spare, and those that are worth a change, to
-// the models with the most work for each replica.
+// target is how many replicas a model should have.
+func (p *Planner) target(now time.Time, m *model) int {
+	work := p.expectedWork(now, m.spec.Name)
+	if work < leastWork {
+		return 1
+	}
+	return min(max(int(math.Ceil(work/goalWork)), 1), len(p.list))
+}
+
+// followDemand gives replicas to the models that have fewer than they should, those
+// with the most work for each replica first.
 func (p *Planner) followDemand(now time.Time) []backend.Order {
-	wanted := make([]*model, 0, len(p.models))
+	var wanted []*model
 	pressure := make(map[*model]float64, len(p.models))
 	for _, m := range p.models {
-		if m.replicas == 0 || m.replicas >= len(p.list) {
+		if m.replicas == 0 || m.replicas >= p.target(now, m) {
 			continue
 		}
-		if pressure[m] = p.work(now, m.spec.Name) / float64(m.replicas); pressure[m] >= worthALoad {
-			wanted = append(wanted, m)
-		}
+		pressure[m] = p.expectedWork(now, m.spec.Name) / float64(m.replicas)
+		wanted = append(wanted, m)
 	}
 	slices.SortFunc(wanted, func(a, b *model) int {
 		return cmp.Or(cmp.Compare(pressure[b], pressure[a]), cmp.Compare(a.spec.Name, b.spec.Name))
 	})
 	var orders []backend.Order
 	for _, m := range wanted {
-		if order, found := p.place(now, m); found {
+		for m.replicas < p.target(now, m) {
+			order, found := p.place(now, m)
+			if !found {
+				p.makeWay(now, m, p.expectedWork(now, m.spec.Name)/float64(m.replicas))
+				break
+			}
 			orders = append(orders, order)
-			continue
 		}
-		p.makeWay(now, m, pressure[m])
 	}
+	p.keepFree(now)
 	return orders
 }
 
+// keepFree retires replicas that their models can do without, so that there is
+// room before a model needs it.
+func (p *Planner) keepFree(now time.Time) {
+	room := p.largest()
+	free := 0
+	for _, e := range p.list {
+		if !e.Leaving && (p.free(e) >= room || len(e.retiring) > 0 || e.pending != nil && e.pending.order.Kind == backend.UnloadModel) {
+			free++
+		}
+	}
+	if float64(free) >= freeShare*float64(len(p.list)) || p.tooManyRetire() {
+		return
+	}
+	var best *engine
+	var victim *model
+	var lowest float64
+	for _, e := range p.list {
+		if !e.open(now) || len(e.retiring) > 0 || p.free(e) >= room {
+			continue
+		}
+		for _, v := range p.models {
+			if !e.serves(v.spec.Name) || v.ready <= max(p.target(now, v), 1) || p.free(e)+v.spec.Memory < room {
+				continue
+			}
+			cost := p.expectedWork(now, v.spec.Name)/float64(v.replicas-1) + workForTime*busyness(e)
+			if best == nil || cost < lowest || cost == lowest && v.spec.Name < victim.spec.Name {
+				best, victim, lowest = e, v, cost
+			}
+		}
+	}
+	if best != nil {
+		p.retire(now, best, victim, "", lowest)
+	}
+}
+
+// largest is the memory of the largest declared model.
+func (p *Planner) largest() unit.Bytes {
+	largest := unit.Bytes(0)
+	for _, m := range p.models {
+		largest = max(largest, m.spec.Memory)
+	}
+	return largest
+}
+
+// retire has a replica make way for a model, or for none in particular.
+func (p *Planner) retire(now time.Time, e *engine, v *model, reason ident.ModelName, left float64) {
+	e.retiring[v.spec.Name] = now
+	v.replicas--
+	v.ready--
+	p.decisions = append(p.decisions, Decision{
+		Server:   e.Name,
+		Model:    v.spec.Name,
+		For:      reason,
+		Work:     p.expectedWork(now, v.spec.Name),
+		Left:     left,
+		Replicas: v.replicas,
+	})
+}
+
 // makeWay has one replica retire for a model that has no room. With no pressure
 // the model is held nowhere, and any model with another replica may make way.
 func (p *Planner) makeWay(now time.Time, m *model, pressure float64) {
@@ -179,36 +283,28 @@
 			if !e.serves(v.spec.Name) || v.ready < 2 || p.free(e)+v.spec.Memory < m.spec.Memory {
 				continue
 			}
-			left := p.work(now, v.spec.Name) / float64(v.replicas-1)
-			if pressure > 0 && pressure < gainOverLoss*left+worthALoad {
+			left := p.expectedWork(now, v.spec.Name) / float64(v.replicas-1)
+			if pressure > 0 && pressure < gainOverLoss*left+leastGain {
 				continue
 			}
-			cost := left + tokensASecond*(length.Seconds()-p.regionalNeed(m, e)+busyness(e))
+			cost := left + workForTime*(length.Seconds()-p.regionalNeed(m, e)+busyness(e))
 			if best == nil || cost < lowest || cost == lowest && v.spec.Name < victim.spec.Name {
 				best, victim, lowest = e, v, cost
 			}
 		}
 	}
-	if best == nil || p.retiringFor(m) {
+	if best == nil || p.tooManyRetire() {
 		return
 	}
-	best.retiring[victim.spec.Name] = now
-	victim.replicas--
-	victim.ready--
+	p.retire(now, best, victim, m.spec.Name, lowest)
 }
 
-// tokensASecond turns a second of load time into work for each replica.
-const tokensASecond = 300
+// workForTime turns a second of load time into work for each replica.
+const workForTime = 0.015
 
-// retiringFor bounds how many replicas retire at once: a third of the servers.
-func (p *Planner) retiringFor(*model) bool {
-	count := 0
-	for _, e := range p.list {
-		if len(e.retiring) > 0 || e.pending != nil && e.pending.order.Kind == backend.UnloadModel {
-			count++
-		}
-	}
-	return 3*count >= len(p.list)
+// tooManyRetire bounds how many replicas retire at once: a third of the servers.
+func (p *Planner) tooManyRetire() bool {
+	return 3*p.roomComing() >= len(p.list)
 }
 
 // unloadRetired unloads what retires, once the hosts have had time to send
--- a/internal/host/gateway/control.go
+++ b/internal/host/gateway/control.go
@@ -7,6 +7,7 @@
 
 	"cicadaloom/internal/control/balance"
 	"cicadaloom/internal/control/loading"
+	"cicadaloom/internal/control/pacing"
 	"cicadaloom/internal/control/registry"
 	"cicadaloom/internal/control/routetable"
 	"cicadaloom/internal/domain/backend"
@@ -42,6 +43,8 @@
 	tenure   *tenure
 	planners map[ident.ServiceName]*loading.Planner
 	asking   map[ident.ServerName]time.Time
+	// unheard has the engines that gave no report when last asked.
+	unheard map[ident.ServerName]bool
 	// holdings is the holder's word on the engines.
 	holdings map[ident.ServerName]heard
 	pools    map[ident.ServiceName]*balance.Pool
@@ -79,6 +82,7 @@
 		Gateway:  g,
 		hosts:    make(map[ident.HostID]*peer),
 		asking:   make(map[ident.ServerName]time.Time),
+		unheard:  make(map[ident.ServerName]bool),
 		holdings: make(map[ident.ServerName]heard),
 		pools:    make(map[ident.ServiceName]*balance.Pool),
 		gauges:   newGauges(g.options.Metrics),
@@ -142,6 +146,22 @@
 		}
 	}
 	c.budget.SetHosts(max(hosts, 1))
+	c.pacers.set(c.pacerHosts())
+}
+
+// pacerHosts gives the hosts that have an entry.
+func (c *control) pacerHosts() []pacing.Host {
+	hosts := make([]pacing.Host, 0, len(c.hosts))
+	for name, host := range c.hosts {
+		if host.missingSince.IsZero() {
+			hosts = append(hosts, pacing.Host{
+				Name:    name,
+				Address: host.address,
+				Region:  host.region,
+			})
+		}
+	}
+	return hosts
 }
 
 // perServer is this host's part of the connections of a server. Clients spread
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -111,6 +111,7 @@
 	handler *relay.Handler
 	up      *upstream.Client
 	budget  *retries.Budget
+	pacers  pacers
 	callers httpserve.Server
 	ready   httpserve.Server
 	metrics httpserve.Server
@@ -125,7 +126,7 @@
 	seeds    atomic.Pointer[[]string]
 	// endRequests has every request answered at once.
 	endRequests context.CancelFunc
-	missed   chan struct{}
+	missed      chan struct{}
 }
 
 // inboxSize lets bursts of news wait for the control without holding up who
@@ -254,7 +255,7 @@
 	// lastAnswers for the answers to what is still under way then.
 	leastLeft   = 500 * time.Millisecond
 	lastAnswers = 400 * time.Millisecond
-	idlePoll  = 50 * time.Millisecond
+	idlePoll    = 50 * time.Millisecond
 )
 
 // Stop ends the host and cuts no request that ends within the grace. It first says
--- a/internal/host/gateway/plan.go
+++ b/internal/host/gateway/plan.go
@@ -84,6 +84,11 @@
 	for _, order := range planner.Step(now) {
 		c.give(name, order)
 	}
+	for _, decision := range planner.TakeDecisions() {
+		c.log.Info("replica retires", zap.String("Server", string(decision.Server)), zap.String("Model", string(decision.Model)),
+			zap.String("For", string(decision.For)), zap.Float64("Work", decision.Work), zap.Float64("Left", decision.Left),
+			zap.Int("Replicas", decision.Replicas))
+	}
 	c.hearHoldings(now, planner.Holdings(now))
 }
 
@@ -123,7 +128,10 @@
 	c.tomb.Go(func() error {
 		report, err := c.options.Engines.Report(c.tomb.Context(nil), &server, life, now.Add(reportLimit))
 		if err != nil {
-			c.log.Debug("no report", zap.String("Server", string(server.Name)), zap.Error(err))
+			c.post(reportFailed{
+				server: server.Name,
+				err:    err,
+			})
 			return nil
 		}
 		c.post(reported{
@@ -141,11 +149,28 @@
 }
 
 func (m reported) apply(_ time.Time, c *control) {
+	if c.unheard[m.report.Server] {
+		delete(c.unheard, m.report.Server)
+		c.log.Info("engine reports again", zap.String("Server", string(m.report.Server)), zap.Int64("OrdersAccepted", m.report.OrdersAccepted))
+	}
 	if planner, known := c.planners[m.service]; known {
 		planner.Report(&m.report)
 	}
 }
 
+// reportFailed tells that an engine gave no report.
+type reportFailed struct {
+	server ident.ServerName
+	err    error
+}
+
+func (m reportFailed) apply(_ time.Time, c *control) {
+	if !c.unheard[m.server] {
+		c.unheard[m.server] = true
+		c.log.Info("engine gives no report", zap.String("Server", string(m.server)), zap.Error(m.err))
+	}
+}
+
 // give sends an order, unless this host may give none at that very instant.
 func (c *control) give(service ident.ServiceName, order backend.Order) {
 	t := c.tenure
--- a/internal/peer/gatewaypeer/codec.go
+++ b/internal/peer/gatewaypeer/codec.go
@@ -62,6 +62,7 @@
 		Tokens:   d.Tokens,
 		Missed:   d.Missed,
 		Waiting:  d.Waiting,
+		Work:     d.Work,
 	}
 }
 
@@ -77,6 +78,7 @@
 			Tokens:   wire.GetTokens(),
 			Missed:   wire.GetMissed(),
 			Waiting:  wire.GetWaiting(),
+			Work:     wire.GetWork(),
 		},
 	}
 }
--- a/internal/peer/gatewaypeer/gatewaypeer.go
+++ b/internal/peer/gatewaypeer/gatewaypeer.go
@@ -1,7 +1,8 @@
 // Package gatewaypeer is what entry hosts say to one another that have their
 // configuration and backend servers from a key-value service.
 //
-// There is one call, Exchange: each side tells what it knows. Everybody tells the
+// There are two calls. Reserve asks the host that paces an engine when to send a
+// prompt there. In Exchange each side tells what it knows. Everybody tells the
 // configuration's version and the suspects; the asker tells the holder the demand
 // that it has met, and the holder tells what the engines hold. The wire form is
 // proto/gatewaypeer/gatewaypeer.proto.
@@ -17,6 +18,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
@@ -62,6 +64,15 @@
 // Handler answers peers.
 type Handler interface {
 	Exchange(ctx context.Context, theirs Word) (Word, error)
+	// Paced gives how long a prompt is to wait before it is sent.
+	Paced(prompt Prompt) time.Duration
+}
+
+// Prompt is a prompt that is to be sent to an engine.
+type Prompt struct {
+	Server   ident.ServerName
+	Reading  time.Duration
+	Priority int
 }
 
 // Server listens for peers. The zero value works, once.
@@ -96,6 +107,17 @@
 	return encode(&ours), nil
 }
 
+func (s *service) Reserve(_ context.Context, prompt *gatewaypeerpb.Prompt) (*gatewaypeerpb.Slot, error) {
+	wait := s.handler.Paced(Prompt{
+		Server:   ident.ServerName(prompt.GetServer()),
+		Reading:  time.Duration(prompt.GetReading()),
+		Priority: int(prompt.GetPriority()),
+	})
+	return &gatewaypeerpb.Slot{
+		Wait: int64(wait),
+	}, nil
+}
+
 // Pool calls peers, over one connection to each. The zero value works; it is safe
 // for many goroutines.
 type Pool struct {
@@ -114,3 +136,20 @@
 	}
 	return decode(theirs), nil
 }
+
+// Reserve asks the pacer at an address how long a prompt is to wait.
+func (p *Pool) Reserve(ctx context.Context, address string, prompt Prompt) (time.Duration, error) {
+	connection, err := p.Connection(address)
+	if err != nil {
+		return 0, err
+	}
+	slot, err := gatewaypeerpb.NewPeerClient(connection).Reserve(ctx, &gatewaypeerpb.Prompt{
+		Server:   string(prompt.Server),
+		Reading:  int64(prompt.Reading),
+		Priority: int32(prompt.Priority),
+	})
+	if err != nil {
+		return 0, errors.Wrapf(err, "slot of %s", address)
+	}
+	return time.Duration(slot.GetWait()), nil
+}
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -108,6 +108,9 @@
 	Pool(service ident.ServiceName) *balance.Pool
 	// Miss tells that a request waits for weights that no server holds.
 	Miss()
+	// Reserve gives the instant at which to send a prompt to an engine of a region
+	// that will read it for so long.
+	Reserve(ctx context.Context, server ident.ServerName, region ident.Region, reading time.Duration, priority int) time.Time
 }
 
 // Handler passes requests on. All fields must be set.
--- a/internal/traffic/relay/serving.go
+++ b/internal/traffic/relay/serving.go
@@ -39,6 +39,10 @@
 	runs  int
 	// stream is the state of an answer that has begun.
 	stream stream
+	// paced is how long the request waited for its turn at engines, reading how long
+	// the last one was expected to read it.
+	paced   time.Duration
+	reading time.Duration
 	// last is the last answer that a server gave on failing, to be passed on if
 	// nothing better comes.
 	last *wholeAnswer
@@ -120,6 +124,9 @@
 	if ticket == nil {
 		return false
 	}
+	if !s.pace(ctx, ticket) {
+		return false
+	}
 	attempt := ident.AttemptID(strconv.Itoa(s.sends))
 	s.sends++
 	s.tried = append(s.tried, ticket.Server)
@@ -140,6 +147,40 @@
 	return s.goOn(ctx, &sent)
 }
 
+// pace waits until the prompt may be sent.
+func (s *serving) pace(ctx context.Context, ticket *balance.Ticket) bool {
+	if ticket.Reading == 0 {
+		return true
+	}
+	h := s.handler
+	s.reading = ticket.Reading
+	at := h.Knowledge.Reserve(ctx, ticket.Server, ticket.Region, ticket.Reading, s.route.Priority)
+	ticket.Paced(at)
+	wait := at.Sub(h.Now())
+	s.paced += max(wait, 0)
+	if wait <= 0 {
+		return true
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+	}
+	ticket.Done(h.Now(), balance.Left)
+	s.leave()
+	return false
+}
+
+// leave ends a request whose client has left or whose time is over.
+func (s *serving) leave() {
+	if s.ctx.Err() != nil {
+		s.abort("the client has left")
+	}
+	s.timeOut()
+}
+
 // goOn decides whether a send that brought no answer is followed by another.
 func (s *serving) goOn(ctx context.Context, sent *sent) bool {
 	switch {
@@ -199,11 +240,7 @@
 		case <-changed:
 		case <-timer.C:
 		case <-ctx.Done():
-			if s.ctx.Err() != nil {
-				s.abort("the client has left")
-			} else {
-				s.timeOut()
-			}
+			s.leave()
 			return nil
 		}
 	}
@@ -311,15 +348,28 @@
 		zap.String("Service", string(s.service)),
 		zap.String("Model", string(s.request.Model)),
 		zap.String("Adapter", string(s.request.Adapter)),
+		zap.Int64("Prompt", int64(s.request.Prompt)),
+		zap.String("Server", string(s.lastServer())),
 		zap.Int("Status", status),
 		zap.Int("Sends", s.sends),
 		zap.String("Outcome", s.trail.Outcome().String()),
 		zap.Duration("Took", now.Sub(s.arrived)),
+		zap.Duration("Paced", s.paced),
+		zap.Duration("Reading", s.reading),
 		zap.Duration("FirstEvent", s.stream.firstAfter),
+		zap.Duration("LongestGap", s.stream.longestGap),
 		zap.String("Why", why),
 	)
 }
 
+// lastServer is the server that had the request last.
+func (s *serving) lastServer() ident.ServerName {
+	if len(s.tried) == 0 {
+		return ""
+	}
+	return s.tried[len(s.tried)-1]
+}
+
 func (s *serving) routeName() string {
 	if s.route == nil {
 		return ""
--- a/internal/traffic/relay/stream.go
+++ b/internal/traffic/relay/stream.go
@@ -23,8 +23,11 @@
 	lastID  string
 	number  int64
 	version ident.Version
-	// firstAfter is how long the first event took.
+	// firstAfter is how long the first event took, longestGap the longest pause after
+	// it, lastAt when the last event was passed on.
 	firstAfter time.Duration
+	longestGap time.Duration
+	lastAt     time.Time
 }
 
 // maxEvent bounds one event.
@@ -51,10 +54,13 @@
 				why:    "the events are not in order: " + s.stream.lastID + " then " + id,
 			}
 		}
+		now := s.handler.Now()
 		if !s.stream.begun {
-			s.begin(exchange.Response, answer)
+			s.begin(now, exchange.Response, answer)
 		}
-		ticket.Started(s.handler.Now())
+		s.stream.longestGap = max(s.stream.longestGap, now.Sub(s.stream.lastAt))
+		s.stream.lastAt = now
+		ticket.Started(now)
 		if _, err := s.writer.Write(event); err != nil {
 			return sent{
 				result: balance.Left,
@@ -76,10 +82,11 @@
 
 // begin writes the header of the first server: a stream that goes on at another
 // one keeps it.
-func (s *serving) begin(response *http.Response, answer *Answer) {
+func (s *serving) begin(now time.Time, response *http.Response, answer *Answer) {
 	s.stream.begun = true
+	s.stream.lastAt = now
 	s.stream.version = answer.Version
-	s.stream.firstAfter = s.handler.Now().Sub(s.arrived)
+	s.stream.firstAfter = now.Sub(s.arrived)
 	s.handler.Metrics.firstEvent(s.route, s.stream.firstAfter)
 	copyHeader(s.writer.Header(), response.Header)
 	s.writer.Header().Del("Content-Length")
