loading: Prepare idle models, let silent ones make way at once, begin sooner

Cause: a model that rises had one replica, and the servers that should take it served a hot model's answers to their ends first (4 s and more); the first holder of all waited 3 s for a predecessor that never was.

--- a/internal/control/loading/loading.go
+++ b/internal/control/loading/loading.go
@@ -333,6 +333,7 @@
 	orders = append(orders, p.loadMissing(now)...)
 	orders = append(orders, p.loadAdapters(now)...)
 	orders = append(orders, p.followDemand(now)...)
+	orders = append(orders, p.prepare(now)...)
 	return append(orders, p.unloadRetired(now)...)
 }
 
--- a/internal/control/loading/moves.go
+++ b/internal/control/loading/moves.go
@@ -15,10 +15,10 @@
 // Thresholds of moves. Work is in engines' time a second.
 const (
 	// goalWork is the work for each replica that a model is given replicas for. An
-	// engine reads prompts between the steps of the answers under way: at a fifth of
+	// engine reads prompts between the steps of the answers under way: at a quarter of
 	// its time the pauses in these stay well under a third of a second, also when
 	// several long prompts come at once.
-	goalWork = 0.2
+	goalWork = 0.25
 	// leastWork is the work below which one replica does, whatever the goal.
 	leastWork = 0.1
 	// gainOverLoss is how much more work for each replica the model that gets a
@@ -212,7 +212,7 @@
 	room := p.largest()
 	free := 0
 	for _, e := range p.list {
-		if !e.Leaving && (p.free(e) >= room || len(e.retiring) > 0 || e.pending != nil && e.pending.order.Kind == backend.UnloadModel) {
+		if !e.Leaving && (p.free(e) >= room || p.holdsSilent(now, e) || len(e.retiring) > 0 || e.pending != nil && e.pending.order.Kind == backend.UnloadModel) {
 			free++
 		}
 	}
@@ -241,6 +241,56 @@
 	}
 }
 
+// silent tells that a model's requests have ceased: a replica of it makes way at
+// once, as nothing runs there.
+func (p *Planner) silent(now time.Time, name ident.ModelName) bool {
+	for weights, r := range p.demand {
+		if weights.Model == name && now.Sub(r.lastAsk) < silentAfter {
+			return false
+		}
+	}
+	return true
+}
+
+// silentAfter is how long a model must not have been asked for to count as silent:
+// longer than most of its answers take.
+const silentAfter = 4 * time.Second
+
+// holdsSilent tells that a server holds a silent model that others hold as well.
+func (p *Planner) holdsSilent(now time.Time, e *engine) bool {
+	for name, m := range p.models {
+		if m.ready > 1 && e.serves(name) && p.silent(now, name) {
+			return true
+		}
+	}
+	return false
+}
+
+// prepare loads second replicas of models that nobody asks for now into memory that
+// is free, so that a sudden demand finds them: those with adapters first, which
+// serve more callers than others. They make way at once for whatever is asked for.
+func (p *Planner) prepare(now time.Time) []backend.Order {
+	var idle []*model
+	for _, m := range p.models {
+		if m.spec.Adapters > 0 && m.replicas > 0 && m.replicas < prepared && p.silent(now, m.spec.Name) {
+			idle = append(idle, m)
+		}
+	}
+	slices.SortFunc(idle, func(a, b *model) int {
+		return cmp.Or(cmp.Compare(a.replicas, b.replicas), cmp.Compare(a.spec.Name, b.spec.Name))
+	})
+	var orders []backend.Order
+	for _, m := range idle {
+		if order, found := p.place(now, m); found {
+			orders = append(orders, order)
+		}
+	}
+	return orders
+}
+
+// prepared is how many replicas a model is kept ready with that nobody asks for.
+const prepared = 3
+
 // largest is the memory of the largest declared model.
 func (p *Planner) largest() unit.Bytes {
 	largest := unit.Bytes(0)
@@ -313,7 +363,11 @@
 	var orders []backend.Order
 	for _, e := range p.list {
 		for name, since := range e.retiring {
-			if !e.open(now) || now.Sub(since) < retireNotice {
+			notice := retireNotice
+			if p.silent(now, name) {
+				notice = 0
+			}
+			if !e.open(now) || now.Sub(since) < notice {
 				continue
 			}
 			if p.readyElsewhere(now, e, name) == 0 {
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -117,10 +117,12 @@
 	metrics httpserve.Server
 
 	// What the control publishes.
-	routes   atomic.Pointer[routetable.Table]
-	pools    atomic.Pointer[map[ident.ServiceName]*balance.Pool]
-	listed   atomic.Bool
-	vacant   atomic.Bool
+	routes atomic.Pointer[routetable.Table]
+	pools  atomic.Pointer[map[ident.ServiceName]*balance.Pool]
+	listed atomic.Bool
+	vacant atomic.Bool
+	// term is the revision at which the last holder began, 0 where none ever did.
+	term     atomic.Int64
 	holding  atomic.Pointer[tenure]
 	stopping atomic.Bool
 	seeds    atomic.Pointer[[]string]
--- a/internal/host/gateway/holder.go
+++ b/internal/host/gateway/holder.go
@@ -101,20 +101,33 @@
 // claim writes the holder's key if it is absent. A write whose outcome is unknown
 // is given up with its lease: it may have been done, and then it lapses.
 func (g *Gateway) claim(ctx context.Context) (*tenure, error) {
+	term := ident.Revision(g.term.Load())
 	steady, boot := steadyClock(), bootClock()
 	lease, length, err := g.options.KeyValue.Grant(ctx, holderLease)
 	if err != nil {
 		return nil, err
 	}
 	result, err := g.options.KeyValue.Swap(ctx, store.Swap{
-		Compares: []store.Compare{{
-			Key: holderKey,
-		}},
-		Puts: []store.Put{{
-			Key:   holderKey,
-			Value: []byte(g.options.Settings.Host.Name),
-			Lease: lease,
-		}},
+		Compares: []store.Compare{
+			{
+				Key: holderKey,
+			},
+			{
+				Key:      termKey,
+				Revision: term,
+			},
+		},
+		Puts: []store.Put{
+			{
+				Key:   holderKey,
+				Value: []byte(g.options.Settings.Host.Name),
+				Lease: lease,
+			},
+			{
+				Key:   termKey,
+				Value: []byte(g.options.Settings.Host.Name),
+			},
+		},
 	})
 	if err != nil || !result.Swapped {
 		if endErr := g.options.KeyValue.End(ctx, lease); endErr != nil {
@@ -125,7 +138,7 @@
 	t := &tenure{
 		token:  ident.FencingNumber(result.Revision),
 		lease:  lease,
-		from:   time.Now().Add(g.takeoverPause()),
+		from:   time.Now().Add(g.takeoverPause(term)),
 		length: length,
 	}
 	t.extend(steady, boot, length)
@@ -134,8 +147,12 @@
 
 // takeoverPause is how long a new holder gives no orders. Where engines don't
 // refuse the orders of earlier holders, one that has lost its key without knowing
-// must have stopped first.
-func (g *Gateway) takeoverPause() time.Duration {
+// must have stopped first. The first holder of all takes over from nobody: its claim
+// compared that no term had ever begun.
+func (g *Gateway) takeoverPause(term ident.Revision) time.Duration {
+	if term == 0 {
+		return 0
+	}
 	bounds := &g.options.Settings.Bounds
 	if bounds.Fenced {
 		return bounds.HolderLease
--- a/internal/host/gateway/messages.go
+++ b/internal/host/gateway/messages.go
@@ -145,9 +145,13 @@
 
 // hostEntry takes in one entry under the hosts' own prefix.
 func (c *control) hostEntry(entry *store.Entry) ident.HostID {
-	if entry.Key == holderKey {
+	switch entry.Key {
+	case holderKey:
 		c.holder = ident.HostID(entry.Value)
 		return ""
+	case termKey:
+		c.term.Store(int64(entry.Revision))
+		return ""
 	}
 	if !strings.HasPrefix(entry.Key, hostPrefix) {
 		return ""
--- a/internal/host/gateway/register.go
+++ b/internal/host/gateway/register.go
@@ -18,6 +18,9 @@
 	ownPrefix  = "cicadaloom/"
 	hostPrefix = ownPrefix + "hosts/"
 	holderKey  = ownPrefix + "holder"
+	// termKey is written by each new holder and stays: it tells that there has been
+	// one.
+	termKey = ownPrefix + "term"
 )
 
 const (
