gateway: Take over as holder sooner where engines refuse earlier ones

Change: 0.3 s where fenced; the youngest host claims first; a stop gives the key back at once; an engine that refuses a model is taken to unload it.

--- a/internal/control/balance/choose.go
+++ b/internal/control/balance/choose.go
@@ -295,6 +295,8 @@
 		s.succeed()
 		s.errors += (1 - s.errors) * fastWeight
 	case Refused:
+		// An engine refuses what it is about to unload before the holder's word comes.
+		s.retiring[t.ask.Weights.Model] = s.known.Kind == backend.KindEngine
 		s.probing = false
 	case Misplaced:
 		s.known.Leaving = true
--- a/internal/host/gateway/control.go
+++ b/internal/host/gateway/control.go
@@ -62,6 +62,8 @@
 type peer struct {
 	address string
 	region  ident.Region
+	// began is when its process started, by its own clock: good for a preference.
+	began time.Time
 	// missingSince is set once the host's entry is gone. Its part of what hosts
 	// share stays its own for a while: it may live on without the service.
 	missingSince time.Time
@@ -147,6 +149,11 @@
 	}
 	c.budget.SetHosts(max(hosts, 1))
 	c.pacers.set(c.pacerHosts())
+	youngest := true
+	for _, host := range c.hosts {
+		youngest = youngest && (!host.missingSince.IsZero() || !host.began.After(processStart))
+	}
+	c.youngest.Store(youngest)
 }
 
 // pacerHosts gives the hosts that have an entry.
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -122,10 +122,13 @@
 	listed atomic.Bool
 	vacant atomic.Bool
 	// term is the revision at which the last holder began, 0 where none ever did.
-	term     atomic.Int64
-	holding  atomic.Pointer[tenure]
-	stopping atomic.Bool
-	seeds    atomic.Pointer[[]string]
+	term    atomic.Int64
+	holding atomic.Pointer[tenure]
+	// youngest tells that no known host began later than this one.
+	youngest  atomic.Bool
+	stopping  atomic.Bool
+	stopBegun chan struct{}
+	seeds     atomic.Pointer[[]string]
 	// endRequests has every request answered at once.
 	endRequests context.CancelFunc
 	missed      chan struct{}
@@ -138,10 +141,11 @@
 // Start starts a host. It does not wait for the key-value service.
 func Start(options Options) (*Gateway, error) {
 	g := &Gateway{
-		options: options,
-		log:     options.Log,
-		inbox:   make(chan message, inboxSize),
-		missed:  make(chan struct{}, 1),
+		options:   options,
+		log:       options.Log,
+		inbox:     make(chan message, inboxSize),
+		missed:    make(chan struct{}, 1),
+		stopBegun: make(chan struct{}),
 		budget: retries.New(retries.Options{
 			Ratio:  options.Settings.Bounds.RetryRatio,
 			Window: options.Settings.Bounds.RetryWindow,
@@ -267,7 +271,9 @@
 // connections, lets what is under way finish, and ends.
 func (g *Gateway) Stop(ctx context.Context) error {
 	begun := time.Now()
-	g.stopping.Store(true)
+	if g.stopping.CompareAndSwap(false, true) {
+		close(g.stopBegun)
+	}
 	end := begun.Add(g.options.Settings.Bounds.Grace - leastLeft)
 	answersEnd := end.Add(-lastAnswers)
 	g.handler.StopBy(begun.Add(serveOn), answersEnd)
--- a/internal/host/gateway/holder.go
+++ b/internal/host/gateway/holder.go
@@ -20,9 +20,15 @@
 	holderLease = 1600 * time.Millisecond
 	holderKeep  = 400 * time.Millisecond
 	// vacantPoll is how often a host looks whether there is a holder.
-	vacantPoll = 200 * time.Millisecond
-	// claimSpread keeps the hosts from claiming all at the same instant.
-	claimSpread = 200 * time.Millisecond
+	vacantPoll = 100 * time.Millisecond
+	// claimSpread keeps the hosts from claiming all at the same instant, and
+	// elderPause lets one go first that began later than others: where hosts are
+	// restarted one after the other, it isn't the next.
+	claimSpread = 100 * time.Millisecond
+	elderPause  = 150 * time.Millisecond
+	// fencedPause is how long a new holder waits where engines refuse the orders of
+	// earlier ones: until hosts and reports have caught up.
+	fencedPause = 300 * time.Millisecond
 	// lateMargin is taken off the lease: an order is under way for as long.
 	lateMargin = 200 * time.Millisecond
 )
@@ -82,7 +88,11 @@
 		if g.stopping.Load() || !g.vacant.Load() || g.routes.Load() == nil {
 			continue
 		}
-		g.sleep(rand.N(claimSpread))
+		pause := rand.N(claimSpread)
+		if !g.youngest.Load() {
+			pause += elderPause
+		}
+		g.sleep(pause)
 		if !g.vacant.Load() || g.stopping.Load() {
 			continue
 		}
@@ -147,19 +157,35 @@
 
 // takeoverPause is how long a new holder gives no orders. Where engines don't
 // refuse the orders of earlier holders, one that has lost its key without knowing
-// must have stopped first. The first holder of all takes over from nobody: its claim
-// compared that no term had ever begun.
+// must have stopped first, and then for as long as holders must be apart. Where they
+// refuse them, the new holder's first order ends the earlier one's. The first holder
+// of all takes over from nobody: its claim compared that no term had ever begun.
+//
+// With 3 s in place of 0.3 s, a fleet whose hosts are restarted one every 2 s had no
+// orders for half of 14 s, in the middle of a change of demand.
 func (g *Gateway) takeoverPause(term ident.Revision) time.Duration {
 	if term == 0 {
 		return 0
 	}
 	bounds := &g.options.Settings.Bounds
 	if bounds.Fenced {
-		return bounds.HolderLease
+		return fencedPause
 	}
 	return bounds.HolderLease + holderLease
 }
 
+// sleepUntilStop waits, but not beyond the beginning of a planned stop: the holder's
+// key is given back at once then.
+func (g *Gateway) sleepUntilStop(length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-g.stopBegun:
+	case <-g.tomb.Dying():
+	}
+}
+
 // serveTenure keeps the key until it is lost or the host stops.
 func (g *Gateway) serveTenure(t *tenure) {
 	g.log.Info("holds the orders", zap.Int64("Token", int64(t.token)), zap.Time("From", t.from))
@@ -175,7 +201,7 @@
 func (g *Gateway) keepTenure(t *tenure) string {
 	ctx := g.tomb.Context(nil)
 	for {
-		g.sleep(holderKeep)
+		g.sleepUntilStop(holderKeep)
 		if g.stopping.Load() || !g.tomb.Alive() {
 			t.ended.Store(true)
 			if err := g.options.KeyValue.End(context.WithoutCancel(ctx), t.lease); err != nil {
--- a/internal/host/gateway/register.go
+++ b/internal/host/gateway/register.go
@@ -35,6 +35,8 @@
 	Peers      string
 	DataCentre string
 	Region     string
+	// Began is when the host's process started, in Unix milliseconds of its clock.
+	Began int64
 }
 
 // register keeps this host's entry, under a lease.
@@ -62,6 +64,7 @@
 		Peers:      g.options.Settings.Listen.Peers,
 		DataCentre: string(host.DataCentre),
 		Region:     string(host.Region),
+		Began:      processStart.UnixMilli(),
 	})
 	if err != nil {
 		return 0, errors.Wrap(err, "host entry")
@@ -104,5 +107,6 @@
 	return name, peer{
 		address: wire.Peers,
 		region:  ident.Region(wire.Region),
+		began:   time.UnixMilli(wire.Began),
 	}, nil
 }
