pacing: Leave a clear step after each prompt, measure reading by own tokens

Cause: prompts that an engine reads in steps that follow one another pause all its streams for both. The reading time was measured too short by half, from prompts whose shared parts other hosts had had read.

--- a/internal/control/balance/choose.go
+++ b/internal/control/balance/choose.go
@@ -54,13 +54,13 @@
 	server *server
 	ask    Ask
 	tokens float64
-	// work is how long the engine takes to read the prompt, in seconds. alone tells
-	// that nothing else of this host was to be read there.
-	work    float64
-	alone   bool
-	since   time.Time
-	started bool
-	ended   bool
+	// work is how long the engine takes to read the prompt, in seconds. measures tells
+	// that it can be measured: nothing else of this host was to be read there.
+	work     float64
+	measures bool
+	since    time.Time
+	started  bool
+	ended    bool
 }
 
 // Take chooses a server and counts the request as under way there.
@@ -71,7 +71,7 @@
 	if best == nil {
 		return nil, verdict
 	}
-	tokens := max(float64(ask.Prompt)-best.cached(&ask), 1)
+	tokens, exact := best.unread(&ask)
 	work := p.reading(ask.Weights.Model, tokens)
 	expected := p.expected(now, best, work)
 	ticket := &Ticket{
@@ -87,7 +87,7 @@
 		ask:         ask,
 		tokens:      tokens,
 		work:        work,
-		alone:       best.pending == 0,
+		measures:    exact && best.pending == 0 && tokens >= leastSample,
 		since:       now,
 	}
 	if best.known.Kind == backend.KindEngine {
@@ -130,7 +130,7 @@
 // cost is the expected time to the first byte with what else speaks against a
 // server.
 func (p *Pool) cost(now time.Time, s *server, ask *Ask) time.Duration {
-	tokens := max(float64(ask.Prompt)-s.cached(ask), 1)
+	tokens, _ := s.unread(ask)
 	cost := p.expected(now, s, p.reading(ask.Weights.Model, tokens)) + p.way(s)
 	if s.retiring[ask.Weights.Model] {
 		cost += retiringCost
@@ -170,7 +170,7 @@
 	leastPerToken = 2e-6
 	mostPerToken  = 150e-6
 	// stepTime is what an answer takes beside the reading.
-	stepTime = 14 * time.Millisecond
+	stepTime = 18 * time.Millisecond
 )
 
 // measureReading takes in how long the first token of an answer took.
@@ -187,8 +187,9 @@
 	p.perToken[model] = known + (sample-known)*weight
 }
 
-// leastSample is how many tokens a prompt needs to measure reading time by.
-const leastSample = 200
+// leastSample is how many tokens a prompt needs to measure reading time by: about
+// 40 ms of it, twice what an answer takes beside.
+const leastSample = 700
 
 // expected is the expected time at the server to the first byte.
 func (p *Pool) expected(now time.Time, s *server, work float64) time.Duration {
@@ -244,7 +245,7 @@
 	s, p := t.server, t.pool
 	took := now.Sub(t.since)
 	s.remember(t.ask.Weights, t.ask.Parts)
-	if s.known.Kind == backend.KindEngine && t.alone && t.tokens >= leastSample {
+	if s.known.Kind == backend.KindEngine && t.measures {
 		p.measureReading(t.ask.Weights.Model, t.tokens, took-p.way(s))
 	}
 	if s.known.Kind == backend.KindEngine && t.Expected > 0 {
--- a/internal/control/balance/server.go
+++ b/internal/control/balance/server.go
@@ -119,14 +119,27 @@
 	}
 }
 
-// cached counts the tokens at the beginning of a prompt that the server has read.
-func (s *server) cached(ask *Ask) float64 {
-	tokens := 0.0
-	for _, part := range ask.Parts {
-		if _, read := s.parts[partKey{weights: ask.Weights, part: part.ID}]; !read {
-			break
+// unread counts the tokens of a prompt that the server has to read. What it is known
+// to have read counts nothing. Of the parts that are shared, others have mostly asked
+// for the rest before: they count for a quarter. The last part is the request's own.
+// exact tells that nothing was guessed.
+func (s *server) unread(ask *Ask) (float64, bool) {
+	if len(ask.Parts) == 0 {
+		return max(float64(ask.Prompt), 1), true
+	}
+	tokens, exact := float64(ask.Prompt), true
+	for i, part := range ask.Parts {
+		_, read := s.parts[partKey{weights: ask.Weights, part: part.ID}]
+		switch {
+		case read && exact:
+			tokens -= float64(part.Tokens)
+		case i < len(ask.Parts)-1:
+			tokens -= sharedRead * float64(part.Tokens)
+			exact = false
 		}
-		tokens += float64(part.Tokens)
 	}
-	return tokens
+	return max(tokens, 1), exact
 }
+
+// sharedRead is the part of shared tokens that a server has read for other hosts.
+const sharedRead = 0.75
--- a/internal/control/pacing/pacing.go
+++ b/internal/control/pacing/pacing.go
@@ -16,7 +16,7 @@
 // # Usage
 //
 //	var clocks pacing.Clocks
-//	at := clocks.Reserve(now, "i-7f3a91c2", 60*time.Millisecond, 1)
+//	at := clocks.Reserve(now, "i-7f3a91c2", 60*time.Millisecond)
 //	// send at that instant
 //
 // # Which host is the pacer
@@ -35,20 +35,12 @@
 	"cicadaloom/internal/domain/ident"
 )
 
-// Leads are how much reading may be before a prompt at the engine when it is sent,
-// by priority; the last one is for all that follow. Two steps must stay under the
-// pause that is on time, usually 300 ms: a mean prompt of 75 ms with 60 ms before it
-// makes steps of 145 ms at most. The most urgent requests come before others that
-// wait for their instant.
-var leads = []time.Duration{
-	100 * time.Millisecond,
-	60 * time.Millisecond,
-	40 * time.Millisecond,
-}
-
-// overhead is what reading takes beside the reading itself: the steps of the
-// running answers, about 11 ms in 90.
-const overhead = 1.15
+// clearStep is what stays free after each prompt: one step of the running answers
+// and the spread of the ways. With it no two prompts are read in steps that follow
+// one another, and a pause between two events, which is two steps, holds one prompt
+// at most. Without it a prompt of the largest size (0.21 s) and any other beside it
+// make a pause of over 0.3 s for every stream of the engine.
+const clearStep = 25 * time.Millisecond
 
 // mostWait is how far ahead an engine is booked. Beyond it more is asked of the
 // engine than it can do: holding prompts back any longer would only make them late
@@ -68,7 +60,7 @@
 
 // Reserve books an engine for the reading of a prompt, and gives the instant at
 // which to send it.
-func (c *Clocks) Reserve(now time.Time, server ident.ServerName, reading time.Duration, priority int) time.Time {
+func (c *Clocks) Reserve(now time.Time, server ident.ServerName, reading time.Duration) time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.forget(now)
@@ -79,16 +71,8 @@
 	if limit := now.Add(mostWait); busyUntil.After(limit) {
 		busyUntil = limit
 	}
-	c.busy[server] = busyUntil.Add(time.Duration(float64(reading) * overhead))
-	at := busyUntil.Add(-lead(priority))
-	if at.Before(now) {
-		return now
-	}
-	return at
-}
-
-func lead(priority int) time.Duration {
-	return leads[min(max(priority, 0), len(leads)-1)]
+	c.busy[server] = busyUntil.Add(reading + clearStep)
+	return busyUntil
 }
 
 func (c *Clocks) forget(now time.Time) {
--- a/internal/host/gateway/pace.go
+++ b/internal/host/gateway/pace.go
@@ -54,7 +54,7 @@
 // Paced implements gatewaypeer.Handler.
 func (g *Gateway) Paced(prompt gatewaypeer.Prompt) time.Duration {
 	now := time.Now()
-	return g.pacers.clocks.Reserve(now, prompt.Server, prompt.Reading, prompt.Priority).Sub(now)
+	return g.pacers.clocks.Reserve(now, prompt.Server, prompt.Reading).Sub(now)
 }
 
 // Reserve implements relay.Knowledge: it gives the instant at which to send a prompt
