loading: One busy model a server, and room that costs nothing to make

Cause: keeping room free and preparing idle models undid one another, and a model that began to rise lost the replica that had been prepared for it; the reading time of small models was taken for that of large ones (41 for 6 us a token).

--- a/internal/control/balance/choose.go
+++ b/internal/control/balance/choose.go
@@ -71,7 +71,7 @@
 	if best == nil {
 		return nil, verdict
 	}
-	tokens, exact := best.unread(&ask)
+	tokens := best.unread(&ask)
 	work := p.reading(ask.Weights.Model, tokens)
 	expected := p.expected(now, best, work)
 	ticket := &Ticket{
@@ -87,7 +87,7 @@
 		ask:         ask,
 		tokens:      tokens,
 		work:        work,
-		measures:    exact && best.pending == 0 && tokens >= leastSample,
+		measures:    best.pending == 0 && ask.own() >= leastSample,
 		since:       now,
 	}
 	if best.known.Kind == backend.KindEngine {
@@ -130,7 +130,7 @@
 // cost is the expected time to the first byte with what else speaks against a
 // server.
 func (p *Pool) cost(now time.Time, s *server, ask *Ask) time.Duration {
-	tokens, _ := s.unread(ask)
+	tokens := s.unread(ask)
 	cost := p.expected(now, s, p.reading(ask.Weights.Model, tokens)) + p.way(s)
 	if s.retiring[ask.Weights.Model] {
 		cost += retiringCost
@@ -167,19 +167,22 @@
 const (
 	shorterWeight = 0.3
 	longerWeight  = 0.02
-	leastPerToken = 2e-6
+	leastPerToken = 4e-6
 	mostPerToken  = 150e-6
-	// stepTime is what an answer takes beside the reading.
+	// stepTime is what an answer takes beside the reading, at a large model; of a
+	// quick answer it is half at most.
 	stepTime = 18 * time.Millisecond
 )
 
-// measureReading takes in how long the first token of an answer took.
+// measureReading takes in how long the first token of an answer took that had at
+// least so many tokens to read: what is measured is never too short.
 func (p *Pool) measureReading(model ident.ModelName, tokens float64, took time.Duration) {
 	known, measured := p.perToken[model]
 	if !measured {
 		known = startPerToken
 	}
-	sample := min(max((took-stepTime).Seconds()/tokens, leastPerToken), mostPerToken)
+	reading := took - min(stepTime, took/2)
+	sample := min(max(reading.Seconds()/tokens, leastPerToken), mostPerToken)
 	weight := longerWeight
 	if sample < known {
 		weight = shorterWeight
@@ -187,9 +190,9 @@
 	p.perToken[model] = known + (sample-known)*weight
 }
 
-// leastSample is how many tokens a prompt needs to measure reading time by: about
-// 40 ms of it, twice what an answer takes beside.
-const leastSample = 700
+// leastSample is how many tokens of its own a prompt needs to measure reading time
+// by: about as long as what an answer takes beside.
+const leastSample = 350
 
 // expected is the expected time at the server to the first byte.
 func (p *Pool) expected(now time.Time, s *server, work float64) time.Duration {
@@ -246,7 +249,7 @@
 	took := now.Sub(t.since)
 	s.remember(t.ask.Weights, t.ask.Parts)
 	if s.known.Kind == backend.KindEngine && t.measures {
-		p.measureReading(t.ask.Weights.Model, t.tokens, took-p.way(s))
+		p.measureReading(t.ask.Weights.Model, t.ask.own(), took-p.way(s))
 	}
 	if s.known.Kind == backend.KindEngine && t.Expected > 0 {
 		ratio := min(max(float64(took)/float64(t.Expected), 0.2), 8)
--- a/internal/control/balance/server.go
+++ b/internal/control/balance/server.go
@@ -122,23 +122,27 @@
 // unread counts the tokens of a prompt that the server has to read. What it is known
 // to have read counts nothing. Of the parts that are shared, others have mostly asked
 // for the rest before: they count for a quarter. The last part is the request's own.
-// exact tells that nothing was guessed.
-func (s *server) unread(ask *Ask) (float64, bool) {
-	if len(ask.Parts) == 0 {
-		return max(float64(ask.Prompt), 1), true
-	}
-	tokens, exact := float64(ask.Prompt), true
+func (s *server) unread(ask *Ask) float64 {
+	tokens, known := float64(ask.Prompt), true
 	for i, part := range ask.Parts {
 		_, read := s.parts[partKey{weights: ask.Weights, part: part.ID}]
+		known = known && read
 		switch {
-		case read && exact:
+		case known:
 			tokens -= float64(part.Tokens)
 		case i < len(ask.Parts)-1:
 			tokens -= sharedRead * float64(part.Tokens)
-			exact = false
 		}
 	}
-	return max(tokens, 1), exact
+	return max(tokens, 1)
+}
+
+// own counts the tokens of a prompt's last part, which no other request shares.
+func (a *Ask) own() float64 {
+	if len(a.Parts) == 0 {
+		return float64(a.Prompt)
+	}
+	return float64(a.Parts[len(a.Parts)-1].Tokens)
 }
 
 // sharedRead is the part of shared tokens that a server has read for other hosts.
--- a/internal/control/loading/demand.go
+++ b/internal/control/loading/demand.go
@@ -81,6 +81,18 @@
 // expectedWork is the demand for a model with all its adapters, in engines' time a
 // second: what it is now, or what it will be in a moment if it rises.
 func (p *Planner) expectedWork(now time.Time, name ident.ModelName) float64 {
+	short, long := p.averages(now, name)
+	if short <= long {
+		return max(short, long*longPart)
+	}
+	// The averages of a steady rise lie as far apart as it grows in the difference of
+	// their spans.
+	rise := (short - long) / (longSpan - shortSpan).Seconds()
+	return short + rise*riseAhead
+}
+
+// averages gives a model's demand over the short and the long span.
+func (p *Planner) averages(now time.Time, name ident.ModelName) (float64, float64) {
 	short, long := 0.0, 0.0
 	for weights, r := range p.demand {
 		if weights.Model != name {
@@ -90,13 +102,13 @@
 		short += r.short
 		long += r.long
 	}
-	if short <= long {
-		return max(short, long*longPart)
-	}
-	// The averages of a steady rise lie as far apart as it grows in the difference of
-	// their spans.
-	rise := (short - long) / (longSpan - shortSpan).Seconds()
-	return short + rise*riseAhead
+	return short, long
+}
+
+// rises tells that a model is asked for more than it was.
+func (p *Planner) rises(now time.Time, name ident.ModelName) bool {
+	short, long := p.averages(now, name)
+	return short > long
 }
 
 // longPart is what the long average counts beside the short one: a model whose
--- a/internal/control/loading/moves.go
+++ b/internal/control/loading/moves.go
@@ -14,23 +14,20 @@
 
 // Thresholds of moves. Work is in engines' time a second.
 const (
-	// goalWork is the work for each replica that a model is given replicas for. An
-	// engine reads prompts between the steps of the answers under way: at a quarter of
-	// its time the pauses in these stay well under a third of a second, also when
-	// several long prompts come at once.
-	goalWork = 0.25
-	// leastWork is the work below which one replica does, whatever the goal.
-	leastWork = 0.1
+	// leastGoal is the least work for each replica that a model is given more
+	// replicas for: at a seventh of an engine's time, prompts hardly meet.
+	leastGoal = 0.15
 	// gainOverLoss is how much more work for each replica the model that gets a
 	// place must have than the one that loses it is left with. Below it, two models
 	// of like demand would take turns at the same place.
 	gainOverLoss = 1.5
 	// leastGain is what it must have besides.
 	leastGain = 0.04
-	// freeShare is the part of the servers that are to have room for another model:
-	// a load into free memory takes a second or two, while a model that has to make
-	// way first serves its requests to their ends, some seconds more.
-	freeShare = 0.5
+	// freeShare is the part of the servers that are to have room for another model, or
+	// one that makes way nearly at once.
+	freeShare = 0.75
+	// lightWork is the work of a model of little use: a request every other second.
+	lightWork = 0.04
 	// riseAhead is how many seconds of a rise are added to the demand: a load takes
 	// as long.
 	riseAhead = 1.5
@@ -167,13 +164,24 @@
 	return regions
 }
 
+// goal is the work for each replica that models are given replicas for: so much that
+// all of them together have as many replicas as there are servers. An engine's time
+// is what binds, not the replica's: two busy models on one server share it. Spread so
+// that each server has one busy model, a model that rises finds a place on any server
+// at once, where otherwise a busy one has to serve its requests to their ends first,
+// four seconds and more.
+func (p *Planner) goal(now time.Time) float64 {
+	total := 0.0
+	for name := range p.models {
+		total += p.expectedWork(now, name)
+	}
+	return max(total/float64(max(len(p.list), 1)), leastGoal)
+}
+
 // target is how many replicas a model should have.
 func (p *Planner) target(now time.Time, m *model) int {
-	work := p.expectedWork(now, m.spec.Name)
-	if work < leastWork {
-		return 1
-	}
-	return min(max(int(math.Ceil(work/goalWork)), 1), len(p.list))
+	replicas := math.Round(p.expectedWork(now, m.spec.Name) / p.goal(now))
+	return min(max(int(replicas), 1), len(p.list))
 }
 
 // followDemand gives replicas to the models that have fewer than they should, those
@@ -212,7 +220,7 @@
 	room := p.largest()
 	free := 0
 	for _, e := range p.list {
-		if !e.Leaving && (p.free(e) >= room || p.holdsSilent(now, e) || len(e.retiring) > 0 || e.pending != nil && e.pending.order.Kind == backend.UnloadModel) {
+		if !e.Leaving && (p.free(e) >= room || p.holdsLight(now, e) || len(e.retiring) > 0 || e.pending != nil && e.pending.order.Kind == backend.UnloadModel) {
 			free++
 		}
 	}
@@ -223,11 +231,11 @@
 	var victim *model
 	var lowest float64
 	for _, e := range p.list {
-		if !e.open(now) || len(e.retiring) > 0 || p.free(e) >= room {
+		if !e.open(now) || len(e.retiring) > 0 || p.free(e) >= room || p.holdsLight(now, e) {
 			continue
 		}
 		for _, v := range p.models {
-			if !e.serves(v.spec.Name) || v.ready <= max(p.target(now, v), 1) || p.free(e)+v.spec.Memory < room {
+			if !e.serves(v.spec.Name) || v.ready <= max(p.target(now, v), 1) || p.free(e)+v.spec.Memory < room || p.rises(now, v.spec.Name) {
 				continue
 			}
 			cost := p.expectedWork(now, v.spec.Name)/float64(v.replicas-1) + workForTime*busyness(e)
@@ -256,10 +264,11 @@
 // longer than most of its answers take.
 const silentAfter = 4 * time.Second
 
-// holdsSilent tells that a server holds a silent model that others hold as well.
-func (p *Planner) holdsSilent(now time.Time, e *engine) bool {
+// holdsLight tells that a server holds a model of little use that others hold as
+// well: it can make way nearly at once.
+func (p *Planner) holdsLight(now time.Time, e *engine) bool {
 	for name, m := range p.models {
-		if m.ready > 1 && e.serves(name) && p.silent(now, name) {
+		if m.ready > 1 && e.serves(name) && p.expectedWork(now, name) < lightWork {
 			return true
 		}
 	}
@@ -272,7 +281,7 @@
 func (p *Planner) prepare(now time.Time) []backend.Order {
 	var idle []*model
 	for _, m := range p.models {
-		if m.spec.Adapters > 0 && m.replicas > 0 && m.replicas < prepared && p.silent(now, m.spec.Name) {
+		if m.spec.Adapters > 0 && m.replicas > 0 && m.replicas < prepared && p.expectedWork(now, m.spec.Name) < lightWork {
 			idle = append(idle, m)
 		}
 	}
