--- a/internal/control/balance/server.go
+++ b/internal/control/balance/server.go
@@ -41,6 +41,13 @@
 	part    uint64
 }
 
+func keyOf(weights request.Weights, part request.Part) partKey {
+	return partKey{
+		weights: weights,
+		part:    part.ID,
+	}
+}
+
 // maxParts bounds what a host remembers of one server's cache. Shared parts are a
 // few hundred per model; what is forgotten costs one estimate, not an answer.
 const maxParts = 2048
@@ -115,7 +122,7 @@
 		clear(s.parts)
 	}
 	for _, part := range parts {
-		s.parts[partKey{weights: weights, part: part.ID}] = struct{}{}
+		s.parts[keyOf(weights, part)] = struct{}{}
 	}
 }
 
@@ -125,7 +132,7 @@
 func (s *server) unread(ask *Ask) float64 {
 	tokens, known := float64(ask.Prompt), true
 	for i, part := range ask.Parts {
-		_, read := s.parts[partKey{weights: ask.Weights, part: part.ID}]
+		_, read := s.parts[keyOf(ask.Weights, part)]
 		known = known && read
 		switch {
 		case known:
--- a/internal/control/loading/loading.go
+++ b/internal/control/loading/loading.go
@@ -275,10 +275,7 @@
 
 func (p *Planner) accept(now time.Time, e *engine, answer backend.OrderAnswer) {
 	order := &e.pending.order
-	weights := request.Weights{
-		Model:   order.Model,
-		Adapter: order.Adapter,
-	}
+	weights := e.pending.weights()
 	switch order.Kind {
 	case backend.LoadAdapter:
 		e.adapters[weights] = now.Add(adapterTime)
@@ -437,7 +434,7 @@
 	for _, list := range [][]backend.Resident{e.report.Residents, e.report.Coming} {
 		for i := range list {
 			if list[i].Adapter != "" {
-				all[request.Weights{Model: list[i].Model, Adapter: list[i].Adapter}] = true
+				all[weightsOf(&list[i])] = true
 			}
 		}
 	}
@@ -445,11 +442,26 @@
 		all[weights] = true
 	}
 	if e.pending != nil && e.pending.order.Kind == backend.LoadAdapter {
-		all[request.Weights{Model: e.pending.order.Model, Adapter: e.pending.order.Adapter}] = true
+		all[e.pending.weights()] = true
 	}
 	return all
 }
 
+func weightsOf(resident *backend.Resident) request.Weights {
+	return request.Weights{
+		Model:   resident.Model,
+		Adapter: resident.Adapter,
+	}
+}
+
+// weights gives what the order is about.
+func (p *pending) weights() request.Weights {
+	return request.Weights{
+		Model:   p.order.Model,
+		Adapter: p.order.Adapter,
+	}
+}
+
 // order books an order to a server.
 func (p *Planner) order(now time.Time, e *engine, kind backend.OrderKind, weights request.Weights) backend.Order {
 	order := backend.Order{
--- a/internal/control/loading/moves.go
+++ b/internal/control/loading/moves.go
@@ -64,7 +64,7 @@
 func (p *Planner) roomComing() int {
 	count := 0
 	for _, e := range p.list {
-		if len(e.retiring) > 0 || e.pending != nil && e.pending.order.Kind == backend.UnloadModel {
+		if e.makesRoom() {
 			count++
 		}
 	}
@@ -220,32 +220,62 @@
 	room := p.largest()
 	free := 0
 	for _, e := range p.list {
-		if !e.Leaving && (p.free(e) >= room || p.holdsLight(now, e) || len(e.retiring) > 0 || e.pending != nil && e.pending.order.Kind == backend.UnloadModel) {
+		if !e.Leaving && (p.hasRoom(now, e, room) || e.makesRoom()) {
 			free++
 		}
 	}
 	if float64(free) >= freeShare*float64(len(p.list)) || p.tooManyRetire() {
 		return
 	}
-	var best *engine
-	var victim *model
-	var lowest float64
+	var best choice
 	for _, e := range p.list {
-		if !e.open(now) || len(e.retiring) > 0 || p.free(e) >= room || p.holdsLight(now, e) {
+		if !e.open(now) || len(e.retiring) > 0 || p.hasRoom(now, e, room) {
 			continue
 		}
 		for _, v := range p.models {
-			if !e.serves(v.spec.Name) || v.ready <= max(p.target(now, v), 1) || p.free(e)+v.spec.Memory < room || p.rises(now, v.spec.Name) {
-				continue
-			}
-			cost := p.expectedWork(now, v.spec.Name)/float64(v.replicas-1) + workForTime*busyness(e)
-			if best == nil || cost < lowest || cost == lowest && v.spec.Name < victim.spec.Name {
-				best, victim, lowest = e, v, cost
+			if p.canDoWithout(now, e, v) && p.free(e)+v.spec.Memory >= room {
+				cost := p.left(now, v) + workForTime*busyness(e)
+				best.offer(e, v, cost)
 			}
 		}
 	}
-	if best != nil {
-		p.retire(now, best, victim, "", lowest)
+	if best.engine != nil {
+		p.retire(now, best.engine, best.victim, "", best.cost)
+	}
+}
+
+// hasRoom tells that a server has room for a model, or nearly so.
+func (p *Planner) hasRoom(now time.Time, e *engine, room unit.Bytes) bool {
+	return p.free(e) >= room || p.holdsLight(now, e)
+}
+
+// makesRoom tells that a replica is on its way out.
+func (e *engine) makesRoom() bool {
+	return len(e.retiring) > 0 || e.pending != nil && e.pending.order.Kind == backend.UnloadModel
+}
+
+// canDoWithout tells that a model has more replicas than it should, and doesn't rise.
+func (p *Planner) canDoWithout(now time.Time, e *engine, v *model) bool {
+	return e.serves(v.spec.Name) && v.ready > max(p.target(now, v), 1) && !p.rises(now, v.spec.Name)
+}
+
+// left is the work for each replica that a model is left with after losing one.
+func (p *Planner) left(now time.Time, v *model) float64 {
+	return p.expectedWork(now, v.spec.Name) / float64(max(v.replicas-1, 1))
+}
+
+// choice is the cheapest replica so far that could make way.
+type choice struct {
+	engine *engine
+	victim *model
+	cost   float64
+}
+
+// offer takes a replica if it is cheaper. Names break ties, for the order of models
+// is random.
+func (c *choice) offer(e *engine, v *model, cost float64) {
+	if c.engine == nil || cost < c.cost || cost == c.cost && v.spec.Name < c.victim.spec.Name {
+		c.engine, c.victim, c.cost = e, v, cost
 	}
 }
 
@@ -327,9 +357,10 @@
 // makeWay has one replica retire for a model that has no room. With no pressure
 // the model is held nowhere, and any model with another replica may make way.
 func (p *Planner) makeWay(now time.Time, m *model, pressure float64) {
-	var best *engine
-	var victim *model
-	var lowest float64
+	if p.tooManyRetire() {
+		return
+	}
+	var best choice
 	for _, e := range p.list {
 		if !e.open(now) || e.hasModel(m.spec.Name) || len(e.retiring) > 0 {
 			continue
@@ -338,24 +369,25 @@
 		if !own && !p.mayBegin(now) {
 			continue
 		}
+		cost := workForTime * (length.Seconds() - p.regionalNeed(m, e) + busyness(e))
 		for _, v := range p.models {
-			if !e.serves(v.spec.Name) || v.ready < 2 || p.free(e)+v.spec.Memory < m.spec.Memory {
-				continue
-			}
-			left := p.expectedWork(now, v.spec.Name) / float64(v.replicas-1)
-			if pressure > 0 && pressure < gainOverLoss*left+leastGain {
-				continue
-			}
-			cost := left + workForTime*(length.Seconds()-p.regionalNeed(m, e)+busyness(e))
-			if best == nil || cost < lowest || cost == lowest && v.spec.Name < victim.spec.Name {
-				best, victim, lowest = e, v, cost
+			if p.mayMakeWay(now, e, v, m, pressure) {
+				best.offer(e, v, p.left(now, v)+cost)
 			}
 		}
 	}
-	if best == nil || p.tooManyRetire() {
-		return
+	if best.engine != nil {
+		p.retire(now, best.engine, best.victim, m.spec.Name, best.cost)
+	}
+}
+
+// mayMakeWay tells that a replica of v may make way for m on a server: another one
+// stays, it gives the room, and m needs it much more.
+func (p *Planner) mayMakeWay(now time.Time, e *engine, v, m *model, pressure float64) bool {
+	if !e.serves(v.spec.Name) || v.ready < 2 || p.free(e)+v.spec.Memory < m.spec.Memory {
+		return false
 	}
-	p.retire(now, best, victim, m.spec.Name, lowest)
+	return pressure == 0 || pressure >= gainOverLoss*p.left(now, v)+leastGain
 }
 
 // workForTime turns a second of load time into work for each replica.
--- /dev/null
+++ b/internal/control/retries/retries_test.go
@@ -0,0 +1,72 @@
+package retries
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 12, 1, 8, 0, 0, 0, time.UTC)
+
+// Seven hosts that hear nothing of one another retry as often as they may, in any
+// pattern of arrivals. In no window of the deployment's length may all of them
+// together spend more than the whole budget.
+func TestHostsTogetherKeepTheBudget(t *testing.T) {
+	options := Options{
+		Ratio:  0.2,
+		Window: 10 * time.Second,
+		Slack:  54,
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		const hosts = 7
+		var budgets []*Budget
+		for range hosts {
+			budget := New(options)
+			budget.SetHosts(hosts)
+			budgets = append(budgets, budget)
+		}
+		var arrived, spent []time.Time
+		now := start
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond)
+			budget := budgets[rapid.IntRange(0, hosts-1).Draw(t, "host")]
+			budget.Arrived(now, "notes")
+			arrived = append(arrived, now)
+			for range rapid.IntRange(0, 12).Draw(t, "wanted") {
+				if budget.Take(now, "notes") {
+					spent = append(spent, now)
+				}
+			}
+		}
+		for _, from := range spent {
+			inWindow := count(spent, from, options.Window)
+			requests := max(count(arrived, from, options.Window), count(arrived, from.Add(-options.Window), options.Window),
+				count(arrived, from.Add(-options.Window/2), options.Window))
+			require.LessOrEqual(t, float64(inWindow), options.Ratio*float64(requests)+options.Slack)
+		}
+	})
+}
+
+func count(instants []time.Time, from time.Time, window time.Duration) int {
+	n := 0
+	for _, at := range instants {
+		if !at.Before(from) && at.Before(from.Add(window)) {
+			n++
+		}
+	}
+	return n
+}
+
+// A host that does not know how many others there are spends as if there were many.
+func TestPartsShrinkWithTheHosts(t *testing.T) {
+	budget := New(Options{
+		Window: 10 * time.Second,
+		Slack:  54,
+	})
+	budget.SetHosts(128)
+	require.False(t, budget.Take(start, "notes"))
+	budget.SetHosts(1)
+	require.True(t, budget.Take(start, "notes"))
+}
--- a/internal/host/gateway/control.go
+++ b/internal/host/gateway/control.go
@@ -231,7 +231,7 @@
 	c.dirty = true
 	c.publish(now)
 	c.Gateway.pools.Store(&pools)
-	c.Gateway.routes.Store(routetable.New(decoded))
+	c.routes.Store(routetable.New(decoded))
 	c.log.Info("configuration in force", zap.Int64("Version", int64(decoded.Version)), zap.String("From", from),
 		zap.Int("Routes", len(decoded.Routes)), zap.Int("Services", len(decoded.Services)))
 }
--- a/internal/host/gateway/exchange.go
+++ b/internal/host/gateway/exchange.go
@@ -68,7 +68,7 @@
 	if out.address == "" {
 		return
 	}
-	ctx, cancel := context.WithTimeout(g.tomb.Context(nil), exchangeLimit)
+	ctx, cancel := context.WithTimeout(g.context(), exchangeLimit)
 	defer cancel()
 	theirs, err := g.peers.Exchange(ctx, out.address, out.word)
 	if err != nil {
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -117,10 +117,10 @@
 	metrics httpserve.Server
 
 	// What the control publishes.
-	routes atomic.Pointer[routetable.Table]
-	pools  atomic.Pointer[map[ident.ServiceName]*balance.Pool]
-	listed atomic.Bool
-	vacant atomic.Bool
+	routes       atomic.Pointer[routetable.Table]
+	pools        atomic.Pointer[map[ident.ServiceName]*balance.Pool]
+	serversKnown atomic.Bool
+	vacant       atomic.Bool
 	// term is the revision at which the last holder began, 0 where none ever did.
 	term    atomic.Int64
 	holding atomic.Pointer[tenure]
@@ -189,16 +189,22 @@
 	if _, err := g.server.Start(listen.Peers, g); err != nil {
 		return err
 	}
-	ready := http.HandlerFunc(g.serveReady)
-	if _, err := g.ready.Start(listen.Ready, httpserve.Options{Handler: ready, Log: g.log}); err != nil {
+	if err := g.serve(&g.ready, listen.Ready, http.HandlerFunc(g.serveReady)); err != nil {
 		return err
 	}
 	if listen.Metrics != "" {
-		if _, err := g.metrics.Start(listen.Metrics, httpserve.Options{Handler: http.HandlerFunc(g.serveMetrics), Log: g.log}); err != nil {
+		if err := g.serve(&g.metrics, listen.Metrics, http.HandlerFunc(g.serveMetrics)); err != nil {
 			return err
 		}
 	}
-	_, err := g.callers.Start(listen.Callers, httpserve.Options{Handler: g.handler, Log: g.log})
+	return g.serve(&g.callers, listen.Callers, g.handler)
+}
+
+func (g *Gateway) serve(server *httpserve.Server, address string, handler http.Handler) error {
+	_, err := server.Start(address, httpserve.Options{
+		Handler: handler,
+		Log:     g.log,
+	})
 	return err
 }
 
@@ -210,6 +216,11 @@
 	g.tomb.Go(g.exchange)
 }
 
+// context gives a context that ends with the host.
+func (g *Gateway) context() context.Context {
+	return g.tomb.Context(context.Background())
+}
+
 // Routes implements relay.Knowledge.
 func (g *Gateway) Routes() *routetable.Table {
 	return g.routes.Load()
@@ -235,7 +246,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	if g.stopping.Load() || g.routes.Load() == nil || !g.listed.Load() {
+	if g.stopping.Load() || g.routes.Load() == nil || !g.serversKnown.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/host/gateway/holder.go
+++ b/internal/host/gateway/holder.go
@@ -38,6 +38,8 @@
 	token  ident.FencingNumber
 	lease  store.LeaseID
 	length time.Duration
+	// first tells that no other host has ever been the holder.
+	first bool
 	// from is when the first order may be given: an earlier holder that has lost its
 	// key without knowing may have given orders until just now.
 	from time.Time
@@ -96,7 +98,7 @@
 		if !g.vacant.Load() || g.stopping.Load() {
 			continue
 		}
-		t, err := g.claim(g.tomb.Context(nil))
+		t, err := g.claim(g.context())
 		if err != nil {
 			g.log.Info("holder's key not claimed", zap.Error(err))
 			continue
@@ -148,6 +150,7 @@
 	t := &tenure{
 		token:  ident.FencingNumber(result.Revision),
 		lease:  lease,
+		first:  term == 0,
 		from:   time.Now().Add(g.takeoverPause(term)),
 		length: length,
 	}
@@ -199,7 +202,7 @@
 }
 
 func (g *Gateway) keepTenure(t *tenure) string {
-	ctx := g.tomb.Context(nil)
+	ctx := g.context()
 	for {
 		g.sleepUntilStop(holderKeep)
 		if g.stopping.Load() || !g.tomb.Alive() {
--- a/internal/host/gateway/messages.go
+++ b/internal/host/gateway/messages.go
@@ -12,16 +12,6 @@
 	"cicadaloom/internal/domain/store"
 )
 
-// configurationRead brings a configuration's text.
-type configurationRead struct {
-	text []byte
-	from string
-}
-
-func (m configurationRead) apply(now time.Time, c *control) {
-	c.install(now, m.text, m.from)
-}
-
 // troubled tells that the key-value service failed a call.
 type troubled struct{}
 
@@ -58,7 +48,7 @@
 		}
 	}
 	c.vacant.Store(c.holder == "")
-	c.Gateway.listed.Store(true)
+	c.serversKnown.Store(true)
 	c.dirty = true
 }
 
--- a/internal/host/gateway/plan.go
+++ b/internal/host/gateway/plan.go
@@ -72,6 +72,10 @@
 			Overshoot: bounds.LoadOvershoot,
 		})
 		c.planners[name] = planner
+		planner.Declare(engine)
+		if !c.tenure.first {
+			planner.BeginPaced(now)
+		}
 	}
 	planner.Declare(engine)
 	planner.SetServers(servers)
@@ -126,7 +130,7 @@
 	}
 	c.asking[server.Name] = now
 	c.tomb.Go(func() error {
-		report, err := c.options.Engines.Report(c.tomb.Context(nil), &server, life, now.Add(reportLimit))
+		report, err := c.options.Engines.Report(c.context(), &server, life, now.Add(reportLimit))
 		if err != nil {
 			c.post(reportFailed{
 				server: server.Name,
@@ -185,7 +189,7 @@
 	c.tomb.Go(func() error {
 		answer, err := backend.OrderConflicts, error(nil)
 		if t.mayOrder() {
-			answer, err = c.options.Engines.Order(c.tomb.Context(nil), address, &order, time.Now().Add(orderLimit))
+			answer, err = c.options.Engines.Order(c.context(), address, &order, time.Now().Add(orderLimit))
 		}
 		c.log.Info("order", zap.String("Server", string(order.Server)), zap.String("Kind", string(order.Kind)),
 			zap.String("Model", string(order.Model)), zap.String("Adapter", string(order.Adapter)),
--- a/internal/host/gateway/register.go
+++ b/internal/host/gateway/register.go
@@ -42,7 +42,7 @@
 // register keeps this host's entry, under a lease.
 func (g *Gateway) register() error {
 	for g.tomb.Alive() {
-		ctx := g.tomb.Context(nil)
+		ctx := g.context()
 		lease, err := g.writeEntry(ctx)
 		if err != nil {
 			g.log.Debug("host entry not written", zap.Error(err))
--- a/internal/host/gateway/watch.go
+++ b/internal/host/gateway/watch.go
@@ -30,7 +30,7 @@
 	pause := firstPause
 	lost := false
 	for g.tomb.Alive() {
-		ctx := g.tomb.Context(nil)
+		ctx := g.context()
 		listing, err := g.options.KeyValue.List(ctx, everything)
 		if err == nil {
 			if lost {
--- a/internal/peer/upstream/upstream.go
+++ b/internal/peer/upstream/upstream.go
@@ -183,7 +183,7 @@
 	if err := e.write(request); err != nil {
 		return err
 	}
-	response, err := http.ReadResponse(e.conn.reader, &http.Request{Method: request.Method})
+	response, err := http.ReadResponse(e.conn.reader, &http.Request{Method: request.Method}) //nolint:bodyclose // Close cuts the connection
 	if err != nil {
 		return errors.Wrap(err, "answer")
 	}
--- a/internal/traffic/relay/serving.go
+++ b/internal/traffic/relay/serving.go
@@ -46,7 +46,6 @@
 	// last is the last answer that a server gave on failing, to be passed on if
 	// nothing better comes.
 	last *wholeAnswer
-	why  string
 }
 
 // Bounds on one request.
@@ -59,8 +58,6 @@
 	// waitShare is the part of a request's time that it may wait for its weights to
 	// be loaded; after it, there would be too little left to answer in.
 	waitShare = 0.6
-	// leastTime is what a server needs at least to answer anything.
-	leastTime = 10 * time.Millisecond
 )
 
 // Times to come back.
--- a/internal/traffic/relay/stream.go
+++ b/internal/traffic/relay/stream.go
@@ -40,7 +40,7 @@
 	flusher, _ := s.writer.(http.Flusher)
 	for {
 		event, err := readEvent(reader)
-		if err == io.EOF && len(event) == 0 {
+		if errors.Is(err, io.EOF) && len(event) == 0 {
 			return s.streamEnded(exchange)
 		}
 		if err != nil {
@@ -150,7 +150,7 @@
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull) && len(event) < maxEvent:
 			continue
-		case err == io.EOF && len(event) > 0:
+		case errors.Is(err, io.EOF) && len(event) > 0:
 			return event, io.ErrUnexpectedEOF
 		case err != nil:
 			return event, err
