relay: Pass an event on as soon as it is whole

Change: it is held back only while another whole event waits. Tests of what may be sent again, of forged and cut answers, of streams, stops and time-outs.

--- a/internal/control/registry/registry_test.go
+++ b/internal/control/registry/registry_test.go
@@ -67,7 +67,7 @@
 	m.Remove(start.Add(2*time.Second), "a")
 	require.Empty(t, names(&m, start.Add(2*time.Second)), "one that leaves is not waited for")
 	m.Put(start.Add(3*time.Second), registration("a", "1", false))
-	require.True(t, m.Servers(start.Add(3*time.Second))[0].Report.Leaving)
+	require.True(t, m.Servers(start.Add(3 * time.Second))[0].Report.Leaving)
 	m.Put(start.Add(4*time.Second), registration("a", "2", false))
-	require.False(t, m.Servers(start.Add(4*time.Second))[0].Report.Leaving)
+	require.False(t, m.Servers(start.Add(4 * time.Second))[0].Report.Leaving)
 }
--- /dev/null
+++ b/internal/peer/upstream/upstream_test.go
@@ -0,0 +1,249 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	tomb "gopkg.in/tomb.v2"
+)
+
+// server answers each connection by a script of its own.
+func server(t *testing.T, serve func(number int, conn net.Conn, reader *bufio.Reader)) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var accepting tomb.Tomb
+	accepting.Go(func() error {
+		for number := 0; ; number++ {
+			conn, err := listener.Accept()
+			if err != nil {
+				return nil
+			}
+			accepting.Go(func() error {
+				defer conn.Close()
+				serve(number, conn, bufio.NewReader(conn))
+				return nil
+			})
+		}
+	})
+	t.Cleanup(func() {
+		listener.Close()
+		accepting.Kill(nil)
+	})
+	return listener.Addr().String()
+}
+
+func readRequest(reader *bufio.Reader) (*http.Request, string, error) {
+	request, err := http.ReadRequest(reader)
+	if err != nil {
+		return nil, "", err
+	}
+	body, err := io.ReadAll(request.Body)
+	return request, string(body), err
+}
+
+func request(address, target string) Request {
+	return Request{
+		Address:  address,
+		Deadline: time.Now().Add(5 * time.Second),
+		Method:   http.MethodPost,
+		Target:   target,
+		Host:     "notes.example",
+		Header:   http.Header{"Request-Id": {target}},
+		Body:     []byte("hello"),
+	}
+}
+
+func fetch(t *testing.T, client *Client, r Request) (string, error) {
+	exchange, err := client.Send(context.Background(), r)
+	if err != nil {
+		return "", err
+	}
+	defer exchange.Close()
+	body, whole, err := ReadAll(exchange.Response, 1<<20)
+	if err != nil {
+		return "", err
+	}
+	require.True(t, whole)
+	exchange.Keep()
+	return string(body), nil
+}
+
+func TestTheRequestArrivesAsItIs(t *testing.T) {
+	address := server(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
+		line, _ := reader.ReadString('\n')
+		var rest strings.Builder
+		for {
+			header, err := reader.ReadString('\n')
+			if err != nil || header == "\r\n" {
+				break
+			}
+			rest.WriteString(header)
+		}
+		answer := line + rest.String()
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: "+itoa(len(answer))+"\r\n\r\n"+answer)
+	})
+	client := &Client{}
+	defer client.Close()
+	r := request(address, "/a//b/../c?x=%2F")
+	r.Header.Set("Connection", "close")
+	r.Header.Set("Transfer-Encoding", "chunked")
+	got, err := fetch(t, client, r)
+	require.NoError(t, err)
+	require.Contains(t, got, "POST /a//b/../c?x=%2F HTTP/1.1\r\n")
+	require.Contains(t, got, "Host: notes.example\r\n")
+	require.Contains(t, got, "Content-Length: 5\r\n")
+	require.NotContains(t, got, "chunked")
+	require.NotContains(t, got, "Connection")
+}
+
+func itoa(n int) string {
+	return string(rune('0'+n/100%10)) + string(rune('0'+n/10%10)) + string(rune('0'+n%10))
+}
+
+// A server sends a second answer after a whole one. The next request on the same
+// connection would get it as its own: so the connection is given up, whether the
+// bytes come before it is kept or while it is idle.
+func TestAnExtraAnswerEndsTheConnection(t *testing.T) {
+	for _, pause := range []time.Duration{0, 20 * time.Millisecond} {
+		address := server(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
+			for {
+				r, _, err := readRequest(reader)
+				if err != nil {
+					return
+				}
+				answer := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n" + r.URL.Path[1:3]
+				_, _ = io.WriteString(conn, answer)
+				time.Sleep(pause)
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nXX")
+			}
+		})
+		client := &Client{}
+		for _, target := range []string{"/aa", "/bb", "/cc"} {
+			got, err := fetch(t, client, request(address, target))
+			require.NoError(t, err)
+			require.Equal(t, target[1:], got)
+			time.Sleep(2 * pause)
+		}
+		client.Close()
+	}
+}
+
+// A server closes a connection while it is idle. The next request must not be
+// written to it: it would count as one that may have run.
+func TestAStaleConnectionIsNotUsed(t *testing.T) {
+	address := server(t, func(number int, conn net.Conn, reader *bufio.Reader) {
+		if _, _, err := readRequest(reader); err == nil {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n"+itoa(number)[2:])
+		}
+	})
+	client := &Client{}
+	defer client.Close()
+	for _, want := range []string{"0", "1", "2"} {
+		got, err := fetch(t, client, request(address, "/x"))
+		require.NoError(t, err)
+		require.Equal(t, want, got)
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// A server refuses a long request before it has read its body, keeps the connection
+// and reads on. What it reads there must be the rest of that body, and no other
+// request.
+func TestAnEarlyAnswerLeavesTheRestOfItsBody(t *testing.T) {
+	bodies := make(chan string, 2)
+	address := server(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
+		for {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			if r.ContentLength > 1000 {
+				_, _ = io.WriteString(conn, "HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno")
+				time.Sleep(30 * time.Millisecond)
+			}
+			body, err := io.ReadAll(r.Body)
+			if err != nil {
+				return
+			}
+			bodies <- string(body)
+			if r.ContentLength <= 1000 {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			}
+		}
+	})
+	client := &Client{}
+	defer client.Close()
+	long := request(address, "/long")
+	long.Body = []byte(strings.Repeat("z", 8<<20))
+	got, err := fetch(t, client, long)
+	require.NoError(t, err)
+	require.Equal(t, "no", got)
+	got, err = fetch(t, client, request(address, "/short"))
+	require.NoError(t, err)
+	require.Equal(t, "ok", got)
+	require.Equal(t, "hello", <-bodies)
+}
+
+// An address with nobody behind it, a cut in the middle of an answer, a client that
+// leaves: each has to say whether anything can have arrived.
+func TestFailuresTellWhatCanHaveArrived(t *testing.T) {
+	client := &Client{}
+	defer client.Close()
+	_, err := client.Send(context.Background(), request("127.0.0.1:1", "/x"))
+	require.Error(t, err)
+	require.False(t, MayHaveArrived(err))
+	require.True(t, NotReached(err))
+
+	cut := server(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
+		_, _, _ = readRequest(reader)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf")
+	})
+	_, err = fetch(t, client, request(cut, "/x"))
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+
+	mute := server(t, func(_ int, _ net.Conn, reader *bufio.Reader) {
+		_, _, _ = readRequest(reader)
+		_, _ = reader.ReadByte()
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err = client.Send(ctx, request(mute, "/x"))
+	require.Error(t, err)
+	require.True(t, MayHaveArrived(err))
+}
+
+// A request that may not be repeated goes over a connection that is new, or was in
+// use just now: one that has been idle may be dropped by the server at any instant.
+func TestOnceAvoidsIdleConnections(t *testing.T) {
+	address := server(t, func(number int, conn net.Conn, reader *bufio.Reader) {
+		for {
+			if _, _, err := readRequest(reader); err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nKeep-Alive: timeout=15\r\n\r\n"+itoa(number)[2:])
+		}
+	})
+	client := &Client{}
+	defer client.Close()
+	once := request(address, "/x")
+	once.Once = true
+	got, err := fetch(t, client, once)
+	require.NoError(t, err)
+	require.Equal(t, "0", got)
+	got, err = fetch(t, client, once)
+	require.NoError(t, err)
+	require.Equal(t, "0", got, "in use just now")
+	client.mu.Lock()
+	client.idle[address][0].idleSince = time.Now().Add(-2 * freshIdle)
+	client.mu.Unlock()
+	got, err = fetch(t, client, once)
+	require.NoError(t, err)
+	require.Equal(t, "1", got)
+}
--- a/internal/traffic/relay/stream.go
+++ b/internal/traffic/relay/stream.go
@@ -37,7 +37,6 @@
 // and what follows from another server has to begin at the start of an event.
 func (s *serving) passStream(ctx context.Context, exchange *upstream.Exchange, ticket *balance.Ticket, answer *Answer) sent {
 	reader := bufio.NewReaderSize(exchange.Response.Body, eventBuffer)
-	flusher, _ := s.writer.(http.Flusher)
 	for {
 		event, err := readEvent(reader)
 		if errors.Is(err, io.EOF) && len(event) == 0 {
@@ -48,6 +47,7 @@
 		}
 		id, hasID := eventID(event)
 		if hasID && !s.follows(id) {
+			s.flush()
 			return sent{
 				result: balance.Broken,
 				status: http.StatusOK,
@@ -71,12 +71,27 @@
 		if hasID {
 			s.stream.lastID = id
 		}
-		if reader.Buffered() == 0 && flusher != nil {
-			flusher.Flush()
+		if !wholeEventWaits(reader) {
+			s.flush()
 		}
 	}
 }
 
+// flush sends what has been written.
+func (s *serving) flush() {
+	if flusher, can := s.writer.(http.Flusher); can {
+		flusher.Flush()
+	}
+}
+
+// wholeEventWaits tells that another event has already come, so that both leave in
+// one packet. A part of one doesn't count: the caller would wait for the rest of the
+// next event, and never get this one if the server breaks off inside it.
+func wholeEventWaits(reader *bufio.Reader) bool {
+	waiting, err := reader.Peek(reader.Buffered())
+	return err == nil && (bytes.Contains(waiting, []byte("\n\n")) || bytes.Contains(waiting, []byte("\n\r\n")))
+}
+
 // eventBuffer holds several events of the usual 40 to 240 bytes.
 const eventBuffer = 1 << 10
 
--- /dev/null
+++ b/internal/traffic/relay/world_test.go
@@ -0,0 +1,253 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"cicadaloom/internal/control/balance"
+	"cicadaloom/internal/control/retries"
+	"cicadaloom/internal/control/routetable"
+	"cicadaloom/internal/domain/backend"
+	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/domain/request"
+	"cicadaloom/internal/domain/route"
+	"cicadaloom/internal/peer/upstream"
+)
+
+// testCodec is the smallest wire: a header a field.
+type testCodec struct{}
+
+func (testCodec) Decode(r *http.Request, arrived time.Time) (request.Request, error) {
+	decoded := request.Request{
+		ID:          ident.RequestID(r.Header.Get("Id")),
+		Method:      r.Method,
+		Target:      r.RequestURI,
+		Path:        r.URL.Path,
+		Host:        r.Host,
+		Header:      r.Header,
+		Model:       ident.ModelName(r.Header.Get("Weights")),
+		ResumeAfter: r.Header.Get("After"),
+		Arrived:     arrived,
+	}
+	if left, err := time.ParseDuration(r.Header.Get("Left")); err == nil {
+		decoded.Deadline = arrived.Add(left)
+	}
+	return decoded, nil
+}
+
+func (testCodec) Encode(header http.Header, attempt *Attempt) {
+	header.Set("To", string(attempt.Server))
+	header.Set("Left", time.Until(attempt.Deadline).String())
+	if attempt.ResumeAfter != "" {
+		header.Set("After", attempt.ResumeAfter)
+	}
+}
+
+func (testCodec) DecodeAnswer(status int, header http.Header) Answer {
+	return Answer{
+		Request:   ident.RequestID(header.Get("Id")),
+		Signed:    header.Get("Signed") != "",
+		NotRun:    header.Get("Not-Run") != "",
+		Misplaced: status == http.StatusMisdirectedRequest,
+	}
+}
+
+// world is a handler with backend servers that tests write.
+type world struct {
+	t       *testing.T
+	handler *Handler
+	front   *httptest.Server
+	pool    *balance.Pool
+	table   *routetable.Table
+	servers []balance.Server
+	mu      sync.Mutex
+	seen    []string // server and request id of each arrival
+	missed  int
+	end     context.CancelFunc
+}
+
+func (w *world) Routes() *routetable.Table { return w.table }
+func (w *world) Pool(service ident.ServiceName) *balance.Pool {
+	if service != "desk" {
+		return nil
+	}
+	return w.pool
+}
+
+func (w *world) Miss() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.missed++
+}
+
+func (w *world) Reserve(context.Context, ident.ServerName, ident.Region, time.Duration, int) time.Time {
+	return time.Now()
+}
+
+func newWorld(t *testing.T, r route.Route) *world {
+	r.Host = "desk.example"
+	r.Prefix = "/"
+	r.Targets = []route.Target{{
+		Service: "desk",
+		Weight:  1,
+	}}
+	w := &world{
+		t:    t,
+		pool: balance.NewPool(balance.Place{}),
+		table: routetable.New(&route.Configuration{
+			Routes: []route.Route{r},
+			Limits: route.Limits{
+				MaxBody: 1 << 10,
+			},
+		}),
+	}
+	ended, end := context.WithCancel(context.Background())
+	w.end = end
+	dice := uint64(0)
+	w.handler = &Handler{
+		Codec:     testCodec{},
+		Knowledge: w,
+		Upstream:  &upstream.Client{},
+		Budget: retries.New(retries.Options{
+			Ratio:  1,
+			Window: time.Second,
+			Slack:  100,
+		}),
+		Log:     zap.NewNop(),
+		Metrics: NewMetrics(metrics.NewSet()),
+		Now:     time.Now,
+		Dice:    func() uint64 { dice++; return dice },
+		Ended:   ended,
+	}
+	w.front = httptest.NewServer(w.handler)
+	t.Cleanup(func() {
+		end()
+		w.front.Close()
+		w.handler.Upstream.Close()
+	})
+	return w
+}
+
+// serve adds a backend server.
+func (w *world) serve(name ident.ServerName, answer http.HandlerFunc) *httptest.Server {
+	server := httptest.NewServer(http.HandlerFunc(func(to http.ResponseWriter, r *http.Request) {
+		w.mu.Lock()
+		w.seen = append(w.seen, string(name)+" "+r.Header.Get("Id"))
+		w.mu.Unlock()
+		to.Header().Set("Id", r.Header.Get("Id"))
+		to.Header().Set("Signed", string(name))
+		answer(to, r)
+	}))
+	w.t.Cleanup(server.Close)
+	w.servers = append(w.servers, balance.Server{
+		Server: backend.Server{
+			Name:    name,
+			Kind:    backend.KindService,
+			Address: server.Listener.Addr().String(),
+		},
+		Incarnation: "1",
+		Slots:       4,
+	})
+	w.pool.SetServers(time.Now(), w.servers)
+	return server
+}
+
+func (w *world) arrivals() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]string(nil), w.seen...)
+}
+
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error // of the body
+}
+
+func (w *world) ask(method, id string, header http.Header) reply {
+	w.t.Helper()
+	response, err := w.open(context.Background(), method, id, header)
+	require.NoError(w.t, err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return reply{
+		status: response.StatusCode,
+		header: response.Header,
+		body:   string(body),
+		err:    err,
+	}
+}
+
+func (w *world) open(ctx context.Context, method, id string, header http.Header) (*http.Response, error) {
+	r, err := http.NewRequestWithContext(ctx, method, w.front.URL+"/x", nil)
+	require.NoError(w.t, err)
+	r.Host = "desk.example"
+	for name, values := range header {
+		r.Header[name] = values
+	}
+	r.Header.Set("Id", id)
+	return http.DefaultTransport.RoundTrip(r)
+}
+
+// say answers in one piece.
+func say(status int, text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, text)
+	}
+}
+
+// refuse proves that the request did not run.
+func refuse(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Not-Run", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// breakOff ends the connection without an answer.
+func breakOff(http.ResponseWriter, *http.Request) {
+	panic(http.ErrAbortHandler)
+}
+
+// events streams the events from the one after the request's to the last; cut, if not
+// 0, is the event in the middle of which the server breaks off.
+func events(last, cut int) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		first := 1
+		if after, err := strconv.Atoi(r.Header.Get("After")); err == nil {
+			first = after + 1
+		}
+		out := bufio.NewWriter(w)
+		for n := first; n <= last; n++ {
+			_, _ = out.WriteString("id: " + strconv.Itoa(n) + "\n")
+			if n == cut {
+				_ = out.Flush()
+				w.(http.Flusher).Flush()
+				panic(http.ErrAbortHandler)
+			}
+			_, _ = out.WriteString("data: piece " + strconv.Itoa(n) + "\n\n")
+			_ = out.Flush()
+			w.(http.Flusher).Flush()
+		}
+	}
+}
+
+func wholeStream(last int) string {
+	text := ""
+	for n := 1; n <= last; n++ {
+		text += "id: " + strconv.Itoa(n) + "\ndata: piece " + strconv.Itoa(n) + "\n\n"
+	}
+	return text
+}
