gateway, platform: Test the whole host against a service in memory, and the wire

A stop of a host without a metrics address ended in a panic; found by the first of these tests, mended.

--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -173,7 +173,7 @@
 		Ended:     ended,
 	}
 	if err := g.listen(); err != nil {
-		_ = g.Stop(context.Background())
+		g.close(context.Background())
 		return nil, err
 	}
 	g.start()
@@ -294,17 +294,30 @@
 	g.endRequests()
 	err := g.callers.Stop(ctx)
 	g.tomb.Kill(nil)
-	_ = g.ready.Stop(ctx)
-	_ = g.metrics.Stop(ctx)
-	_ = g.server.Stop()
-	g.peers.Close()
-	g.up.Close()
 	if dead := g.tomb.Wait(); err == nil {
 		err = dead
 	}
+	g.close(ctx)
 	return errors.Wrap(err, "stop")
 }
 
+// close ends what listens and what is connected.
+func (g *Gateway) close(ctx context.Context) {
+	g.endRequests()
+	for name, err := range map[string]error{
+		"callers": g.callers.Stop(ctx),
+		"ready":   g.ready.Stop(ctx),
+		"metrics": g.metrics.Stop(ctx),
+		"peers":   g.server.Stop(),
+	} {
+		if err != nil {
+			g.log.Warn("not closed in order", zap.String("Listener", name), zap.Error(err))
+		}
+	}
+	g.peers.Close()
+	g.up.Close()
+}
+
 // waitUntilIdle waits until an instant, and on until nothing is under way or
 // another instant has come.
 func (g *Gateway) waitUntilIdle(ctx context.Context, from, until time.Time) {
--- /dev/null
+++ b/internal/host/gateway/world_test.go
@@ -0,0 +1,505 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sort"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	settings "cicadaloom/internal/config/gateway"
+	"cicadaloom/internal/domain/backend"
+	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/domain/request"
+	"cicadaloom/internal/domain/route"
+	"cicadaloom/internal/domain/store"
+	"cicadaloom/internal/traffic/relay"
+)
+
+// keyValue is a key-value service in memory, with its outages.
+type keyValue struct {
+	mu       sync.Mutex
+	revision ident.Revision
+	entries  map[string]store.Entry
+	events   []store.Event
+	changed  chan struct{}
+	leases   map[store.LeaseID]time.Time
+	lengths  map[store.LeaseID]time.Duration
+	last     store.LeaseID
+	// away has the hosts that the service does not answer; "" stands for all.
+	away map[string]bool
+}
+
+func newKeyValue() *keyValue {
+	return &keyValue{
+		revision: 1,
+		entries:  make(map[string]store.Entry),
+		changed:  make(chan struct{}),
+		leases:   make(map[store.LeaseID]time.Time),
+		lengths:  make(map[store.LeaseID]time.Duration),
+		away:     make(map[string]bool),
+	}
+}
+
+// client is the service as one host reaches it.
+type client struct {
+	*keyValue
+	host string
+}
+
+func (c *client) lock() error {
+	c.mu.Lock()
+	c.lapse()
+	if c.away[""] || c.away[c.host] {
+		c.mu.Unlock()
+		return store.ErrUnavailable
+	}
+	return nil
+}
+
+// lapse ends the leases whose time is over.
+func (k *keyValue) lapse() {
+	for lease, until := range k.leases {
+		if time.Now().After(until) {
+			k.end(lease)
+		}
+	}
+}
+
+func (k *keyValue) end(lease store.LeaseID) {
+	delete(k.leases, lease)
+	for key, entry := range k.entries {
+		if entry.Lease == lease {
+			k.remove(key)
+		}
+	}
+}
+
+func (k *keyValue) remove(key string) {
+	k.revision++
+	delete(k.entries, key)
+	k.note(store.Event{
+		Entry: store.Entry{
+			Key:      key,
+			Revision: k.revision,
+		},
+		Deleted: true,
+	})
+}
+
+func (k *keyValue) put(key string, value []byte, lease store.LeaseID) {
+	entry := store.Entry{
+		Key:      key,
+		Value:    value,
+		Revision: k.revision,
+		Lease:    lease,
+	}
+	k.entries[key] = entry
+	k.note(store.Event{
+		Entry: entry,
+	})
+}
+
+func (k *keyValue) note(event store.Event) {
+	k.events = append(k.events, event)
+	close(k.changed)
+	k.changed = make(chan struct{})
+}
+
+// write is what operators and servers do.
+func (k *keyValue) write(key string, value any) {
+	text, _ := json.Marshal(value)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.revision++
+	k.put(key, text, 0)
+}
+
+func (k *keyValue) delete(key string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.remove(key)
+}
+
+func (k *keyValue) goAway(host string, away bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.away[host] = away
+}
+
+func (k *keyValue) value(key string) string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.lapse()
+	return string(k.entries[key].Value)
+}
+
+func (c *client) List(_ context.Context, prefix string) (store.Listing, error) {
+	if err := c.lock(); err != nil {
+		return store.Listing{}, err
+	}
+	defer c.mu.Unlock()
+	listing := store.Listing{
+		Revision: c.revision,
+	}
+	for key, entry := range c.entries {
+		if strings.HasPrefix(key, prefix) {
+			listing.Entries = append(listing.Entries, entry)
+		}
+	}
+	sort.Slice(listing.Entries, func(i, j int) bool { return listing.Entries[i].Key < listing.Entries[j].Key })
+	return listing, nil
+}
+
+func (c *client) Watch(ctx context.Context, prefix string, after ident.Revision, deliver func(store.Batch) error) error {
+	for ctx.Err() == nil {
+		if err := c.lock(); err != nil {
+			return store.ErrWatchBroken
+		}
+		batch := store.Batch{
+			Revision: c.revision,
+		}
+		for _, event := range c.events {
+			if event.Entry.Revision > after && strings.HasPrefix(event.Entry.Key, prefix) {
+				batch.Events = append(batch.Events, event)
+			}
+		}
+		changed := c.changed
+		c.mu.Unlock()
+		after = batch.Revision
+		if err := deliver(batch); err != nil {
+			return err
+		}
+		select {
+		case <-changed:
+		case <-time.After(20 * time.Millisecond): // leases lapse unseen
+		case <-ctx.Done():
+		}
+	}
+	return ctx.Err()
+}
+
+func (c *client) Swap(_ context.Context, swap store.Swap) (store.SwapResult, error) {
+	if err := c.lock(); err != nil {
+		return store.SwapResult{}, err
+	}
+	defer c.mu.Unlock()
+	for _, compare := range swap.Compares {
+		if c.entries[compare.Key].Revision != compare.Revision {
+			return store.SwapResult{}, nil
+		}
+	}
+	c.revision++
+	for _, put := range swap.Puts {
+		c.put(put.Key, put.Value, put.Lease)
+	}
+	return store.SwapResult{
+		Swapped:  true,
+		Revision: c.revision,
+	}, nil
+}
+
+func (c *client) Grant(_ context.Context, length time.Duration) (store.LeaseID, time.Duration, error) {
+	if err := c.lock(); err != nil {
+		return 0, 0, err
+	}
+	defer c.mu.Unlock()
+	c.last++
+	c.leases[c.last] = time.Now().Add(length)
+	c.lengths[c.last] = length
+	return c.last, length, nil
+}
+
+func (c *client) Keep(_ context.Context, lease store.LeaseID) error {
+	if err := c.lock(); err != nil {
+		return err
+	}
+	defer c.mu.Unlock()
+	if _, open := c.leases[lease]; !open {
+		return store.ErrLeaseGone
+	}
+	c.leases[lease] = time.Now().Add(c.lengths[lease])
+	return nil
+}
+
+func (c *client) End(_ context.Context, lease store.LeaseID) error {
+	if err := c.lock(); err != nil {
+		return err
+	}
+	defer c.mu.Unlock()
+	c.end(lease)
+	return nil
+}
+
+// engines are model servers that take every order at once.
+type engines struct {
+	mu     sync.Mutex
+	orders []backend.Order
+	counts map[ident.ServerName]int64
+	held   map[ident.ServerName][]backend.Resident
+}
+
+func (e *engines) Report(_ context.Context, server *backend.Server, life ident.Incarnation, _ time.Time) (backend.Report, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return backend.Report{
+		Server:         server.Name,
+		Incarnation:    life,
+		At:             time.Now(),
+		OrdersAccepted: e.counts[server.Name],
+		Residents:      e.held[server.Name],
+	}, nil
+}
+
+func (e *engines) Order(_ context.Context, _ string, order *backend.Order, _ time.Time) (backend.OrderAnswer, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.orders = append(e.orders, *order)
+	e.counts[order.Server]++
+	if order.Kind == backend.LoadModel {
+		e.held[order.Server] = append(e.held[order.Server], backend.Resident{
+			Model: order.Model,
+		})
+	}
+	return backend.OrderAccepted, nil
+}
+
+func (e *engines) given() []backend.Order {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]backend.Order(nil), e.orders...)
+}
+
+// codec is the smallest wire: a header a field.
+type codec struct{}
+
+func (codec) Decode(r *http.Request, arrived time.Time) (request.Request, error) {
+	return request.Request{
+		ID:       ident.RequestID(r.Header.Get("Id")),
+		Method:   r.Method,
+		Target:   r.RequestURI,
+		Path:     r.URL.Path,
+		Host:     r.Host,
+		Header:   r.Header,
+		Model:    ident.ModelName(r.Header.Get("Weights")),
+		Arrived:  arrived,
+		Deadline: arrived.Add(5 * time.Second),
+	}, nil
+}
+
+func (codec) Encode(header http.Header, attempt *relay.Attempt) {
+	header.Set("To", string(attempt.Server))
+}
+
+func (codec) DecodeAnswer(_ int, header http.Header) relay.Answer {
+	return relay.Answer{
+		Request: ident.RequestID(header.Get("Id")),
+		Signed:  true,
+	}
+}
+
+// entry is a server's entry.
+type entry struct {
+	Service string
+	Address string
+	Life    string
+	Leaving bool
+}
+
+func decodeEntry(e store.Entry, _ map[ident.DataCentre]ident.Region, _ time.Time) (backend.Registration, error) {
+	var wire entry
+	if err := json.Unmarshal(e.Value, &wire); err != nil {
+		return backend.Registration{}, errors.Wrap(err, "entry")
+	}
+	name := ident.ServerName(strings.TrimPrefix(e.Key, "servers/"))
+	return backend.Registration{
+		Server: backend.Server{
+			Name:    name,
+			Address: wire.Address,
+			Service: ident.ServiceName(wire.Service),
+		},
+		Report: backend.Report{
+			Server:      name,
+			Incarnation: ident.Incarnation(wire.Life),
+			Slots:       4,
+			Leaving:     wire.Leaving,
+		},
+	}, nil
+}
+
+func decodeConfiguration(text []byte) (*route.Configuration, error) {
+	var configuration route.Configuration
+	if err := json.Unmarshal(text, &configuration); err != nil {
+		return nil, errors.Wrap(err, "configuration")
+	}
+	return &configuration, nil
+}
+
+// fleet is hosts with what they need.
+type fleet struct {
+	t        *testing.T
+	keyValue *keyValue
+	engines  *engines
+	hosts    map[string]*Gateway
+	listen   map[string]settings.Listen
+}
+
+func newFleet(t *testing.T) *fleet {
+	return &fleet{
+		t:        t,
+		keyValue: newKeyValue(),
+		engines: &engines{
+			counts: make(map[ident.ServerName]int64),
+			held:   make(map[ident.ServerName][]backend.Resident),
+		},
+		hosts:  make(map[string]*Gateway),
+		listen: make(map[string]settings.Listen),
+	}
+}
+
+func freeAddress(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// start starts a host; seeds are the peers' addresses that it is told.
+func (f *fleet) start(name string, seeds ...string) {
+	loaded := settings.Default()
+	loaded.Host.Name = ident.HostID(name)
+	loaded.Host.DataCentre = "north-1"
+	loaded.Host.Region = "north"
+	loaded.Listen = settings.Listen{
+		Callers: freeAddress(f.t),
+		Ready:   freeAddress(f.t),
+		Peers:   freeAddress(f.t),
+	}
+	loaded.Seeds = seeds
+	loaded.Bounds.Fenced = true
+	loaded.Bounds.Grace = 1500 * time.Millisecond
+	f.listen[name] = loaded.Listen
+	host, err := Start(Options{
+		Settings: loaded,
+		KeyValue: &client{
+			keyValue: f.keyValue,
+			host:     name,
+		},
+		Engines: f.engines,
+		Layout: Layout{
+			ConfigurationKey:    "configuration",
+			RegistrationPrefix:  "servers/",
+			ReadyPath:           "/ready",
+			DecodeConfiguration: decodeConfiguration,
+			DecodeRegistration:  decodeEntry,
+		},
+		Codec:   codec{},
+		Log:     zap.NewNop(),
+		Metrics: metrics.NewSet(),
+	})
+	require.NoError(f.t, err)
+	f.hosts[name] = host
+	f.t.Cleanup(func() { f.stop(name) })
+}
+
+func (f *fleet) stop(name string) {
+	host, running := f.hosts[name]
+	if !running {
+		return
+	}
+	delete(f.hosts, name)
+	require.NoError(f.t, host.Stop(context.Background()))
+}
+
+// serve starts a backend server that answers with its name.
+func (f *fleet) serve(service, name string) string {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		_, _ = io.WriteString(w, name)
+	}))
+	f.t.Cleanup(server.Close)
+	f.keyValue.write("servers/"+name, entry{
+		Service: service,
+		Address: server.Listener.Addr().String(),
+		Life:    "1",
+	})
+	return server.Listener.Addr().String()
+}
+
+func configuration(version route.Version, service ident.ServiceName) route.Configuration {
+	return route.Configuration{
+		Version: version,
+		Routes: []route.Route{{
+			Name:        "boats",
+			Host:        "desk.example",
+			Prefix:      "/",
+			Kind:        route.Safe,
+			MaxAttempts: 2,
+			Timeout:     2 * time.Second,
+			Targets: []route.Target{{
+				Service: service,
+				Weight:  1,
+			}},
+		}},
+		Services: map[ident.ServiceName]route.Service{
+			"old": {
+				Name: "old",
+			},
+			"new": {
+				Name: "new",
+			},
+		},
+	}
+}
+
+// ask gives the status and body of a request through a host.
+func (f *fleet) ask(host string) (int, string) {
+	r, err := http.NewRequest(http.MethodGet, "http://"+f.listen[host].Callers+"/x", nil)
+	require.NoError(f.t, err)
+	r.Host = "desk.example"
+	r.Header.Set("Id", "r1")
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	require.NoError(f.t, err)
+	return response.StatusCode, string(body)
+}
+
+func (f *fleet) isReady(host string) bool {
+	response, err := http.Get("http://" + f.listen[host].Ready + "/ready")
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func (f *fleet) eventually(condition func() bool, what string) {
+	f.t.Helper()
+	require.Eventually(f.t, condition, 10*time.Second, 5*time.Millisecond, what)
+}
+
+// fencing engines have seen a later holder.
+type fencing struct{}
+
+func (fencing) Report(context.Context, *backend.Server, ident.Incarnation, time.Time) (backend.Report, error) {
+	return backend.Report{}, errors.New("no report")
+}
+
+func (fencing) Order(context.Context, string, *backend.Order, time.Time) (backend.OrderAnswer, error) {
+	return backend.OrderFenced, nil
+}
--- a/internal/peer/grpcpeer/grpcpeer.go
+++ b/internal/peer/grpcpeer/grpcpeer.go
@@ -66,8 +66,12 @@
 	return bound, nil
 }
 
-// Stop ends the calls under way and gives the first error.
+// Stop ends the calls under way and gives the first error. A server that was never
+// started has nothing to stop.
 func (s *Server) Stop() error {
+	if s.grpc == nil {
+		return nil
+	}
 	s.tomb.Kill(nil)
 	s.grpc.Stop()
 	return s.tomb.Wait()
--- a/internal/peer/httpserve/httpserve.go
+++ b/internal/peer/httpserve/httpserve.go
@@ -74,8 +74,12 @@
 }
 
 // Stop takes no new connections, lets the requests under way finish within the
-// context's time, and cuts what is left then, with an error that says so.
+// context's time, and cuts what is left then, with an error that says so. A server
+// that was never started has nothing to stop.
 func (s *Server) Stop(ctx context.Context) error {
+	if s.http == nil {
+		return nil
+	}
 	s.tomb.Kill(nil)
 	if err := s.http.Shutdown(ctx); err != nil {
 		_ = s.http.Close()
