--- /dev/null
+++ b/internal/control/balance/balance_test.go
@@ -0,0 +1,222 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cicadaloom/internal/domain/backend"
+	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/domain/request"
+)
+
+var start = time.Date(2026, 12, 1, 8, 0, 0, 0, time.UTC)
+
+var weights = request.Weights{
+	Model: "m",
+}
+
+func engine(name ident.ServerName, centre ident.DataCentre, region ident.Region) Server {
+	return Server{
+		Server: backend.Server{
+			Name:       name,
+			Kind:       backend.KindEngine,
+			DataCentre: centre,
+			Region:     region,
+		},
+		Incarnation: "1",
+		Slots:       8,
+		Running:     -1,
+		Holds:       []request.Weights{weights},
+	}
+}
+
+func newPool(servers ...Server) *Pool {
+	pool := NewPool(Place{
+		DataCentre: "n1",
+		Region:     "north",
+	})
+	pool.SetServers(start, servers)
+	return pool
+}
+
+func ask(dice uint64, tried ...ident.ServerName) Ask {
+	return Ask{
+		Weights: weights,
+		Prompt:  1000,
+		Dice:    dice,
+		Tried:   tried,
+	}
+}
+
+func TestVerdicts(t *testing.T) {
+	pool := newPool(engine("a", "n1", "north"))
+	_, verdict := pool.Take(start, Ask{
+		Weights: request.Weights{
+			Model: "other",
+		},
+	})
+	require.Equal(t, NoneHolds, verdict)
+	_, verdict = pool.Take(start, ask(1, "a"))
+	require.Equal(t, NoneTakes, verdict)
+	ticket, verdict := pool.Take(start, ask(1))
+	require.Equal(t, Found, verdict)
+	require.Equal(t, ident.ServerName("a"), ticket.Server)
+}
+
+// Requests stay in their region while it can serve them, and go to the other one when
+// its servers have a queue.
+func TestRequestsStayNearUntilThereIsAQueue(t *testing.T) {
+	pool := newPool(engine("near", "n1", "north"), engine("far", "s1", "south"))
+	far := 0
+	for dice := range uint64(12) {
+		ticket, _ := pool.Take(start, ask(dice))
+		if dice < 2 {
+			require.Equal(t, ident.ServerName("near"), ticket.Server)
+		}
+		if ticket.Server == "far" {
+			far++
+		}
+	}
+	require.Positive(t, far)
+}
+
+// All hosts see the same reports. If each took the cheapest server, all would take
+// the same one: choices of many hosts have to spread over servers that are alike.
+func TestChoicesOfManyHostsSpread(t *testing.T) {
+	counts := make(map[ident.ServerName]int)
+	for host := range uint64(60) {
+		pool := newPool(engine("a", "n1", "north"), engine("b", "n1", "north"), engine("c", "n1", "north"))
+		ticket, _ := pool.Take(start, ask(mix(host)))
+		counts[ticket.Server]++
+	}
+	for _, name := range []ident.ServerName{"a", "b", "c"} {
+		require.Greater(t, counts[name], 8, "%v", counts)
+	}
+}
+
+// A server crashes. The first request that meets it pays; the next ones go elsewhere
+// until it has had time to come back, and then one at a time.
+func TestAServerThatFailsIsLeftAlone(t *testing.T) {
+	pool := newPool(engine("a", "n1", "north"), engine("b", "s1", "south"))
+	ticket, _ := pool.Take(start, ask(1))
+	require.Equal(t, ident.ServerName("a"), ticket.Server)
+	ticket.Done(start, Unreached)
+	ticket, _ = pool.Take(start.Add(firstEjection/2), ask(2))
+	require.Equal(t, ident.ServerName("b"), ticket.Server)
+	later := start.Add(2 * firstEjection)
+	probe, _ := pool.Take(later, ask(3))
+	require.Equal(t, ident.ServerName("a"), probe.Server)
+	other, _ := pool.Take(later, ask(4))
+	require.Equal(t, ident.ServerName("b"), other.Server, "one at a time")
+	probe.Done(later, Answered)
+	back, _ := pool.Take(later, ask(5))
+	require.Equal(t, ident.ServerName("a"), back.Server)
+}
+
+// One server fails a part of its requests while its health is good. It gets fewer of
+// them; where all fail alike the reason lies in the requests, and nobody is avoided.
+func TestAServerThatFailsMoreThanOthersIsAvoided(t *testing.T) {
+	pool := newPool(engine("a", "n1", "north"), engine("b", "n1", "north"), engine("c", "n1", "north"))
+	taken := 0
+	for dice := range uint64(400) {
+		ticket, _ := pool.Take(start, ask(mix(dice)))
+		result := Answered
+		if ticket.Server == "a" && dice%2 == 0 {
+			result = Failed
+		}
+		if ticket.Server == "a" && dice >= 100 {
+			taken++
+		}
+		ticket.Started(start.Add(60 * time.Millisecond))
+		ticket.Done(start.Add(time.Second), result)
+	}
+	require.Less(t, taken, 60, "of 300")
+}
+
+// A model is about to be unloaded, by the holder's word or by the engine's refusal.
+// Requests go to other servers that have it, and there only if there is none.
+func TestARetiringModelIsAskedForInNeedOnly(t *testing.T) {
+	retiring := engine("a", "n1", "north")
+	retiring.Retiring = []ident.ModelName{"m"}
+	pool := newPool(retiring, engine("b", "s1", "south"))
+	for dice := range uint64(10) {
+		ticket, _ := pool.Take(start, ask(dice))
+		require.Equal(t, ident.ServerName("b"), ticket.Server)
+		ticket.Done(start, Answered)
+	}
+	pool.SetServers(start, []Server{retiring})
+	ticket, _ := pool.Take(start, ask(1))
+	require.Equal(t, ident.ServerName("a"), ticket.Server)
+
+	refusing := newPool(engine("a", "n1", "north"), engine("b", "s1", "south"))
+	ticket, _ = refusing.Take(start, ask(1))
+	require.Equal(t, ident.ServerName("a"), ticket.Server)
+	ticket.Done(start, Refused)
+	ticket, _ = refusing.Take(start, ask(2))
+	require.Equal(t, ident.ServerName("b"), ticket.Server)
+}
+
+// A life that leaves gets nothing more, whatever an old reading says of it; another
+// life under the same name starts anew.
+func TestALeavingLifeStaysLeaving(t *testing.T) {
+	leaving := engine("a", "n1", "north")
+	leaving.Leaving = true
+	pool := newPool(leaving)
+	pool.SetServers(start, []Server{engine("a", "n1", "north")})
+	_, verdict := pool.Take(start, ask(1))
+	require.Equal(t, NoneHolds, verdict)
+	reborn := engine("a", "n1", "north")
+	reborn.Incarnation = "2"
+	pool.SetServers(start, []Server{reborn})
+	_, verdict = pool.Take(start, ask(1))
+	require.Equal(t, Found, verdict)
+}
+
+// A small model reads ten times as fast as a large one. The pool has to find that out
+// from the answers, although some of them waited: by it the holder counts demand.
+func TestReadingTimeIsLearnedByModel(t *testing.T) {
+	pool := newPool(engine("a", "n1", "north"))
+	const perToken = 6 * time.Microsecond
+	for i := range 60 {
+		ticket, _ := pool.Take(start, ask(uint64(i)))
+		took := 1000*perToken + 4*time.Millisecond
+		if i%3 == 0 {
+			took += 80 * time.Millisecond // behind others' prompts
+		}
+		ticket.Started(start.Add(took))
+		ticket.Done(start.Add(time.Second), Answered)
+	}
+	pool.TakeDemand()
+	pool.Arrived(weights, 1000)
+	require.InDelta(t, 0.006, pool.TakeDemand()[weights].Work, 0.004)
+}
+
+// Demand is told once; what waits is told again and again until it waits no more.
+func TestDemandIsToldOnce(t *testing.T) {
+	pool := newPool()
+	pool.Arrived(weights, 100)
+	end := pool.Wait(weights)
+	first := pool.TakeDemand()[weights]
+	require.Equal(t, int64(1), first.Requests)
+	require.Equal(t, int64(1), first.Waiting)
+	second := pool.TakeDemand()[weights]
+	require.Zero(t, second.Requests)
+	require.Equal(t, int64(1), second.Waiting)
+	end()
+	require.Zero(t, pool.TakeDemand()[weights].Waiting)
+	require.Empty(t, pool.TakeDemand())
+}
+
+// Whoever waits has to look again when something changes.
+func TestWaitersAreWoken(t *testing.T) {
+	pool := newPool()
+	changed := pool.Changed()
+	pool.SetServers(start, []Server{engine("a", "n1", "north")})
+	<-changed
+	changed = pool.Changed()
+	ticket, _ := pool.Take(start, ask(1))
+	ticket.Done(start, Answered)
+	<-changed
+}
