--- a/internal/host/gateway/control.go
+++ b/internal/host/gateway/control.go
@@ -10,6 +10,7 @@
 	"cicadaloom/internal/control/pacing"
 	"cicadaloom/internal/control/registry"
 	"cicadaloom/internal/control/routetable"
+	"cicadaloom/internal/control/suspects"
 	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/domain/route"
@@ -48,6 +49,7 @@
 	// holdings is the holder's word on the engines.
 	holdings map[ident.ServerName]heard
 	pools    map[ident.ServiceName]*balance.Pool
+	suspects suspects.Machine
 	dirty    bool
 	gauges   gauges
 }
@@ -243,6 +245,7 @@
 		Host:       host.Name,
 		DataCentre: host.DataCentre,
 		Region:     host.Region,
+		Suspects:   c.suspects.Some(toldSuspects),
 	}
 	if c.configuration != nil {
 		word.Version = c.configuration.Version
--- a/internal/host/gateway/exchange.go
+++ b/internal/host/gateway/exchange.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"cicadaloom/internal/control/loading"
+	"cicadaloom/internal/control/suspects"
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/peer/gatewaypeer"
 )
@@ -180,6 +181,11 @@
 	if len(word.Configuration) > 0 {
 		c.install(now, word.Configuration, "peer "+string(word.Host))
 	}
+	if len(word.Suspects) > 0 {
+		suspectHeard{event: suspects.Told{
+			Suspects: word.Suspects,
+		}}.apply(now, c)
+	}
 	if len(word.Engines) > 0 && c.tenure == nil {
 		holdings := make([]loading.Holding, 0, len(word.Engines))
 		for i := range word.Engines {
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -52,6 +52,7 @@
 	"cicadaloom/internal/control/balance"
 	"cicadaloom/internal/control/retries"
 	"cicadaloom/internal/control/routetable"
+	"cicadaloom/internal/control/suspects"
 	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/domain/route"
@@ -128,6 +129,7 @@
 	youngest  atomic.Bool
 	stopping  atomic.Bool
 	stopBegun chan struct{}
+	suspected atomic.Pointer[suspects.View]
 	seeds     atomic.Pointer[[]string]
 	// endRequests has every request answered at once.
 	endRequests context.CancelFunc
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -49,6 +49,7 @@
 	"cicadaloom/internal/control/balance"
 	"cicadaloom/internal/control/retries"
 	"cicadaloom/internal/control/routetable"
+	"cicadaloom/internal/control/suspects"
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/domain/request"
 	"cicadaloom/internal/domain/route"
@@ -111,6 +112,12 @@
 	// Reserve gives the instant at which to send a prompt to an engine of a region
 	// that will read it for so long.
 	Reserve(ctx context.Context, server ident.ServerName, region ident.Region, reading time.Duration, priority int) time.Time
+	// Verdict tells whether servers have died under a request of the same content.
+	Verdict(fingerprint ident.Fingerprint) suspects.Verdict
+	// Lost tells of a server that broke off under a request, Cleared of a suspect
+	// that was answered.
+	Lost(loss suspects.Loss)
+	Cleared(fingerprint ident.Fingerprint)
 }
 
 // Handler passes requests on. All fields must be set.
--- a/internal/traffic/relay/relay_test.go
+++ b/internal/traffic/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"cicadaloom/internal/domain/backend"
+	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/domain/request"
 	"cicadaloom/internal/domain/route"
 )
@@ -280,6 +282,26 @@
 	require.Equal(t, http.StatusGatewayTimeout, (<-answered).status)
 }
 
+// One request crashes each server that runs it, and its client sends it again and
+// again under new ids. After two deaths it reaches no server any more, while another
+// text from the same client is served.
+func TestARequestThatCrashesServersIsRefused(t *testing.T) {
+	w := newWorld(t, streamRoute(true))
+	for _, name := range []ident.ServerName{"a", "b", "c"} {
+		w.serve(name, func(to http.ResponseWriter, r *http.Request) {
+			if body, err := io.ReadAll(r.Body); err != nil || string(body) == "poison" {
+				panic(http.ErrAbortHandler)
+			}
+			events(2, 0)(to, r)
+		})
+	}
+	for _, id := range []string{"r1", "r2", "r3", "r4", "r5"} {
+		require.Equal(t, http.StatusBadGateway, w.ask(http.MethodPost, id, http.Header{"Text": {"poison"}}).status)
+	}
+	require.LessOrEqual(t, len(w.arrivals()), 3)
+	require.Equal(t, wholeStream(2), w.ask(http.MethodPost, "r6", http.Header{"Text": {"bread"}}).body)
+}
+
 func TestBadInputIsRefused(t *testing.T) {
 	w := newWorld(t, unsafeRoute())
 	w.serve("a", say(http.StatusOK, "sent"))
--- a/internal/traffic/relay/serving.go
+++ b/internal/traffic/relay/serving.go
@@ -11,6 +11,7 @@
 
 	"cicadaloom/internal/control/balance"
 	"cicadaloom/internal/control/routetable"
+	"cicadaloom/internal/control/suspects"
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/domain/outcome"
 	"cicadaloom/internal/domain/request"
@@ -41,8 +42,10 @@
 	stream stream
 	// paced is how long the request waited for its turn at engines, reading how long
 	// the last one was expected to read it.
-	paced   time.Duration
-	reading time.Duration
+	paced       time.Duration
+	reading     time.Duration
+	fingerprint ident.Fingerprint
+	verdict     suspects.Verdict
 	// last is the last answer that a server gave on failing, to be passed on if
 	// nothing better comes.
 	last *wholeAnswer
@@ -84,6 +87,9 @@
 		s.refuse(retryBusy, "no server of the service is known")
 		return
 	}
+	if !s.unsuspected() {
+		return
+	}
 	h.Budget.Arrived(s.arrived, s.service)
 	s.pool.Arrived(s.request.Weights(), s.request.Prompt)
 	upstream.RemovePerConnection(s.request.Header)
@@ -137,6 +143,7 @@
 		s.runs++
 	}
 	s.logSend(ticket, &sent, now)
+	s.noteSuspect(ticket, &sent)
 	if sent.finished {
 		s.done(sent.status, sent.why)
 		return false
@@ -187,7 +194,7 @@
 		s.timeOut()
 	case !sent.proof && !s.route.MayRepeat():
 		s.giveUp(sent.why)
-	case s.runs >= s.route.MaxAttempts || s.sends >= maxSends:
+	case s.runs >= s.route.MaxAttempts || s.sends >= maxSends || s.verdict != suspects.Serve && s.runs > 0:
 		s.giveUp(sent.why)
 	default:
 		return true
--- a/internal/traffic/relay/world_test.go
+++ b/internal/traffic/relay/world_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -18,6 +19,7 @@
 	"cicadaloom/internal/control/balance"
 	"cicadaloom/internal/control/retries"
 	"cicadaloom/internal/control/routetable"
+	"cicadaloom/internal/control/suspects"
 	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/domain/request"
@@ -75,6 +77,8 @@
 	seen    []string // server and request id of each arrival
 	missed  int
 	end     context.CancelFunc
+	// suspected is what the fleet knows of requests that crash servers.
+	suspected suspects.Machine
 }
 
 func (w *world) Routes() *routetable.Table { return w.table }
@@ -95,6 +99,30 @@
 	return time.Now()
 }
 
+func (w *world) Verdict(fingerprint ident.Fingerprint) suspects.Verdict {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.suspected.View().Verdict(fingerprint)
+}
+
+// Lost takes every server that breaks off for dead.
+func (w *world) Lost(loss suspects.Loss) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.suspected.Step(time.Now(), suspects.Death{
+		Fingerprint: loss.Fingerprint,
+		Life:        loss.Life,
+	})
+}
+
+func (w *world) Cleared(fingerprint ident.Fingerprint) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.suspected.Step(time.Now(), suspects.Cleared{
+		Fingerprint: fingerprint,
+	})
+}
+
 func newWorld(t *testing.T, r route.Route) *world {
 	r.Host = "desk.example"
 	r.Prefix = "/"
@@ -191,7 +219,11 @@
 }
 
 func (w *world) open(ctx context.Context, method, id string, header http.Header) (*http.Response, error) {
-	r, err := http.NewRequestWithContext(ctx, method, w.front.URL+"/x", nil)
+	var body io.Reader
+	if text := header.Get("Text"); text != "" {
+		body = strings.NewReader(text)
+	}
+	r, err := http.NewRequestWithContext(ctx, method, w.front.URL+"/x", body)
 	require.NoError(w.t, err)
 	r.Host = "desk.example"
 	for name, values := range header {
