balance, loading, gateway: Don't ask a retiring model's server for its adapters

Also: an adapter makes way on a server with the model that needs the place, not on any; connections to peers are opened when they are listed; a holder whose machine is slow gives the orders back.

--- a/internal/control/balance/balance_test.go
+++ b/internal/control/balance/balance_test.go
@@ -158,6 +158,24 @@
 	require.Equal(t, ident.ServerName("b"), ticket.Server)
 }
 
+// An engine unloads a model whose adapter no other server has. It refuses every
+// request for that adapter, four times each. They have to wait for the adapter to
+// come to the server where the model stays.
+func TestAnAdapterOfARetiringModelIsMissed(t *testing.T) {
+	adapter := request.Weights{
+		Model:   "m",
+		Adapter: "a1",
+	}
+	retiring := engine("a", "n1", "north")
+	retiring.Holds = append(retiring.Holds, adapter)
+	retiring.Retiring = []ident.ModelName{"m"}
+	pool := newPool(retiring, engine("b", "n1", "north"))
+	_, verdict := pool.Take(start, Ask{
+		Weights: adapter,
+	})
+	require.Equal(t, NoneHolds, verdict)
+}
+
 // A life that leaves gets nothing more, whatever an old reading says of it; another
 // life under the same name starts anew.
 func TestALeavingLifeStaysLeaving(t *testing.T) {
--- a/internal/control/balance/choose.go
+++ b/internal/control/balance/choose.go
@@ -6,6 +6,7 @@
 
 	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/domain/request"
 )
 
 // Costs that stand for themselves.
@@ -19,9 +20,6 @@
 	perRunning = 700 * time.Microsecond
 	// perQueued is what each request over the places adds.
 	perQueued = 60 * time.Millisecond
-	// retiringCost keeps requests away from a model that is about to go, unless no
-	// other server has it.
-	retiringCost = 10 * time.Second
 	// errorCost is what a server costs that fails every request.
 	errorCost = 3 * time.Second
 	// blur is the part of a cost that is random.
@@ -104,8 +102,9 @@
 	var lowest float64
 	verdict := NoneHolds
 	dice := ask.Dice
+	stays := p.modelStays(ask.Weights.Model)
 	for _, s := range p.list {
-		if !p.canAnswer(s, ask) {
+		if !p.canAnswer(s, ask) || stays && s.retiring[ask.Weights.Model] {
 			continue
 		}
 		if verdict == NoneHolds && !s.known.Leaving {
@@ -127,14 +126,24 @@
 	return s.known.Kind != backend.KindEngine || s.holds[ask.Weights]
 }
 
+// modelStays tells that a server holds a model and keeps it. Others that are about to
+// unload it are not asked for it any more, nor for its adapters: they would refuse,
+// again and again, while an adapter that nobody else holds comes to the one that
+// stays as soon as it is missed.
+func (p *Pool) modelStays(model ident.ModelName) bool {
+	for _, s := range p.list {
+		if !s.known.Leaving && !s.retiring[model] && s.holds[request.Weights{Model: model}] {
+			return true
+		}
+	}
+	return false
+}
+
 // cost is the expected time to the first byte with what else speaks against a
 // server.
 func (p *Pool) cost(now time.Time, s *server, ask *Ask) time.Duration {
 	tokens := s.unread(ask)
 	cost := p.expected(now, s, p.reading(ask.Weights.Model, tokens)) + p.way(s)
-	if s.retiring[ask.Weights.Model] {
-		cost += retiringCost
-	}
 	if over := s.errors - p.usualErrors(); over > 0 {
 		cost += time.Duration(over * float64(errorCost))
 	}
--- a/internal/control/loading/adapters.go
+++ b/internal/control/loading/adapters.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cicadaloom/internal/domain/backend"
+	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/domain/request"
 )
 
@@ -79,17 +80,17 @@
 	if len(best.allAdapters()) < p.engine.AdapterPlaces && p.free(best) >= spec.AdapterMemory {
 		return p.order(now, best, backend.LoadAdapter, weights), true
 	}
-	return p.evictAdapter(now)
+	return p.evictAdapter(now, weights.Model)
 }
 
-// evictAdapter unloads the adapter that was not asked for the longest, from any
-// server that takes an order.
-func (p *Planner) evictAdapter(now time.Time) (backend.Order, bool) {
+// evictAdapter unloads the adapter that was not asked for the longest, from the servers
+// with a model that take an order.
+func (p *Planner) evictAdapter(now time.Time, model ident.ModelName) (backend.Order, bool) {
 	var from *engine
 	var oldest request.Weights
 	var oldestAt time.Time
 	for _, e := range p.list {
-		if !e.open(now) {
+		if !e.open(now) || !e.serves(model) {
 			continue
 		}
 		for weights := range e.allAdapters() {
--- a/internal/host/gateway/control.go
+++ b/internal/host/gateway/control.go
@@ -51,6 +51,9 @@
 	pools    map[ident.ServiceName]*balance.Pool
 	suspects suspects.Machine
 	dirty    bool
+	// tickedAt is when the last tick came, late how many in a row came late.
+	tickedAt time.Time
+	late     int
 	gauges   gauges
 }
 
@@ -110,6 +113,7 @@
 }
 
 func (c *control) tick(now time.Time) {
+	c.noteLateness(now)
 	for name, host := range c.hosts {
 		if !host.missingSince.IsZero() && now.Sub(host.missingSince) > forgetHost {
 			delete(c.hosts, name)
@@ -128,6 +132,31 @@
 	c.plan(now)
 }
 
+const (
+	// lateTick is a tick that comes so late that the host can't do its duties: the
+	// machine is slow, or stood still.
+	lateTick = 4 * tick
+	// lateTicks is how many of them in a row end a holder's tenure.
+	lateTicks = 3
+)
+
+// noteLateness has a holder give up whose machine has become slow. It would still
+// keep its lease, and give an order every few seconds, by reports that are too old:
+// models that rise get no replicas in the meantime, and nobody else may give any.
+func (c *control) noteLateness(now time.Time) {
+	late := !c.tickedAt.IsZero() && now.Sub(c.tickedAt) > lateTick
+	c.tickedAt = now
+	if !late {
+		c.late = 0
+		return
+	}
+	c.late++
+	c.log.Info("control is late", zap.Int("Times", c.late))
+	if c.late >= lateTicks && c.tenure != nil {
+		c.tenure.ended.Store(true)
+	}
+}
+
 // publish brings the pools up to date with what is known of servers.
 func (c *control) publish(now time.Time) {
 	if !c.dirty || c.configuration == nil {
@@ -158,11 +187,14 @@
 	c.youngest.Store(youngest)
 }
 
-// pacerHosts gives the hosts that have an entry.
+// pacerHosts gives the hosts that have an entry, with a connection to each.
 func (c *control) pacerHosts() []pacing.Host {
 	hosts := make([]pacing.Host, 0, len(c.hosts))
 	for name, host := range c.hosts {
 		if host.missingSince.IsZero() {
+			if err := c.peers.Warm(host.address); err != nil {
+				c.log.Debug("peer not reached", zap.String("Peer", string(name)), zap.Error(err))
+			}
 			hosts = append(hosts, pacing.Host{
 				Name:    name,
 				Address: host.address,
--- a/internal/host/gateway/exchange.go
+++ b/internal/host/gateway/exchange.go
@@ -31,6 +31,7 @@
 	ticker := time.NewTicker(exchangeEvery)
 	defer ticker.Stop()
 	var last, gossip time.Time
+	holderLost := false
 	for {
 		urgent := false
 		select {
@@ -45,16 +46,29 @@
 			continue
 		}
 		last = now
-		g.askPeer(true)
+		if err := g.askPeer(true); (err != nil) != holderLost {
+			holderLost = err != nil
+			g.logHolder(err)
+		}
 		if now.Sub(gossip) > gossipEvery {
 			gossip = now
-			g.askPeer(false)
+			if err := g.askPeer(false); err != nil {
+				g.log.Debug("no word from peer", zap.Error(err))
+			}
 		}
 	}
 }
 
+func (g *Gateway) logHolder(err error) {
+	if err != nil {
+		g.log.Info("holder is lost", zap.Error(err))
+		return
+	}
+	g.log.Info("holder answers again")
+}
+
 // askPeer exchanges words with the holder, or with some other peer.
-func (g *Gateway) askPeer(holder bool) {
+func (g *Gateway) askPeer(holder bool) error {
 	reply := make(chan outgoing, 1)
 	g.post(wantsWord{
 		holder: holder,
@@ -64,20 +78,20 @@
 	select {
 	case out = <-reply:
 	case <-g.tomb.Dying():
-		return
+		return nil
 	}
 	if out.address == "" {
-		return
+		return nil
 	}
 	ctx, cancel := context.WithTimeout(g.context(), exchangeLimit)
 	defer cancel()
 	theirs, err := g.peers.Exchange(ctx, out.address, out.word)
 	if err != nil {
-		g.log.Debug("no word from peer", zap.String("Address", out.address), zap.Error(err))
 		g.peers.Drop(out.address)
-		return
+		return err
 	}
 	g.post(wordHeard{word: theirs})
+	return nil
 }
 
 // outgoing is a word and whom to tell it.
--- a/internal/host/gateway/holder.go
+++ b/internal/host/gateway/holder.go
@@ -201,19 +201,25 @@
 	g.log.Info("no longer holds the orders", zap.Int64("Token", int64(t.token)), zap.String("Why", why))
 }
 
+// endLease gives the holder's key back, so that another host can go on at once.
+func (g *Gateway) endLease(ctx context.Context, t *tenure) {
+	if err := g.options.KeyValue.End(context.WithoutCancel(ctx), t.lease); err != nil {
+		g.log.Info("lease left to lapse", zap.Error(err))
+	}
+}
+
 func (g *Gateway) keepTenure(t *tenure) string {
 	ctx := g.context()
 	for {
 		g.sleepUntilStop(holderKeep)
 		if g.stopping.Load() || !g.tomb.Alive() {
 			t.ended.Store(true)
-			if err := g.options.KeyValue.End(context.WithoutCancel(ctx), t.lease); err != nil {
-				return "the host stops; its lease is left to lapse: " + err.Error()
-			}
+			g.endLease(ctx, t)
 			return "the host stops"
 		}
 		if t.ended.Load() {
-			return "an engine has seen a later holder"
+			g.endLease(ctx, t)
+			return "an engine has seen a later holder, or this machine is slow"
 		}
 		steady, boot := steadyClock(), bootClock()
 		err := g.options.KeyValue.Keep(ctx, t.lease)
--- a/internal/peer/grpcpeer/grpcpeer.go
+++ b/internal/peer/grpcpeer/grpcpeer.go
@@ -113,6 +113,17 @@
 	return connection, nil
 }
 
+// Warm opens the connection to a peer before the first call: between regions it takes
+// longer than a call may.
+func (p *Pool) Warm(address string) error {
+	connection, err := p.Connection(address)
+	if err != nil {
+		return err
+	}
+	connection.Connect()
+	return nil
+}
+
 // Count gives how many connections the pool has.
 func (p *Pool) Count() int {
 	p.mu.Lock()
