loading, balance: Count places that answers hold; listen before retiring

Cause: a model that reads fast got one replica although its answers held all places of an engine; a new holder knew of no demand and retired busy replicas in its first second; after a loss of servers busy models gave up places for models that nobody asked for. Tests for each failed before.

--- a/internal/control/balance/balance.go
+++ b/internal/control/balance/balance.go
@@ -114,6 +114,8 @@
 	// perToken is how long an engine takes to read one prompt token, in seconds, by
 	// model: large models take up to ten times as long as small ones.
 	perToken map[ident.ModelName]float64
+	// answering is how long an answer takes from its first byte on, in seconds.
+	answering map[ident.ModelName]float64
 	// work is how long servers without models take.
 	work     time.Duration
 	prompt   float64 // mean work of a prompt, in seconds
@@ -131,7 +133,8 @@
 	Missed   int64
 	// Waiting counts the requests that wait for the weights now.
 	Waiting int64
-	// Work is how long one engine takes to read all of the prompts, in seconds.
+	// Work is how much of one engine's time the requests take, in seconds: the reading
+	// of their prompts, and their part of its places for as long as they are answered.
 	Work float64
 }
 
@@ -140,6 +143,8 @@
 	startPerToken = 55e-6 // seconds
 	startWork     = 20 * time.Millisecond
 	startPrompt   = 0.05 // seconds
+	// startAnswering is how long an answer of some 80 events takes.
+	startAnswering = 2.0 // seconds
 )
 
 // NewPool gives a pool without servers.
@@ -149,6 +154,7 @@
 		servers:   make(map[ident.ServerName]*server),
 		perServer: 1 << 20,
 		perToken:  make(map[ident.ModelName]float64),
+		answering: make(map[ident.ModelName]float64),
 		work:      startWork,
 		prompt:    startPrompt,
 		changed:   make(chan struct{}),
@@ -243,9 +249,24 @@
 	d := p.demandOf(weights)
 	d.Requests++
 	d.Tokens += int64(prompt)
-	work := p.reading(weights.Model, float64(prompt))
-	d.Work += work
-	p.prompt += (work - p.prompt) * slowWeight
+	reading := p.reading(weights.Model, float64(prompt))
+	d.Work += reading + p.placeTime(weights.Model)
+	p.prompt += (reading - p.prompt) * slowWeight
+}
+
+// placeTime is a request's part of an engine's places, in seconds. A model that reads
+// fast may still need many engines: its answers hold the places.
+func (p *Pool) placeTime(model ident.ModelName) float64 {
+	answering, measured := p.answering[model]
+	if !measured {
+		answering = startAnswering
+	}
+	for _, s := range p.list {
+		if s.known.Kind == backend.KindEngine && s.known.Slots > 0 {
+			return answering / float64(s.known.Slots)
+		}
+	}
+	return 0
 }
 
 // Missed counts a request of which no server held the weights when it came.
--- a/internal/control/balance/choose.go
+++ b/internal/control/balance/choose.go
@@ -57,8 +57,10 @@
 	work     float64
 	measures bool
 	since    time.Time
-	started  bool
-	ended    bool
+	// startedAt is when the first bytes of the answer came.
+	startedAt time.Time
+	started   bool
+	ended     bool
 }
 
 // Take chooses a server and counts the request as under way there.
@@ -254,6 +256,7 @@
 		return
 	}
 	t.start()
+	t.startedAt = now
 	s, p := t.server, t.pool
 	took := now.Sub(t.since)
 	s.remember(t.ask.Weights, t.ask.Parts)
@@ -304,6 +307,7 @@
 	case Answered:
 		s.succeed()
 		s.errors -= s.errors * fastWeight
+		t.measureAnswering(now)
 	case Failed:
 		s.succeed()
 		s.errors += (1 - s.errors) * fastWeight
@@ -327,6 +331,19 @@
 	p.wake()
 }
 
+// measureAnswering takes in how long the answer took from its first byte on.
+func (t *Ticket) measureAnswering(now time.Time) {
+	if t.server.known.Kind != backend.KindEngine || t.startedAt.IsZero() {
+		return
+	}
+	model := t.ask.Weights.Model
+	known, measured := t.pool.answering[model]
+	if !measured {
+		known = startAnswering
+	}
+	t.pool.answering[model] = known + (now.Sub(t.startedAt).Seconds()-known)*fastWeight
+}
+
 // mix is the finalizer of splitmix64: it turns a counter into random bits.
 func mix(x uint64) uint64 {
 	x += 0x9e3779b97f4a7c15
--- a/internal/control/loading/loading.go
+++ b/internal/control/loading/loading.go
@@ -101,7 +101,9 @@
 	list   []*engine
 	demand map[request.Weights]*rate
 	// begun are the instants at which loads from the weight store may have begun.
-	begun     []time.Time
+	begun []time.Time
+	// begunAt is when the planner took its first step.
+	begunAt   time.Time
 	decisions []Decision
 }
 
@@ -322,6 +324,9 @@
 	if p.engine == nil {
 		return nil
 	}
+	if p.begunAt.IsZero() {
+		p.begunAt = now
+	}
 	p.settle(now)
 	p.forgetBegun(now)
 	p.count(now)
--- a/internal/control/loading/loading_test.go
+++ b/internal/control/loading/loading_test.go
@@ -10,6 +10,7 @@
 	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/domain/request"
+	"cicadaloom/internal/domain/unit"
 )
 
 // Orders get no answer and come seconds late, after newer ones or after a change of
@@ -196,6 +197,66 @@
 	require.LessOrEqual(t, retired, 4, "ma, mc, me and mf are missing")
 }
 
+// Servers are lost, and with them a model that nobody asks for. The only places are
+// those of a model that is asked for more than its replicas can do. It keeps them until
+// somebody asks for the other one; then that one is loaded.
+func TestABusyModelKeepsItsPlacesUntilTheOtherIsAskedFor(t *testing.T) {
+	w := newWorld(2, 2)
+	w.declare.Memory = 80 * unit.Gibibyte // one model each
+	for _, e := range w.engines {
+		e.held = append(e.held, request.Weights{
+			Model: "mb",
+		})
+	}
+	planner := NewPlanner(Options{})
+	planner.Declare(w.declare)
+	w.advance(100 * time.Millisecond)
+	ask := func(name ident.ModelName, work float64) {
+		planner.Ask(w.now, "r", request.Weights{
+			Model: name,
+		}, Demand{
+			Requests: 1,
+			Work:     work,
+		})
+	}
+	for range 50 {
+		ask("mb", 0.15)
+		w.round(planner, 1)
+	}
+	require.Equal(t, 2, w.holding("mb"))
+	for range 150 {
+		ask("mb", 0.15)
+		ask("ma", 0.001)
+		w.round(planner, 1)
+	}
+	require.Equal(t, 1, w.holding("ma"))
+	require.Equal(t, 1, w.holding("mb"))
+}
+
+// The holder changes in the middle of a busy minute. The new one knows of no demand
+// yet: it must not take the busy models for idle ones and retire their replicas.
+func TestANewPlannerRetiresNothingBeforeItHasListened(t *testing.T) {
+	w := newWorld(3, 2)
+	for _, e := range w.engines {
+		for _, name := range []ident.ModelName{"ma", "mb"} {
+			e.held = append(e.held, request.Weights{
+				Model: name,
+			})
+		}
+	}
+	planner := NewPlanner(Options{})
+	planner.Declare(w.declare)
+	for range 20 {
+		w.round(planner, 1)
+		require.Empty(t, planner.TakeDecisions())
+	}
+	for range 100 {
+		w.round(planner, 1)
+	}
+	require.Positive(t, w.holding("ma"))
+	require.Positive(t, w.holding("mb"))
+}
+
 // A request waits for an adapter that no engine holds. It is loaded where its model
 // is, at once; with all places taken, the one that rested the longest makes way.
 func TestAdaptersComeWhenTheyAreAskedFor(t *testing.T) {
--- a/internal/control/loading/moves.go
+++ b/internal/control/loading/moves.go
@@ -60,6 +60,28 @@
 	return orders
 }
 
+// spareLeft is the work for each replica up to which a model must be left to make way
+// for one that is held nowhere and that nobody asks for. After a loss of servers every
+// place is taken; a busy model that gave up its last but one then would make hundreds
+// of requests late for the sake of none. As soon as somebody asks for the missing one,
+// it gets its place.
+const spareLeft = 0.3
+
+// learnTime is how long a new planner listens before it takes a model for one that
+// nobody asks for. It begins without any demand: every busy model would look idle, and
+// lose the replicas that it needs just when the holder has changed.
+const learnTime = 2500 * time.Millisecond
+
+// hasLearned tells that the planner has listened for long enough.
+func (p *Planner) hasLearned(now time.Time) bool {
+	return now.Sub(p.begunAt) >= learnTime
+}
+
+// asked tells that requests for a model have come lately, or wait for it.
+func (p *Planner) asked(now time.Time, name ident.ModelName) bool {
+	return !p.silent(now, name)
+}
+
 // roomComing counts the servers where a replica is on its way out.
 func (p *Planner) roomComing() int {
 	count := 0
@@ -217,6 +239,9 @@
 // keepFree retires replicas that their models can do without, so that there is
 // room before a model needs it.
 func (p *Planner) keepFree(now time.Time) {
+	if !p.hasLearned(now) {
+		return
+	}
 	room := p.largest()
 	free := 0
 	for _, e := range p.list {
@@ -387,7 +412,10 @@
 	if !e.serves(v.spec.Name) || v.ready < 2 || p.free(e)+v.spec.Memory < m.spec.Memory {
 		return false
 	}
-	return pressure == 0 || pressure >= gainOverLoss*p.left(now, v)+leastGain
+	if pressure == 0 {
+		return p.asked(now, m.spec.Name) || p.hasLearned(now) && p.left(now, v) <= spareLeft
+	}
+	return pressure >= gainOverLoss*p.left(now, v)+leastGain
 }
 
 // workForTime turns a second of load time into work for each replica.
