loading: Add demand up once a step

Cause: a step looked through all demand for each pair of model and server. Ruled out: the watch, which had brought it in time, and peers. Change: demand by model, the goal and adapters are worked out once.

--- a/internal/control/loading/demand.go
+++ b/internal/control/loading/demand.go
@@ -50,6 +50,7 @@
 		}
 		p.demand[weights] = r
 	}
+	p.byModel = nil
 	r.decay(now)
 	r.short += demand.Work / shortSpan.Seconds()
 	r.long += demand.Work / longSpan.Seconds()
@@ -78,50 +79,72 @@
 	}
 }
 
+// modelDemand is the demand for a model with all its adapters.
+type modelDemand struct {
+	// short and long are engines' time a second over the two spans.
+	short   float64
+	long    float64
+	lastAsk time.Time
+	regions map[ident.Region]float64
+}
+
+// sumDemand adds the demand up by model, once for an instant: a step looks at it for
+// each pair of model and server.
+func (p *Planner) sumDemand(now time.Time) {
+	if p.summedAt.Equal(now) && p.byModel != nil {
+		return
+	}
+	p.summedAt = now
+	p.goalWork = 0
+	p.byModel = make(map[ident.ModelName]*modelDemand, len(p.models))
+	for weights, r := range p.demand {
+		r.decay(now)
+		sum, known := p.byModel[weights.Model]
+		if !known {
+			sum = &modelDemand{
+				regions: make(map[ident.Region]float64),
+			}
+			p.byModel[weights.Model] = sum
+		}
+		sum.short += r.short
+		sum.long += r.long
+		if r.lastAsk.After(sum.lastAsk) {
+			sum.lastAsk = r.lastAsk
+		}
+		for region, work := range r.regions {
+			sum.regions[region] += work
+		}
+	}
+}
+
+// demandFor gives the demand for a model; nobody asks for one that is not there.
+func (p *Planner) demandFor(now time.Time, name ident.ModelName) modelDemand {
+	p.sumDemand(now)
+	if sum, known := p.byModel[name]; known {
+		return *sum
+	}
+	return modelDemand{}
+}
+
 // expectedWork is the demand for a model with all its adapters, in engines' time a
 // second: what it is now, or what it will be in a moment if it rises.
 func (p *Planner) expectedWork(now time.Time, name ident.ModelName) float64 {
-	short, long := p.averages(now, name)
-	if short <= long {
-		return max(short, long*longPart)
+	d := p.demandFor(now, name)
+	if d.short <= d.long {
+		return max(d.short, d.long*longPart)
 	}
 	// The averages of a steady rise lie as far apart as it grows in the difference of
 	// their spans.
-	rise := (short - long) / (longSpan - shortSpan).Seconds()
-	return short + rise*riseAhead
-}
-
-// averages gives a model's demand over the short and the long span.
-func (p *Planner) averages(now time.Time, name ident.ModelName) (float64, float64) {
-	short, long := 0.0, 0.0
-	for weights, r := range p.demand {
-		if weights.Model != name {
-			continue
-		}
-		r.decay(now)
-		short += r.short
-		long += r.long
-	}
-	return short, long
+	rise := (d.short - d.long) / (longSpan - shortSpan).Seconds()
+	return d.short + rise*riseAhead
 }
 
 // rises tells that a model is asked for more than it was.
 func (p *Planner) rises(now time.Time, name ident.ModelName) bool {
-	short, long := p.averages(now, name)
-	return short > long
+	d := p.demandFor(now, name)
+	return d.short > d.long
 }
 
 // longPart is what the long average counts beside the short one: a model whose
 // demand has just ended keeps half of its places for the length of a lull.
 const longPart = 0.6
-
-// regionalWork is a model's demand in one region.
-func (p *Planner) regionalWork(name ident.ModelName, region ident.Region) float64 {
-	total := 0.0
-	for weights, r := range p.demand {
-		if weights.Model == name {
-			total += r.regions[region]
-		}
-	}
-	return total
-}
--- a/internal/control/loading/loading.go
+++ b/internal/control/loading/loading.go
@@ -100,6 +100,11 @@
 	// list has the engines in the order of their names.
 	list   []*engine
 	demand map[request.Weights]*rate
+	// byModel is the demand by model at summedAt.
+	byModel  map[ident.ModelName]*modelDemand
+	summedAt time.Time
+	// goalWork is the goal that follows from it, 0 until it is asked for.
+	goalWork float64
 	// begun are the instants at which loads from the weight store may have begun.
 	begun []time.Time
 	// begunAt is when the planner took its first step.
@@ -150,6 +155,8 @@
 	adapters map[request.Weights]time.Time
 	pending  *pending
 	retiring map[ident.ModelName]time.Time
+	// known are the adapters that allAdapters found, nil when they may have changed.
+	known map[request.Weights]bool
 	// waitUntil holds back orders after one was turned down, until reports are new.
 	waitUntil time.Time
 }
@@ -240,6 +247,7 @@
 	}
 	e.report = *report
 	e.reported = true
+	e.known = nil
 	e.accepted = report.OrdersAccepted
 	for weights := range e.adapters {
 		if !e.hasModel(weights.Model) {
@@ -260,6 +268,7 @@
 		return
 	}
 	e.pending.unanswered = false
+	e.known = nil
 	switch answer {
 	case backend.OrderAccepted, backend.OrderHolds:
 		p.accept(now, e, answer)
@@ -312,8 +321,10 @@
 		switch {
 		case taken && !e.report.OrderUnderWay:
 			e.pending = nil
+			e.known = nil
 		case !taken && !order.acceptedAt.IsZero() && now.Sub(order.acceptedAt) > startTrust:
 			e.pending = nil // the engine has lost the order
+			e.known = nil
 			e.accepted = e.report.OrdersAccepted
 		}
 	}
@@ -419,8 +430,14 @@
 // free is the memory of a server that nothing has and no order may yet take.
 func (p *Planner) free(e *engine) unit.Bytes {
 	free := p.engine.Memory
-	for name, m := range p.models {
-		if e.hasModel(name) || e.isLoading(name) {
+	for i := range e.report.Residents {
+		resident := &e.report.Residents[i]
+		if m, declared := p.models[resident.Model]; declared && resident.Adapter == "" {
+			free -= m.spec.Memory
+		}
+	}
+	if e.pending != nil && e.pending.order.Kind == backend.LoadModel && !e.hasModel(e.pending.order.Model) {
+		if m, declared := p.models[e.pending.order.Model]; declared {
 			free -= m.spec.Memory
 		}
 	}
@@ -435,6 +452,9 @@
 // allAdapters gives the adapters that are on a server, on their way there, or may
 // be.
 func (e *engine) allAdapters() map[request.Weights]bool {
+	if e.known != nil {
+		return e.known
+	}
 	all := make(map[request.Weights]bool)
 	for _, list := range [][]backend.Resident{e.report.Residents, e.report.Coming} {
 		for i := range list {
@@ -449,6 +469,7 @@
 	if e.pending != nil && e.pending.order.Kind == backend.LoadAdapter {
 		all[e.pending.weights()] = true
 	}
+	e.known = all
 	return all
 }
 
@@ -478,6 +499,7 @@
 		Adapter:     weights.Adapter,
 		AfterOrders: e.accepted,
 	}
+	e.known = nil
 	e.pending = &pending{
 		order:  order,
 		sentAt: now,
--- a/internal/control/loading/moves.go
+++ b/internal/control/loading/moves.go
@@ -116,7 +116,7 @@
 		if !own && !p.mayBegin(now) {
 			continue
 		}
-		cost := length.Seconds() - p.regionalNeed(m, e) + busyness(e)
+		cost := length.Seconds() - p.regionalNeed(now, m, e) + busyness(e)
 		if best == nil || cost < lowest {
 			best, lowest = e, cost
 		}
@@ -148,12 +148,11 @@
 
 // regionalNeed tells how much a model is short of replicas in a server's region,
 // in seconds of load time that it is worth.
-func (p *Planner) regionalNeed(m *model, e *engine) float64 {
+func (p *Planner) regionalNeed(now time.Time, m *model, e *engine) float64 {
 	total, there := 0.0, 0.0
-	for _, r := range p.regions() {
-		work := p.regionalWork(m.spec.Name, r)
+	for region, work := range p.demandFor(now, m.spec.Name).regions {
 		total += work
-		if r == e.Region {
+		if region == e.Region {
 			there = work
 		}
 	}
@@ -176,16 +175,6 @@
 // model's replicas where its demand is.
 const regionalWeight = 3.0
 
-func (p *Planner) regions() []ident.Region {
-	var regions []ident.Region
-	for _, e := range p.list {
-		if !slices.Contains(regions, e.Region) {
-			regions = append(regions, e.Region)
-		}
-	}
-	return regions
-}
-
 // goal is the work for each replica that models are given replicas for: so much that
 // all of them together have as many replicas as there are servers. An engine's time
 // is what binds, not the replica's: two busy models on one server share it. Spread so
@@ -193,11 +182,16 @@
 // at once, where otherwise a busy one has to serve its requests to their ends first,
 // four seconds and more.
 func (p *Planner) goal(now time.Time) float64 {
+	p.sumDemand(now)
+	if p.goalWork > 0 {
+		return p.goalWork
+	}
 	total := 0.0
 	for name := range p.models {
 		total += p.expectedWork(now, name)
 	}
-	return max(total/float64(max(len(p.list), 1)), leastGoal)
+	p.goalWork = max(total/float64(max(len(p.list), 1)), leastGoal)
+	return p.goalWork
 }
 
 // target is how many replicas a model should have.
@@ -307,12 +301,7 @@
 // silent tells that a model's requests have ceased: a replica of it makes way at
 // once, as nothing runs there.
 func (p *Planner) silent(now time.Time, name ident.ModelName) bool {
-	for weights, r := range p.demand {
-		if weights.Model == name && now.Sub(r.lastAsk) < silentAfter {
-			return false
-		}
-	}
-	return true
+	return now.Sub(p.demandFor(now, name).lastAsk) >= silentAfter
 }
 
 // silentAfter is how long a model must not have been asked for to count as silent:
@@ -394,7 +383,7 @@
 		if !own && !p.mayBegin(now) {
 			continue
 		}
-		cost := workForTime * (length.Seconds() - p.regionalNeed(m, e) + busyness(e))
+		cost := workForTime * (length.Seconds() - p.regionalNeed(now, m, e) + busyness(e))
 		for _, v := range p.models {
 			if p.mayMakeWay(now, e, v, m, pressure) {
 				best.offer(e, v, p.left(now, v)+cost)
