--- a/internal/command/cicadaloom/reference.go
+++ b/internal/command/cicadaloom/reference.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"cicadaloom/internal/command/program"
+	"cicadaloom/internal/config/gateway"
 	"cicadaloom/internal/config/settings"
 )
 
@@ -30,6 +31,10 @@
 	for _, field := range settings.Reference() {
 		writeRow(to.Out, "`"+field.Path+"`", field.Kind, field.Default, field.Allowed, field.Meaning)
 	}
+	fmt.Fprint(to.Out, "\n## Settings of `cicadaloom gateway`\n\n| setting | kind | default | allowed | meaning |\n| --- | --- | --- | --- | --- |\n")
+	for _, field := range gateway.Reference() {
+		writeRow(to.Out, "`"+field.Path+"`", field.Kind, field.Default, field.Allowed, field.Meaning)
+	}
 	return nil
 }
 
--- a/internal/control/loading/moves.go
+++ b/internal/control/loading/moves.go
@@ -237,13 +237,7 @@
 		return
 	}
 	room := p.largest()
-	free := 0
-	for _, e := range p.list {
-		if !e.Leaving && (p.hasRoom(now, e, room) || e.makesRoom()) {
-			free++
-		}
-	}
-	if float64(free) >= freeShare*float64(len(p.list)) || p.tooManyRetire() {
+	if p.countRoom(now, room) >= freeShare*float64(len(p.list)) || p.tooManyRetire() {
 		return
 	}
 	var best choice
@@ -263,6 +257,17 @@
 	}
 }
 
+// countRoom counts the servers that have room for a model, or will in a moment.
+func (p *Planner) countRoom(now time.Time, room unit.Bytes) float64 {
+	count := 0.0
+	for _, e := range p.list {
+		if !e.Leaving && (p.hasRoom(now, e, room) || e.makesRoom()) {
+			count++
+		}
+	}
+	return count
+}
+
 // hasRoom tells that a server has room for a model, or nearly so.
 func (p *Planner) hasRoom(now time.Time, e *engine, room unit.Bytes) bool {
 	return p.free(e) >= room || p.holdsLight(now, e)
