retries: Give a process no free retries in its first window

Cause: after a restart a host had its whole part of the free retries again, in the window in which its earlier life had spent it.

--- a/internal/config/gateway/gateway_test.go
+++ b/internal/config/gateway/gateway_test.go
@@ -1,11 +1,11 @@
 package gateway
 
 import (
-	"errors"
 	"os"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
 	"cicadaloom/internal/config/jsonfile"
--- a/internal/control/retries/retries.go
+++ b/internal/control/retries/retries.go
@@ -42,6 +42,8 @@
 	Window time.Duration
 	// Slack is how many retries are free in a window, over all hosts.
 	Slack float64
+	// Begun is when this host's process started.
+	Begun time.Time
 }
 
 // Budget counts requests and retries of each service. It is safe for use by many
@@ -94,7 +96,7 @@
 		requests += c.requests[i]
 		spent += c.spent[i]
 	}
-	allowed := safety * (b.options.Ratio*float64(requests) + b.options.Slack/float64(b.hosts))
+	allowed := safety * (b.options.Ratio*float64(requests) + b.slack(now))
 	if float64(spent+1) > allowed {
 		return false
 	}
@@ -102,6 +104,17 @@
 	return true
 }
 
+// slack is this host's part of the free retries. A process that has only begun has
+// none: it doesn't know what its earlier life has spent in the same window. Were it to
+// spend its part again, a fleet that is killed while servers fail would go over the
+// budget by nearly half.
+func (b *Budget) slack(now time.Time) float64 {
+	if now.Sub(b.options.Begun) < b.options.Window {
+		return 0
+	}
+	return b.options.Slack / float64(b.hosts)
+}
+
 // counts gives a service's ring, moved on to now.
 func (b *Budget) counts(now time.Time, service ident.ServiceName) *counts {
 	bucket := now.UnixNano() / max(int64(b.options.Window)/buckets, 1)
--- a/internal/control/retries/retries_test.go
+++ b/internal/control/retries/retries_test.go
@@ -59,6 +59,37 @@
 	return n
 }
 
+// Servers fail, all hosts retry as much as they may, and then all hosts are killed and
+// start again within seconds, with nothing known of what they had spent. In the window
+// that has both, they must not spend their free part twice.
+func TestARestartGivesNoSecondBudget(t *testing.T) {
+	options := Options{
+		Ratio:  0.2,
+		Window: 10 * time.Second,
+		Slack:  54,
+	}
+	const hosts = 7
+	var spent []time.Time
+	for range hosts {
+		for life := range 3 {
+			begun := start.Add(time.Duration(life) * 3 * time.Second)
+			options.Begun = begun
+			if life == 0 {
+				options.Begun = begun.Add(-time.Minute)
+			}
+			budget := New(options)
+			budget.SetHosts(hosts)
+			for range 30 {
+				if budget.Take(begun.Add(time.Second), "notes") {
+					spent = append(spent, begun.Add(time.Second))
+				}
+			}
+		}
+	}
+	require.LessOrEqual(t, float64(count(spent, start, options.Window)), options.Slack)
+	require.NotEmpty(t, spent)
+}
+
 // A host that does not know how many others there are spends as if there were many.
 func TestPartsShrinkWithTheHosts(t *testing.T) {
 	budget := New(Options{
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -158,6 +158,7 @@
 			Ratio:  options.Settings.Bounds.RetryRatio,
 			Window: options.Settings.Bounds.RetryWindow,
 			Slack:  options.Settings.Bounds.RetrySlack,
+			Begun:  processStart,
 		}),
 	}
 	g.budget.SetHosts(unknownHosts)
