--- a/internal/host/gateway/exchange.go
+++ b/internal/host/gateway/exchange.go
@@ -21,8 +21,9 @@
 	// urgentEvery is between two words while requests wait for weights.
 	urgentEvery = 40 * time.Millisecond
 	// gossipEvery is between two words to some other peer.
-	gossipEvery   = time.Second
-	exchangeLimit = 500 * time.Millisecond
+	gossipEvery = time.Second
+	// exchangeLimit has room for a configuration's text on a slow link.
+	exchangeLimit = 900 * time.Millisecond
 )
 
 // exchange tells the holder what is asked for, and some peer now and then what
--- a/internal/host/gateway/watch.go
+++ b/internal/host/gateway/watch.go
@@ -21,9 +21,10 @@
 // watcher takes in what stands under one prefix of the key-value service.
 type watcher struct {
 	prefix string
-	// newest tells that only the newest state counts: after a change it is read again,
-	// rather than each step on the way. Configurations are large, and in a quick series
-	// of them the steps alone would fill a slow link for seconds.
+	// newest tells that only the newest state counts: where several changes come at once,
+	// it is read again after a pause, rather than each step on the way. Configurations are
+	// large, and in a quick series of them the steps alone would fill a slow link for
+	// seconds.
 	newest  bool
 	replace func(entries []store.Entry)
 	change  func(events []store.Event)
@@ -38,6 +39,12 @@
 		prefix:  g.options.Layout.ConfigurationKey,
 		newest:  true,
 		replace: func(entries []store.Entry) { g.post(configurationListed{entries: entries}) },
+		change: func(events []store.Event) {
+			last := &events[len(events)-1]
+			if !last.Deleted {
+				g.post(configurationListed{entries: []store.Entry{last.Entry}})
+			}
+		},
 	})
 }
 
@@ -69,7 +76,6 @@
 		case !g.tomb.Alive():
 			return nil
 		case errors.Is(err, errChanged):
-			g.sleep(g.fleetPace(changePace))
 			continue
 		case !lost:
 			g.log.Warn("key-value service is lost", zap.String("Prefix", w.prefix), zap.Error(err))
@@ -96,11 +102,11 @@
 		if len(batch.Events) == 0 {
 			return nil
 		}
-		if w.newest {
-			return errChanged
-		}
 		w.change(batch.Events)
 		g.sleep(g.fleetPace(changePace))
+		if w.newest && len(batch.Events) > 1 {
+			return errChanged
+		}
 		return nil
 	})
 }
