--- a/internal/control/loading/loading.go
+++ b/internal/control/loading/loading.go
@@ -45,7 +45,6 @@
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/domain/request"
 	"cicadaloom/internal/domain/route"
-	"cicadaloom/internal/domain/unit"
 )
 
 // Options are the bounds that the deployment sets. Zero fields take the defaults.
@@ -141,36 +140,6 @@
 	ready int
 }
 
-// engine is what the planner knows of one server.
-type engine struct {
-	Server
-	report   backend.Report
-	reported bool
-	// accepted is the count of accepted orders, by reports and by answers, the last of
-	// which came at acceptedAt.
-	accepted   int64
-	acceptedAt time.Time
-	// adapters has the adapters that answers prove to be there, with the instant
-	// from which requests may ask for them.
-	adapters map[request.Weights]time.Time
-	pending  *pending
-	retiring map[ident.ModelName]time.Time
-	// known are the adapters that allAdapters found, nil when they may have changed.
-	known map[request.Weights]bool
-	// waitUntil holds back orders after one was turned down, until reports are new.
-	waitUntil time.Time
-}
-
-// pending is the one order to a server that isn't settled.
-type pending struct {
-	order  backend.Order
-	sentAt time.Time
-	// acceptedAt is set once the engine has taken the order.
-	acceptedAt time.Time
-	unanswered bool
-	cold       bool
-}
-
 // NewPlanner gives a planner that knows nothing.
 func NewPlanner(options Options) *Planner {
 	options.Window = cmp.Or(options.Window, defaultWindow)
@@ -386,108 +355,6 @@
 	}
 }
 
-// deadAfter is how long an engine may give no report before its models count as
-// gone and are loaded elsewhere.
-const deadAfter = 2 * time.Second
-
-// open tells whether an order may be decided for a server now.
-func (e *engine) open(now time.Time) bool {
-	return e.reported && !e.Leaving && e.pending == nil && !e.report.OrderUnderWay && !now.Before(e.waitUntil) &&
-		now.Sub(e.report.At) < reportTrust && e.report.OrdersAccepted == e.accepted
-}
-
-// serves tells whether a server holds a model and keeps it.
-func (e *engine) serves(name ident.ModelName) bool {
-	if _, goes := e.retiring[name]; goes {
-		return false
-	}
-	return e.hasModel(name) && !e.isUnloading(name)
-}
-
-func (e *engine) hasModel(name ident.ModelName) bool {
-	for i := range e.report.Residents {
-		if e.report.Residents[i].Model == name && e.report.Residents[i].Adapter == "" {
-			return true
-		}
-	}
-	return false
-}
-
-func (e *engine) isLoading(name ident.ModelName) bool {
-	return e.pending != nil && e.pending.order.Kind == backend.LoadModel && e.pending.order.Model == name
-}
-
-func (e *engine) isUnloading(name ident.ModelName) bool {
-	return e.pending != nil && e.pending.order.Kind == backend.UnloadModel && e.pending.order.Model == name
-}
-
-func (e *engine) dropResident(weights request.Weights) {
-	e.report.Residents = slices.DeleteFunc(slices.Clone(e.report.Residents), func(r backend.Resident) bool {
-		return r.Model == weights.Model && r.Adapter == weights.Adapter
-	})
-}
-
-// free is the memory of a server that nothing has and no order may yet take.
-func (p *Planner) free(e *engine) unit.Bytes {
-	free := p.engine.Memory
-	for i := range e.report.Residents {
-		resident := &e.report.Residents[i]
-		if m, declared := p.models[resident.Model]; declared && resident.Adapter == "" {
-			free -= m.spec.Memory
-		}
-	}
-	if e.pending != nil && e.pending.order.Kind == backend.LoadModel && !e.hasModel(e.pending.order.Model) {
-		if m, declared := p.models[e.pending.order.Model]; declared {
-			free -= m.spec.Memory
-		}
-	}
-	for weights := range e.allAdapters() {
-		if m, declared := p.models[weights.Model]; declared {
-			free -= m.spec.AdapterMemory
-		}
-	}
-	return free
-}
-
-// allAdapters gives the adapters that are on a server, on their way there, or may
-// be.
-func (e *engine) allAdapters() map[request.Weights]bool {
-	if e.known != nil {
-		return e.known
-	}
-	all := make(map[request.Weights]bool)
-	for _, list := range [][]backend.Resident{e.report.Residents, e.report.Coming} {
-		for i := range list {
-			if list[i].Adapter != "" {
-				all[weightsOf(&list[i])] = true
-			}
-		}
-	}
-	for weights := range e.adapters {
-		all[weights] = true
-	}
-	if e.pending != nil && e.pending.order.Kind == backend.LoadAdapter {
-		all[e.pending.weights()] = true
-	}
-	e.known = all
-	return all
-}
-
-func weightsOf(resident *backend.Resident) request.Weights {
-	return request.Weights{
-		Model:   resident.Model,
-		Adapter: resident.Adapter,
-	}
-}
-
-// weights gives what the order is about.
-func (p *pending) weights() request.Weights {
-	return request.Weights{
-		Model:   p.order.Model,
-		Adapter: p.order.Adapter,
-	}
-}
-
 // order books an order to a server.
 func (p *Planner) order(now time.Time, e *engine, kind backend.OrderKind, weights request.Weights) backend.Order {
 	order := backend.Order{
--- /dev/null
+++ b/internal/control/loading/room.go
@@ -0,0 +1,139 @@
+package loading
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"cicadaloom/internal/domain/backend"
+	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/domain/unit"
+)
+
+// keepFree retires replicas that their models can do without, so that there is
+// room before a model needs it.
+func (p *Planner) keepFree(now time.Time) {
+	if !p.hasLearned(now) {
+		return
+	}
+	room := p.largest()
+	if p.countRoom(now, room) >= freeShare*float64(len(p.list)) || p.tooManyRetire() {
+		return
+	}
+	var best choice
+	for _, e := range p.list {
+		if !e.open(now) || len(e.retiring) > 0 || p.hasRoom(now, e, room) {
+			continue
+		}
+		for _, v := range p.models {
+			if p.canDoWithout(now, e, v) && p.free(e)+v.spec.Memory >= room {
+				cost := p.left(now, v) + workForTime*busyness(e)
+				best.offer(e, v, cost)
+			}
+		}
+	}
+	if best.engine != nil {
+		p.retire(now, best.engine, best.victim, "", best.cost)
+	}
+}
+
+// countRoom counts the servers that have room for a model, or will in a moment.
+func (p *Planner) countRoom(now time.Time, room unit.Bytes) float64 {
+	count := 0.0
+	for _, e := range p.list {
+		if !e.Leaving && (p.hasRoom(now, e, room) || e.makesRoom()) {
+			count++
+		}
+	}
+	return count
+}
+
+// hasRoom tells that a server has room for a model, or nearly so.
+func (p *Planner) hasRoom(now time.Time, e *engine, room unit.Bytes) bool {
+	return p.free(e) >= room || p.holdsLight(now, e)
+}
+
+// makesRoom tells that a replica is on its way out.
+func (e *engine) makesRoom() bool {
+	return len(e.retiring) > 0 || e.pending != nil && e.pending.order.Kind == backend.UnloadModel
+}
+
+// canDoWithout tells that a model has more replicas than it should, and doesn't rise.
+func (p *Planner) canDoWithout(now time.Time, e *engine, v *model) bool {
+	return e.serves(v.spec.Name) && v.ready > max(p.target(now, v), 1) && !p.rises(now, v.spec.Name)
+}
+
+// left is the work for each replica that a model is left with after losing one.
+func (p *Planner) left(now time.Time, v *model) float64 {
+	return p.expectedWork(now, v.spec.Name) / float64(max(v.replicas-1, 1))
+}
+
+// silent tells that a model's requests have ceased: a replica of it makes way at
+// once, as nothing runs there.
+func (p *Planner) silent(now time.Time, name ident.ModelName) bool {
+	return now.Sub(p.demandFor(now, name).lastAsk) >= silentAfter
+}
+
+// silentAfter is how long a model must not have been asked for to count as silent:
+// longer than most of its answers take.
+const silentAfter = 4 * time.Second
+
+// holdsLight tells that a server holds a model of little use that others hold as
+// well: it can make way nearly at once.
+func (p *Planner) holdsLight(now time.Time, e *engine) bool {
+	for name, m := range p.models {
+		if m.ready > 1 && e.serves(name) && p.expectedWork(now, name) < lightWork {
+			return true
+		}
+	}
+	return false
+}
+
+// prepare loads second replicas of models that nobody asks for now into memory that
+// is free, so that a sudden demand finds them: those with adapters first, which
+// serve more callers than others. They make way at once for whatever is asked for.
+func (p *Planner) prepare(now time.Time) []backend.Order {
+	var idle []*model
+	for _, m := range p.models {
+		if m.spec.Adapters > 0 && m.replicas > 0 && m.replicas < prepared && p.expectedWork(now, m.spec.Name) < lightWork {
+			idle = append(idle, m)
+		}
+	}
+	slices.SortFunc(idle, func(a, b *model) int {
+		return cmp.Or(cmp.Compare(a.replicas, b.replicas), cmp.Compare(a.spec.Name, b.spec.Name))
+	})
+	var orders []backend.Order
+	for _, m := range idle {
+		if order, found := p.place(now, m); found {
+			orders = append(orders, order)
+		}
+	}
+	return orders
+}
+
+// prepared is how many replicas a model is kept ready with that nobody asks for.
+const prepared = 3
+
+// largest is the memory of the largest declared model.
+func (p *Planner) largest() unit.Bytes {
+	largest := unit.Bytes(0)
+	for _, m := range p.models {
+		largest = max(largest, m.spec.Memory)
+	}
+	return largest
+}
+
+// retire has a replica make way for a model, or for none in particular.
+func (p *Planner) retire(now time.Time, e *engine, v *model, reason ident.ModelName, left float64) {
+	e.retiring[v.spec.Name] = now
+	v.replicas--
+	v.ready--
+	p.decisions = append(p.decisions, Decision{
+		Server:   e.Name,
+		Model:    v.spec.Name,
+		For:      reason,
+		Work:     p.expectedWork(now, v.spec.Name),
+		Left:     left,
+		Replicas: v.replicas,
+	})
+}
