--- a/internal/control/balance/balance.go
+++ b/internal/control/balance/balance.go
@@ -117,11 +117,10 @@
 	// answering is how long an answer takes from its first byte on, in seconds.
 	answering map[ident.ModelName]float64
 	// work is how long servers without models take.
-	work     time.Duration
-	prompt   float64 // mean work of a prompt, in seconds
-	changed  chan struct{}
-	demand   map[request.Weights]*Demand
-	hasModel bool
+	work    time.Duration
+	prompt  float64 // mean work of a prompt, in seconds
+	changed chan struct{}
+	demand  map[request.Weights]*Demand
 }
 
 // Demand is what was asked of one set of weights.
@@ -216,9 +215,6 @@
 		p.servers[told.Name] = s
 	}
 	s.take(now, told)
-	if told.Kind == backend.KindEngine {
-		p.hasModel = true
-	}
 }
 
 // wake lets the requests that wait look again.
@@ -314,29 +310,3 @@
 	}
 	return taken
 }
-
-// UnderWay gives what this host has under way at a server.
-func (p *Pool) UnderWay(name ident.ServerName) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if s, known := p.servers[name]; known {
-		return s.own
-	}
-	return 0
-}
-
-// Free tells that under half of the places of the servers that hold the weights
-// are taken and nothing waits there, as far as this host knows.
-func (p *Pool) Free(weights request.Weights) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	taken, places := 0, 0
-	for _, s := range p.list {
-		if s.known.Leaving || !s.holds[weights] {
-			continue
-		}
-		taken += s.load()
-		places += s.known.Slots
-	}
-	return 2*taken < places
-}
--- a/internal/control/loading/pace.go
+++ b/internal/control/loading/pace.go
@@ -7,9 +7,9 @@
 	"cicadaloom/internal/domain/ident"
 )
 
-// paceLimit is how many loads from the weight store may begin in one window. The
-// bench of the bound is the instant at which a load begins at the engine, a way
-// later than it is counted here, so one is kept back.
+// paceLimit is how many loads from the weight store may begin in one window. What
+// counts is the instant at which a load begins at the engine, a way later than it is
+// counted here, so one is kept back.
 func (p *Planner) paceLimit() int {
 	allowed := p.engine.LoadsPerSecond*p.options.Window.Seconds()*p.options.Overshoot + coldLoads
 	return max(int(allowed)-1, 1)
@@ -36,8 +36,8 @@
 	}
 }
 
-// atHand tells whether a load takes the weights from the server itself, and how
-// long it takes.
+// loadTime gives how long a load takes, and whether the weights come from the server
+// itself.
 func (p *Planner) loadTime(e *engine, m *model) (time.Duration, bool) {
 	switch {
 	case contains(e.report.InHostMemory, m.spec.Name):
--- a/internal/traffic/relay/stream.go
+++ b/internal/traffic/relay/stream.go
@@ -21,7 +21,6 @@
 	begun bool
 	// lastID is the id of the last event passed on, as the server wrote it.
 	lastID  string
-	number  int64
 	version ident.Version
 	// firstAfter is how long the first event took, longestGap the longest pause after
 	// it, lastAt when the last event was passed on.
@@ -122,7 +121,6 @@
 	if last, err := strconv.ParseInt(known, 10, 64); err == nil && number != last+1 {
 		return false
 	}
-	s.stream.number = number
 	return true
 }
 
