relay: Log and count each request once

Cause: an answer in one piece was noted where it was passed on and again where the send ended. TestEachRequestIsLoggedOnce failed first (2 lines of 1).

--- a/internal/traffic/relay/relay_test.go
+++ b/internal/traffic/relay/relay_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/ident"
@@ -302,6 +304,19 @@
 	require.Equal(t, wholeStream(2), w.ask(http.MethodPost, "r6", http.Header{"Text": {"bread"}}).body)
 }
 
+// An engineer counts the lines of failed requests. Each request has one line and one
+// count, whichever way it ended.
+func TestEachRequestIsLoggedOnce(t *testing.T) {
+	for _, answer := range []http.HandlerFunc{say(http.StatusOK, "sent"), say(http.StatusInternalServerError, "broken"), breakOff, refuse, events(3, 0)} {
+		w := newWorld(t, streamRoute(false))
+		core, lines := observer.New(zap.InfoLevel)
+		w.handler.Log = zap.New(core)
+		w.serve("a", answer)
+		w.ask(http.MethodPost, "r1", http.Header{"Left": {"200ms"}})
+		require.Equal(t, 1, lines.FilterMessage("answered").Len())
+	}
+}
+
 func TestBadInputIsRefused(t *testing.T) {
 	w := newWorld(t, unsafeRoute())
 	w.serve("a", say(http.StatusOK, "sent"))
--- a/internal/traffic/relay/send.go
+++ b/internal/traffic/relay/send.go
@@ -155,7 +155,7 @@
 			why:    "the stream was not resumed",
 		}
 	}
-	s.pass(answer, "")
+	s.pass(answer)
 	return sent{
 		result:   balance.Answered,
 		finished: true,
--- a/internal/traffic/relay/serving.go
+++ b/internal/traffic/relay/serving.go
@@ -278,7 +278,8 @@
 	case s.trail.Outcome().IsNotRun():
 		s.refuse(comeBack, why)
 	case s.last != nil:
-		s.pass(s.last, why)
+		s.pass(s.last)
+		s.done(s.last.status, why)
 	default:
 		s.fail(http.StatusBadGateway, why)
 	}
@@ -323,12 +324,11 @@
 }
 
 // pass gives a server's whole answer to the client.
-func (s *serving) pass(answer *wholeAnswer, why string) {
+func (s *serving) pass(answer *wholeAnswer) {
 	copyHeader(s.writer.Header(), answer.header)
 	s.writer.Header().Set("Content-Length", strconv.Itoa(len(answer.body)))
 	s.writer.WriteHeader(answer.status)
 	_, _ = s.writer.Write(answer.body) // a client that has gone reads nothing
-	s.done(answer.status, why)
 }
 
 func copyHeader(to, from http.Header) {
