relay: Refuse weights that nobody has declared

Cause: a request for an unknown model waited for six tenths of its time, and counted as demand; for an unknown adapter the holder gave an order in vain several times a second. TestUndeclaredWeightsAreRefusedAtOnce failed first (it was not refused).

--- a/internal/control/loading/bench_test.go
+++ b/internal/control/loading/bench_test.go
@@ -24,7 +24,7 @@
 		declared.Models = append(declared.Models, route.Model{
 			Name:          ident.ModelName("m" + strconv.Itoa(i)),
 			Memory:        66 * unit.Gibibyte,
-			Adapters:      4,
+			Adapters:      []ident.AdapterName{"a0", "a1", "a2", "a3"},
 			AdapterMemory: unit.Mebibyte,
 		})
 	}
--- a/internal/control/loading/loading_test.go
+++ b/internal/control/loading/loading_test.go
@@ -45,7 +45,7 @@
 			weights := request.Weights{
 				Model: model.Name,
 			}
-			if model.Adapters > 0 && rapid.Bool().Draw(t, "adapter") {
+			if len(model.Adapters) > 0 && rapid.Bool().Draw(t, "adapter") {
 				weights.Adapter = ident.AdapterName(rapid.SampledFrom([]string{"a1", "a2", "a3", "a4", "a5"}).Draw(t, "name"))
 			}
 			planner.Ask(w.now, "r", weights, Demand{
--- a/internal/control/loading/room.go
+++ b/internal/control/loading/room.go
@@ -95,7 +95,7 @@
 func (p *Planner) prepare(now time.Time) []backend.Order {
 	var idle []*model
 	for _, m := range p.models {
-		if m.spec.Adapters > 0 && m.replicas > 0 && m.replicas < prepared && p.expectedWork(now, m.spec.Name) < lightWork {
+		if len(m.spec.Adapters) > 0 && m.replicas > 0 && m.replicas < prepared && p.expectedWork(now, m.spec.Name) < lightWork {
 			idle = append(idle, m)
 		}
 	}
--- a/internal/control/loading/world_test.go
+++ b/internal/control/loading/world_test.go
@@ -56,7 +56,7 @@
 		w.declare.Models = append(w.declare.Models, route.Model{
 			Name:          ident.ModelName("m" + string(rune('a'+i))),
 			Memory:        unit.Bytes(45+30*(i%2)) * unit.Gibibyte,
-			Adapters:      5 * (i % 2),
+			Adapters:      []ident.AdapterName{"a1", "a2", "a3", "a4", "a5"}[:5*(i%2)],
 			AdapterMemory: unit.Gibibyte,
 			LoadTime:      8 * time.Second,
 			DiskTime:      1700 * time.Millisecond,
--- a/internal/domain/route/route.go
+++ b/internal/domain/route/route.go
@@ -22,6 +22,7 @@
 package route
 
 import (
+	"slices"
 	"time"
 
 	"cicadaloom/internal/domain/ident"
@@ -114,7 +115,7 @@
 type Model struct {
 	Name          ident.ModelName
 	Memory        unit.Bytes
-	Adapters      int // how many are declared
+	Adapters      []ident.AdapterName
 	AdapterMemory unit.Bytes
 	// LoadTime, DiskTime and WarmTime are how long a load takes from the weight
 	// store, the server's disk and the server's host memory.
@@ -123,6 +124,16 @@
 	WarmTime time.Duration
 }
 
+// Declares tells whether the engines may be asked for a model, or for an adapter of it.
+func (e *Engine) Declares(model ident.ModelName, adapter ident.AdapterName) bool {
+	for i := range e.Models {
+		if e.Models[i].Name == model {
+			return adapter == "" || slices.Contains(e.Models[i].Adapters, adapter)
+		}
+	}
+	return false
+}
+
 // Limits bound what a client may send.
 type Limits struct {
 	MaxHeader     unit.Bytes
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -205,7 +205,7 @@
 	if !s.readBody(r, table.Configuration().Limits) {
 		return
 	}
-	s.serve()
+	s.serve(table.Configuration().Services)
 }
 
 // elsewhere is when a client may come back that another host will serve.
--- a/internal/traffic/relay/relay_test.go
+++ b/internal/traffic/relay/relay_test.go
@@ -249,6 +249,28 @@
 	require.Equal(t, wholeStream(2), (<-answered).body)
 }
 
+// A client asks for a model or an adapter that nobody has declared. It is refused at
+// once, and counts as no demand: otherwise the holder would try to load it for ever.
+func TestUndeclaredWeightsAreRefusedAtOnce(t *testing.T) {
+	w := newWorld(t, streamRoute(true))
+	w.serve("a", events(2, 0))
+	w.table.Configuration().Services = map[ident.ServiceName]route.Service{
+		"desk": {
+			Name: "desk",
+			Engine: &route.Engine{
+				Models: []route.Model{{
+					Name: "m",
+				}},
+			},
+		},
+	}
+	begun := time.Now()
+	require.Equal(t, http.StatusServiceUnavailable, w.ask(http.MethodPost, "r1", http.Header{"Weights": {"other"}}).status)
+	require.Less(t, time.Since(begun), time.Second)
+	require.Empty(t, w.pool.TakeDemand())
+	require.Equal(t, wholeStream(2), w.ask(http.MethodPost, "r1", http.Header{"Weights": {"m"}}).body)
+}
+
 // A stream comes late in a planned stop. It would be cut at the end: it is refused at
 // once, while a short request is still served; each answer closes its connection.
 func TestAStopRefusesWhatWouldBeCut(t *testing.T) {
--- a/internal/traffic/relay/serving.go
+++ b/internal/traffic/relay/serving.go
@@ -29,7 +29,9 @@
 	route         *route.Route
 	configuration route.Version
 	service       ident.ServiceName
-	pool          *balance.Pool
+	// engine is what the service's servers can hold, nil for those without models.
+	engine *route.Engine
+	pool   *balance.Pool
 	// deadline is when the request must have its answer: the client's own or the
 	// route's, whichever is first.
 	deadline time.Time
@@ -72,7 +74,7 @@
 	retryLoad = 1500 * time.Millisecond
 )
 
-func (s *serving) serve() {
+func (s *serving) serve(services map[ident.ServiceName]route.Service) {
 	h := s.handler
 	s.deadline = s.arrived.Add(s.route.Timeout)
 	if s.route.Timeout <= 0 {
@@ -82,11 +84,18 @@
 		s.deadline = d
 	}
 	s.service = routetable.Share(s.route, h.Dice())
+	s.engine = services[s.service].Engine
 	s.pool = h.Knowledge.Pool(s.service)
 	if s.pool == nil {
 		s.refuse(retryBusy, "no server of the service is known")
 		return
 	}
+	if s.engine != nil && !s.engine.Declares(s.request.Model, s.request.Adapter) {
+		// It could wait for as long as it likes, and what nobody has declared must not
+		// count as demand: a client could make the holder load it for ever.
+		s.refuse(retryLoad, "the weights are not declared")
+		return
+	}
 	if !s.unsuspected() {
 		return
 	}
