backend: Keep what only some engines know of an order out of the others' orders

(2) A test of a host that is turned away cut it off before it knew of its peer; it waits for that now.

--- a/internal/control/loading/adapters.go
+++ b/internal/control/loading/adapters.go
@@ -21,7 +21,7 @@
 
 // loadAdapters loads the adapters that are asked for and lie too seldom where
 // their model does. What is missing altogether comes first.
-func (p *Planner) loadAdapters(now time.Time) []backend.Order {
+func (p *Planner) loadAdapters(now time.Time) []backend.CountedOrder {
 	var wanted []request.Weights
 	for weights, r := range p.demand {
 		if weights.Adapter != "" && (r.missed || r.requests > adapterRate) {
@@ -32,7 +32,7 @@
 		return cmp.Or(cmp.Compare(p.demand[b].requests, p.demand[a].requests),
 			cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter))
 	})
-	var orders []backend.Order
+	var orders []backend.CountedOrder
 	for _, weights := range wanted {
 		r := p.demand[weights]
 		r.decay(now)
@@ -61,7 +61,7 @@
 
 // placeAdapter loads an adapter on the server with its model that has most places
 // free; where none has, the adapter that was not asked for the longest makes way.
-func (p *Planner) placeAdapter(now time.Time, weights request.Weights) (backend.Order, bool) {
+func (p *Planner) placeAdapter(now time.Time, weights request.Weights) (backend.CountedOrder, bool) {
 	var best *engine
 	var lowest float64
 	for _, e := range p.list {
@@ -74,7 +74,7 @@
 		}
 	}
 	if best == nil {
-		return backend.Order{}, false
+		return backend.CountedOrder{}, false
 	}
 	spec := p.models[weights.Model].spec
 	if len(best.allAdapters()) < p.engine.AdapterPlaces && p.free(best) >= spec.AdapterMemory {
@@ -85,7 +85,7 @@
 
 // evictAdapter unloads the adapter that was not asked for the longest, from the servers
 // with a model that take an order.
-func (p *Planner) evictAdapter(now time.Time, model ident.ModelName) (backend.Order, bool) {
+func (p *Planner) evictAdapter(now time.Time, model ident.ModelName) (backend.CountedOrder, bool) {
 	var from *engine
 	var oldest request.Weights
 	var oldestAt time.Time
@@ -104,7 +104,7 @@
 		}
 	}
 	if from == nil {
-		return backend.Order{}, false
+		return backend.CountedOrder{}, false
 	}
 	return p.order(now, from, backend.UnloadAdapter, oldest), true
 }
--- a/internal/control/loading/engine.go
+++ b/internal/control/loading/engine.go
@@ -32,7 +32,7 @@
 
 // pending is the one order to a server that isn't settled.
 type pending struct {
-	order  backend.Order
+	order  backend.CountedOrder
 	sentAt time.Time
 	// acceptedAt is set once the engine has taken the order.
 	acceptedAt time.Time
--- a/internal/control/loading/loading.go
+++ b/internal/control/loading/loading.go
@@ -231,7 +231,7 @@
 }
 
 // Answered takes in what an engine said of the order that it was sent.
-func (p *Planner) Answered(now time.Time, server ident.ServerName, order *backend.Order, answer backend.OrderAnswer) {
+func (p *Planner) Answered(now time.Time, server ident.ServerName, order *backend.CountedOrder, answer backend.OrderAnswer) {
 	e, known := p.engines[server]
 	if !known || e.pending == nil || e.pending.order.ID != order.ID {
 		return
@@ -300,7 +300,7 @@
 }
 
 // Step gives the next orders: new ones, and those to be sent again.
-func (p *Planner) Step(now time.Time) []backend.Order {
+func (p *Planner) Step(now time.Time) []backend.CountedOrder {
 	if p.engine == nil {
 		return nil
 	}
@@ -310,7 +310,7 @@
 	p.settle(now)
 	p.forgetBegun(now)
 	p.count(now)
-	var orders []backend.Order
+	var orders []backend.CountedOrder
 	orders = append(orders, p.resend(now)...)
 	orders = append(orders, p.loadMissing(now)...)
 	orders = append(orders, p.loadAdapters(now)...)
@@ -320,8 +320,8 @@
 }
 
 // resend gives the orders that got no answer once more.
-func (p *Planner) resend(now time.Time) []backend.Order {
-	var orders []backend.Order
+func (p *Planner) resend(now time.Time) []backend.CountedOrder {
+	var orders []backend.CountedOrder
 	for _, e := range p.list {
 		if e.pending == nil || !e.pending.unanswered || now.Sub(e.pending.sentAt) < resendAfter || e.Leaving {
 			continue
@@ -356,14 +356,16 @@
 }
 
 // order books an order to a server.
-func (p *Planner) order(now time.Time, e *engine, kind backend.OrderKind, weights request.Weights) backend.Order {
-	order := backend.Order{
-		ID:          ident.OrderID(string(e.Name) + "/" + string(kind) + "/" + now.Format(time.RFC3339Nano)),
-		Kind:        kind,
+func (p *Planner) order(now time.Time, e *engine, kind backend.OrderKind, weights request.Weights) backend.CountedOrder {
+	order := backend.CountedOrder{
+		Order: backend.Order{
+			ID:          ident.OrderID(string(e.Name) + "/" + string(kind) + "/" + now.Format(time.RFC3339Nano)),
+			Kind:        kind,
+			Incarnation: e.Incarnation,
+			Model:       weights.Model,
+			Adapter:     weights.Adapter,
+		},
 		Server:      e.Name,
-		Incarnation: e.Incarnation,
-		Model:       weights.Model,
-		Adapter:     weights.Adapter,
 		AfterOrders: e.accepted,
 	}
 	e.known = nil
--- a/internal/control/loading/loading_test.go
+++ b/internal/control/loading/loading_test.go
@@ -66,7 +66,7 @@
 }
 
 // deliver sends an order through a world that may lose its answer or hold it up.
-func deliver(t *rapid.T, w *world, planner *Planner, order backend.Order) {
+func deliver(t *rapid.T, w *world, planner *Planner, order backend.CountedOrder) {
 	switch rapid.IntRange(0, 5).Draw(t, "fate") {
 	case 0:
 		w.take(order)
--- a/internal/control/loading/moves.go
+++ b/internal/control/loading/moves.go
@@ -33,7 +33,7 @@
 )
 
 // loadMissing loads the models that no server holds, the most wanted first.
-func (p *Planner) loadMissing(now time.Time) []backend.Order {
+func (p *Planner) loadMissing(now time.Time) []backend.CountedOrder {
 	var missing []*model
 	for _, m := range p.models {
 		if m.replicas == 0 {
@@ -41,7 +41,7 @@
 		}
 	}
 	p.sortByWork(now, missing)
-	var orders []backend.Order
+	var orders []backend.CountedOrder
 	coming := p.roomComing()
 	for _, m := range missing {
 		if order, found := p.place(now, m); found {
@@ -104,7 +104,7 @@
 
 // place loads a model where there is room for it: where the load takes least, then
 // where its region has most demand for each replica.
-func (p *Planner) place(now time.Time, m *model) (backend.Order, bool) {
+func (p *Planner) place(now time.Time, m *model) (backend.CountedOrder, bool) {
 	var best *engine
 	var lowest float64
 	for _, e := range p.list {
@@ -121,12 +121,12 @@
 		}
 	}
 	if best == nil {
-		return backend.Order{}, false
+		return backend.CountedOrder{}, false
 	}
 	return p.load(now, best, m), true
 }
 
-func (p *Planner) load(now time.Time, e *engine, m *model) backend.Order {
+func (p *Planner) load(now time.Time, e *engine, m *model) backend.CountedOrder {
 	_, own := p.loadTime(e, m)
 	order := p.order(now, e, backend.LoadModel, request.Weights{
 		Model: m.spec.Name,
@@ -201,7 +201,7 @@
 
 // followDemand gives replicas to the models that have fewer than they should, those
 // with the most work for each replica first.
-func (p *Planner) followDemand(now time.Time) []backend.Order {
+func (p *Planner) followDemand(now time.Time) []backend.CountedOrder {
 	var wanted []*model
 	pressure := make(map[*model]float64, len(p.models))
 	for _, m := range p.models {
@@ -214,7 +214,7 @@
 	slices.SortFunc(wanted, func(a, b *model) int {
 		return cmp.Or(cmp.Compare(pressure[b], pressure[a]), cmp.Compare(a.spec.Name, b.spec.Name))
 	})
-	var orders []backend.Order
+	var orders []backend.CountedOrder
 	for _, m := range wanted {
 		for m.replicas < p.target(now, m) {
 			order, found := p.place(now, m)
@@ -293,8 +293,8 @@
 
 // unloadRetired unloads what retires, once the hosts have had time to send
 // elsewhere.
-func (p *Planner) unloadRetired(now time.Time) []backend.Order {
-	var orders []backend.Order
+func (p *Planner) unloadRetired(now time.Time) []backend.CountedOrder {
+	var orders []backend.CountedOrder
 	for _, e := range p.list {
 		for name, since := range e.retiring {
 			notice := retireNotice
--- a/internal/control/loading/room.go
+++ b/internal/control/loading/room.go
@@ -92,7 +92,7 @@
 // prepare loads second replicas of models that nobody asks for now into memory that
 // is free, so that a sudden demand finds them: those with adapters first, which
 // serve more callers than others. They make way at once for whatever is asked for.
-func (p *Planner) prepare(now time.Time) []backend.Order {
+func (p *Planner) prepare(now time.Time) []backend.CountedOrder {
 	var idle []*model
 	for _, m := range p.models {
 		if len(m.spec.Adapters) > 0 && m.replicas > 0 && m.replicas < prepared && p.expectedWork(now, m.spec.Name) < lightWork {
@@ -102,7 +102,7 @@
 	slices.SortFunc(idle, func(a, b *model) int {
 		return cmp.Or(cmp.Compare(a.replicas, b.replicas), cmp.Compare(a.spec.Name, b.spec.Name))
 	})
-	var orders []backend.Order
+	var orders []backend.CountedOrder
 	for _, m := range idle {
 		if order, found := p.place(now, m); found {
 			orders = append(orders, order)
--- a/internal/control/loading/world_test.go
+++ b/internal/control/loading/world_test.go
@@ -29,7 +29,7 @@
 	fence       ident.FencingNumber
 	held        []request.Weights
 	disk        []ident.ModelName
-	busyWith    *backend.Order
+	busyWith    *backend.CountedOrder
 	doneAt      time.Time
 	lives       int
 	reports     []backend.Report
@@ -37,7 +37,7 @@
 
 type lateOrder struct {
 	at    time.Time
-	order backend.Order
+	order backend.CountedOrder
 }
 
 var start = time.Date(2026, 12, 1, 8, 0, 0, 0, time.UTC)
@@ -119,7 +119,7 @@
 }
 
 // take is an order's arrival at an engine, in time or late.
-func (w *world) take(order backend.Order) backend.OrderAnswer {
+func (w *world) take(order backend.CountedOrder) backend.OrderAnswer {
 	index := slices.IndexFunc(w.engines, func(e *worldEngine) bool { return e.name == order.Server })
 	e := w.engines[index]
 	weights := request.Weights{
@@ -237,7 +237,7 @@
 }
 
 // round is one step of a planner with orderly engines and reports.
-func (w *world) round(p *Planner, token ident.FencingNumber) []backend.Order {
+func (w *world) round(p *Planner, token ident.FencingNumber) []backend.CountedOrder {
 	w.advance(100 * time.Millisecond)
 	p.SetServers(w.servers())
 	for _, e := range w.engines {
--- a/internal/domain/backend/backend.go
+++ b/internal/domain/backend/backend.go
@@ -151,12 +151,16 @@
 	Adapter     ident.AdapterName
 	Version     ident.Version
 	Memory      unit.Bytes
-	// Holder names who gives the order, for engines that tell holders apart.
+}
+
+// CountedOrder is an order to an engine that counts the orders that it accepts.
+type CountedOrder struct {
+	Order
+	// Holder names who gives the order.
 	Holder ident.HostID
 	// Server is the engine that the order is meant for; any other refuses it.
 	Server ident.ServerName
-	// AfterOrders is the count of accepted orders at which the order may take
-	// effect, for engines that count them.
+	// AfterOrders is the count of accepted orders at which the order may take effect.
 	AfterOrders int64
 }
 
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -76,7 +76,7 @@
 // Engines are model servers, beside the requests to them.
 type Engines interface {
 	Report(ctx context.Context, server *backend.Server, life ident.Incarnation, limit time.Time) (backend.Report, error)
-	Order(ctx context.Context, address string, order *backend.Order, limit time.Time) (backend.OrderAnswer, error)
+	Order(ctx context.Context, address string, order *backend.CountedOrder, limit time.Time) (backend.OrderAnswer, error)
 }
 
 // Layout says where the operator and the backend servers write in the key-value
--- a/internal/host/gateway/gateway_test.go
+++ b/internal/host/gateway/gateway_test.go
@@ -104,7 +104,7 @@
 	f.eventually(func() bool {
 		return f.keyValue.value("servers-ours/hosts/a") != "" && f.keyValue.value("servers-ours/hosts/b") != ""
 	}, "both are listed")
-	time.Sleep(100 * time.Millisecond)
+	f.eventually(func() bool { return f.hosts["b"].knownHosts.Load() == 2 }, "b knows of a")
 	f.keyValue.goAway("b", true)
 	f.keyValue.write("configuration", configuration(5, "new"))
 	f.eventually(func() bool { return f.hosts["b"].Routes().Configuration().Version == 5 }, "b hears of it")
@@ -230,7 +230,7 @@
 	}
 	c.tenure.extend(steadyClock(), bootClock(), time.Minute)
 	held := c.tenure
-	c.give("models", backend.Order{
+	c.give("models", backend.CountedOrder{
 		Server: "one",
 	})
 	require.Eventually(t, held.ended.Load, 5*time.Second, time.Millisecond)
--- a/internal/host/gateway/plan.go
+++ b/internal/host/gateway/plan.go
@@ -184,7 +184,7 @@
 }
 
 // give sends an order, unless this host may give none at that very instant.
-func (c *control) give(service ident.ServiceName, order backend.Order) {
+func (c *control) give(service ident.ServiceName, order backend.CountedOrder) {
 	t := c.tenure
 	order.Holder = c.options.Settings.Host.Name
 	order.Fencing = t.token
@@ -218,7 +218,7 @@
 // answered brings an engine's answer to an order.
 type answered struct {
 	service ident.ServiceName
-	order   backend.Order
+	order   backend.CountedOrder
 	answer  backend.OrderAnswer
 }
 
--- a/internal/host/gateway/world_test.go
+++ b/internal/host/gateway/world_test.go
@@ -245,7 +245,7 @@
 // engines are model servers that take every order at once.
 type engines struct {
 	mu     sync.Mutex
-	orders []backend.Order
+	orders []backend.CountedOrder
 	counts map[ident.ServerName]int64
 	held   map[ident.ServerName][]backend.Resident
 }
@@ -262,7 +262,7 @@
 	}, nil
 }
 
-func (e *engines) Order(_ context.Context, _ string, order *backend.Order, _ time.Time) (backend.OrderAnswer, error) {
+func (e *engines) Order(_ context.Context, _ string, order *backend.CountedOrder, _ time.Time) (backend.OrderAnswer, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.orders = append(e.orders, *order)
@@ -275,10 +275,10 @@
 	return backend.OrderAccepted, nil
 }
 
-func (e *engines) given() []backend.Order {
+func (e *engines) given() []backend.CountedOrder {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return append([]backend.Order(nil), e.orders...)
+	return append([]backend.CountedOrder(nil), e.orders...)
 }
 
 // codec is the smallest wire: a header a field.
@@ -502,6 +502,6 @@
 	return backend.Report{}, errors.New("no report")
 }
 
-func (fencing) Order(context.Context, string, *backend.Order, time.Time) (backend.OrderAnswer, error) {
+func (fencing) Order(context.Context, string, *backend.CountedOrder, time.Time) (backend.OrderAnswer, error) {
 	return backend.OrderFenced, nil
 }
