relay: Tell a time-out as one where the connection's deadline fires first

Cause: the deadline of the connection is the same instant as the request's and may fire before it; the request then ended with 502, or was sent again after its time. TestTheConnectionsDeadlineIsTheRequests failed first, every time.

--- a/internal/traffic/relay/relay_test.go
+++ b/internal/traffic/relay/relay_test.go
@@ -4,13 +4,16 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"cicadaloom/internal/control/balance"
 	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/domain/request"
@@ -227,6 +230,34 @@
 	require.Empty(t, nobody.arrivals())
 }
 
+// The connection's deadline fires an instant before the context's. The client must read
+// that the time is over, not that a server broke off, and a request that may be repeated
+// must not be sent again.
+func TestTheConnectionsDeadlineIsTheRequests(t *testing.T) {
+	for _, r := range []route.Route{unsafeRoute(), safeRoute()} {
+		now := time.Now()
+		recorder := httptest.NewRecorder()
+		s := &serving{
+			handler: &Handler{
+				Log:     zap.NewNop(),
+				Metrics: NewMetrics(metrics.NewSet()),
+				Now:     func() time.Time { return now },
+			},
+			ctx:      context.Background(),
+			writer:   recorder,
+			route:    &r,
+			deadline: now,
+			sends:    1,
+		}
+		s.trail.Sending("0")
+		require.False(t, s.goOn(context.Background(), &sent{
+			result: balance.Broken,
+			why:    "i/o timeout",
+		}))
+		require.Equal(t, http.StatusGatewayTimeout, recorder.Code)
+	}
+}
+
 // No server holds the weights. The request waits, tells so, and goes as soon as one
 // has them.
 func TestARequestWaitsForItsWeights(t *testing.T) {
--- a/internal/traffic/relay/serving.go
+++ b/internal/traffic/relay/serving.go
@@ -199,7 +199,7 @@
 	switch {
 	case s.ctx.Err() != nil:
 		s.abort("the client has left")
-	case ctx.Err() != nil:
+	case ctx.Err() != nil || s.overdue():
 		s.timeOut()
 	case !sent.proof && !s.route.MayRepeat():
 		s.giveUp(sent.why)
@@ -211,6 +211,13 @@
 	return false
 }
 
+// overdue tells that the time is over. The connection's own deadline is the same
+// instant as the context's, and may fire first: the request must then neither be sent
+// again nor end as one whose connection broke.
+func (s *serving) overdue() bool {
+	return !s.deadline.IsZero() && !s.handler.Now().Before(s.deadline)
+}
+
 // choose takes a server, and waits for one while that may still bring an answer.
 func (s *serving) choose(ctx context.Context) *balance.Ticket {
 	h := s.handler
