--- a/internal/traffic/relay/relay_test.go
+++ b/internal/traffic/relay/relay_test.go
@@ -242,6 +242,7 @@
 				Log:     zap.NewNop(),
 				Metrics: NewMetrics(metrics.NewSet()),
 				Now:     func() time.Time { return now },
+				Ended:   context.Background(),
 			},
 			ctx:      context.Background(),
 			writer:   recorder,
