balance: Count the usual errors once a choice

Every server that stood for a choice had the error shares of all servers listed and sorted anew, and the chosen one's cost was worked out a second time for a field of the ticket that nobody read.

Change: the usual share is worked out once and handed to cost; Ticket loses the unread Cost, Load and tokens. Which server is chosen stays the same.

--- a/internal/control/balance/choose.go
+++ b/internal/control/balance/choose.go
@@ -44,14 +44,10 @@
 	Reading time.Duration
 	// Expected is the expected time to the first byte of the answer.
 	Expected time.Duration
-	Cost     time.Duration
-	// Load is what was known to be under way there.
-	Load int
 
 	pool   *Pool
 	server *server
 	ask    Ask
-	tokens float64
 	// work is how long the engine takes to read the prompt, in seconds. measures tells
 	// that it can be measured: nothing else of this host was to be read there.
 	work     float64
@@ -71,8 +67,7 @@
 	if best == nil {
 		return nil, verdict
 	}
-	tokens := best.unread(&ask)
-	work := p.reading(ask.Weights.Model, tokens)
+	work := p.reading(ask.Weights.Model, best.unread(&ask))
 	expected := p.expected(now, best, work)
 	ticket := &Ticket{
 		Server:      best.known.Name,
@@ -80,12 +75,9 @@
 		Address:     best.known.Address,
 		Region:      best.known.Region,
 		Expected:    expected + p.way(best),
-		Cost:        p.cost(now, best, &ask),
-		Load:        best.load(),
 		pool:        p,
 		server:      best,
 		ask:         ask,
-		tokens:      tokens,
 		work:        work,
 		measures:    best.pending == 0 && ask.own() >= leastSample,
 		since:       now,
@@ -105,6 +97,7 @@
 	verdict := NoneHolds
 	dice := ask.Dice
 	stays := p.modelStays(ask.Weights.Model)
+	usual := p.usualErrors()
 	for _, s := range p.list {
 		if !p.canAnswer(s, ask) || stays && s.retiring[ask.Weights.Model] {
 			continue
@@ -116,7 +109,7 @@
 			continue
 		}
 		dice = mix(dice)
-		cost := float64(p.cost(now, s, ask)) * (1 + blur*float64(dice%1024)/1024)
+		cost := float64(p.cost(now, s, ask, usual)) * (1 + blur*float64(dice%1024)/1024)
 		if best == nil || cost < lowest {
 			best, lowest = s, cost
 		}
@@ -142,11 +135,11 @@
 }
 
 // cost is the expected time to the first byte with what else speaks against a
-// server.
-func (p *Pool) cost(now time.Time, s *server, ask *Ask) time.Duration {
+// server: errors over the usual share.
+func (p *Pool) cost(now time.Time, s *server, ask *Ask, usualErrors float64) time.Duration {
 	tokens := s.unread(ask)
 	cost := p.expected(now, s, p.reading(ask.Weights.Model, tokens)) + p.way(s)
-	if over := s.errors - p.usualErrors(); over > 0 {
+	if over := s.errors - usualErrors; over > 0 {
 		cost += time.Duration(over * float64(errorCost))
 	}
 	return cost
