upstream: Drop the unused Drop

Nothing calls it: idle connections to a server that is gone are closed by dropOld once their time is over. Behaviour stays as it is; tests of the package pass.

--- a/internal/peer/upstream/pool.go
+++ b/internal/peer/upstream/pool.go
@@ -111,16 +111,6 @@
 	}
 }
 
-// Drop closes the idle connections to an address, whose server is gone.
-func (c *Client) Drop(address string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, conn := range c.idle[address] {
-		_ = conn.Close()
-	}
-	delete(c.idle, address)
-}
-
 // Close closes all idle connections, and those that are given back later.
 func (c *Client) Close() {
 	c.mu.Lock()
