--- a/internal/traffic/relay/send.go
+++ b/internal/traffic/relay/send.go
@@ -91,7 +91,7 @@
 	switch {
 	case ctx.Err() != nil && s.ctx.Err() != nil:
 		result.result = balance.Left
-	case ctx.Err() != nil || !s.deadline.IsZero() && !s.handler.Now().Before(s.deadline):
+	case ctx.Err() != nil || s.overdue():
 		result.result = balance.Silent
 	case upstream.NotReached(err):
 		result.result = balance.Unreached
