--- a/internal/control/loading/loading.go
+++ b/internal/control/loading/loading.go
@@ -10,12 +10,12 @@
 //
 //	planner := loading.NewPlanner(loading.Options{})
 //	planner.Declare(service.Engine)
-//	planner.SetServers(now, servers)
-//	planner.Report(now, report)
-//	planner.Ask(now, weights, "finistere", demand)
+//	planner.SetServers(servers)
+//	planner.Report(report)
+//	planner.Ask(now, region, weights, demand)
 //	for _, order := range planner.Step(now) {
 //		// send it, then:
-//		planner.Answered(now, order.Server, answer)
+//		planner.Answered(now, order.Server, &order, answer)
 //	}
 //
 // # Why memory is never overcommitted
--- a/internal/control/loading/pace.go
+++ b/internal/control/loading/pace.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"cicadaloom/internal/domain/ident"
 )
 
 // paceLimit is how many loads from the weight store may begin in one window. What
@@ -40,15 +38,11 @@
 // itself.
 func (p *Planner) loadTime(e *engine, m *model) (time.Duration, bool) {
 	switch {
-	case contains(e.report.InHostMemory, m.spec.Name):
+	case slices.Contains(e.report.InHostMemory, m.spec.Name):
 		return m.spec.WarmTime, true
-	case contains(e.report.OnDisk, m.spec.Name):
+	case slices.Contains(e.report.OnDisk, m.spec.Name):
 		return m.spec.DiskTime, true
 	default:
 		return m.spec.LoadTime, false
 	}
 }
-
-func contains(names []ident.ModelName, name ident.ModelName) bool {
-	return slices.Contains(names, name)
-}
