gateway: Say only the greeting to a peer that is asked for its word

Four times a second and peer exchange the whole word was built, with the planner's holdings of every engine, and its configuration and engines thrown away at once.

Change: greeting builds what is told; word adds what is answered. What goes over the wire stays the same; the package's tests pass with -race.

--- a/internal/host/gateway/control.go
+++ b/internal/host/gateway/control.go
@@ -271,23 +271,32 @@
 		zap.Int("Routes", len(decoded.Routes)), zap.Int("Services", len(decoded.Services)))
 }
 
-// word is what this host tells a peer that has a configuration's version.
-func (c *control) word(theirs route.Version) gatewaypeer.Word {
+// greeting is what this host tells a peer that it asks for its word.
+func (c *control) greeting() gatewaypeer.Word {
 	host := &c.options.Settings.Host
-	word := gatewaypeer.Word{
+	greeting := gatewaypeer.Word{
 		Host:       host.Name,
 		DataCentre: host.DataCentre,
 		Region:     host.Region,
 		Suspects:   c.suspects.Some(toldSuspects),
 	}
 	if c.configuration != nil {
-		word.Version = c.configuration.Version
-		if theirs < word.Version {
-			word.Configuration = c.text
-		}
+		greeting.Version = c.configuration.Version
+	}
+	if c.tenure != nil {
+		greeting.Token = c.tenure.token
+	}
+	return greeting
+}
+
+// word is what this host answers to a peer that has a configuration's version: with
+// the greeting, a newer configuration and the holder's view of the engines.
+func (c *control) word(theirs route.Version) gatewaypeer.Word {
+	word := c.greeting()
+	if theirs < word.Version {
+		word.Configuration = c.text
 	}
 	if c.tenure != nil {
-		word.Token = c.tenure.token
 		word.Engines = c.engineWords(time.Now())
 	}
 	return word
--- a/internal/host/gateway/exchange.go
+++ b/internal/host/gateway/exchange.go
@@ -120,9 +120,7 @@
 		out.address = c.somePeer()
 	}
 	if out.address != "" {
-		out.word = c.word(0)
-		out.word.Configuration = nil
-		out.word.Engines = nil
+		out.word = c.greeting()
 		if m.holder {
 			out.word.Demand = c.takeDemand()
 		}
