loading: Give places to what is overloaded before what is rare or idle

Ruled out: the weight store's pace (25 of 47 loads in the window) and the report pace. Change: idle models are prepared where demand is steady; missing and overloaded models take turns; what makes way for a missing one is bounded, more with its waiting; before the first request the placed replicas count as demand.

--- a/internal/control/loading/demand.go
+++ b/internal/control/loading/demand.go
@@ -51,6 +51,7 @@
 		p.demand[weights] = r
 	}
 	p.byModel = nil
+	p.heard = p.heard || demand.Requests > 0
 	r.decay(now)
 	r.short += demand.Work / shortSpan.Seconds()
 	r.long += demand.Work / longSpan.Seconds()
@@ -145,6 +146,21 @@
 	return d.short > d.long
 }
 
+// steady tells that demand stays where it is.
+func (p *Planner) steady(now time.Time) bool {
+	p.sumDemand(now)
+	rise, total := 0.0, 0.0
+	for _, d := range p.byModel {
+		rise += max(d.short-d.long, 0)
+		total += d.long
+	}
+	return rise <= steadyRise*total+lightWork
+}
+
+// steadyRise is the part of the work that may rise where demand is steady: chance makes
+// a tenth of it rise, a model that takes another's demand a third within two seconds.
+const steadyRise = 0.2
+
 // longPart is what the long average counts beside the short one: a model whose
 // demand has just ended keeps half of its places for the length of a lull.
 const longPart = 0.6
--- a/internal/control/loading/loading.go
+++ b/internal/control/loading/loading.go
@@ -29,7 +29,8 @@
 //
 // # What is decided, most needed first
 //
-//  1. A model that no server holds is loaded.
+//  1. A model that no server holds is loaded, in turn with models that have more work
+//     than their replicas can do.
 //  2. Adapters that are asked for are loaded where their model lies.
 //  3. Free memory goes to the model with the most work for each of its replicas.
 //  4. A replica makes way where the model that gets its place has much more work
@@ -104,6 +105,10 @@
 	summedAt time.Time
 	// goalWork is the goal that follows from it, 0 until it is asked for.
 	goalWork float64
+	// heard tells that requests have come since the planner began.
+	heard bool
+	// missingSince is when a model was first seen to be held nowhere.
+	missingSince map[ident.ModelName]time.Time
 	// begun are the instants at which loads from the weight store may have begun.
 	begun []time.Time
 	// begunAt is when the planner took its first step.
@@ -149,6 +154,8 @@
 		models:  make(map[ident.ModelName]*model),
 		engines: make(map[ident.ServerName]*engine),
 		demand:  make(map[request.Weights]*rate),
+
+		missingSince: make(map[ident.ModelName]time.Time),
 	}
 }
 
--- a/internal/control/loading/loading_test.go
+++ b/internal/control/loading/loading_test.go
@@ -257,6 +257,89 @@
 	require.Positive(t, w.holding("mb"))
 }
 
+// Nobody has asked for anything yet, and two models have many replicas: those that the
+// operator expects most of. Others are held nowhere and need room. One of the two was
+// left with a single replica of eight, and took half of the traffic a moment later.
+func TestPlacedReplicasTellWhatWillBeAskedFor(t *testing.T) {
+	w := newWorld(8, 8)
+	w.declare.Memory = 160 * unit.Gibibyte
+	for _, e := range w.engines {
+		for _, name := range []ident.ModelName{"mb", "md"} {
+			e.held = append(e.held, request.Weights{
+				Model: name,
+			})
+		}
+	}
+	planner := NewPlanner(Options{})
+	planner.Declare(w.declare)
+	for range 200 {
+		w.round(planner, 1)
+	}
+	for _, name := range []ident.ModelName{"ma", "mc", "me", "mf", "mg", "mh"} {
+		require.Positive(t, w.holding(name), "%s", name)
+	}
+	require.GreaterOrEqual(t, w.holding("mb"), 4)
+	require.GreaterOrEqual(t, w.holding("md"), 4)
+}
+
+// Demand moves to another model. Room was made for it, and then taken by second
+// replicas of models that nobody asked for: ten servers were loading those, for 8 s
+// each, while the model had two of its twelve replicas.
+func TestNothingIsPreparedWhileDemandMoves(t *testing.T) {
+	w := newWorld(4, 4) // "mb" and "md" have adapters
+	for i, name := range []ident.ModelName{"ma", "mb", "mc", "md"} {
+		w.engines[i].held = append(w.engines[i].held, request.Weights{
+			Model: name,
+		})
+	}
+	planner := NewPlanner(Options{})
+	planner.Declare(w.declare)
+	w.advance(100 * time.Millisecond)
+	for i := range 12 {
+		planner.Ask(w.now, "r", request.Weights{
+			Model: "ma",
+		}, Demand{
+			Requests: 1,
+			Work:     0.1 * float64(1+i),
+		})
+		for _, order := range w.round(planner, 1) {
+			require.Equal(t, ident.ModelName("ma"), order.Model)
+		}
+	}
+	for range 200 {
+		w.round(planner, 1)
+	}
+	require.Greater(t, w.holding("mb"), 1, "in calm they are prepared")
+}
+
+// Servers come back empty. Models that are asked for now and then are held nowhere, and
+// so is most of what a busy one needs. They load in turns; all servers loaded the rare
+// ones first, for 8 s each.
+func TestAnOverloadedModelHasItsTurnAmongMissingOnes(t *testing.T) {
+	w := newWorld(9, 8)
+	w.declare.Memory = 80 * unit.Gibibyte // one model each
+	w.engines[0].held = append(w.engines[0].held, request.Weights{
+		Model: "mb",
+	})
+	planner := NewPlanner(Options{
+		Overshoot: 10,
+	})
+	planner.Declare(w.declare)
+	w.advance(100 * time.Millisecond)
+	planner.Ask(w.now, "r", request.Weights{
+		Model: "mb",
+	}, Demand{
+		Requests: 10,
+		Work:     4,
+	})
+	loads := make(map[ident.ModelName]int)
+	for _, order := range w.round(planner, 1) {
+		loads[order.Model]++
+	}
+	require.Equal(t, 4, loads["mb"], "%v", loads)
+	require.Len(t, loads, 5, "%v", loads)
+}
+
 // A request waits for an adapter that no engine holds. It is loaded where its model
 // is, at once; with all places taken, the one that rested the longest makes way.
 func TestAdaptersComeWhenTheyAreAskedFor(t *testing.T) {
--- a/internal/control/loading/moves.go
+++ b/internal/control/loading/moves.go
@@ -32,13 +32,21 @@
 	riseAhead = 1.5
 )
 
-// loadMissing loads the models that no server holds, the most wanted first.
+// loadMissing loads the models that no server holds, the most wanted first. Each time
+// after one of them, a model has its turn that has more work than its replicas can do:
+// servers that come back empty would all load models that are asked for once in three
+// seconds, for 8 s each, while hundreds of requests a second are late.
 func (p *Planner) loadMissing(now time.Time) []backend.CountedOrder {
 	var missing []*model
-	for _, m := range p.models {
-		if m.replicas == 0 {
-			missing = append(missing, m)
+	for name, m := range p.models {
+		if m.replicas > 0 {
+			delete(p.missingSince, name)
+			continue
 		}
+		if _, known := p.missingSince[name]; !known {
+			p.missingSince[name] = now
+		}
+		missing = append(missing, m)
 	}
 	p.sortByWork(now, missing)
 	var orders []backend.CountedOrder
@@ -46,6 +54,9 @@
 	for _, m := range missing {
 		if order, found := p.place(now, m); found {
 			orders = append(orders, order)
+			if order, found := p.relieve(now); found {
+				orders = append(orders, order)
+			}
 			continue
 		}
 		// Room that is on its way will do: each step would retire one more replica
@@ -59,12 +70,47 @@
 	return orders
 }
 
+// relieve loads one more replica of the model with the most work for each of its own,
+// if that is more than they can do.
+func (p *Planner) relieve(now time.Time) (backend.CountedOrder, bool) {
+	var most *model
+	highest := overload
+	for _, m := range p.models {
+		if m.replicas == 0 {
+			continue
+		}
+		pressure := p.pressure(now, m)
+		if pressure > highest || most != nil && pressure == highest && m.spec.Name < most.spec.Name {
+			most, highest = m, pressure
+		}
+	}
+	if most == nil {
+		return backend.CountedOrder{}, false
+	}
+	return p.place(now, most)
+}
+
+// pressure is the work for each replica of a model that has any.
+func (p *Planner) pressure(now time.Time, m *model) float64 {
+	return p.expectedWork(now, m.spec.Name) / float64(m.replicas)
+}
+
+// overload is the work for each replica at which it can't be done in time: an engine
+// that reads prompts for more than 0.7 of its time makes most of its streams pause.
+const overload = 0.7
+
 // spareLeft is the work for each replica up to which a model must be left to make way
 // for one that is held nowhere and that nobody asks for. After a loss of servers every
 // place is taken; a busy model that gave up its last but one then would make hundreds
 // of requests late for the sake of none. As soon as somebody asks for the missing one,
-// it gets its place.
-const spareLeft = 0.3
+// it gets its place, though not from one that would be left with far more work than it
+// can do (2.1 engines' time a replica was seen): such a one makes way only after others
+// had time to, leftPerSecond more for each second.
+const (
+	spareLeft     = 0.3
+	askedLeft     = 0.6
+	leftPerSecond = 0.2
+)
 
 // learnTime is how long a new planner listens before it takes a model for one that
 // nobody asks for. It begins without any demand: every busy model would look idle, and
@@ -208,7 +254,7 @@
 		if m.replicas == 0 || m.replicas >= p.target(now, m) {
 			continue
 		}
-		pressure[m] = p.expectedWork(now, m.spec.Name) / float64(m.replicas)
+		pressure[m] = p.pressure(now, m)
 		wanted = append(wanted, m)
 	}
 	slices.SortFunc(wanted, func(a, b *model) int {
@@ -219,7 +265,7 @@
 		for m.replicas < p.target(now, m) {
 			order, found := p.place(now, m)
 			if !found {
-				p.makeWay(now, m, p.expectedWork(now, m.spec.Name)/float64(m.replicas))
+				p.makeWay(now, m, p.pressure(now, m))
 				break
 			}
 			orders = append(orders, order)
@@ -278,11 +324,20 @@
 		return false
 	}
 	if pressure == 0 {
-		return p.asked(now, m.spec.Name) || p.hasLearned(now) && p.left(now, v) <= spareLeft
+		return p.mayLose(now, v, m.spec.Name)
 	}
 	return pressure >= gainOverLoss*p.left(now, v)+leastGain
 }
 
+// mayLose tells that a replica of v may make way for a model that is held nowhere.
+func (p *Planner) mayLose(now time.Time, v *model, missing ident.ModelName) bool {
+	if p.asked(now, missing) {
+		waited := now.Sub(p.missingSince[missing]).Seconds()
+		return p.left(now, v) <= askedLeft+leftPerSecond*waited
+	}
+	return p.hasLearned(now) && p.left(now, v) <= spareLeft
+}
+
 // workForTime turns a second of load time into work for each replica.
 const workForTime = 0.015
 
--- a/internal/control/loading/room.go
+++ b/internal/control/loading/room.go
@@ -64,7 +64,12 @@
 }
 
 // left is the work for each replica that a model is left with after losing one.
+// Before any request has come, the replicas that were placed tell what will be asked
+// for: the busiest models have most of them.
 func (p *Planner) left(now time.Time, v *model) float64 {
+	if !p.heard {
+		return leastGoal * float64(v.replicas) / float64(max(v.replicas-1, 1))
+	}
 	return p.expectedWork(now, v.spec.Name) / float64(max(v.replicas-1, 1))
 }
 
@@ -91,8 +96,13 @@
 
 // prepare loads second replicas of models that nobody asks for now into memory that
 // is free, so that a sudden demand finds them: those with adapters first, which
-// serve more callers than others. They make way at once for whatever is asked for.
+// serve more callers than others. They make way at once for whatever is asked for, but
+// a server that loads one takes no other order for as long as that takes (8.6 s from the
+// weight store): so this is for times when demand stays where it is.
 func (p *Planner) prepare(now time.Time) []backend.CountedOrder {
+	if !p.steady(now) {
+		return nil
+	}
 	var idle []*model
 	for _, m := range p.models {
 		if len(m.spec.Adapters) > 0 && m.replicas > 0 && m.replicas < prepared && p.expectedWork(now, m.spec.Name) < lightWork {
