old code: One copy of mixing, of reading a body, and of what a resident answers

splitmix.Mix for two mix functions, httpsend.ReadBody for upstream.ReadAll, backend.Resident.Weights and Report.Holds for three loops. An order's address comes from the list it was planned by, where the whole registry was listed for each. Tokens of demand and Holding.At were carried and read by nobody. Behaviour is meant to stay; the tests of the packages pass.

--- a/internal/control/balance/balance.go
+++ b/internal/control/balance/balance.go
@@ -132,10 +132,9 @@
 
 // Demand is what was asked of one set of weights.
 type Demand struct {
-	// Requests and Tokens count what has arrived, Missed those of which no server
-	// held the weights when they came.
+	// Requests counts what has arrived, Missed those of which no server held the
+	// weights when they came.
 	Requests int64
-	Tokens   int64
 	Missed   int64
 	// Waiting counts the requests that wait for the weights now.
 	Waiting int64
@@ -251,7 +250,6 @@
 	defer p.mu.Unlock()
 	d := p.demandOf(weights)
 	d.Requests++
-	d.Tokens += int64(prompt)
 	reading := p.reading(weights.Model, float64(prompt))
 	d.Work += reading + p.placeTime(weights.Model)
 	p.prompt += (reading - p.prompt) * slowWeight
--- a/internal/control/balance/balance_test.go
+++ b/internal/control/balance/balance_test.go
@@ -9,6 +9,7 @@
 	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/domain/request"
+	"cicadaloom/internal/domain/splitmix"
 )
 
 var start = time.Date(2026, 12, 1, 8, 0, 0, 0, time.UTC)
@@ -88,7 +89,7 @@
 	counts := make(map[ident.ServerName]int)
 	for host := range uint64(60) {
 		pool := newPool(engine("a", "n1", "north"), engine("b", "n1", "north"), engine("c", "n1", "north"))
-		ticket, _ := pool.Take(start, ask(mix(host)))
+		ticket, _ := pool.Take(start, ask(splitmix.Mix(host)))
 		counts[ticket.Server]++
 	}
 	for _, name := range []ident.ServerName{"a", "b", "c"} {
@@ -121,7 +122,7 @@
 	pool := newPool(engine("a", "n1", "north"), engine("b", "n1", "north"), engine("c", "n1", "north"))
 	taken := 0
 	for dice := range uint64(400) {
-		ticket, _ := pool.Take(start, ask(mix(dice)))
+		ticket, _ := pool.Take(start, ask(splitmix.Mix(dice)))
 		result := Answered
 		if ticket.Server == "a" && dice%2 == 0 {
 			result = Failed
--- a/internal/control/balance/choose.go
+++ b/internal/control/balance/choose.go
@@ -8,6 +8,7 @@
 	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/domain/request"
+	"cicadaloom/internal/domain/splitmix"
 )
 
 // Costs that stand for themselves.
@@ -67,7 +68,7 @@
 	var lowest float64
 	dice := ask.Dice
 	verdict := p.eachOpen(now, &ask, func(s *server, usual float64) {
-		dice = mix(dice)
+		dice = splitmix.Mix(dice)
 		cost := float64(p.cost(s, &ask, usual)) * (1 + blur*float64(dice%1024)/1024)
 		if best == nil || cost < lowest {
 			best, lowest = s, cost
@@ -371,11 +372,3 @@
 	}
 	t.pool.answering[model] = known + (now.Sub(t.startedAt).Seconds()-known)*fastWeight
 }
-
-// mix is the finalizer of splitmix64: it turns a counter into random bits.
-func mix(x uint64) uint64 {
-	x += 0x9e3779b97f4a7c15
-	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
-	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
-	return x ^ (x >> 31)
-}
--- a/internal/control/loading/demand.go
+++ b/internal/control/loading/demand.go
@@ -19,7 +19,6 @@
 // Demand is what one host has been asked for since it last told.
 type Demand struct {
 	Requests int64
-	Tokens   int64
 	Missed   int64
 	Waiting  int64
 	// Work is how long one engine takes to read all of the prompts, in seconds.
--- a/internal/control/loading/digest.go
+++ b/internal/control/loading/digest.go
@@ -16,8 +16,6 @@
 	Retiring    []ident.ModelName
 	Running     int
 	Waiting     int
-	// At is when the server's report was taken.
-	At time.Time
 }
 
 // Holdings gives what each server that has reported holds.
@@ -37,14 +35,7 @@
 		Incarnation: e.Incarnation,
 		Running:     e.report.Running,
 		Waiting:     e.report.Waiting,
-		At:          e.report.At,
-	}
-	for i := range e.report.Residents {
-		resident := &e.report.Residents[i]
-		holding.Holds = append(holding.Holds, request.Weights{
-			Model:   resident.Model,
-			Adapter: resident.Adapter,
-		})
+		Holds:       e.report.Holds(),
 	}
 	for weights, from := range e.adapters {
 		if now.Before(from) || slices.Contains(holding.Holds, weights) {
--- a/internal/control/loading/engine.go
+++ b/internal/control/loading/engine.go
@@ -113,7 +113,7 @@
 	for _, list := range [][]backend.Resident{e.report.Residents, e.report.Coming} {
 		for i := range list {
 			if list[i].Adapter != "" {
-				all[weightsOf(&list[i])] = true
+				all[list[i].Weights()] = true
 			}
 		}
 	}
@@ -127,13 +127,6 @@
 	return all
 }
 
-func weightsOf(resident *backend.Resident) request.Weights {
-	return request.Weights{
-		Model:   resident.Model,
-		Adapter: resident.Adapter,
-	}
-}
-
 // weights gives what the order is about.
 func (p *pending) weights() request.Weights {
 	return request.Weights{
--- a/internal/control/routing/baseline.go
+++ b/internal/control/routing/baseline.go
@@ -1,5 +1,7 @@
 package routing
 
+import "cicadaloom/internal/domain/splitmix"
+
 import "sync/atomic"
 
 // Random takes any replica that is not ejected.
@@ -7,7 +9,7 @@
 
 // Choose implements Policy.
 func (Random) Choose(target *Target, request *Request) (Choice, error) {
-	return firstFrom(target, request, mix(request.Dice+uint64(request.NumTried)))
+	return firstFrom(target, request, splitmix.Mix(request.Dice+uint64(request.NumTried)))
 }
 
 // RoundRobin takes the replicas in turn.
--- a/internal/control/routing/choose.go
+++ b/internal/control/routing/choose.go
@@ -7,6 +7,7 @@
 
 	"cicadaloom/internal/control/admission"
 	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/domain/splitmix"
 )
 
 // ErrNoReplica says that no backend server can take the request now.
@@ -123,10 +124,10 @@
 		return best, best.Replica != nil
 	}
 	count := uint64(to - from)
-	dice := mix(request.Dice + uint64(request.NumTried))
+	dice := splitmix.Mix(request.Dice + uint64(request.NumTried))
 	for range sampled {
 		consider(&best, target, request, from+int(dice%count), home)
-		dice = mix(dice)
+		dice = splitmix.Mix(dice)
 	}
 	if best.Replica != nil {
 		return best, true
@@ -231,12 +232,3 @@
 		Whole: r.Gauge.Prompt() + r.Gauge.Generation(),
 	}
 }
-
-// mix is the finalizer of splitmix64: one multiplication chain turns a counter
-// into bits good enough to draw candidates with.
-func mix(x uint64) uint64 {
-	x += 0x9e3779b97f4a7c15
-	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
-	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
-	return x ^ (x >> 31)
-}
--- a/internal/control/routing/sim_test.go
+++ b/internal/control/routing/sim_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/domain/splitmix"
 )
 
 // The engine stand-in's formula, in a simulation of one model: no sockets, a
@@ -240,7 +241,7 @@
 	}
 	if s.prefixes > 0 {
 		// A few beginnings are common and most are rare.
-		r.prefix = mix(uint64(float64(s.prefixes) * s.dice.Float64() * s.dice.Float64()))
+		r.prefix = splitmix.Mix(uint64(float64(s.prefixes) * s.dice.Float64() * s.dice.Float64()))
 	}
 	told := r.prefix
 	if s.noHome {
--- a/internal/control/routing/story_test.go
+++ b/internal/control/routing/story_test.go
@@ -9,6 +9,7 @@
 
 	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/domain/splitmix"
 )
 
 // A crew's briefing goes to a server that has lost the model: the server took a
@@ -95,7 +96,7 @@
 	for i := range 200 {
 		choice, err := (LeastCost{}).Choose(target, &Request{
 			Now:    w.now,
-			Dice:   mix(uint64(i)),
+			Dice:   splitmix.Mix(uint64(i)),
 			Prefix: uint64(i),
 		})
 		if err == nil && choice.Replica.Server == server {
@@ -178,11 +179,11 @@
 		w.reports[engineName(5)].Running = 0
 		w.tellReports()
 		for i := range perHost {
-			dice := mix(uint64(h*perHost + i))
+			dice := splitmix.Mix(uint64(h*perHost + i))
 			choice, err := (LeastCost{}).Choose(w.target(), &Request{
 				Now:    w.now,
 				Dice:   dice,
-				Prefix: mix(dice),
+				Prefix: splitmix.Mix(dice),
 			})
 			require.NoError(t, err)
 			choice.Replica.Gauge.Begin(w.now)
@@ -235,12 +236,12 @@
 	after := w.target()
 	gone := 0
 	for prefix := range uint64(1000) {
-		was := before.Replicas[before.home(mix(prefix), 0, 12)].Server
+		was := before.Replicas[before.home(splitmix.Mix(prefix), 0, 12)].Server
 		if was == engineName(11) {
 			gone++
 			continue
 		}
-		require.Equal(t, was, after.Replicas[after.home(mix(prefix), 0, 11)].Server)
+		require.Equal(t, was, after.Replicas[after.home(splitmix.Mix(prefix), 0, 11)].Server)
 	}
 	require.InDelta(t, 1000/12, gone, 40)
 }
--- a/internal/domain/backend/backend.go
+++ b/internal/domain/backend/backend.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/domain/request"
 	"cicadaloom/internal/domain/unit"
 )
 
@@ -118,6 +119,23 @@
 	Ready   bool
 }
 
+// Weights is what a request asks for that this resident can answer.
+func (r *Resident) Weights() request.Weights {
+	return request.Weights{
+		Model:   r.Model,
+		Adapter: r.Adapter,
+	}
+}
+
+// Holds gives the weights of all residents.
+func (r *Report) Holds() []request.Weights {
+	holds := make([]request.Weights, 0, len(r.Residents))
+	for i := range r.Residents {
+		holds = append(holds, r.Residents[i].Weights())
+	}
+	return holds
+}
+
 // Taken adds up the memory of all residents.
 func (r *Report) Taken() unit.Bytes {
 	var taken unit.Bytes
--- a/internal/host/gateway/control.go
+++ b/internal/host/gateway/control.go
@@ -235,7 +235,7 @@
 		server.Waiting = word.Waiting
 		return server
 	}
-	server.Holds = holdsOf(&registration.Report)
+	server.Holds = registration.Report.Holds()
 	return server
 }
 
--- a/internal/host/gateway/gateway_test.go
+++ b/internal/host/gateway/gateway_test.go
@@ -230,7 +230,7 @@
 	}
 	c.tenure.extend(steadyClock(), bootClock(), time.Minute)
 	held := c.tenure
-	c.give("models", backend.CountedOrder{
+	c.give("models", "one:1", backend.CountedOrder{
 		Server: "one",
 	})
 	require.Eventually(t, held.ended.Load, 5*time.Second, time.Millisecond)
--- a/internal/host/gateway/messages.go
+++ b/internal/host/gateway/messages.go
@@ -8,7 +8,6 @@
 
 	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/ident"
-	"cicadaloom/internal/domain/request"
 	"cicadaloom/internal/domain/store"
 )
 
@@ -130,18 +129,6 @@
 	}
 }
 
-// holdsOf gives what requests may ask for by a report.
-func holdsOf(report *backend.Report) []request.Weights {
-	holds := make([]request.Weights, 0, len(report.Residents))
-	for i := range report.Residents {
-		holds = append(holds, request.Weights{
-			Model:   report.Residents[i].Model,
-			Adapter: report.Residents[i].Adapter,
-		})
-	}
-	return holds
-}
-
 // hostEntry takes in one entry of the hosts' own, and gives the host whose it is.
 func (c *control) hostEntry(entry *store.Entry) ident.HostID {
 	layout := &c.options.Layout
--- a/internal/host/gateway/plan.go
+++ b/internal/host/gateway/plan.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -93,7 +94,8 @@
 		return
 	}
 	for _, order := range planner.Step(now) {
-		c.give(name, order)
+		at := slices.IndexFunc(servers, func(s loading.Server) bool { return s.Name == order.Server })
+		c.give(name, servers[at].Address, order)
 	}
 	for _, decision := range planner.TakeDecisions() {
 		c.log.Info("replica retires", zap.String("Server", string(decision.Server)), zap.String("Model", string(decision.Model)),
@@ -184,16 +186,10 @@
 }
 
 // give sends an order, unless this host may give none at that very instant.
-func (c *control) give(service ident.ServiceName, order backend.CountedOrder) {
+func (c *control) give(service ident.ServiceName, address string, order backend.CountedOrder) {
 	t := c.tenure
 	order.Holder = c.options.Settings.Host.Name
 	order.Fencing = t.token
-	address := ""
-	for _, registration := range c.registry.Servers(time.Now()) {
-		if registration.Server.Name == order.Server {
-			address = registration.Server.Address
-		}
-	}
 	c.tomb.Go(func() error {
 		answer, err := backend.OrderConflicts, error(nil)
 		if t.mayOrder() {
--- a/internal/peer/gatewaypeer/codec.go
+++ b/internal/peer/gatewaypeer/codec.go
@@ -62,7 +62,6 @@
 		Model:    string(d.Weights.Model),
 		Adapter:  string(d.Weights.Adapter),
 		Requests: d.Requests,
-		Tokens:   d.Tokens,
 		Missed:   d.Missed,
 		Waiting:  d.Waiting,
 		Work:     d.Work,
@@ -78,7 +77,6 @@
 		},
 		Demand: loading.Demand{
 			Requests: wire.GetRequests(),
-			Tokens:   wire.GetTokens(),
 			Missed:   wire.GetMissed(),
 			Waiting:  wire.GetWaiting(),
 			Work:     wire.GetWork(),
--- a/internal/peer/upstream/upstream.go
+++ b/internal/peer/upstream/upstream.go
@@ -34,7 +34,6 @@
 import (
 	"bufio"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -310,13 +309,3 @@
 	}
 	return defaultIdle
 }
-
-// ReadAll reads an answer's body of up to limit bytes. whole tells that it came
-// to its end.
-func ReadAll(response *http.Response, limit int64) ([]byte, bool, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
-	if err != nil {
-		return body, false, errors.Wrap(err, "body")
-	}
-	return body, int64(len(body)) <= limit, nil
-}
--- a/internal/peer/upstream/upstream_test.go
+++ b/internal/peer/upstream/upstream_test.go
@@ -66,11 +66,10 @@
 		return "", err
 	}
 	defer exchange.Close()
-	body, whole, err := ReadAll(exchange.Response, 1<<20)
+	body, err := io.ReadAll(exchange.Response.Body)
 	if err != nil {
 		return "", err
 	}
-	require.True(t, whole)
 	exchange.Keep()
 	return string(body), nil
 }
--- a/internal/traffic/relay/send.go
+++ b/internal/traffic/relay/send.go
@@ -7,6 +7,7 @@
 
 	"cicadaloom/internal/control/balance"
 	"cicadaloom/internal/domain/route"
+	"cicadaloom/internal/peer/httpsend"
 	"cicadaloom/internal/peer/upstream"
 )
 
@@ -101,7 +102,7 @@
 
 // refusedBy takes a server's proof that it did not run the request.
 func (s *serving) refusedBy(exchange *upstream.Exchange, ticket *balance.Ticket, answer *Answer) sent {
-	if _, whole, err := upstream.ReadAll(exchange.Response, maxWhole); err == nil && whole {
+	if _, err := httpsend.ReadBody(exchange.Response.Body, maxWhole); err == nil {
 		exchange.Keep()
 	}
 	result := sent{
@@ -127,8 +128,8 @@
 func (s *serving) passWhole(ctx context.Context, exchange *upstream.Exchange, ticket *balance.Ticket) sent {
 	response := exchange.Response
 	ticket.Started(s.handler.Now())
-	body, whole, err := upstream.ReadAll(response, maxWhole)
-	if err != nil || !whole {
+	body, err := httpsend.ReadBody(response.Body, maxWhole)
+	if err != nil {
 		result := sent{
 			result: balance.Broken,
 			status: response.StatusCode,
