gateway: Let few hosts of a large region read the configuration, and tell the others

Ruled out: the service (hosts of its own region had each within 1.5 s), the hosts' processor time. Change: three hosts of a region of more than ten follow the service; the others ask one of them every 0.6 s, and follow it themselves when none answers for 2.5 s. Peers get the text packed (gzip, a tenth), once for all; an older one is not unpacked.

--- a/internal/host/gateway/control.go
+++ b/internal/host/gateway/control.go
@@ -35,8 +35,8 @@
 type control struct {
 	*Gateway
 	configuration *route.Configuration
-	// text is the configuration as the operator wrote it, for peers without it.
-	text     []byte
+	// packed is the configuration as the operator wrote it, for peers without it.
+	packed   []byte
 	registry registry.Machine
 	hosts    map[ident.HostID]*peer
 	holder   ident.HostID
@@ -181,6 +181,8 @@
 	}
 	c.budget.SetHosts(max(hosts, 1))
 	c.pacers.set(c.pacerHosts())
+	readers := c.readers()
+	c.readerAddresses.Store(&readers)
 	youngest := true
 	for _, host := range c.hosts {
 		youngest = youngest && (!host.missingSince.IsZero() || !host.began.After(processStart))
@@ -251,7 +253,7 @@
 		return
 	}
 	c.configuration = decoded
-	c.text = text
+	c.packed = pack(text)
 	place := balance.Place{
 		DataCentre: c.options.Settings.Host.DataCentre,
 		Region:     c.options.Settings.Host.Region,
@@ -294,7 +296,7 @@
 func (c *control) word(theirs route.Version) gatewaypeer.Word {
 	word := c.greeting()
 	if theirs < word.Version {
-		word.Configuration = c.text
+		word.Packed = c.packed
 	}
 	if c.tenure != nil {
 		word.Engines = c.engineWords(time.Now())
--- a/internal/host/gateway/exchange.go
+++ b/internal/host/gateway/exchange.go
@@ -52,13 +52,13 @@
 			every = paced
 			ticker.Reset(every)
 		}
-		if err := g.askPeer(true); (err != nil) != holderLost {
+		if err := g.askPeer(toHolder); (err != nil) != holderLost {
 			holderLost = err != nil
 			g.logHolder(err)
 		}
 		if now.Sub(gossip) > gossipEvery {
 			gossip = now
-			if err := g.askPeer(false); err != nil {
+			if err := g.askPeer(toSomePeer); err != nil {
 				g.log.Debug("no word from peer", zap.Error(err))
 			}
 		}
@@ -73,12 +73,18 @@
 	g.log.Info("holder answers again")
 }
 
-// askPeer exchanges words with the holder, or with some other peer.
-func (g *Gateway) askPeer(holder bool) error {
+// Whom a word goes to, beside addresses.
+const (
+	toHolder   = "holder"
+	toSomePeer = "some peer"
+)
+
+// askPeer exchanges words with the holder, some other peer, or the one at an address.
+func (g *Gateway) askPeer(to string) error {
 	reply := make(chan outgoing, 1)
 	g.post(wantsWord{
-		holder: holder,
-		reply:  reply,
+		to:    to,
+		reply: reply,
 	})
 	var out outgoing
 	select {
@@ -108,20 +114,23 @@
 
 // wantsWord asks the control for the next word to tell.
 type wantsWord struct {
-	holder bool
-	reply  chan<- outgoing
+	to    string
+	reply chan<- outgoing
 }
 
 func (m wantsWord) apply(now time.Time, c *control) {
 	var out outgoing
-	if m.holder {
+	switch m.to {
+	case toHolder:
 		out.address = c.holderAddress()
-	} else {
+	case toSomePeer:
 		out.address = c.somePeer()
+	default:
+		out.address = m.to
 	}
 	if out.address != "" {
 		out.word = c.greeting()
-		if m.holder {
+		if m.to == toHolder {
 			out.word.Demand = c.takeDemand()
 		}
 	}
@@ -196,8 +205,12 @@
 
 // hear takes in what a peer tells.
 func (c *control) hear(now time.Time, word *gatewaypeer.Word) {
-	if len(word.Configuration) > 0 {
-		c.install(now, word.Configuration, "peer "+string(word.Host))
+	if len(word.Packed) > 0 && (c.configuration == nil || word.Version > c.configuration.Version) {
+		if text, err := unpack(word.Packed); err != nil {
+			c.log.Warn("configuration refused", zap.String("From", string(word.Host)), zap.Error(err))
+		} else {
+			c.install(now, text, "peer "+string(word.Host))
+		}
 	}
 	if len(word.Suspects) > 0 {
 		suspectHeard{event: suspects.Told{
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -137,6 +137,10 @@
 	// knownHosts is how many hosts are known.
 	knownHosts atomic.Int64
 	seeds      atomic.Pointer[[]string]
+	// readerAddresses is where the readers of the region listen that this host follows,
+	// readerHeard when one of them last told it something, by the steady clock.
+	readerAddresses atomic.Pointer[[]string]
+	readerHeard     atomic.Int64
 	// endRequests has every request answered at once.
 	endRequests context.CancelFunc
 	missed      chan struct{}
@@ -163,6 +167,7 @@
 	}
 	g.budget.SetHosts(unknownHosts)
 	g.SetSeeds(options.Settings.Seeds)
+	g.readerAddresses.Store(&[]string{})
 	g.pools.Store(&map[ident.ServiceName]*balance.Pool{})
 	dialed := options.Metrics.NewCounter("cicadaloom_connections_opened_total")
 	g.up = &upstream.Client{
@@ -224,6 +229,7 @@
 	g.tomb.Go(g.register)
 	g.tomb.Go(g.hold)
 	g.tomb.Go(g.exchange)
+	g.tomb.Go(g.followReaders)
 }
 
 // context gives a context that ends with the host.
--- a/internal/host/gateway/watch.go
+++ b/internal/host/gateway/watch.go
@@ -95,6 +95,9 @@
 // watch ends.
 func (g *Gateway) watchOnce(w *watcher, read func()) error {
 	ctx := g.context()
+	if w.newest {
+		g.awaitNeed()
+	}
 	listing, err := g.options.KeyValue.List(ctx, w.prefix)
 	if err != nil {
 		return err
@@ -102,12 +105,11 @@
 	read()
 	w.replace(listing.Entries)
 	return g.options.KeyValue.Watch(ctx, w.prefix, listing.Revision, watchRound, func(batch store.Batch) error {
-		if len(batch.Events) == 0 {
-			return nil
+		if len(batch.Events) > 0 {
+			w.change(batch.Events)
+			g.sleep(g.changePause(w))
 		}
-		w.change(batch.Events)
-		g.sleep(g.changePause())
-		if w.newest && len(batch.Events) > 1 {
+		if w.newest && (len(batch.Events) > 1 || g.hearsReaders()) {
 			return errChanged
 		}
 		return nil
@@ -138,7 +140,10 @@
 const followPause = 2 * time.Second
 
 // changePause is how long to wait after a change for those that come with it.
-func (g *Gateway) changePause() time.Duration {
+func (g *Gateway) changePause(w *watcher) time.Duration {
+	if w.newest {
+		return changePace // few follow it in a large fleet, and others wait for them
+	}
 	pause := g.fleetPace(changePace)
 	if pause >= mostPace*changePace && g.holding.Load() == nil {
 		return followPause
--- a/internal/peer/gatewaypeer/codec.go
+++ b/internal/peer/gatewaypeer/codec.go
@@ -20,7 +20,7 @@
 		DataCentre:           string(w.DataCentre),
 		Region:               string(w.Region),
 		ConfigurationVersion: int64(w.Version),
-		Configuration:        w.Configuration,
+		PackedConfiguration:  w.Packed,
 		HolderToken:          int64(w.Token),
 	}
 	for i := range w.Demand {
@@ -37,12 +37,12 @@
 
 func decode(wire *gatewaypeerpb.Word) Word {
 	word := Word{
-		Host:          ident.HostID(wire.GetHost()),
-		DataCentre:    ident.DataCentre(wire.GetDataCentre()),
-		Region:        ident.Region(wire.GetRegion()),
-		Version:       route.Version(wire.GetConfigurationVersion()),
-		Configuration: wire.GetConfiguration(),
-		Token:         ident.FencingNumber(wire.GetHolderToken()),
+		Host:       ident.HostID(wire.GetHost()),
+		DataCentre: ident.DataCentre(wire.GetDataCentre()),
+		Region:     ident.Region(wire.GetRegion()),
+		Version:    route.Version(wire.GetConfigurationVersion()),
+		Packed:     wire.GetPackedConfiguration(),
+		Token:      ident.FencingNumber(wire.GetHolderToken()),
 	}
 	for _, one := range wire.GetDemand() {
 		word.Demand = append(word.Demand, decodeDemand(one))
--- a/internal/peer/gatewaypeer/gatewaypeer.go
+++ b/internal/peer/gatewaypeer/gatewaypeer.go
@@ -40,10 +40,10 @@
 	Host       ident.HostID
 	DataCentre ident.DataCentre
 	Region     ident.Region
-	// Version is the newest configuration's that the teller has; Configuration is
-	// its text as the operator wrote it, for those who have an older one.
-	Version       route.Version
-	Configuration []byte
+	// Version is the newest configuration's that the teller has; Packed is its text as
+	// the operator wrote it, in gzip, for those who have an older one.
+	Version route.Version
+	Packed  []byte
 	// Token is not 0 where the teller may give orders to engines.
 	Token    ident.FencingNumber
 	Demand   []Demand
