--- a/internal/control/routing/baseline.go
+++ b/internal/control/routing/baseline.go
@@ -1,8 +1,10 @@
 package routing
 
-import "cicadaloom/internal/domain/splitmix"
+import (
+	"sync/atomic"
 
-import "sync/atomic"
+	"cicadaloom/internal/domain/splitmix"
+)
 
 // Random takes any replica that is not ejected.
 type Random struct{}
--- a/internal/host/gateway/pace.go
+++ b/internal/host/gateway/pace.go
@@ -93,14 +93,15 @@
 	return g.reserve(ctx, model, prompt)
 }
 
-// byRegion parts the engines of this host's region from those of the other region that
+// byRegion gives the engines of this host's region, and those of the other region that
 // has most of them: they have different pacers.
-func (g *Gateway) byRegion(offers []pacing.Candidate) (near, far []pacing.Candidate) {
+func (g *Gateway) byRegion(offers []pacing.Candidate) ([]pacing.Candidate, []pacing.Candidate) {
 	regions := make(map[ident.Region][]pacing.Candidate)
 	for _, offer := range offers {
 		regions[offer.Region] = append(regions[offer.Region], offer)
 	}
 	own := g.options.Settings.Host.Region
+	var far []pacing.Candidate
 	for region, there := range regions {
 		if region != own && (len(there) > len(far) || len(there) == len(far) && region < far[0].Region) {
 			far = there
