pacing: Rank hosts once for a fleet, by the one rendezvous hash

Found in reading: each prompt cloned, hashed and sorted all hosts to find its pacer, up to three times; readers had a second ranking of their own over a second list of hosts. Change: pacing.First ranks by the library that claims uses, for pacers and readers; the gateway keeps what it found until the hosts change. Which host is pacer or reader comes out otherwise than before; how it is chosen does not.

--- a/internal/control/pacing/pacing.go
+++ b/internal/control/pacing/pacing.go
@@ -38,13 +38,13 @@
 package pacing
 
 import (
-	"cmp"
 	"slices"
 	"strconv"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
 
 	"cicadaloom/internal/domain/ident"
 )
@@ -180,17 +180,33 @@
 // Pacers gives the hosts that pace the engines of a region for a model, the first
 // one first: among the hosts there or, where there is none, among all.
 func Pacers(hosts []Host, model ident.ModelName, region ident.Region) []Host {
-	ranked := slices.DeleteFunc(slices.Clone(hosts), func(h Host) bool { return h.Region != region })
-	if len(ranked) == 0 {
-		ranked = slices.Clone(hosts)
+	there := InRegion(hosts, region)
+	if len(there) == 0 {
+		there = hosts
 	}
-	group := strconv.FormatUint(xxhash.Sum64String(string(model))%uint64(1+len(hosts)/hostsPerPacer), 10)
-	slices.SortFunc(ranked, func(a, b Host) int {
-		return cmp.Or(cmp.Compare(b.weight(group, region), a.weight(group, region)), cmp.Compare(a.Name, b.Name))
-	})
-	return ranked[:min(len(ranked), Ranks)]
+	group := xxhash.Sum64String(string(model)) % uint64(1+len(hosts)/hostsPerPacer)
+	return First(there, string(region)+"/"+strconv.FormatUint(group, 10), Ranks)
 }
 
-func (h *Host) weight(group string, region ident.Region) uint64 {
-	return xxhash.Sum64String(string(h.Name) + "/" + string(region) + "/" + group)
+// InRegion gives the hosts of a region.
+func InRegion(hosts []Host, region ident.Region) []Host {
+	return slices.DeleteFunc(slices.Clone(hosts), func(h Host) bool { return h.Region != region })
+}
+
+// First gives the first hosts for a key by rendezvous hashing, at most so many: all who
+// know the same hosts find the same ones, and where one is lost the others move up.
+func First(hosts []Host, key string, most int) []Host {
+	rest := slices.Clone(hosts)
+	var first []Host
+	for len(first) < most && len(rest) > 0 {
+		names := make([]string, 0, len(rest))
+		for i := range rest {
+			names = append(names, string(rest[i].Name))
+		}
+		top := ident.HostID(rendezvous.New(names, xxhash.Sum64String).Lookup(key))
+		at := slices.IndexFunc(rest, func(h Host) bool { return h.Name == top })
+		first = append(first, rest[at])
+		rest = slices.Delete(rest, at, at+1)
+	}
+	return first
 }
--- a/internal/host/gateway/control.go
+++ b/internal/host/gateway/control.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -180,8 +182,9 @@
 		}
 	}
 	c.budget.SetHosts(max(hosts, 1))
-	c.pacers.set(c.pacerHosts())
-	readers := c.readers()
+	reachable := c.reachable()
+	c.pacers.set(reachable)
+	readers := c.readers(reachable)
 	c.readerAddresses.Store(&readers)
 	youngest := true
 	for _, host := range c.hosts {
@@ -190,8 +193,9 @@
 	c.youngest.Store(youngest)
 }
 
-// pacerHosts gives the hosts that have an entry, with a connection to each.
-func (c *control) pacerHosts() []pacing.Host {
+// reachable gives the hosts that have an entry, sorted by name, with a connection to
+// each.
+func (c *control) reachable() []pacing.Host {
 	hosts := make([]pacing.Host, 0, len(c.hosts))
 	for name, host := range c.hosts {
 		if host.missingSince.IsZero() {
@@ -205,6 +209,7 @@
 			})
 		}
 	}
+	slices.SortFunc(hosts, func(a, b pacing.Host) int { return cmp.Compare(a.Name, b.Name) })
 	return hosts
 }
 
--- a/internal/host/gateway/pace.go
+++ b/internal/host/gateway/pace.go
@@ -28,12 +28,35 @@
 	mu     sync.Mutex
 	hosts  []pacing.Host
 	silent map[ident.HostID]time.Time
+	// ranked are the pacers that follow from the hosts, as far as they were asked for.
+	ranked map[pacedKey][]pacing.Host
 }
 
+// pacedKey is what a pacer is chosen by.
+type pacedKey struct {
+	model  ident.ModelName
+	region ident.Region
+}
+
+// set takes in the hosts, sorted by name. Most often they are those that were known.
 func (p *pacers) set(hosts []pacing.Host) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if slices.Equal(p.hosts, hosts) {
+		return
+	}
 	p.hosts = hosts
+	p.ranked = make(map[pacedKey][]pacing.Host)
+}
+
+// rank gives the pacers for a model of a region's engines, the first one first.
+func (p *pacers) rank(key pacedKey) []pacing.Host {
+	ranked, known := p.ranked[key]
+	if !known && len(p.hosts) > 0 {
+		ranked = pacing.Pacers(p.hosts, key.model, key.region)
+		p.ranked[key] = ranked
+	}
+	return ranked
 }
 
 // of gives the pacer for a model of the engines of a region; known is false where
@@ -41,7 +64,11 @@
 func (p *pacers) of(now time.Time, model ident.ModelName, region ident.Region) (pacing.Host, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, host := range pacing.Pacers(p.hosts, model, region) {
+	key := pacedKey{
+		model:  model,
+		region: region,
+	}
+	for _, host := range p.rank(key) {
 		if !now.Before(p.silent[host.Name]) {
 			return host, true
 		}
--- a/internal/host/gateway/readers.go
+++ b/internal/host/gateway/readers.go
@@ -2,18 +2,15 @@
 
 import (
 	"bytes"
-	"cmp"
 	"compress/gzip"
 	"io"
 	"math/rand/v2"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/control/pacing"
 )
 
 // In a large fleet a few hosts of each region, its readers, follow the configuration in
@@ -40,34 +37,18 @@
 
 // readers gives where the readers of this host's region listen, none where it is one of
 // them or where every host is.
-func (c *control) readers() []string {
-	type one struct {
-		name    ident.HostID
-		address string
-	}
+func (c *control) readers(reachable []pacing.Host) []string {
 	own := &c.options.Settings.Host
-	var there []one
-	for name, host := range c.hosts {
-		if host.region == own.Region && host.missingSince.IsZero() {
-			there = append(there, one{
-				name:    name,
-				address: host.address,
-			})
-		}
-	}
+	there := pacing.InRegion(reachable, own.Region)
 	if len(there) <= manyHosts {
 		return nil
 	}
-	weight := func(o one) uint64 { return xxhash.Sum64String("reader/" + string(o.name)) }
-	slices.SortFunc(there, func(a, b one) int {
-		return cmp.Or(cmp.Compare(weight(b), weight(a)), cmp.Compare(a.name, b.name))
-	})
 	var addresses []string
-	for _, reader := range there[:readersPerRegion] {
-		if reader.name == own.Name {
+	for _, reader := range pacing.First(there, "reader", readersPerRegion) {
+		if reader.Name == own.Name {
 			return nil
 		}
-		addresses = append(addresses, reader.address)
+		addresses = append(addresses, reader.Address)
 	}
 	return addresses
 }
--- a/internal/host/gateway/watch_test.go
+++ b/internal/host/gateway/watch_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"cicadaloom/internal/control/pacing"
 	"cicadaloom/internal/domain/ident"
 )
 
@@ -30,30 +31,31 @@
 // the link to the service's region was full for 15 s. Three of them read, all hosts agree
 // on which, and the others follow those; a small region's hosts all read.
 func TestFewHostsOfALargeRegionReadTheConfiguration(t *testing.T) {
-	control := func(hosts, self int) *control {
+	readersOf := func(hosts, self int) []string {
 		c := &control{
 			Gateway: &Gateway{},
-			hosts:   make(map[ident.HostID]*peer),
 		}
+		reachable := []pacing.Host{{
+			Name:    "far",
+			Address: "far:1",
+			Region:  "south",
+		}}
 		for i := range hosts {
-			c.hosts[ident.HostID("h"+strconv.Itoa(i))] = &peer{
-				address: "h" + strconv.Itoa(i) + ":1",
-				region:  "north",
-			}
-		}
-		c.hosts["far"] = &peer{
-			address: "far:1",
-			region:  "south",
+			reachable = append(reachable, pacing.Host{
+				Name:    ident.HostID("h" + strconv.Itoa(i)),
+				Address: "h" + strconv.Itoa(i) + ":1",
+				Region:  "north",
+			})
 		}
 		c.options.Settings.Host.Name = ident.HostID("h" + strconv.Itoa(self))
 		c.options.Settings.Host.Region = "north"
-		return c
+		return c.readers(reachable)
 	}
-	require.Empty(t, control(manyHosts, 0).readers())
+	require.Empty(t, readersOf(manyHosts, 0))
 	var agreed []string
 	reading := 0
 	for self := range 36 {
-		readers := control(36, self).readers()
+		readers := readersOf(36, self)
 		if len(readers) == 0 {
 			reading++
 			continue
