balance: Keep a prompt's instant on its ticket, and count what has not started

Found in reading: the instant to send at stood in the request and, by a second call under the pool's lock, in the ticket. Seconds of unread prompts were added up and taken off again, though since the pacer books engines only "none" is asked of them; a rest of rounding could have stopped the measure of reading time for good. Two branches said the same of engines that have too much. SetServers took an instant that nobody read. Behaviour is meant to stay, but for that rest; tests keep their assertions.

--- a/internal/control/balance/balance.go
+++ b/internal/control/balance/balance.go
@@ -13,7 +13,7 @@
 //		DataCentre: "brest-a",
 //		Region:     "finistere",
 //	})
-//	pool.SetServers(now, servers)
+//	pool.SetServers(servers)
 //	ticket, verdict := pool.Take(now, balance.Ask{
 //		Weights: r.Weights(),
 //		Prompt:  r.Prompt,
@@ -30,7 +30,7 @@
 //
 //	offers, verdict := pool.Offers(now, ask)
 //	...
-//	ticket := pool.Hold(now, ask, chosen)
+//	ticket := pool.Hold(now, ask, slot)
 //
 // # What a choice weighs
 //
@@ -186,13 +186,13 @@
 
 // SetServers replaces what is known of the servers. Those of another incarnation
 // start anew.
-func (p *Pool) SetServers(now time.Time, servers []Server) {
+func (p *Pool) SetServers(servers []Server) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	seen := make(map[ident.ServerName]bool, len(servers))
 	for i := range servers {
 		seen[servers[i].Name] = true
-		p.set(now, &servers[i])
+		p.set(&servers[i])
 	}
 	for name := range p.servers {
 		if !seen[name] {
@@ -212,7 +212,7 @@
 	p.wake()
 }
 
-func (p *Pool) set(now time.Time, told *Server) {
+func (p *Pool) set(told *Server) {
 	s, known := p.servers[told.Name]
 	if !known || s.known.Incarnation != told.Incarnation || s.known.Address != told.Address {
 		s = &server{
@@ -220,7 +220,7 @@
 		}
 		p.servers[told.Name] = s
 	}
-	s.take(now, told)
+	s.take(told)
 }
 
 // wake lets the requests that wait look again.
--- a/internal/control/balance/balance_test.go
+++ b/internal/control/balance/balance_test.go
@@ -38,7 +38,7 @@
 		DataCentre: "n1",
 		Region:     "north",
 	})
-	pool.SetServers(start, servers)
+	pool.SetServers(servers)
 	return pool
 }
 
@@ -147,7 +147,7 @@
 		require.Equal(t, ident.ServerName("b"), ticket.Server)
 		ticket.Done(start, Answered)
 	}
-	pool.SetServers(start, []Server{retiring})
+	pool.SetServers([]Server{retiring})
 	ticket, _ := pool.Take(start, ask(1))
 	require.Equal(t, ident.ServerName("a"), ticket.Server)
 
@@ -183,12 +183,12 @@
 	leaving := engine("a", "n1", "north")
 	leaving.Leaving = true
 	pool := newPool(leaving)
-	pool.SetServers(start, []Server{engine("a", "n1", "north")})
+	pool.SetServers([]Server{engine("a", "n1", "north")})
 	_, verdict := pool.Take(start, ask(1))
 	require.Equal(t, NoneHolds, verdict)
 	reborn := engine("a", "n1", "north")
 	reborn.Incarnation = "2"
-	pool.SetServers(start, []Server{reborn})
+	pool.SetServers([]Server{reborn})
 	_, verdict = pool.Take(start, ask(1))
 	require.Equal(t, Found, verdict)
 }
@@ -249,7 +249,7 @@
 func TestWaitersAreWoken(t *testing.T) {
 	pool := newPool()
 	changed := pool.Changed()
-	pool.SetServers(start, []Server{engine("a", "n1", "north")})
+	pool.SetServers([]Server{engine("a", "n1", "north")})
 	<-changed
 	changed = pool.Changed()
 	ticket, _ := pool.Take(start, ask(1))
--- a/internal/control/balance/choose.go
+++ b/internal/control/balance/choose.go
@@ -43,17 +43,17 @@
 	// Reading is how long the server will read the prompt; zero for servers without
 	// models.
 	Reading time.Duration
-	// Expected is the expected time to the first byte of the answer.
+	// Expected is the expected time to the first byte of the answer, from SendAt on.
 	Expected time.Duration
+	// SendAt is when the request is to be sent.
+	SendAt time.Time
 
 	pool   *Pool
 	server *server
 	ask    Ask
-	// work is how long the engine takes to read the prompt, in seconds. measures tells
-	// that it can be measured: nothing else of this host was to be read there.
-	work     float64
+	// measures tells that the reading can be measured: nothing else of this host was to
+	// be read there.
 	measures bool
-	since    time.Time
 	// startedAt is when the first bytes of the answer came.
 	startedAt time.Time
 	started   bool
@@ -101,19 +101,20 @@
 	return offers, verdict
 }
 
-// Hold counts a request as under way at the server that was chosen among the offers.
-// It gives nil where that server takes no more by now.
-func (p *Pool) Hold(now time.Time, ask Ask, name ident.ServerName) *Ticket {
+// Hold counts a request as under way at the server that was chosen among the offers,
+// where it is to be sent at the slot's instant. It gives nil where that server takes no
+// more by now.
+func (p *Pool) Hold(now time.Time, ask Ask, slot pacing.Slot) *Ticket {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s, known := p.servers[name]
+	s, known := p.servers[slot.Server]
 	if !known || !p.canAnswer(s, &ask) || !s.takes(now, p.perServer) {
 		return nil
 	}
-	return p.ticket(now, s, ask)
+	return p.ticket(slot.At, s, ask)
 }
 
-func (p *Pool) ticket(now time.Time, s *server, ask Ask) *Ticket {
+func (p *Pool) ticket(sendAt time.Time, s *server, ask Ask) *Ticket {
 	work := p.reading(ask.Weights.Model, s.unread(&ask))
 	ticket := &Ticket{
 		Server:      s.known.Name,
@@ -123,15 +124,14 @@
 		pool:        p,
 		server:      s,
 		ask:         ask,
-		work:        work,
-		measures:    s.pending == 0 && ask.own() >= leastSample,
-		since:       now,
+		measures:    s.unstarted == 0 && ask.own() >= leastSample,
+		SendAt:      sendAt,
 	}
 	if s.known.Kind == backend.KindEngine {
 		ticket.Reading = time.Duration(work * float64(time.Second))
 	}
 	s.own++
-	s.pending += work
+	s.unstarted++
 	s.probing = s.failures > 0
 	return ticket
 }
@@ -270,13 +270,6 @@
 	return shares[(len(shares)-1)/2]
 }
 
-// Paced tells when the prompt is to be sent.
-func (t *Ticket) Paced(at time.Time) {
-	t.pool.mu.Lock()
-	defer t.pool.mu.Unlock()
-	t.since = at
-}
-
 // Started tells that the first bytes of the answer are there.
 func (t *Ticket) Started(now time.Time) {
 	t.pool.mu.Lock()
@@ -287,7 +280,7 @@
 	t.start()
 	t.startedAt = now
 	s, p := t.server, t.pool
-	took := now.Sub(t.since)
+	took := now.Sub(t.SendAt)
 	s.remember(t.ask.Weights, t.ask.Parts)
 	if s.known.Kind == backend.KindEngine && t.measures {
 		p.measureReading(t.ask.Weights.Model, t.ask.own(), took-p.way(s))
@@ -308,7 +301,7 @@
 
 func (t *Ticket) start() {
 	t.started = true
-	t.server.pending = max(t.server.pending-t.work, 0)
+	t.server.unstarted--
 }
 
 // Heard takes in the load that a server's answer tells.
--- a/internal/control/balance/server.go
+++ b/internal/control/balance/server.go
@@ -12,10 +12,10 @@
 	known    Server
 	holds    map[request.Weights]bool
 	retiring map[ident.ModelName]bool
-	// own counts what this host has under way there, pending the reading time of
-	// those that have not started, in seconds.
-	own     int
-	pending float64
+	// own counts what this host has under way there, unstarted those of them whose
+	// answer has not begun.
+	own       int
+	unstarted int
 	// others and othersWaiting are what all other hosts have there, by the last word.
 	others        int
 	othersWaiting int
@@ -50,7 +50,7 @@
 // few hundred per model; what is forgotten costs one estimate, not an answer.
 const maxParts = 2048
 
-func (s *server) take(now time.Time, told *Server) {
+func (s *server) take(told *Server) {
 	if s.known.Incarnation == told.Incarnation && s.known.Leaving {
 		told.Leaving = true // a life that leaves never comes back
 	}
--- a/internal/host/gateway/control.go
+++ b/internal/host/gateway/control.go
@@ -176,7 +176,7 @@
 	hosts := len(c.hosts)
 	c.knownHosts.Store(int64(hosts))
 	for service, pool := range c.pools {
-		pool.SetServers(now, byService[service])
+		pool.SetServers(byService[service])
 		if declared, known := c.configuration.Services[service]; known && declared.MaxConnections > 0 {
 			pool.SetPerServer(perServer(declared.MaxConnections, hosts))
 		}
--- a/internal/traffic/relay/serving.go
+++ b/internal/traffic/relay/serving.go
@@ -45,8 +45,6 @@
 	// fullFor is for how long all engines that can answer are booked ahead, where that
 	// is too long.
 	fullFor time.Duration
-	// sendAt is when the prompt may be sent to the engine that was chosen last.
-	sendAt time.Time
 	// paced is how long the request waited for its turn at engines, reading how long
 	// the last one was expected to read it.
 	paced       time.Duration
@@ -169,7 +167,7 @@
 func (s *serving) pace(ctx context.Context, ticket *balance.Ticket) bool {
 	h := s.handler
 	s.reading = ticket.Reading
-	wait := s.sendAt.Sub(h.Now())
+	wait := ticket.SendAt.Sub(h.Now())
 	s.paced += max(wait, 0)
 	if wait <= 0 {
 		return true
@@ -229,13 +227,9 @@
 		Dice:    h.Dice(),
 	}
 	ticket, verdict := s.take(ctx, ask)
-	if ticket != nil {
+	if ticket != nil || s.full() {
 		return ticket
 	}
-	if s.fullFor > 0 {
-		s.giveUpUntil(s.fullFor, "the engines have too much before them")
-		return nil
-	}
 	if len(s.tried) > 0 && verdict == balance.NoneTakes {
 		ask.Tried = nil // better the same server again than none
 	}
@@ -252,13 +246,9 @@
 			h.Knowledge.Miss()
 		}
 		changed := s.pool.Changed()
-		if ticket, verdict = s.take(ctx, ask); ticket != nil {
+		if ticket, verdict = s.take(ctx, ask); ticket != nil || s.full() {
 			return ticket
 		}
-		if s.fullFor > 0 {
-			s.giveUpUntil(s.fullFor, "the engines have too much before them")
-			return nil
-		}
 		if !h.Now().Before(until) {
 			s.refuseWait(verdict)
 			return nil
@@ -278,7 +268,6 @@
 // chooses, to be sent to when it says.
 func (s *serving) take(ctx context.Context, ask balance.Ask) (*balance.Ticket, balance.Verdict) {
 	h := s.handler
-	s.sendAt = time.Time{}
 	if s.engine == nil {
 		return s.pool.Take(h.Now(), ask)
 	}
@@ -291,15 +280,22 @@
 		s.fullFor = slot.Ahead
 		return nil, balance.NoneTakes
 	}
-	ticket := s.pool.Hold(h.Now(), ask, slot.Server)
+	ticket := s.pool.Hold(h.Now(), ask, slot)
 	if ticket == nil {
 		return nil, balance.NoneTakes // the engine has gone, or is full, since the offer
 	}
-	s.sendAt = slot.At
-	ticket.Paced(slot.At)
 	return ticket, balance.Found
 }
 
+// full ends a request that no engine can begin in time.
+func (s *serving) full() bool {
+	if s.fullFor == 0 {
+		return false
+	}
+	s.giveUpUntil(s.fullFor, "the engines have too much before them")
+	return true
+}
+
 // Bounds on how far ahead the engine of a prompt may be booked. An engine that is asked
 // for more than it can do keeps what waits until its callers leave, after 4 s and more,
 // and goes on with it for a second after: on a played day 2,400 callers left so within
--- a/internal/traffic/relay/world_test.go
+++ b/internal/traffic/relay/world_test.go
@@ -192,7 +192,7 @@
 		Incarnation: "1",
 		Slots:       4,
 	})
-	w.pool.SetServers(time.Now(), w.servers)
+	w.pool.SetServers(w.servers)
 	return server
 }
 
