gateway: One wait, one look at the suspects, and recipients instead of words

sleepUntilStop was sleep with one more reason to end. News of a suspect built the view twice. askPeer took an address or one of two magic words; now it takes who finds the address and whether demand is told. Behaviour stays.

--- a/internal/host/gateway/exchange.go
+++ b/internal/host/gateway/exchange.go
@@ -73,14 +73,26 @@
 	g.log.Info("holder answers again")
 }
 
-// Whom a word goes to, beside addresses.
-const (
-	toHolder   = "holder"
-	toSomePeer = "some peer"
+// listener is whom a word goes to.
+type listener struct {
+	// address finds it, empty where there is none.
+	address func(c *control) string
+	// plans tells that it wants to know what this host was asked for.
+	plans bool
+}
+
+var (
+	toHolder = listener{
+		address: (*control).holderAddress,
+		plans:   true,
+	}
+	toSomePeer = listener{
+		address: (*control).somePeer,
+	}
 )
 
-// askPeer exchanges words with the holder, some other peer, or the one at an address.
-func (g *Gateway) askPeer(to string) error {
+// askPeer exchanges words with another host.
+func (g *Gateway) askPeer(to listener) error {
 	reply := make(chan outgoing, 1)
 	g.post(wantsWord{
 		to:    to,
@@ -114,23 +126,17 @@
 
 // wantsWord asks the control for the next word to tell.
 type wantsWord struct {
-	to    string
+	to    listener
 	reply chan<- outgoing
 }
 
 func (m wantsWord) apply(now time.Time, c *control) {
-	var out outgoing
-	switch m.to {
-	case toHolder:
-		out.address = c.holderAddress()
-	case toSomePeer:
-		out.address = c.somePeer()
-	default:
-		out.address = m.to
+	out := outgoing{
+		address: m.to.address(c),
 	}
 	if out.address != "" {
 		out.word = c.greeting()
-		if m.to == toHolder {
+		if m.to.plans {
 			out.word.Demand = c.takeDemand()
 		}
 	}
--- a/internal/host/gateway/holder.go
+++ b/internal/host/gateway/holder.go
@@ -180,13 +180,7 @@
 // sleepUntilStop waits, but not beyond the beginning of a planned stop: the holder's
 // key is given back at once then.
 func (g *Gateway) sleepUntilStop(length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-g.stopBegun:
-	case <-g.tomb.Dying():
-	}
+	g.sleepUnless(length, g.stopBegun)
 }
 
 // serveTenure keeps the key until it is lost or the host stops.
--- a/internal/host/gateway/readers.go
+++ b/internal/host/gateway/readers.go
@@ -61,7 +61,10 @@
 		if len(readers) == 0 {
 			continue
 		}
-		if err := g.askPeer(readers[rand.IntN(len(readers))]); err != nil {
+		reader := listener{
+			address: func(*control) string { return readers[rand.IntN(len(readers))] },
+		}
+		if err := g.askPeer(reader); err != nil {
 			g.log.Debug("no word from reader", zap.Error(err))
 			continue
 		}
--- a/internal/host/gateway/suspects.go
+++ b/internal/host/gateway/suspects.go
@@ -75,8 +75,9 @@
 	if !c.suspects.Step(now, m.event) {
 		return
 	}
-	c.suspected.Store(c.suspects.View())
-	if death, is := m.event.(suspects.Death); is && c.suspects.View().Verdict(death.Fingerprint) == suspects.Refuse {
+	view := c.suspects.View()
+	c.suspected.Store(view)
+	if death, is := m.event.(suspects.Death); is && view.Verdict(death.Fingerprint) == suspects.Refuse {
 		c.log.Warn("request refused from now on: servers die under it", zap.Uint64("Fingerprint", uint64(death.Fingerprint)))
 	}
 }
--- a/internal/host/gateway/watch.go
+++ b/internal/host/gateway/watch.go
@@ -159,10 +159,17 @@
 
 // sleep waits, but not beyond the host's end.
 func (g *Gateway) sleep(length time.Duration) {
+	g.sleepUnless(length, nil)
+}
+
+// sleepUnless waits, but not beyond the host's end, nor beyond something that ends the
+// wait early.
+func (g *Gateway) sleepUnless(length time.Duration, early <-chan struct{}) {
 	timer := time.NewTimer(length)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
+	case <-early:
 	case <-g.tomb.Dying():
 	}
 }
