relay: Log the objective and the allowed gap of each answered request

Why a stream was late could not be told from its line: the objective stood nowhere in it. Now first event, waits and gaps stand beside what was asked for.

--- a/internal/traffic/relay/serving.go
+++ b/internal/traffic/relay/serving.go
@@ -414,6 +414,8 @@
 	s.handler.Log.Info("answered",
 		zap.String("Request", string(s.request.ID)),
 		zap.String("Route", s.routeName()),
+		zap.Duration("Objective", s.objective()),
+		zap.Duration("AllowedGap", s.allowedGap()),
 		zap.Int64("Configuration", int64(s.configuration)),
 		zap.String("Service", string(s.service)),
 		zap.String("Model", string(s.request.Model)),
@@ -440,6 +442,20 @@
 	return s.tried[len(s.tried)-1]
 }
 
+func (s *serving) objective() time.Duration {
+	if s.route == nil {
+		return 0
+	}
+	return s.route.Objective
+}
+
+func (s *serving) allowedGap() time.Duration {
+	if s.route == nil {
+		return 0
+	}
+	return s.route.Gap
+}
+
 func (s *serving) routeName() string {
 	if s.route == nil {
 		return ""
