gateway: Have a new holder ask the former one for its last order

Cause: where engines take the orders of earlier holders, a new one gave none for 4.6 s, the lease of the former one and the time between holders, though most often the former one is alive, stopped or turned away by the service, and can say when it gave its last order, or is the new one itself, begun anew after all hosts were killed. Ruled out: taking a refused connection for a holder's end (a link that is cut may look the same). Change: the new holder asks; by the question the former one hears of the later term and ends its own first. Only an answer counts. The last holder claims first after a common restart, and waits for its own orders under way.

--- a/internal/host/gateway/control.go
+++ b/internal/host/gateway/control.go
@@ -279,13 +279,14 @@
 }
 
 // greeting is what this host tells a peer that it asks for its word.
-func (c *control) greeting() gatewaypeer.Word {
+func (c *control) greeting(now time.Time) gatewaypeer.Word {
 	host := &c.options.Settings.Host
 	greeting := gatewaypeer.Word{
 		Host:       host.Name,
 		DataCentre: host.DataCentre,
 		Region:     host.Region,
 		Suspects:   c.suspects.Some(toldSuspects),
+		LastOrder:  c.lastOrderAt(now),
 	}
 	if c.configuration != nil {
 		greeting.Version = c.configuration.Version
@@ -296,10 +297,20 @@
 	return greeting
 }
 
+// lastOrderAt is the latest instant at which this process may have given an order. Where
+// the clock that counts through a suspension can't be read, that is now.
+func (c *control) lastOrderAt(now time.Time) time.Time {
+	boot := bootClock()
+	if boot == 0 || processBoot == 0 {
+		return now
+	}
+	return now.Add(-time.Duration(boot - max(c.lastOrder.Load(), processBoot)))
+}
+
 // word is what this host answers to a peer that has a configuration's version: with
 // the greeting, a newer configuration and the holder's view of the engines.
 func (c *control) word(theirs route.Version) gatewaypeer.Word {
-	word := c.greeting()
+	word := c.greeting(time.Now())
 	if theirs < word.Version {
 		word.Packed = c.packed
 	}
--- a/internal/host/gateway/exchange.go
+++ b/internal/host/gateway/exchange.go
@@ -135,7 +135,7 @@
 		address: m.to.address(c),
 	}
 	if out.address != "" {
-		out.word = c.greeting()
+		out.word = c.greeting(now)
 		if m.to.plans {
 			out.word.Demand = c.takeDemand()
 		}
@@ -211,6 +211,7 @@
 
 // hear takes in what a peer tells.
 func (c *control) hear(now time.Time, word *gatewaypeer.Word) {
+	c.endFormerTerm(word.Token)
 	if len(word.Packed) > 0 && (c.configuration == nil || word.Version > c.configuration.Version) {
 		if text, err := unpack(word.Packed); err != nil {
 			c.log.Warn("configuration refused", zap.String("From", string(word.Host)), zap.Error(err))
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -127,8 +127,13 @@
 	serversKnown atomic.Bool
 	vacant       atomic.Bool
 	// term is the revision at which the last holder began, 0 where none ever did.
-	term    atomic.Int64
+	term atomic.Int64
+	// former is the last host that became the holder, empty where none ever did.
+	former  atomic.Pointer[ident.HostID]
 	holding atomic.Pointer[tenure]
+	// lastOrder is when this process last gave an order, by the clock that also counts
+	// while the machine is suspended, 0 if it never did.
+	lastOrder atomic.Int64
 	// youngest tells that no known host began later than this one.
 	youngest  atomic.Bool
 	stopping  atomic.Bool
@@ -168,6 +173,7 @@
 	g.budget.SetHosts(unknownHosts)
 	g.SetSeeds(options.Settings.Seeds)
 	g.readerAddresses.Store(&[]string{})
+	g.former.Store(new(ident.HostID))
 	g.pools.Store(&map[ident.ServiceName]*balance.Pool{})
 	dialed := options.Metrics.NewCounter("cicadaloom_connections_opened_total")
 	g.up = &upstream.Client{
--- a/internal/host/gateway/gateway_test.go
+++ b/internal/host/gateway/gateway_test.go
@@ -195,9 +195,8 @@
 // run out. Whatever it had decided to send, it must not send any more; a clock that
 // can't be read is no leave to send either.
 func TestAHolderThatWakesUpSendsNothing(t *testing.T) {
-	held := &tenure{
-		from: time.Now().Add(-time.Second),
-	}
+	held := &tenure{}
+	held.from.Store(steadyClock() - int64(time.Second))
 	steady, boot := steadyClock(), bootClock()
 	held.extend(steady, boot, holderLease)
 	require.True(t, held.mayOrder())
@@ -206,9 +205,9 @@
 	held.extend(steady, boot-int64(holderLease), holderLease)
 	require.False(t, held.mayOrder(), "was suspended")
 	held.extend(steady, boot, holderLease)
-	held.from = time.Now().Add(time.Second)
+	held.from.Store(steadyClock() + int64(time.Second))
 	require.False(t, held.mayOrder(), "has only begun")
-	held.from = time.Time{}
+	held.from.Store(0)
 	held.ended.Store(true)
 	require.False(t, held.mayOrder(), "has heard of a later holder")
 }
--- a/internal/host/gateway/holder.go
+++ b/internal/host/gateway/holder.go
@@ -26,6 +26,11 @@
 	// restarted one after the other, it isn't the next.
 	claimSpread = 100 * time.Millisecond
 	elderPause  = 150 * time.Millisecond
+	// formerPause is by how much longer other hosts wait than the last holder while their
+	// process is younger than freshProcess: about what hosts that were killed together
+	// need to begin one after the other.
+	formerPause  = 400 * time.Millisecond
+	freshProcess = 3 * time.Second
 	// fencedPause is how long a new holder waits where engines refuse the orders of
 	// earlier ones: until hosts and reports have caught up.
 	fencedPause = 300 * time.Millisecond
@@ -38,11 +43,14 @@
 	token  ident.FencingNumber
 	lease  store.LeaseID
 	length time.Duration
-	// first tells that no other host has ever been the holder.
-	first bool
-	// from is when the first order may be given: an earlier holder that has lost its
-	// key without knowing may have given orders until just now.
-	from time.Time
+	// first tells that no other host has ever been the holder, former which one was the
+	// last.
+	first  bool
+	former ident.HostID
+	// from is when the first order may be given, in nanoseconds of the steady clock: an
+	// earlier holder that has lost its key without knowing may have given orders until
+	// just now.
+	from atomic.Int64
 	// until and untilBoot are when the lease lapses, by the steady clock and by the
 	// one that also counts while the machine is suspended, in nanoseconds.
 	until     atomic.Int64
@@ -60,7 +68,12 @@
 	return now.Nano()
 }
 
-var processStart = time.Now()
+// processStart and processBoot are when this process began, the latter by the clock that
+// also counts while the machine is suspended.
+var (
+	processStart = time.Now()
+	processBoot  = bootClock()
+)
 
 func steadyClock() int64 {
 	return int64(time.Since(processStart))
@@ -72,6 +85,11 @@
 	t.untilBoot.Store(boot + int64(length))
 }
 
+// begun tells whether the time has come for the first order.
+func (t *tenure) begun() bool {
+	return steadyClock() >= t.from.Load()
+}
+
 // mayOrder tells whether an order may be given at this very instant. It is asked
 // right before each send: a process that stood still since it decided on the order
 // must not send it any more, since another holder may have begun. It holds since
@@ -79,7 +97,7 @@
 // took the renewal.
 func (t *tenure) mayOrder() bool {
 	boot := bootClock()
-	return !t.ended.Load() && boot > 0 && !time.Now().Before(t.from) &&
+	return !t.ended.Load() && boot > 0 && t.begun() &&
 		steadyClock() < t.until.Load()-int64(lateMargin) && boot < t.untilBoot.Load()-int64(lateMargin)
 }
 
@@ -90,11 +108,7 @@
 		if g.stopping.Load() || !g.vacant.Load() || g.routes.Load() == nil {
 			continue
 		}
-		pause := rand.N(claimSpread)
-		if !g.youngest.Load() {
-			pause += elderPause
-		}
-		g.sleep(pause)
+		g.sleep(g.claimPause())
 		if !g.vacant.Load() || g.stopping.Load() {
 			continue
 		}
@@ -110,10 +124,29 @@
 	return nil
 }
 
+// claimPause is how long this host lets others go first. Where all hosts begin anew at
+// once, the last holder goes first: it takes over from itself and need not wait, where
+// any other had no orders given for 3 s and more.
+func (g *Gateway) claimPause() time.Duration {
+	former := *g.former.Load()
+	if former == g.options.Settings.Host.Name {
+		return 0
+	}
+	pause := rand.N(claimSpread)
+	if !g.youngest.Load() {
+		pause += elderPause
+	}
+	if former != "" && time.Since(processStart) < freshProcess {
+		pause += formerPause
+	}
+	return pause
+}
+
 // claim writes the holder's key if it is absent. A write whose outcome is unknown
 // is given up with its lease: it may have been done, and then it lapses.
 func (g *Gateway) claim(ctx context.Context) (*tenure, error) {
 	term := ident.Revision(g.term.Load())
+	former := *g.former.Load() // after the term: a later one fails the claim
 	steady, boot := steadyClock(), bootClock()
 	lease, length, err := g.options.KeyValue.Grant(ctx, holderLease)
 	if err != nil {
@@ -151,32 +184,14 @@
 		token:  ident.FencingNumber(result.Revision),
 		lease:  lease,
 		first:  term == 0,
-		from:   time.Now().Add(g.takeoverPause(term)),
+		former: former,
 		length: length,
 	}
+	t.from.Store(steadyClock() + int64(g.takeoverPause(t)))
 	t.extend(steady, boot, length)
 	return t, nil
 }
 
-// takeoverPause is how long a new holder gives no orders. Where engines don't
-// refuse the orders of earlier holders, one that has lost its key without knowing
-// must have stopped first, and then for as long as holders must be apart. Where they
-// refuse them, the new holder's first order ends the earlier one's. The first holder
-// of all takes over from nobody: its claim compared that no term had ever begun.
-//
-// With 3 s in place of 0.3 s, a fleet whose hosts are restarted one every 2 s had no
-// orders for half of 14 s, in the middle of a change of demand.
-func (g *Gateway) takeoverPause(term ident.Revision) time.Duration {
-	if term == 0 {
-		return 0
-	}
-	bounds := &g.options.Settings.Bounds
-	if bounds.Fenced {
-		return fencedPause
-	}
-	return bounds.HolderLease + holderLease
-}
-
 // sleepUntilStop waits, but not beyond the beginning of a planned stop: the holder's
 // key is given back at once then.
 func (g *Gateway) sleepUntilStop(length time.Duration) {
@@ -185,9 +200,13 @@
 
 // serveTenure keeps the key until it is lost or the host stops.
 func (g *Gateway) serveTenure(t *tenure) {
-	g.log.Info("holds the orders", zap.Int64("Token", int64(t.token)), zap.Time("From", t.from))
+	g.log.Info("holds the orders", zap.Int64("Token", int64(t.token)), zap.Duration("BeginsIn", t.beginsIn()))
 	g.holding.Store(t)
 	g.post(tenureBegun{tenure: t})
+	g.tomb.Go(func() error {
+		g.followFormer(t)
+		return nil
+	})
 	why := g.keepTenure(t)
 	t.ended.Store(true)
 	g.holding.Store(nil)
--- a/internal/host/gateway/messages.go
+++ b/internal/host/gateway/messages.go
@@ -137,6 +137,8 @@
 		c.holder = ident.HostID(entry.Value)
 		return ""
 	case layout.termKey():
+		former := ident.HostID(entry.Value)
+		c.former.Store(&former)
 		c.term.Store(int64(entry.Revision))
 		return ""
 	}
--- a/internal/host/gateway/plan.go
+++ b/internal/host/gateway/plan.go
@@ -90,7 +90,7 @@
 	for weights, demand := range c.pools[name].TakeDemand() {
 		planner.Ask(now, c.options.Settings.Host.Region, weights, loading.Demand(demand))
 	}
-	if now.Before(c.tenure.from) {
+	if !c.tenure.begun() {
 		return
 	}
 	for _, order := range planner.Step(now) {
@@ -118,7 +118,7 @@
 
 func (c *control) engineWords(now time.Time) []gatewaypeer.Engine {
 	var words []gatewaypeer.Engine
-	if now.Before(c.tenure.from) {
+	if !c.tenure.begun() {
 		return nil
 	}
 	for service, planner := range c.planners {
@@ -192,6 +192,7 @@
 	order.Fencing = t.token
 	c.tomb.Go(func() error {
 		answer, err := backend.OrderConflicts, error(nil)
+		c.lastOrder.Store(bootClock()) // first, so that who asks after the end of the term hears of it
 		if t.mayOrder() {
 			answer, err = c.options.Engines.Order(c.context(), address, &order, time.Now().Add(orderLimit))
 		}
--- a/internal/host/gateway/world_test.go
+++ b/internal/host/gateway/world_test.go
@@ -246,6 +246,8 @@
 type engines struct {
 	mu     sync.Mutex
 	orders []backend.CountedOrder
+	// times has when each of the orders came.
+	times  []time.Time
 	counts map[ident.ServerName]int64
 	held   map[ident.ServerName][]backend.Resident
 }
@@ -266,6 +268,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.orders = append(e.orders, *order)
+	e.times = append(e.times, time.Now())
 	e.counts[order.Server]++
 	if order.Kind == backend.LoadModel {
 		e.held[order.Server] = append(e.held[order.Server], backend.Resident{
@@ -353,8 +356,14 @@
 	engines  *engines
 	hosts    map[string]*Gateway
 	listen   map[string]settings.Listen
+	// unfenced has engines that take the orders of earlier holders: holders must be
+	// apart then.
+	unfenced bool
 }
 
+// holdersApart is how far holders must be apart where engines are unfenced.
+const holdersApart = time.Second
+
 func newFleet(t *testing.T) *fleet {
 	return &fleet{
 		t:        t,
@@ -387,7 +396,8 @@
 		Peers:   freeAddress(f.t),
 	}
 	loaded.Seeds = seeds
-	loaded.Bounds.Fenced = true
+	loaded.Bounds.Fenced = !f.unfenced
+	loaded.Bounds.HolderLease = holdersApart
 	loaded.Bounds.Grace = 1500 * time.Millisecond
 	f.listen[name] = loaded.Listen
 	host, err := Start(Options{
--- a/internal/peer/gatewaypeer/codec.go
+++ b/internal/peer/gatewaypeer/codec.go
@@ -22,6 +22,7 @@
 		ConfigurationVersion: int64(w.Version),
 		PackedConfiguration:  w.Packed,
 		HolderToken:          int64(w.Token),
+		OrdersEnded:          int64(max(time.Since(w.LastOrder), 0)),
 	}
 	for i := range w.Demand {
 		wire.Demand = append(wire.Demand, encodeDemand(&w.Demand[i]))
@@ -43,6 +44,7 @@
 		Version:    route.Version(wire.GetConfigurationVersion()),
 		Packed:     wire.GetPackedConfiguration(),
 		Token:      ident.FencingNumber(wire.GetHolderToken()),
+		LastOrder:  time.Now().Add(-time.Duration(max(wire.GetOrdersEnded(), 0))),
 	}
 	for _, one := range wire.GetDemand() {
 		word.Demand = append(word.Demand, decodeDemand(one))
--- a/internal/peer/gatewaypeer/gatewaypeer.go
+++ b/internal/peer/gatewaypeer/gatewaypeer.go
@@ -45,7 +45,10 @@
 	Version route.Version
 	Packed  []byte
 	// Token is not 0 where the teller may give orders to engines.
-	Token    ident.FencingNumber
+	Token ident.FencingNumber
+	// LastOrder is the latest instant, by the clock of who reads it, at which the
+	// teller's process may have given an order: before it began, it gave none.
+	LastOrder time.Time
 	Demand   []Demand
 	Engines  []Engine
 	Suspects []suspects.Suspect
