pacing: Hold prompts in a queue at the pacer until an engine has a place

Cause: an engine has places for so many answers and works off the rest in the order of arrival. Change: the pacer counts places, exactly by what it sent and is told has ended, within what engines say of their load; a prompt waits with it, is granted in the order of priority, then of objectives that can still be met, and asks again every 0.15 s with the engines that hold its model by then.

--- a/internal/control/balance/choose.go
+++ b/internal/control/balance/choose.go
@@ -92,7 +92,8 @@
 			Server:  s.known.Name,
 			Region:  s.known.Region,
 			Reading: reading,
-			Beside:  max(p.cost(s, &ask, usual)-reading, 0),
+			Beside:  p.beside(s, reading, usual),
+			Places:  s.known.Slots,
 		})
 	})
 	if len(offers) > 0 {
@@ -101,6 +102,14 @@
 	return offers, verdict
 }
 
+// beside is what it costs to ask an engine beside the reading of the prompt and what
+// runs there, both of which its pacer knows: the way, errors over the usual share, and
+// how much slower than expected it answers.
+func (p *Pool) beside(s *server, reading time.Duration, usualErrors float64) time.Duration {
+	slower := max(s.slowness-1, 0) * float64(reading+time.Duration(s.load())*perRunning)
+	return p.way(s) + s.errorCost(usualErrors) + time.Duration(slower)
+}
+
 // Hold counts a request as under way at the server that was chosen among the offers,
 // where it is to be sent at the slot's instant. It gives nil where that server takes no
 // more by now.
@@ -178,11 +187,12 @@
 // server: errors over the usual share.
 func (p *Pool) cost(s *server, ask *Ask, usualErrors float64) time.Duration {
 	tokens := s.unread(ask)
-	cost := p.expected(s, p.reading(ask.Weights.Model, tokens)) + p.way(s)
-	if over := s.errors - usualErrors; over > 0 {
-		cost += time.Duration(over * float64(errorCost))
-	}
-	return cost
+	return p.expected(s, p.reading(ask.Weights.Model, tokens)) + p.way(s) + s.errorCost(usualErrors)
+}
+
+// errorCost is what a server costs that fails more than the usual share of requests.
+func (s *server) errorCost(usual float64) time.Duration {
+	return time.Duration(max(s.errors-usual, 0) * float64(errorCost))
 }
 
 func (p *Pool) way(s *server) time.Duration {
--- a/internal/control/pacing/pacing.go
+++ b/internal/control/pacing/pacing.go
@@ -85,6 +85,8 @@
 	// ask this one: the way there, the answers that run there, its errors.
 	Reading time.Duration
 	Beside  time.Duration
+	// Places is how many answers run at the engine at once; 0 for any number.
+	Places int
 }
 
 // Prompt is a prompt that is to be sent to one of some engines, of which there must be
@@ -94,6 +96,15 @@
 	Candidates []Candidate
 	Most       time.Duration
 	Limit      time.Duration
+	// Ticket names the prompt.
+	Ticket Ticket
+	// Objective is when the first event is in time, GiveUp when nobody waits any more;
+	// Priority ranks prompts, 0 first.
+	Objective time.Time
+	GiveUp    time.Time
+	Priority  int
+	// Holds tells that it may wait in the queue.
+	Holds bool
 }
 
 // Slot is an engine and the instant at which to send a prompt there. Index is the
@@ -106,8 +117,10 @@
 	// which the engine is booked.
 	Cost  time.Duration
 	Ahead time.Duration
-	// Booked tells that the engine is kept for the prompt.
+	// Booked tells that the engine is kept for the prompt, Full that no engine can begin
+	// it before it gives up. Where it is neither, who asks may ask again.
 	Booked bool
+	Full   bool
 }
 
 // Reserve finds the candidate with the least cost, and books it for the reading of a
@@ -121,19 +134,28 @@
 		return best
 	}
 	best.Booked = true
-	length := prompt.Candidates[best.Index].Reading
-	if best.Ahead <= mostWait {
-		length += clearStep
-	}
-	c.busy[best.Server] = now.Add(min(best.Ahead+length, mostBooked))
+	c.book(now, best.Server, best.Ahead, prompt.Candidates[best.Index].Reading)
 	return best
 }
 
+// book adds the reading of a prompt to an engine's clock, which stands so far ahead.
+func (c *Clocks) book(now time.Time, server ident.ServerName, ahead, reading time.Duration) {
+	if ahead <= mostWait {
+		reading += clearStep
+	}
+	c.busy[server] = now.Add(min(ahead+reading, mostBooked))
+}
+
+// ahead is how long an engine has to read what it is booked for.
+func (c *Clocks) ahead(now time.Time, server ident.ServerName) time.Duration {
+	return max(c.busy[server].Sub(now), 0)
+}
+
 func (c *Clocks) cheapest(now time.Time, candidates []Candidate) Slot {
 	var best Slot
 	for i := range candidates {
 		one := &candidates[i]
-		ahead := max(c.busy[one.Server].Sub(now), 0)
+		ahead := c.ahead(now, one.Server)
 		cost := ahead + one.Reading + one.Beside
 		if i == 0 || cost < best.Cost {
 			best = Slot{
--- /dev/null
+++ b/internal/control/pacing/places.go
@@ -0,0 +1,91 @@
+package pacing
+
+import (
+	"time"
+
+	"cicadaloom/internal/domain/ident"
+)
+
+// Ticket names one prompt on its way, among all that a pacer has sent to engines.
+type Ticket uint64
+
+const (
+	// spare is how many prompts more than an engine has places for are sent to it: so
+	// many wait there for the next place while the word that one is free is on its way
+	// to the pacer and the next prompt from its host to the engine.
+	spare = 2
+	// loadLag is how old an engine's word on its load is at most when it comes: some
+	// hundred milliseconds at the engine, a round of reports and a round of the hosts.
+	loadLag = 1500 * time.Millisecond
+	// loadTrust is how long such a word is held against what the pacer counts itself.
+	loadTrust = 3 * time.Second
+	// forgetTicket is when a prompt counts as ended of which no host has said so: its host
+	// may be gone, and hardly any answer takes longer.
+	forgetTicket = 20 * time.Second
+)
+
+// places counts what runs at one engine: what this pacer has sent there, held against
+// what the engine says. The count is exact at once, but knows nothing of what others have
+// sent, and not that a host is gone; the engine's word knows all, a second late.
+type places struct {
+	running map[Ticket]time.Time
+	// ended has the instants at which prompts ended there, while they are newer than
+	// loadLag.
+	ended   []time.Time
+	load    int
+	heardAt time.Time
+}
+
+func (p *places) send(now time.Time, ticket Ticket) {
+	if p.running == nil {
+		p.running = make(map[Ticket]time.Time)
+	}
+	p.running[ticket] = now
+}
+
+// end tells whether the prompt was running.
+func (p *places) end(now time.Time, ticket Ticket) bool {
+	p.ended = append(p.ended, now)
+	_, was := p.running[ticket]
+	delete(p.running, ticket)
+	return was
+}
+
+func (p *places) hear(now time.Time, load int) {
+	p.load = load
+	p.heardAt = now
+}
+
+// taken is how many prompts run at the engine, or wait there.
+func (p *places) taken(now time.Time) int {
+	count, fresh := 0, 0
+	for ticket, sent := range p.running {
+		age := now.Sub(sent)
+		if age > forgetTicket {
+			delete(p.running, ticket)
+			continue
+		}
+		count++
+		if age <= loadLag {
+			fresh++
+		}
+	}
+	for len(p.ended) > 0 && now.Sub(p.ended[0]) > loadLag {
+		p.ended = p.ended[1:]
+	}
+	if p.heardAt.IsZero() || now.Sub(p.heardAt) > loadTrust {
+		return count
+	}
+	return min(max(count, p.load-len(p.ended)), p.load+fresh)
+}
+
+// forgettable tells that nothing is known of an engine that would be missed.
+func (p *places) forgettable(now time.Time) bool {
+	return len(p.running) == 0 && now.Sub(p.heardAt) > loadTrust
+}
+
+// Load is an engine's word on how many prompts run there or wait.
+type Load struct {
+	Server ident.ServerName
+	Load   int
+}
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -236,6 +236,7 @@
 	g.tomb.Go(g.hold)
 	g.tomb.Go(g.exchange)
 	g.tomb.Go(g.followReaders)
+	g.tomb.Go(g.grantPrompts)
 }
 
 // context gives a context that ends with the host.
--- a/internal/host/gateway/pace.go
+++ b/internal/host/gateway/pace.go
@@ -20,11 +20,18 @@
 	// silentPacer is how long a pacer that did not answer isn't asked: the next one
 	// is, and after that nobody.
 	silentPacer = 1500 * time.Millisecond
+	// holdFor is how long a prompt waits in the queue for one answer. Its host asks again
+	// then, with the engines that have come meanwhile.
+	holdFor = 150 * time.Millisecond
+	// grantEvery is how often the queue looks whether an engine has read what was before
+	// the next prompt: a part of what reading one takes.
+	grantEvery = 10 * time.Millisecond
+	leaveLimit = 500 * time.Millisecond
 )
 
 // pacers knows whom to ask about which engine.
 type pacers struct {
-	clocks pacing.Clocks
+	queue  pacing.Queue
 	mu     sync.Mutex
 	hosts  []pacing.Host
 	silent map[ident.HostID]time.Time
@@ -86,38 +93,79 @@
 }
 
 // Paced implements gatewaypeer.Handler.
-func (g *Gateway) Paced(prompt *pacing.Prompt) pacing.Slot {
-	return g.pacers.clocks.Reserve(time.Now(), prompt)
+func (g *Gateway) Paced(ctx context.Context, prompt *pacing.Prompt) pacing.Slot {
+	slot, waiter := g.pacers.queue.Ask(time.Now(), prompt)
+	if waiter == nil {
+		return slot
+	}
+	timer := time.NewTimer(holdFor)
+	defer timer.Stop()
+	select {
+	case granted := <-waiter.Granted:
+		return granted
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	g.pacers.queue.Leave(waiter)
+	select {
+	case granted := <-waiter.Granted: // in the last moment
+		if ctx.Err() == nil {
+			return granted
+		}
+		g.Left(granted.Server, prompt.Ticket)
+	default:
+	}
+	return slot
+}
+
+// Left implements gatewaypeer.Handler.
+func (g *Gateway) Left(server ident.ServerName, ticket pacing.Ticket) {
+	g.pacers.queue.Ended(time.Now(), server, ticket)
+}
+
+// grantPrompts lets prompts go whose engine has come free by the clock.
+func (g *Gateway) grantPrompts() error {
+	ticker := time.NewTicker(grantEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-g.tomb.Dying():
+			return nil
+		case now := <-ticker.C:
+			g.pacers.queue.Grant(now)
+		}
+	}
 }
 
 // Reserve implements relay.Knowledge. The engines of this host's region are asked
 // for first. Where they have so much before them that another region's would be
-// quicker if they were free, that region's pacer is asked, and has it if it is.
-func (g *Gateway) Reserve(ctx context.Context, model ident.ModelName, offers []pacing.Candidate, limit time.Duration) pacing.Slot {
-	near, far := g.byRegion(offers)
+// quicker if they were free, that region's pacer is asked, and has it if it is. Where
+// neither is free, the prompt waits for its own region's.
+func (g *Gateway) Reserve(ctx context.Context, model ident.ModelName, prompt *pacing.Prompt) (pacing.Slot, func()) {
+	near, far := g.byRegion(prompt.Candidates)
 	if len(near) == 0 {
 		near, far = far, nil
 	}
-	prompt := pacing.Prompt{
-		Candidates: near,
-		Limit:      limit,
-	}
+	asked := *prompt
+	asked.Candidates = near
 	if len(far) == 0 {
-		return g.reserve(ctx, model, prompt)
+		asked.Holds = true
+		return g.reserve(ctx, model, asked)
 	}
-	prompt.Most = leastCost(far)
-	slot := g.reserve(ctx, model, prompt)
+	asked.Most = leastCost(far)
+	slot, leave := g.reserve(ctx, model, asked)
 	if slot.Booked {
-		return slot
+		return slot, leave
 	}
-	prompt.Candidates = far
-	prompt.Most = slot.Cost
-	if there := g.reserve(ctx, model, prompt); there.Booked {
-		return there
+	asked.Candidates = far
+	asked.Most = slot.Cost
+	if there, leave := g.reserve(ctx, model, asked); there.Booked {
+		return there, leave
 	}
-	prompt.Candidates = near
-	prompt.Most = 0
-	return g.reserve(ctx, model, prompt)
+	asked.Candidates = near
+	asked.Most = 0
+	asked.Holds = true
+	return g.reserve(ctx, model, asked)
 }
 
 // byRegion gives the engines of this host's region, and those of the other region that
@@ -146,27 +194,42 @@
 	return least
 }
 
-// reserve asks the pacer of engines that are all of one region.
-func (g *Gateway) reserve(ctx context.Context, model ident.ModelName, prompt pacing.Prompt) pacing.Slot {
+// reserve asks the pacer of engines that are all of one region. The function tells it
+// that the prompt has left its place.
+func (g *Gateway) reserve(ctx context.Context, model ident.ModelName, prompt pacing.Prompt) (pacing.Slot, func()) {
 	now := time.Now()
 	pacer, answers := g.pacers.of(now, model, prompt.Candidates[0].Region)
 	if !answers {
-		return g.ownSlot(prompt)
+		return g.ownSlot(ctx, prompt)
 	}
 	if pacer.Name == g.options.Settings.Host.Name {
-		return g.Paced(&prompt)
+		slot := g.Paced(ctx, &prompt)
+		return slot, func() { g.Left(slot.Server, prompt.Ticket) }
 	}
-	limited, cancel := context.WithTimeout(ctx, reserveLimit)
+	limited, cancel := context.WithTimeout(ctx, holdFor+reserveLimit)
 	defer cancel()
 	slot, err := g.peers.Reserve(limited, pacer.Address, &prompt)
 	if err == nil {
-		return slot
+		return slot, func() { g.leavePlace(pacer, slot.Server, prompt.Ticket) }
 	}
 	if ctx.Err() == nil {
 		g.log.Info("pacer does not answer", zap.String("Pacer", string(pacer.Name)), zap.String("Model", string(model)), zap.Error(err))
 		g.pacers.fail(now, pacer.Name)
 	}
-	return g.ownSlot(prompt)
+	return g.ownSlot(ctx, prompt)
+}
+
+// leavePlace tells a pacer that a prompt keeps its place no longer. If the word is lost,
+// engines' own words on their load make up for it.
+func (g *Gateway) leavePlace(pacer pacing.Host, server ident.ServerName, ticket pacing.Ticket) {
+	g.tomb.Go(func() error {
+		ctx, cancel := context.WithTimeout(g.context(), leaveLimit)
+		defer cancel()
+		if err := g.peers.Leave(ctx, pacer.Address, server, ticket); err != nil {
+			g.log.Debug("place not given back", zap.String("Pacer", string(pacer.Name)), zap.Error(err))
+		}
+		return nil
+	})
 }
 
 // ownBlur is the part of a reading that is added to the costs of engines at random
@@ -174,11 +237,12 @@
 const ownBlur = 0.5
 
 // ownSlot goes by this host's own clocks.
-func (g *Gateway) ownSlot(prompt pacing.Prompt) pacing.Slot {
+func (g *Gateway) ownSlot(ctx context.Context, prompt pacing.Prompt) (pacing.Slot, func()) {
 	blurred := slices.Clone(prompt.Candidates)
 	for i := range blurred {
 		blurred[i].Beside += time.Duration(ownBlur * rand.Float64() * float64(blurred[i].Reading))
 	}
 	prompt.Candidates = blurred
-	return g.Paced(&prompt)
+	slot := g.Paced(ctx, &prompt)
+	return slot, func() { g.Left(slot.Server, prompt.Ticket) }
 }
--- a/internal/host/gateway/plan.go
+++ b/internal/host/gateway/plan.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"cicadaloom/internal/control/loading"
+	"cicadaloom/internal/control/pacing"
 	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/peer/gatewaypeer"
@@ -114,6 +115,14 @@
 		}
 	}
 	c.dirty = true
+	loads := make([]pacing.Load, 0, len(holdings))
+	for i := range holdings {
+		loads = append(loads, pacing.Load{
+			Server: holdings[i].Server,
+			Load:   holdings[i].Running + holdings[i].Waiting,
+		})
+	}
+	c.pacers.queue.Heard(now, loads)
 }
 
 func (c *control) engineWords(now time.Time) []gatewaypeer.Engine {
--- a/internal/peer/gatewaypeer/codec.go
+++ b/internal/peer/gatewaypeer/codec.go
@@ -181,7 +181,11 @@
 func encodePrompt(p *pacing.Prompt) *gatewaypeerpb.Prompt {
 	wire := &gatewaypeerpb.Prompt{
 		Most:       int64(p.Most),
-		Limit:      int64(p.Limit),
+		Ticket:     uint64(p.Ticket),
+		Objective:  int64(time.Until(p.Objective)),
+		GiveUp:     int64(time.Until(p.GiveUp)),
+		Priority:   int32(p.Priority),
+		Holds:      p.Holds,
 		Candidates: make([]*gatewaypeerpb.Candidate, 0, len(p.Candidates)),
 	}
 	for i := range p.Candidates {
@@ -190,15 +194,21 @@
 			Server:  string(one.Server),
 			Reading: int64(one.Reading),
 			Beside:  int64(one.Beside),
+			Places:  int32(one.Places),
 		})
 	}
 	return wire
 }
 
-func decodePrompt(wire *gatewaypeerpb.Prompt) pacing.Prompt {
+// decodePrompt reads a prompt that came at an instant.
+func decodePrompt(wire *gatewaypeerpb.Prompt, came time.Time) pacing.Prompt {
 	prompt := pacing.Prompt{
 		Most:       time.Duration(wire.GetMost()),
-		Limit:      time.Duration(wire.GetLimit()),
+		Ticket:     pacing.Ticket(wire.GetTicket()),
+		Objective:  came.Add(time.Duration(wire.GetObjective())),
+		GiveUp:     came.Add(time.Duration(wire.GetGiveUp())),
+		Priority:   int(wire.GetPriority()),
+		Holds:      wire.GetHolds(),
 		Candidates: make([]pacing.Candidate, 0, len(wire.GetCandidates())),
 	}
 	for _, one := range wire.GetCandidates() {
@@ -206,6 +216,7 @@
 			Server:  ident.ServerName(one.GetServer()),
 			Reading: time.Duration(one.GetReading()),
 			Beside:  time.Duration(one.GetBeside()),
+			Places:  int(one.GetPlaces()),
 		})
 	}
 	return prompt
@@ -226,5 +237,6 @@
 		Cost:   ahead + chosen.Reading + chosen.Beside,
 		Ahead:  ahead,
 		Booked: wire.GetBooked(),
+		Full:   wire.GetFull(),
 	}, nil
 }
--- a/internal/peer/gatewaypeer/gatewaypeer.go
+++ b/internal/peer/gatewaypeer/gatewaypeer.go
@@ -1,8 +1,8 @@
 // Package gatewaypeer is what entry hosts say to one another that have their
 // configuration and backend servers from a key-value service.
 //
-// There are two calls. Reserve asks a pacer which engine to send a prompt to, and
-// when. In Exchange each side tells what it knows. Everybody tells the
+// There are three calls. Reserve asks a pacer which engine to send a prompt to, and
+// when, and Leave tells it that the prompt has its answer. In Exchange each side tells what it knows. Everybody tells the
 // configuration's version and the suspects; the asker tells the holder the demand
 // that it has met, and the holder tells what the engines hold. The wire form is
 // proto/gatewaypeer/gatewaypeer.proto.
@@ -49,9 +49,9 @@
 	// LastOrder is the latest instant, by the clock of who reads it, at which the
 	// teller's process may have given an order: before it began, it gave none.
 	LastOrder time.Time
-	Demand   []Demand
-	Engines  []Engine
-	Suspects []suspects.Suspect
+	Demand    []Demand
+	Engines   []Engine
+	Suspects  []suspects.Suspect
 }
 
 // Demand is what has come for some weights since it was last told.
@@ -70,8 +70,10 @@
 // Handler answers peers.
 type Handler interface {
 	Exchange(ctx context.Context, theirs Word) (Word, error)
-	// Paced finds an engine for a prompt, and the instant to send it.
-	Paced(prompt *pacing.Prompt) pacing.Slot
+	// Paced finds an engine for a prompt, and the instant to send it. It may wait.
+	Paced(ctx context.Context, prompt *pacing.Prompt) pacing.Slot
+	// Left tells that a prompt keeps its place at an engine no longer.
+	Left(server ident.ServerName, ticket pacing.Ticket)
 }
 
 // Server listens for peers. The zero value works, once.
@@ -106,20 +108,26 @@
 	return encode(&ours), nil
 }
 
-func (s *service) Reserve(_ context.Context, wire *gatewaypeerpb.Prompt) (*gatewaypeerpb.Slot, error) {
-	prompt := decodePrompt(wire)
+func (s *service) Reserve(ctx context.Context, wire *gatewaypeerpb.Prompt) (*gatewaypeerpb.Slot, error) {
+	prompt := decodePrompt(wire, time.Now())
 	if len(prompt.Candidates) == 0 {
 		return nil, status.Error(codes.InvalidArgument, "no engine to choose from")
 	}
-	slot := s.handler.Paced(&prompt)
+	slot := s.handler.Paced(ctx, &prompt)
 	return &gatewaypeerpb.Slot{
 		Wait:      int64(time.Until(slot.At)),
 		Candidate: int32(slot.Index),
 		Booked:    slot.Booked,
 		Ahead:     int64(slot.Ahead),
+		Full:      slot.Full,
 	}, nil
 }
 
+func (s *service) Leave(_ context.Context, wire *gatewaypeerpb.Place) (*gatewaypeerpb.Left, error) {
+	s.handler.Left(ident.ServerName(wire.GetServer()), pacing.Ticket(wire.GetTicket()))
+	return &gatewaypeerpb.Left{}, nil
+}
+
 // Pool calls peers, over one connection to each. The zero value works; it is safe
 // for many goroutines.
 type Pool struct {
@@ -151,3 +159,16 @@
 	}
 	return decodeSlot(wire, prompt, time.Now())
 }
+
+// Leave tells the pacer at an address that a prompt keeps its place no longer.
+func (p *Pool) Leave(ctx context.Context, address string, server ident.ServerName, ticket pacing.Ticket) error {
+	connection, err := p.Connection(address)
+	if err != nil {
+		return err
+	}
+	_, err = gatewaypeerpb.NewPeerClient(connection).Leave(ctx, &gatewaypeerpb.Place{
+		Server: string(server),
+		Ticket: uint64(ticket),
+	})
+	return errors.Wrapf(err, "place left with %s", address)
+}
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -110,10 +110,11 @@
 	Pool(service ident.ServiceName) *balance.Pool
 	// Miss tells that a request waits for weights that no server holds.
 	Miss()
-	// Reserve chooses among the engines that can answer a prompt for a model, and gives
-	// the instant at which to send it. There is at least one. Where all are booked ahead
-	// for longer than the limit, the slot is not booked.
-	Reserve(ctx context.Context, model ident.ModelName, offers []pacing.Candidate, limit time.Duration) pacing.Slot
+	// Reserve chooses among the engines that can answer a prompt for a model, of which
+	// there is at least one, and gives the instant at which to send it. It may wait for
+	// some time until one is free. The function ends the place of a slot that is booked;
+	// one that is neither booked nor full may be asked for again.
+	Reserve(ctx context.Context, model ident.ModelName, prompt *pacing.Prompt) (pacing.Slot, func())
 	// Verdict tells whether servers have died under a request of the same content.
 	Verdict(fingerprint ident.Fingerprint) suspects.Verdict
 	// Lost tells of a server that broke off under a request, Cleared of a suspect
--- a/internal/traffic/relay/relay_test.go
+++ b/internal/traffic/relay/relay_test.go
@@ -411,7 +411,7 @@
 		"Weights": {string(model)},
 	}
 	require.Equal(t, http.StatusOK, w.ask("GET", "1", header).status)
-	w.clocks.Reserve(time.Now(), &pacing.Prompt{
+	w.queue.Ask(time.Now(), &pacing.Prompt{
 		Candidates: []pacing.Candidate{{
 			Server:  "e",
 			Reading: mostAhead + 400*time.Millisecond,
--- a/internal/traffic/relay/serving.go
+++ b/internal/traffic/relay/serving.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"cicadaloom/internal/control/balance"
+	"cicadaloom/internal/control/pacing"
 	"cicadaloom/internal/control/routetable"
 	"cicadaloom/internal/control/suspects"
 	"cicadaloom/internal/domain/ident"
@@ -42,6 +43,10 @@
 	runs  int
 	// stream is the state of an answer that has begun.
 	stream stream
+	// leavePlace gives back the place at an engine that the last send was booked for.
+	leavePlace func()
+	// queued tells that the prompt has waited at its pacer, and may ask again.
+	queued bool
 	// fullFor is for how long all engines that can answer are booked ahead, where that
 	// is too long.
 	fullFor time.Duration
@@ -148,7 +153,7 @@
 	s.trail.Sending(attempt)
 	sent := s.send(ctx, ticket)
 	now := h.Now()
-	ticket.Done(now, sent.result)
+	s.endSend(ticket, now, sent.result)
 	if sent.proof {
 		s.trail.Refused(attempt)
 	} else {
@@ -179,11 +184,20 @@
 		return true
 	case <-ctx.Done():
 	}
-	ticket.Done(h.Now(), balance.Left)
+	s.endSend(ticket, h.Now(), balance.Left)
 	s.leave()
 	return false
 }
 
+// endSend tells all who count what is under way at servers that a send has ended.
+func (s *serving) endSend(ticket *balance.Ticket, now time.Time, result balance.Result) {
+	ticket.Done(now, result)
+	if s.leavePlace != nil {
+		s.leavePlace()
+		s.leavePlace = nil
+	}
+}
+
 // leave ends a request whose client has left or whose time is over.
 func (s *serving) leave() {
 	if s.ctx.Err() != nil {
@@ -227,6 +241,9 @@
 		Dice:    h.Dice(),
 	}
 	ticket, verdict := s.take(ctx, ask)
+	for ticket == nil && s.queued && ctx.Err() == nil {
+		ticket, verdict = s.take(ctx, ask)
+	}
 	if ticket != nil || s.full() {
 		return ticket
 	}
@@ -249,6 +266,9 @@
 		if ticket, verdict = s.take(ctx, ask); ticket != nil || s.full() {
 			return ticket
 		}
+		if s.queued && ctx.Err() == nil {
+			continue
+		}
 		if !h.Now().Before(until) {
 			s.refuseWait(verdict)
 			return nil
@@ -271,22 +291,42 @@
 	if s.engine == nil {
 		return s.pool.Take(h.Now(), ask)
 	}
+	s.queued = false
 	offers, verdict := s.pool.Offers(h.Now(), ask)
 	if verdict != balance.Found {
 		return nil, verdict
 	}
-	slot := h.Knowledge.Reserve(ctx, s.request.Model, offers, s.mostAhead())
-	if !slot.Booked {
+	begun := h.Now()
+	slot, leave := h.Knowledge.Reserve(ctx, s.request.Model, s.prompt(offers))
+	s.paced += h.Now().Sub(begun)
+	switch {
+	case slot.Full:
 		s.fullFor = slot.Ahead
 		return nil, balance.NoneTakes
+	case !slot.Booked:
+		s.queued = true
+		return nil, balance.NoneTakes
 	}
 	ticket := s.pool.Hold(h.Now(), ask, slot)
 	if ticket == nil {
+		leave()
 		return nil, balance.NoneTakes // the engine has gone, or is full, since the offer
 	}
+	s.leavePlace = leave
 	return ticket, balance.Found
 }
 
+// prompt tells the pacer what it needs to know of the request.
+func (s *serving) prompt(offers []pacing.Candidate) *pacing.Prompt {
+	return &pacing.Prompt{
+		Candidates: offers,
+		Ticket:     pacing.Ticket(s.handler.Dice()),
+		Objective:  s.arrived.Add(s.route.Objective),
+		GiveUp:     s.giveUpAt(),
+		Priority:   s.route.Priority,
+	}
+}
+
 // full ends a request that no engine can begin in time.
 func (s *serving) full() bool {
 	if s.fullFor == 0 {
@@ -296,24 +336,29 @@
 	return true
 }
 
-// Bounds on how far ahead the engine of a prompt may be booked. An engine that is asked
-// for more than it can do keeps what waits until its callers leave, after 4 s and more,
-// and goes on with it for a second after: on a played day 2,400 callers left so within
-// 35 s, and others would have been served in their place. The less urgent have less, so
-// that the more urgent find room.
+// Bounds on how long a prompt waits for an engine. Its caller leaves when nothing has
+// come for some seconds, and what it waited for is lost: on a played day 2,400 callers
+// left so within 35 s, and others would have been served in their place. The less urgent
+// wait less, so that the more urgent find room; but who is still in time by its objective
+// waits on.
 const (
 	mostAhead        = 1500 * time.Millisecond
 	lessByPriority   = 200 * time.Millisecond
 	leastUrgentAhead = 4
 )
 
-// mostAhead is how far ahead an engine may be booked that takes this request. One that
-// has been sent before may still be answered, and goes on.
-func (s *serving) mostAhead() time.Duration {
+// giveUpAt is when a prompt no longer waits for an engine. One that has been sent before
+// may still be answered, and waits for as long as its time goes on.
+func (s *serving) giveUpAt() time.Time {
 	if s.sends > 0 {
-		return 0
+		return s.deadline
+	}
+	most := mostAhead - time.Duration(min(s.route.Priority, leastUrgentAhead))*lessByPriority
+	at := s.arrived.Add(max(most, s.route.Objective))
+	if !s.deadline.IsZero() && s.deadline.Before(at) {
+		return s.deadline
 	}
-	return mostAhead - time.Duration(min(s.route.Priority, leastUrgentAhead))*lessByPriority
+	return at
 }
 
 // waitUntil is when a request that no server takes is given up.
--- a/internal/traffic/relay/world_test.go
+++ b/internal/traffic/relay/world_test.go
@@ -77,7 +77,7 @@
 	mu      sync.Mutex
 	seen    []string // server and request id of each arrival
 	missed  int
-	clocks  pacing.Clocks
+	queue   pacing.Queue
 	end     context.CancelFunc
 	// suspected is what the fleet knows of requests that crash servers.
 	suspected suspects.Machine
@@ -97,11 +97,13 @@
 	w.missed++
 }
 
-func (w *world) Reserve(_ context.Context, _ ident.ModelName, offers []pacing.Candidate, limit time.Duration) pacing.Slot {
-	return w.clocks.Reserve(time.Now(), &pacing.Prompt{
-		Candidates: offers,
-		Limit:      limit,
-	})
+func (w *world) Reserve(_ context.Context, _ ident.ModelName, prompt *pacing.Prompt) (pacing.Slot, func()) {
+	prompt.Holds = true
+	slot, waiter := w.queue.Ask(time.Now(), prompt)
+	if waiter != nil {
+		w.queue.Leave(waiter)
+	}
+	return slot, func() { w.queue.Ended(time.Now(), slot.Server, prompt.Ticket) }
 }
 
 func (w *world) Verdict(fingerprint ident.Fingerprint) suspects.Verdict {
