loading: Place models by how the work lies on engines

Cause: work was counted for each replica of a model. Three busy models on one engine had each enough replicas by that count, and 40 prompts waited there while five engines of eighteen had next to nothing to do. Only one replica could make way for a model, so that two small ones in its place never did. Second copies of idle models used up the pace of the weight store, which a model that rose then lacked. Change: the work is spread over the engines as pacers do; a replica is added where the sum of the squares of loads falls most for the time that the load takes, and replicas make way together where others stand in for them. Second copies are loaded only while nothing is short and half of the pace is left.

--- a/internal/control/loading/loading.go
+++ b/internal/control/loading/loading.go
@@ -141,8 +141,9 @@
 	spec *route.Model
 	// replicas counts the servers that hold the model and keep it, or load it.
 	replicas int
-	// ready counts those that serve it.
-	ready int
+	// ready counts those that serve it, coming those that load it.
+	ready  int
+	coming int
 }
 
 // NewPlanner gives a planner that knows nothing.
@@ -340,14 +341,20 @@
 	return orders
 }
 
+// counts tells that what a server holds is there to be asked for.
+func (p *Planner) counts(now time.Time, e *engine) bool {
+	return !e.Leaving && e.reported && now.Sub(e.report.At) <= deadAfter
+}
+
 // count counts the replicas of each model.
 func (p *Planner) count(now time.Time) {
 	for _, m := range p.models {
 		m.replicas = 0
 		m.ready = 0
+		m.coming = 0
 	}
 	for _, e := range p.list {
-		if e.Leaving || !e.reported || now.Sub(e.report.At) > deadAfter {
+		if !p.counts(now, e) {
 			continue
 		}
 		for name, m := range p.models {
@@ -357,6 +364,7 @@
 				m.ready++
 			case e.isLoading(name):
 				m.replicas++
+				m.coming++
 			}
 		}
 	}
--- a/internal/control/loading/moves.go
+++ b/internal/control/loading/moves.go
@@ -9,6 +9,7 @@
 	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/domain/request"
+	"cicadaloom/internal/domain/unit"
 )
 
 // Thresholds of moves. Work is in engines' time a second.
@@ -183,6 +184,7 @@
 		p.begun = append(p.begun, now)
 	}
 	m.replicas++
+	m.coming++
 	return order
 }
 
@@ -245,36 +247,164 @@
 	return min(max(int(replicas), 1), len(p.list))
 }
 
-// followDemand gives replicas to the models that have fewer than they should, those
-// with the most work for each replica first.
+// followDemand gives replicas to the models whose engines have most to do, where they
+// take most of it over: in free room first, then where others make way.
 func (p *Planner) followDemand(now time.Time) []backend.CountedOrder {
-	var wanted []*model
-	pressure := make(map[*model]float64, len(p.models))
-	for _, m := range p.models {
-		if m.replicas == 0 || m.replicas >= p.target(now, m) {
+	var orders []backend.CountedOrder
+	for range p.list {
+		lies := p.spreadNow(now)
+		best := p.bestMove(now, lies)
+		if best.model == nil {
+			break
+		}
+		if len(best.victims) == 0 {
+			orders = append(orders, p.load(now, best.engine, best.model))
 			continue
 		}
-		pressure[m] = p.pressure(now, m)
-		wanted = append(wanted, m)
-	}
-	slices.SortFunc(wanted, func(a, b *model) int {
-		return cmp.Or(cmp.Compare(pressure[b], pressure[a]), cmp.Compare(a.spec.Name, b.spec.Name))
-	})
-	var orders []backend.CountedOrder
-	for _, m := range wanted {
-		for m.replicas < p.target(now, m) {
-			order, found := p.place(now, m)
-			if !found {
-				p.makeWay(now, m, p.pressure(now, m))
-				break
-			}
-			orders = append(orders, order)
+		for _, v := range best.victims {
+			p.retire(now, best.engine, v, best.model.spec.Name, best.value)
 		}
 	}
 	p.keepFree(now)
 	return orders
 }
 
+// move is a replica that a model may get, and whose replicas make way for it.
+type move struct {
+	model   *model
+	engine  *engine
+	victims []*model
+	value   float64
+}
+
+// bestMove finds what is worth most.
+func (p *Planner) bestMove(now time.Time, lies *spread) move {
+	best := move{
+		value: leastGain,
+	}
+	mayRetire := !p.tooManyRetire()
+	for _, e := range p.list {
+		if !e.open(now) || len(e.retiring) > 0 || !p.counts(now, e) {
+			continue
+		}
+		load := lies.load[e]
+		free := p.free(e)
+		var victims []victim
+		listed := false
+		for name, m := range p.models {
+			one := lies.shares[name]
+			if m.replicas == 0 || one.level-load < leastDifference || one.work < lightWork || e.hasModel(name) || e.isLoading(name) {
+				continue
+			}
+			length, own := p.loadTime(e, m)
+			if !own && !p.mayBegin(now) {
+				continue
+			}
+			candidate := move{
+				model:  m,
+				engine: e,
+			}
+			gain := 0.0
+			if free >= m.spec.Memory {
+				gain = one.gain(load)
+			} else if mayRetire {
+				if !listed {
+					victims, listed = p.victims(now, e, lies), true
+				}
+				chosen, lost, work := pick(victims, m, m.spec.Memory-free)
+				if chosen == nil {
+					continue
+				}
+				candidate.victims = chosen
+				gain = one.gain(load-work) + load*load - (load-work)*(load-work) - gainOverLoss*lost
+				length += makeWayTime * time.Duration(len(chosen))
+				if work > 0 {
+					length += drainTime
+				}
+			}
+			candidate.value = gain / (1 + length.Seconds()/horizon.Seconds())
+			candidate.value *= 1 + regionalShare*p.regionalNeed(now, m, e)
+			if candidate.value > best.value || candidate.value == best.value && best.model != nil && name < best.model.spec.Name {
+				best = candidate
+			}
+		}
+	}
+	return best
+}
+
+// victim is a replica that could make way.
+type victim struct {
+	model *model
+	work  float64
+	loss  float64
+}
+
+// victims gives the replicas on an engine that others stand in for, the least loss first.
+func (p *Planner) victims(now time.Time, e *engine, lies *spread) []victim {
+	var all []victim
+	for name, v := range p.models {
+		if !e.serves(name) || v.ready < 2 {
+			continue
+		}
+		one := lies.shares[name]
+		if one.work >= lightWork && !p.hasLearned(now) {
+			continue
+		}
+		work := one.on(e)
+		all = append(all, victim{
+			model: v,
+			work:  work,
+			loss:  one.loss(work),
+		})
+	}
+	slices.SortFunc(all, func(a, b victim) int {
+		return cmp.Or(cmp.Compare(a.loss, b.loss), cmp.Compare(b.model.spec.Memory, a.model.spec.Memory), cmp.Compare(a.model.spec.Name, b.model.spec.Name))
+	})
+	return all
+}
+
+// pick chooses victims that give so much memory, and tells what is lost and moved.
+func pick(all []victim, m *model, need unit.Bytes) ([]*model, float64, float64) {
+	var chosen []victim
+	for _, v := range all {
+		if v.model == m {
+			continue
+		}
+		chosen = append(chosen, v)
+		need -= v.model.spec.Memory
+		if need <= 0 {
+			break
+		}
+	}
+	if need > 0 {
+		return nil, 0, 0
+	}
+	// One that is not needed beside the later ones stays.
+	chosen = slices.DeleteFunc(chosen, func(v victim) bool {
+		if need+v.model.spec.Memory > 0 {
+			return false
+		}
+		need += v.model.spec.Memory
+		return true
+	})
+	var models []*model
+	lost, work := 0.0, 0.0
+	for _, v := range chosen {
+		models = append(models, v.model)
+		lost += v.loss
+		work += v.work
+	}
+	return models, lost, work
+}
+
+const (
+	horizon         = 4 * time.Second
+	makeWayTime     = 600 * time.Millisecond
+	drainTime       = 2 * time.Second
+	leastDifference = 0.15
+	regionalShare   = 0.1
+)
+
 // choice is the cheapest replica so far that could make way.
 type choice struct {
 	engine *engine
--- a/internal/control/loading/room.go
+++ b/internal/control/loading/room.go
@@ -100,7 +100,7 @@
 // a server that loads one takes no other order for as long as that takes (8.6 s from the
 // weight store): so this is for times when demand stays where it is.
 func (p *Planner) prepare(now time.Time) []backend.CountedOrder {
-	if !p.steady(now) {
+	if !p.steady(now) || len(p.begun) > p.paceLimit()/2 || p.short(now) {
 		return nil
 	}
 	var idle []*model
@@ -114,6 +114,9 @@
 	})
 	var orders []backend.CountedOrder
 	for _, m := range idle {
+		if len(p.begun) > p.paceLimit()/2 {
+			break
+		}
 		if order, found := p.place(now, m); found {
 			orders = append(orders, order)
 		}
@@ -121,6 +124,16 @@
 	return orders
 }
 
+// short tells that some model has more work than its engines do with ease.
+func (p *Planner) short(now time.Time) bool {
+	for _, one := range p.spreadNow(now).shares {
+		if one.work >= lightWork && one.level > 0.6 {
+			return true
+		}
+	}
+	return false
+}
+
 // prepared is how many replicas a model is kept ready with that nobody asks for.
 const prepared = 3
 
