loading: Let the last replica of an idle model go where others are short

No room of 66 GB was free anywhere, 440 GB were free in pieces. Change: a model that nobody has asked for in 4 s may lose its last replica where that gives room to a model that is short, if the engine keeps its weights at hand (back within a second); at most a fifth of the models at a time. It comes back when it is asked for, or as soon as nothing is short. Callers that are refused are told to come back after 1.5 s and more, spread over a quarter: what they waited for lasts for seconds.

--- a/internal/control/loading/engine.go
+++ b/internal/control/loading/engine.go
@@ -24,6 +24,9 @@
 	adapters map[request.Weights]time.Time
 	pending  *pending
 	retiring map[ident.ModelName]time.Time
+	// dropping has the models among them whose last replica this is, as nobody asks for
+	// them.
+	dropping map[ident.ModelName]bool
 	// known are the adapters that allAdapters found, nil when they may have changed.
 	known map[request.Weights]bool
 	// waitUntil holds back orders after one was turned down, until reports are new.
--- a/internal/control/loading/loading.go
+++ b/internal/control/loading/loading.go
@@ -192,6 +192,7 @@
 			e = &engine{
 				adapters: make(map[request.Weights]time.Time),
 				retiring: make(map[ident.ModelName]time.Time),
+				dropping: make(map[ident.ModelName]bool),
 			}
 			p.engines[server.Name] = e
 		}
--- a/internal/control/loading/moves.go
+++ b/internal/control/loading/moves.go
@@ -52,7 +52,11 @@
 	p.sortByWork(now, missing)
 	var orders []backend.CountedOrder
 	coming := p.roomComing()
+	short := p.short(now)
 	for _, m := range missing {
+		if p.hasLearned(now) && p.silent(now, m.spec.Name) && short {
+			continue // it comes back as soon as it is asked for, or where nothing is short
+		}
 		if order, found := p.place(now, m); found {
 			orders = append(orders, order)
 			if order, found := p.relieve(now); found {
@@ -339,22 +343,29 @@
 	loss  float64
 }
 
-// victims gives the replicas on an engine that others stand in for, the least loss first.
+// victims gives the replicas on an engine that may make way, the least loss first: those
+// that others stand in for, and the last ones of models that nobody asks for, where the
+// engine keeps their weights at hand.
 func (p *Planner) victims(now time.Time, e *engine, lies *spread) []victim {
 	var all []victim
 	for name, v := range p.models {
-		if !e.serves(name) || v.ready < 2 {
+		if !e.serves(name) {
 			continue
 		}
 		one := lies.shares[name]
-		if one.work >= lightWork && !p.hasLearned(now) {
+		last := v.ready < 2
+		if last && !p.mayDrop(now, e, v) || one.work >= lightWork && !p.hasLearned(now) {
 			continue
 		}
 		work := one.on(e)
+		loss := one.loss(work)
+		if last {
+			loss = lastLoss
+		}
 		all = append(all, victim{
 			model: v,
 			work:  work,
-			loss:  one.loss(work),
+			loss:  loss,
 		})
 	}
 	slices.SortFunc(all, func(a, b victim) int {
@@ -363,6 +374,27 @@
 	return all
 }
 
+// mayDrop tells that the last replica of a model may go: nobody has asked for the model
+// for a while, and it is back within a second if somebody does.
+func (p *Planner) mayDrop(now time.Time, e *engine, v *model) bool {
+	if !p.hasLearned(now) || now.Sub(p.begunAt) < silentAfter || !p.silent(now, v.spec.Name) || v.replicas > 1 {
+		return false
+	}
+	_, own := p.loadTime(e, v)
+	return own && p.dropped() < int(mostDropped*float64(len(p.models)))
+}
+
+// dropped counts the models that are held nowhere, or will be in a moment.
+func (p *Planner) dropped() int {
+	count := 0
+	for _, m := range p.models {
+		if m.replicas == 0 {
+			count++
+		}
+	}
+	return count
+}
+
 // pick chooses victims that give so much memory, and tells what is lost and moved.
 func pick(all []victim, m *model, need unit.Bytes) ([]*model, float64, float64) {
 	var chosen []victim
@@ -403,6 +435,8 @@
 	drainTime       = 2 * time.Second
 	leastDifference = 0.15
 	regionalShare   = 0.1
+	lastLoss        = 0.2
+	mostDropped     = 0.2
 )
 
 // choice is the cheapest replica so far that could make way.
@@ -450,9 +484,12 @@
 // mayMakeWay tells that a replica of v may make way for m on a server: another one
 // stays, it gives the room, and m needs it much more.
 func (p *Planner) mayMakeWay(now time.Time, e *engine, v, m *model, pressure float64) bool {
-	if !e.serves(v.spec.Name) || v.ready < 2 || p.free(e)+v.spec.Memory < m.spec.Memory {
+	if !e.serves(v.spec.Name) || p.free(e)+v.spec.Memory < m.spec.Memory {
 		return false
 	}
+	if v.ready < 2 {
+		return p.asked(now, m.spec.Name) && p.mayDrop(now, e, v)
+	}
 	if pressure == 0 {
 		return p.mayLose(now, v, m.spec.Name)
 	}
@@ -489,8 +526,8 @@
 			if !e.open(now) || now.Sub(since) < notice {
 				continue
 			}
-			if p.readyElsewhere(now, e, name) == 0 {
-				delete(e.retiring, name) // it is the last one now
+			if p.readyElsewhere(now, e, name) == 0 && !(e.dropping[name] && p.silent(now, name)) {
+				delete(e.retiring, name) // it is the last one now, and asked for
 				continue
 			}
 			orders = append(orders, p.order(now, e, backend.UnloadModel, request.Weights{
--- a/internal/control/loading/room.go
+++ b/internal/control/loading/room.go
@@ -149,6 +149,7 @@
 // retire has a replica make way for a model, or for none in particular.
 func (p *Planner) retire(now time.Time, e *engine, v *model, reason ident.ModelName, left float64) {
 	e.retiring[v.spec.Name] = now
+	e.dropping[v.spec.Name] = v.ready == 1
 	v.replicas--
 	v.ready--
 	p.decisions = append(p.decisions, Decision{
--- a/internal/traffic/relay/serving.go
+++ b/internal/traffic/relay/serving.go
@@ -332,10 +332,23 @@
 	if s.fullFor == 0 {
 		return false
 	}
-	s.giveUpUntil(s.fullFor, "the engines have too much before them")
+	s.giveUpUntil(s.returnIn(), "the engines have too much before them")
 	return true
 }
 
+// returnIn is when a caller may come back that no engine could begin in time. What it
+// waited for lasts for some seconds, a load or a crowd; who comes back sooner is refused
+// again. The spread keeps those that were refused together from coming together.
+func (s *serving) returnIn() time.Duration {
+	spread := float64(s.handler.Dice()%1024) / 1024
+	return time.Duration(float64(max(s.fullFor, leastReturn)) * (1 + returnSpread*spread))
+}
+
+const (
+	leastReturn  = 1500 * time.Millisecond
+	returnSpread = 0.25
+)
+
 // Bounds on how long a prompt waits for an engine. Its caller leaves when nothing has
 // come for some seconds, and what it waited for is lost: on a played day 2,400 callers
 // left so within 35 s, and others would have been served in their place. The less urgent
