balance: Have the clear time after each prompt follow the streams' pauses

Cause: 25 ms were kept free on an engine after every prompt, found on engines whose steps are twice as long. At Venâncio a mean prompt is read in 16 ms and a pause of 250 ms is allowed: over half of the reading time was thrown away there. Change: the time shrinks with each stream that kept to its route's gap, and grows with each that did not, between 1 and 25 ms.

--- a/internal/control/balance/balance.go
+++ b/internal/control/balance/balance.go
@@ -124,8 +124,10 @@
 	// answering is how long an answer takes from its first byte on, in seconds.
 	answering map[ident.ModelName]float64
 	// work is how long servers without models take.
-	work    time.Duration
-	prompt  float64 // mean work of a prompt, in seconds
+	work   time.Duration
+	prompt float64 // mean work of a prompt, in seconds
+	// clear is for how long engines are kept clear after each prompt.
+	clear   time.Duration
 	changed chan struct{}
 	demand  map[request.Weights]*Demand
 }
@@ -162,6 +164,7 @@
 		answering: make(map[ident.ModelName]float64),
 		work:      startWork,
 		prompt:    startPrompt,
+		clear:     mostClear,
 		changed:   make(chan struct{}),
 		demand:    make(map[request.Weights]*Demand),
 	}
--- a/internal/control/pacing/pacing.go
+++ b/internal/control/pacing/pacing.go
@@ -38,6 +38,7 @@
 package pacing
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
 	"sync"
@@ -96,6 +97,9 @@
 	Candidates []Candidate
 	Most       time.Duration
 	Limit      time.Duration
+	// Clear is for how long the engine is kept clear after the prompt; 0 stands for
+	// clearStep.
+	Clear time.Duration
 	// Ticket names the prompt.
 	Ticket Ticket
 	// Objective is when the first event is in time, GiveUp when nobody waits any more;
@@ -134,16 +138,17 @@
 		return best
 	}
 	best.Booked = true
-	c.book(now, best.Server, best.Ahead, prompt.Candidates[best.Index].Reading)
+	c.book(now, prompt, &best)
 	return best
 }
 
-// book adds the reading of a prompt to an engine's clock, which stands so far ahead.
-func (c *Clocks) book(now time.Time, server ident.ServerName, ahead, reading time.Duration) {
-	if ahead <= mostWait {
-		reading += clearStep
+// book adds the reading of a prompt to an engine's clock.
+func (c *Clocks) book(now time.Time, prompt *Prompt, slot *Slot) {
+	reading := prompt.Candidates[slot.Index].Reading
+	if slot.Ahead <= mostWait {
+		reading += cmp.Or(prompt.Clear, clearStep)
 	}
-	c.busy[server] = now.Add(min(ahead+reading, mostBooked))
+	c.busy[slot.Server] = now.Add(min(slot.Ahead+reading, mostBooked))
 }
 
 // ahead is how long an engine has to read what it is booked for.
--- a/internal/control/pacing/queue.go
+++ b/internal/control/pacing/queue.go
@@ -199,7 +199,7 @@
 
 func (q *Queue) book(now time.Time, prompt *Prompt, slot *Slot) {
 	slot.Booked = true
-	q.clocks.book(now, slot.Server, slot.Ahead, prompt.Candidates[slot.Index].Reading)
+	q.clocks.book(now, prompt, slot)
 	q.at(slot.Server).send(now, prompt.Ticket)
 }
 
--- a/internal/peer/gatewaypeer/codec.go
+++ b/internal/peer/gatewaypeer/codec.go
@@ -181,6 +181,7 @@
 func encodePrompt(p *pacing.Prompt) *gatewaypeerpb.Prompt {
 	wire := &gatewaypeerpb.Prompt{
 		Most:       int64(p.Most),
+		Clear:      int64(p.Clear),
 		Ticket:     uint64(p.Ticket),
 		Objective:  int64(time.Until(p.Objective)),
 		GiveUp:     int64(time.Until(p.GiveUp)),
@@ -204,6 +205,7 @@
 func decodePrompt(wire *gatewaypeerpb.Prompt, came time.Time) pacing.Prompt {
 	prompt := pacing.Prompt{
 		Most:       time.Duration(wire.GetMost()),
+		Clear:      time.Duration(wire.GetClear()),
 		Ticket:     pacing.Ticket(wire.GetTicket()),
 		Objective:  came.Add(time.Duration(wire.GetObjective())),
 		GiveUp:     came.Add(time.Duration(wire.GetGiveUp())),
--- a/internal/traffic/relay/serving.go
+++ b/internal/traffic/relay/serving.go
@@ -162,12 +162,21 @@
 	s.logSend(ticket, &sent, now)
 	s.noteSuspect(ticket, &sent)
 	if sent.finished {
+		s.noteStream()
 		s.done(sent.status, sent.why)
 		return false
 	}
 	return s.goOn(ctx, &sent)
 }
 
+// noteStream tells the pool whether the stream of an engine paused for too long. One that
+// went on at another engine says nothing of how prompts are read.
+func (s *serving) noteStream() {
+	if s.engine != nil && s.stream.begun && s.route.Gap > 0 && s.runs <= 1 {
+		s.pool.Streamed(s.stream.longestGap > s.route.Gap)
+	}
+}
+
 // pace waits until the prompt may be sent.
 func (s *serving) pace(ctx context.Context, ticket *balance.Ticket) bool {
 	h := s.handler
@@ -320,6 +329,7 @@
 func (s *serving) prompt(offers []pacing.Candidate) *pacing.Prompt {
 	return &pacing.Prompt{
 		Candidates: offers,
+		Clear:      s.pool.Clear(),
 		Ticket:     pacing.Ticket(s.handler.Dice()),
 		Objective:  s.arrived.Add(s.route.Objective),
 		GiveUp:     s.giveUpAt(),
