pacing: Put behind what can hardly be in time, and let few prompts wait at engines

The queue let each prompt go at the last moment that its objective allowed, and two more than an engine has places for waited there 0.3 s more. Change: what would be in time by less than 0.15 s counts as late, and one prompt more than there are places is sent for each 16 of them. Waiters are listed by engine.

--- a/internal/control/pacing/places.go
+++ b/internal/control/pacing/places.go
@@ -10,10 +10,11 @@
 type Ticket uint64
 
 const (
-	// spare is how many prompts more than an engine has places for are sent to it: so
-	// many wait there for the next place while the word that one is free is on its way
-	// to the pacer and the next prompt from its host to the engine.
-	spare = 2
+	// placesPerSpare is for how many places of an engine one prompt more is sent to it:
+	// so few wait there for the next place while the word that one is free is on its way
+	// to the pacer and the next prompt from its host to the engine. One of 32 places comes
+	// free every 50 ms; the two that wait there lose 0.1 s at most.
+	placesPerSpare = 16
 	// loadLag is how old an engine's word on its load is at most when it comes: some
 	// hundred milliseconds at the engine, a round of reports and a round of the hosts.
 	loadLag = 1500 * time.Millisecond
@@ -34,6 +35,8 @@
 	ended   []time.Time
 	load    int
 	heardAt time.Time
+	// waiters are those in the queue who may have the engine.
+	waiters []*Waiter
 }
 
 func (p *places) send(now time.Time, ticket Ticket) {
@@ -81,7 +84,7 @@
 
 // forgettable tells that nothing is known of an engine that would be missed.
 func (p *places) forgettable(now time.Time) bool {
-	return len(p.running) == 0 && now.Sub(p.heardAt) > loadTrust
+	return len(p.running) == 0 && len(p.waiters) == 0 && now.Sub(p.heardAt) > loadTrust
 }
 
 // Load is an engine's word on how many prompts run there or wait.
--- a/internal/control/pacing/queue.go
+++ b/internal/control/pacing/queue.go
@@ -33,6 +33,10 @@
 	// lead is how far ahead of its reading a prompt is let go: the way to the engine and
 	// the reading of a prompt. What is let go later can't be overtaken by it.
 	lead = 80 * time.Millisecond
+	// margin is what a prompt that is let go now may still lose before its first event:
+	// the wait for a place, lead, and a step. Without it a queue that is never empty lets
+	// each prompt go at the last moment, and all come late by a little.
+	margin = 150 * time.Millisecond
 	// perRunning is what each running answer adds to the time to the first event: its
 	// part of the steps that the prompt is read between.
 	perRunning = 700 * time.Microsecond
@@ -76,15 +80,33 @@
 		slot.Full = true
 		return slot, nil
 	}
-	q.waiting = append(q.waiting, waiter)
+	q.add(waiter)
 	return slot, waiter
 }
 
+// add takes a waiter in, and lists it at each engine that it may have.
+func (q *Queue) add(waiter *Waiter) {
+	q.waiting = append(q.waiting, waiter)
+	for i := range waiter.prompt.Candidates {
+		p := q.at(waiter.prompt.Candidates[i].Server)
+		p.waiters = append(p.waiters, waiter)
+	}
+}
+
+// unlist takes a waiter off the engines' lists.
+func (q *Queue) unlist(waiter *Waiter) {
+	for i := range waiter.prompt.Candidates {
+		p := q.at(waiter.prompt.Candidates[i].Server)
+		p.waiters = slices.DeleteFunc(p.waiters, func(w *Waiter) bool { return w == waiter })
+	}
+}
+
 // Leave takes a waiter out. A slot that it was granted meanwhile stays its own.
 func (q *Queue) Leave(waiter *Waiter) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.waiting = slices.DeleteFunc(q.waiting, func(w *Waiter) bool { return w == waiter })
+	q.unlist(waiter)
 }
 
 // Ended tells that a prompt keeps its place no longer.
@@ -126,6 +148,7 @@
 		slot, found := q.free(now, w.prompt)
 		if found {
 			q.book(now, w.prompt, &slot)
+			q.unlist(w)
 			w.Granted <- slot
 		}
 		return found
@@ -150,28 +173,43 @@
 	}
 }
 
-// late tells that a prompt can't be in time any more.
+// late tells that a prompt can hardly be in time any more.
 func (w *Waiter) late(now time.Time) bool {
-	return now.Add(w.least).After(w.prompt.Objective)
+	return now.Add(w.least + margin).After(w.prompt.Objective)
 }
 
-// overtaken tells that somebody waits who goes before a newcomer, and for an engine that
-// the newcomer may have.
-func (q *Queue) overtaken(now time.Time, newcomer *Waiter) bool {
-	return slices.ContainsFunc(q.waiting, func(w *Waiter) bool {
-		return w.compare(now, newcomer) <= 0 && w.sharesEngine(newcomer)
-	})
+// most is how many prompts are sent to an engine with so many places.
+func most(places int) int {
+	return places + places/placesPerSpare
 }
 
-func (w *Waiter) sharesEngine(other *Waiter) bool {
-	for i := range w.prompt.Candidates {
-		if slices.ContainsFunc(other.prompt.Candidates, func(c Candidate) bool { return c.Server == w.prompt.Candidates[i].Server }) {
+// overtaken tells that somebody waits who goes before a newcomer, for an engine that the
+// newcomer may have.
+func (q *Queue) overtaken(now time.Time, newcomer *Waiter) bool {
+	for i := range newcomer.prompt.Candidates {
+		if slices.ContainsFunc(q.at(newcomer.prompt.Candidates[i].Server).waiters, func(w *Waiter) bool {
+			return w.compare(now, newcomer) <= 0
+		}) {
 			return true
 		}
 	}
 	return false
 }
 
+// before counts those who wait and go before a newcomer, for an engine that the newcomer
+// may have.
+func (q *Queue) before(now time.Time, newcomer *Waiter) int {
+	seen := make(map[*Waiter]bool)
+	for i := range newcomer.prompt.Candidates {
+		for _, w := range q.at(newcomer.prompt.Candidates[i].Server).waiters {
+			if !seen[w] && w.compare(now, newcomer) <= 0 {
+				seen[w] = true
+			}
+		}
+	}
+	return len(seen)
+}
+
 // free finds the cheapest engine that can take a prompt now.
 func (q *Queue) free(now time.Time, prompt *Prompt) (Slot, bool) {
 	var best Slot
@@ -180,7 +218,7 @@
 		one := &prompt.Candidates[i]
 		ahead := q.clocks.ahead(now, one.Server)
 		taken := q.at(one.Server).taken(now)
-		if ahead > lead || one.Places > 0 && taken >= one.Places+spare {
+		if ahead > lead || one.Places > 0 && taken >= most(one.Places) {
 			continue
 		}
 		cost := ahead + one.Reading + one.Beside + time.Duration(taken)*perRunning
@@ -207,21 +245,15 @@
 // read, and after as many places have come free as there are waiters that go before it.
 func (q *Queue) expected(now time.Time, newcomer *Waiter) Slot {
 	best := q.clocks.cheapest(now, newcomer.prompt.Candidates)
-	before, places := 1, 0
-	for _, w := range q.waiting {
-		if w.compare(now, newcomer) <= 0 && w.sharesEngine(newcomer) {
-			before++
-		}
-	}
-	full := true
+	places, full := 0, true
 	for i := range newcomer.prompt.Candidates {
 		one := &newcomer.prompt.Candidates[i]
 		places += one.Places
-		full = full && one.Places > 0 && q.at(one.Server).taken(now) >= one.Places+spare
+		full = full && one.Places > 0 && q.at(one.Server).taken(now) >= most(one.Places)
 	}
 	if full && places > 0 {
 		length := cmp.Or(q.length, startLength)
-		wait := length * time.Duration(before) / time.Duration(places)
+		wait := length * time.Duration(1+q.before(now, newcomer)) / time.Duration(places)
 		if wait > best.Ahead {
 			best.Cost += wait - best.Ahead
 			best.Ahead = wait
