--- a/internal/control/loading/loading.go
+++ b/internal/control/loading/loading.go
@@ -105,6 +105,8 @@
 	summedAt time.Time
 	// goalWork is the goal that follows from it, 0 until it is asked for.
 	goalWork float64
+	// lies is how the work lies on the engines, nil until it is asked for in a step.
+	lies *spread
 	// heard tells that requests have come since the planner began.
 	heard bool
 	// missingSince is when a model was first seen to be held nowhere.
@@ -141,9 +143,8 @@
 	spec *route.Model
 	// replicas counts the servers that hold the model and keep it, or load it.
 	replicas int
-	// ready counts those that serve it, coming those that load it.
-	ready  int
-	coming int
+	// ready counts those that serve it.
+	ready int
 }
 
 // NewPlanner gives a planner that knows nothing.
@@ -349,10 +350,10 @@
 
 // count counts the replicas of each model.
 func (p *Planner) count(now time.Time) {
+	p.lies = nil
 	for _, m := range p.models {
 		m.replicas = 0
 		m.ready = 0
-		m.coming = 0
 	}
 	for _, e := range p.list {
 		if !p.counts(now, e) {
@@ -365,7 +366,6 @@
 				m.ready++
 			case e.isLoading(name):
 				m.replicas++
-				m.coming++
 			}
 		}
 	}
--- a/internal/control/loading/moves.go
+++ b/internal/control/loading/moves.go
@@ -9,7 +9,6 @@
 	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/domain/request"
-	"cicadaloom/internal/domain/unit"
 )
 
 // Thresholds of moves. Work is in engines' time a second.
@@ -17,12 +16,6 @@
 	// leastGoal is the least work for each replica that a model is given more
 	// replicas for: at a seventh of an engine's time, prompts hardly meet.
 	leastGoal = 0.15
-	// gainOverLoss is how much more work for each replica the model that gets a
-	// place must have than the one that loses it is left with. Below it, two models
-	// of like demand would take turns at the same place.
-	gainOverLoss = 1.5
-	// leastGain is what it must have besides.
-	leastGain = 0.04
 	// freeShare is the part of the servers that are to have room for another model, or
 	// one that makes way nearly at once.
 	freeShare = 0.75
@@ -52,10 +45,9 @@
 	p.sortByWork(now, missing)
 	var orders []backend.CountedOrder
 	coming := p.roomComing()
-	short := p.short(now)
 	for _, m := range missing {
-		if p.hasLearned(now) && p.silent(now, m.spec.Name) && short {
-			continue // it comes back as soon as it is asked for, or where nothing is short
+		if p.mayWait(now, m.spec.Name) {
+			continue
 		}
 		if order, found := p.place(now, m); found {
 			orders = append(orders, order)
@@ -70,7 +62,7 @@
 			coming--
 			continue
 		}
-		p.makeWay(now, m, 0)
+		p.makeWay(now, m)
 	}
 	return orders
 }
@@ -188,7 +180,7 @@
 		p.begun = append(p.begun, now)
 	}
 	m.replicas++
-	m.coming++
+	p.lies = nil
 	return order
 }
 
@@ -251,194 +243,6 @@
 	return min(max(int(replicas), 1), len(p.list))
 }
 
-// followDemand gives replicas to the models whose engines have most to do, where they
-// take most of it over: in free room first, then where others make way.
-func (p *Planner) followDemand(now time.Time) []backend.CountedOrder {
-	var orders []backend.CountedOrder
-	for range p.list {
-		lies := p.spreadNow(now)
-		best := p.bestMove(now, lies)
-		if best.model == nil {
-			break
-		}
-		if len(best.victims) == 0 {
-			orders = append(orders, p.load(now, best.engine, best.model))
-			continue
-		}
-		for _, v := range best.victims {
-			p.retire(now, best.engine, v, best.model.spec.Name, best.value)
-		}
-	}
-	p.keepFree(now)
-	return orders
-}
-
-// move is a replica that a model may get, and whose replicas make way for it.
-type move struct {
-	model   *model
-	engine  *engine
-	victims []*model
-	value   float64
-}
-
-// bestMove finds what is worth most.
-func (p *Planner) bestMove(now time.Time, lies *spread) move {
-	best := move{
-		value: leastGain,
-	}
-	mayRetire := !p.tooManyRetire()
-	for _, e := range p.list {
-		if !e.open(now) || len(e.retiring) > 0 || !p.counts(now, e) {
-			continue
-		}
-		load := lies.load[e]
-		free := p.free(e)
-		var victims []victim
-		listed := false
-		for name, m := range p.models {
-			one := lies.shares[name]
-			if m.replicas == 0 || one.level-load < leastDifference || one.work < lightWork || e.hasModel(name) || e.isLoading(name) {
-				continue
-			}
-			length, own := p.loadTime(e, m)
-			if !own && !p.mayBegin(now) {
-				continue
-			}
-			candidate := move{
-				model:  m,
-				engine: e,
-			}
-			gain := 0.0
-			if free >= m.spec.Memory {
-				gain = one.gain(load)
-			} else if mayRetire {
-				if !listed {
-					victims, listed = p.victims(now, e, lies), true
-				}
-				chosen, lost, work := pick(victims, m, m.spec.Memory-free)
-				if chosen == nil {
-					continue
-				}
-				candidate.victims = chosen
-				gain = one.gain(load-work) + load*load - (load-work)*(load-work) - gainOverLoss*lost
-				length += makeWayTime * time.Duration(len(chosen))
-				if work > 0 {
-					length += drainTime
-				}
-			}
-			candidate.value = gain / (1 + length.Seconds()/horizon.Seconds())
-			candidate.value *= 1 + regionalShare*p.regionalNeed(now, m, e)
-			if candidate.value > best.value || candidate.value == best.value && best.model != nil && name < best.model.spec.Name {
-				best = candidate
-			}
-		}
-	}
-	return best
-}
-
-// victim is a replica that could make way.
-type victim struct {
-	model *model
-	work  float64
-	loss  float64
-}
-
-// victims gives the replicas on an engine that may make way, the least loss first: those
-// that others stand in for, and the last ones of models that nobody asks for, where the
-// engine keeps their weights at hand.
-func (p *Planner) victims(now time.Time, e *engine, lies *spread) []victim {
-	var all []victim
-	for name, v := range p.models {
-		if !e.serves(name) {
-			continue
-		}
-		one := lies.shares[name]
-		last := v.ready < 2
-		if last && !p.mayDrop(now, e, v) || one.work >= lightWork && !p.hasLearned(now) {
-			continue
-		}
-		work := one.on(e)
-		loss := one.loss(work)
-		if last {
-			loss = lastLoss
-		}
-		all = append(all, victim{
-			model: v,
-			work:  work,
-			loss:  loss,
-		})
-	}
-	slices.SortFunc(all, func(a, b victim) int {
-		return cmp.Or(cmp.Compare(a.loss, b.loss), cmp.Compare(b.model.spec.Memory, a.model.spec.Memory), cmp.Compare(a.model.spec.Name, b.model.spec.Name))
-	})
-	return all
-}
-
-// mayDrop tells that the last replica of a model may go: nobody has asked for the model
-// for a while, and it is back within a second if somebody does.
-func (p *Planner) mayDrop(now time.Time, e *engine, v *model) bool {
-	if !p.hasLearned(now) || now.Sub(p.begunAt) < silentAfter || !p.silent(now, v.spec.Name) || v.replicas > 1 {
-		return false
-	}
-	_, own := p.loadTime(e, v)
-	return own && p.dropped() < int(mostDropped*float64(len(p.models)))
-}
-
-// dropped counts the models that are held nowhere, or will be in a moment.
-func (p *Planner) dropped() int {
-	count := 0
-	for _, m := range p.models {
-		if m.replicas == 0 {
-			count++
-		}
-	}
-	return count
-}
-
-// pick chooses victims that give so much memory, and tells what is lost and moved.
-func pick(all []victim, m *model, need unit.Bytes) ([]*model, float64, float64) {
-	var chosen []victim
-	for _, v := range all {
-		if v.model == m {
-			continue
-		}
-		chosen = append(chosen, v)
-		need -= v.model.spec.Memory
-		if need <= 0 {
-			break
-		}
-	}
-	if need > 0 {
-		return nil, 0, 0
-	}
-	// One that is not needed beside the later ones stays.
-	chosen = slices.DeleteFunc(chosen, func(v victim) bool {
-		if need+v.model.spec.Memory > 0 {
-			return false
-		}
-		need += v.model.spec.Memory
-		return true
-	})
-	var models []*model
-	lost, work := 0.0, 0.0
-	for _, v := range chosen {
-		models = append(models, v.model)
-		lost += v.loss
-		work += v.work
-	}
-	return models, lost, work
-}
-
-const (
-	horizon         = 4 * time.Second
-	makeWayTime     = 600 * time.Millisecond
-	drainTime       = 2 * time.Second
-	leastDifference = 0.15
-	regionalShare   = 0.1
-	lastLoss        = 0.2
-	mostDropped     = 0.2
-)
-
 // choice is the cheapest replica so far that could make way.
 type choice struct {
 	engine *engine
@@ -454,9 +258,8 @@
 	}
 }
 
-// makeWay has one replica retire for a model that has no room. With no pressure
-// the model is held nowhere, and any model with another replica may make way.
-func (p *Planner) makeWay(now time.Time, m *model, pressure float64) {
+// makeWay has one replica retire for a model that is held nowhere and has no room.
+func (p *Planner) makeWay(now time.Time, m *model) {
 	if p.tooManyRetire() {
 		return
 	}
@@ -471,9 +274,14 @@
 		}
 		cost := workForTime * (length.Seconds() - p.regionalNeed(now, m, e) + busyness(e))
 		for _, v := range p.models {
-			if p.mayMakeWay(now, e, v, m, pressure) {
-				best.offer(e, v, p.left(now, v)+cost)
+			if !p.mayMakeWay(now, e, v, m) {
+				continue
 			}
+			last := 0.0
+			if v.ready < 2 {
+				last = lastLoss
+			}
+			best.offer(e, v, p.left(now, v)+cost+last)
 		}
 	}
 	if best.engine != nil {
@@ -481,19 +289,16 @@
 	}
 }
 
-// mayMakeWay tells that a replica of v may make way for m on a server: another one
-// stays, it gives the room, and m needs it much more.
-func (p *Planner) mayMakeWay(now time.Time, e *engine, v, m *model, pressure float64) bool {
+// mayMakeWay tells that a replica of v may make way on a server for m, which is held
+// nowhere: it gives the room, and v can lose it.
+func (p *Planner) mayMakeWay(now time.Time, e *engine, v, m *model) bool {
 	if !e.serves(v.spec.Name) || p.free(e)+v.spec.Memory < m.spec.Memory {
 		return false
 	}
 	if v.ready < 2 {
 		return p.asked(now, m.spec.Name) && p.mayDrop(now, e, v)
 	}
-	if pressure == 0 {
-		return p.mayLose(now, v, m.spec.Name)
-	}
-	return pressure >= gainOverLoss*p.left(now, v)+leastGain
+	return p.mayLose(now, v, m.spec.Name)
 }
 
 // mayLose tells that a replica of v may make way for a model that is held nowhere.
--- a/internal/control/loading/room.go
+++ b/internal/control/loading/room.go
@@ -100,7 +100,7 @@
 // a server that loads one takes no other order for as long as that takes (8.6 s from the
 // weight store): so this is for times when demand stays where it is.
 func (p *Planner) prepare(now time.Time) []backend.CountedOrder {
-	if !p.steady(now) || len(p.begun) > p.paceLimit()/2 || p.short(now) {
+	if !p.steady(now) || p.short(now) {
 		return nil
 	}
 	var idle []*model
@@ -114,7 +114,7 @@
 	})
 	var orders []backend.CountedOrder
 	for _, m := range idle {
-		if len(p.begun) > p.paceLimit()/2 {
+		if len(p.begun) > int(preparedPace*float64(p.paceLimit())) {
 			break
 		}
 		if order, found := p.place(now, m); found {
@@ -124,15 +124,10 @@
 	return orders
 }
 
-// short tells that some model has more work than its engines do with ease.
-func (p *Planner) short(now time.Time) bool {
-	for _, one := range p.spreadNow(now).shares {
-		if one.work >= lightWork && one.level > 0.6 {
-			return true
-		}
-	}
-	return false
-}
+// preparedPace is the part of the weight store's pace that second copies may use up. What
+// rises needs the rest: a model with six engines' work waited for the pace, which second
+// copies of idle ones had used up, beside an engine that was free.
+const preparedPace = 0.5
 
 // prepared is how many replicas a model is kept ready with that nobody asks for.
 const prepared = 3
@@ -152,6 +147,7 @@
 	e.dropping[v.spec.Name] = v.ready == 1
 	v.replicas--
 	v.ready--
+	p.lies = nil
 	p.decisions = append(p.decisions, Decision{
 		Server:   e.Name,
 		Model:    v.spec.Name,
--- a/internal/control/loading/spread.go
+++ b/internal/control/loading/spread.go
@@ -39,6 +39,13 @@
 
 // spreadNow gives how the work lies now, with what is being loaded.
 func (p *Planner) spreadNow(now time.Time) *spread {
+	if p.lies == nil {
+		p.lies = p.spreadWork(now)
+	}
+	return p.lies
+}
+
+func (p *Planner) spreadWork(now time.Time) *spread {
 	s := &spread{
 		load:   make(map[*engine]float64, len(p.list)),
 		shares: make(map[ident.ModelName]*share, len(p.models)),
