--- a/internal/control/loading/spread.go
+++ b/internal/control/loading/spread.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -33,9 +34,10 @@
 	work   float64
 }
 
-// spreadRounds is how often the work is dealt out: after three rounds the loads of
-// a hundred random fleets differ by less than a hundredth from those after ten.
-const spreadRounds = 3
+// spreadRounds is how often the work is dealt out. After four rounds the loads of a
+// hundred random fleets differ from those after ten more by less than half of what moves
+// a replica (TestFourRoundsSpreadTheWork; after three they did by more).
+const spreadRounds = 4
 
 // spreadNow gives how the work lies now, with what is being loaded.
 func (p *Planner) spreadNow(now time.Time) *spread {
@@ -50,13 +52,10 @@
 		load:   make(map[*engine]float64, len(p.list)),
 		shares: make(map[ident.ModelName]*share, len(p.models)),
 	}
-	order := make([]*share, 0, len(p.models))
 	for name := range p.models {
-		one := &share{
+		s.shares[name] = &share{
 			work: p.expectedWork(now, name),
 		}
-		s.shares[name] = one
-		order = append(order, one)
 	}
 	for _, e := range p.list {
 		if !p.counts(now, e) {
@@ -70,15 +69,22 @@
 			}
 		}
 	}
-	slices.SortFunc(order, func(a, b *share) int { return cmp.Compare(b.work, a.work) })
 	for range spreadRounds {
-		for _, one := range order {
-			s.deal(one)
-		}
+		s.dealAll()
 	}
 	return s
 }
 
+// dealAll spreads the work of all models anew, the most work first.
+func (s *spread) dealAll() {
+	names := slices.SortedFunc(maps.Keys(s.shares), func(a, b ident.ModelName) int {
+		return cmp.Or(cmp.Compare(s.shares[b].work, s.shares[a].work), cmp.Compare(a, b))
+	})
+	for _, name := range names {
+		s.deal(s.shares[name])
+	}
+}
+
 // deal spreads a model's work anew over its engines, beside what others do there.
 func (s *spread) deal(one *share) {
 	if len(one.parts) == 0 {
