--- a/internal/control/loading/moves.go
+++ b/internal/control/loading/moves.go
@@ -331,7 +331,8 @@
 			if !e.open(now) || now.Sub(since) < notice {
 				continue
 			}
-			if p.readyElsewhere(now, e, name) == 0 && !(e.dropping[name] && p.silent(now, name)) {
+			mayBeLast := e.dropping[name] && p.silent(now, name)
+			if p.readyElsewhere(now, e, name) == 0 && !mayBeLast {
 				delete(e.retiring, name) // it is the last one now, and asked for
 				continue
 			}
