--- a/internal/host/gateway/exchange.go
+++ b/internal/host/gateway/exchange.go
@@ -91,19 +91,9 @@
 	}
 )
 
-// askPeer exchanges words with another host.
+// askPeer exchanges words with another host, if there is one to listen.
 func (g *Gateway) askPeer(to listener) error {
-	reply := make(chan outgoing, 1)
-	g.post(wantsWord{
-		to:    to,
-		reply: reply,
-	})
-	var out outgoing
-	select {
-	case out = <-reply:
-	case <-g.tomb.Dying():
-		return nil
-	}
+	out := g.wordFor(to)
 	if out.address == "" {
 		return nil
 	}
@@ -118,6 +108,22 @@
 	return nil
 }
 
+// wordFor gives the next word to tell, and the address of who listens, empty where there
+// is none or the host ends.
+func (g *Gateway) wordFor(to listener) outgoing {
+	reply := make(chan outgoing, 1)
+	g.post(wantsWord{
+		to:    to,
+		reply: reply,
+	})
+	select {
+	case out := <-reply:
+		return out
+	case <-g.tomb.Dying():
+		return outgoing{}
+	}
+}
+
 // outgoing is a word and whom to tell it.
 type outgoing struct {
 	address string
@@ -149,10 +155,7 @@
 	if c.tenure != nil || c.holder == c.options.Settings.Host.Name {
 		return ""
 	}
-	if host, known := c.hosts[c.holder]; known {
-		return host.address
-	}
-	return ""
+	return c.addressOf(c.holder)
 }
 
 // somePeer picks a peer, or a seed where none is known.
--- a/internal/host/gateway/takeover.go
+++ b/internal/host/gateway/takeover.go
@@ -7,7 +7,6 @@
 	"go.uber.org/zap"
 
 	"cicadaloom/internal/domain/ident"
-	"cicadaloom/internal/peer/gatewaypeer"
 )
 
 const (
@@ -82,26 +81,16 @@
 // askFormer asks the former holder when it gave its last order. By the question it
 // hears of the new term, and ends its own before it answers.
 func (g *Gateway) askFormer(former ident.HostID, t *tenure) (time.Time, bool) {
-	reply := make(chan string, 1)
-	g.post(wantsAddress{
-		host:  former,
-		reply: reply,
+	out := g.wordFor(listener{
+		address: func(c *control) string { return c.addressOf(former) },
 	})
-	var address string
-	select {
-	case address = <-reply:
-	case <-g.tomb.Dying():
-	}
-	if address == "" {
+	if out.address == "" {
 		return time.Time{}, false
 	}
+	out.word.Token = t.token
 	ctx, cancel := context.WithTimeout(g.context(), askFormerLimit)
 	defer cancel()
-	theirs, err := g.peers.Exchange(ctx, address, gatewaypeer.Word{
-		Host:      g.options.Settings.Host.Name,
-		Token:     t.token,
-		LastOrder: time.Now(),
-	})
+	theirs, err := g.peers.Exchange(ctx, out.address, out.word)
 	if err != nil {
 		g.log.Debug("former holder does not answer", zap.String("Former", string(former)), zap.Error(err))
 		return time.Time{}, false
@@ -110,18 +99,12 @@
 	return theirs.LastOrder, theirs.Host == former && theirs.Token == 0
 }
 
-// wantsAddress asks the control where a host listens.
-type wantsAddress struct {
-	host  ident.HostID
-	reply chan<- string
-}
-
-func (m wantsAddress) apply(_ time.Time, c *control) {
-	address := ""
-	if host, known := c.hosts[m.host]; known {
-		address = host.address
+// addressOf gives where a host listens, empty where that is not known.
+func (c *control) addressOf(name ident.HostID) string {
+	if host, known := c.hosts[name]; known {
+		return host.address
 	}
-	m.reply <- address
+	return ""
 }
 
 // endFormerTerm has a holder end its term that hears of a later one.
