--- a/internal/control/pacing/queue.go
+++ b/internal/control/pacing/queue.go
@@ -132,6 +132,13 @@
 	q.grant(now)
 }
 
+// Waiting counts the prompts in the queue.
+func (q *Queue) Waiting() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.waiting)
+}
+
 // Grant lets go what an engine is free for by now.
 func (q *Queue) Grant(now time.Time) {
 	q.mu.Lock()
--- a/internal/host/gateway/metrics.go
+++ b/internal/host/gateway/metrics.go
@@ -13,6 +13,7 @@
 	hosts         *metrics.Gauge
 	servers       *metrics.Gauge
 	holds         *metrics.Gauge
+	waiting       *metrics.Gauge
 }
 
 func newGauges(set *metrics.Set) gauges {
@@ -21,6 +22,7 @@
 		hosts:         set.NewGauge("cicadaloom_known_hosts", nil),
 		servers:       set.NewGauge("cicadaloom_backend_servers", nil),
 		holds:         set.NewGauge("cicadaloom_holds_orders", nil),
+		waiting:       set.NewGauge("cicadaloom_prompts_waiting", nil),
 	}
 }
 
@@ -36,4 +38,5 @@
 		holds = 1
 	}
 	g.holds.Set(holds)
+	g.waiting.Set(float64(c.pacers.queue.Waiting()))
 }
