--- a/internal/control/pacing/pacing.go
+++ b/internal/control/pacing/pacing.go
@@ -8,10 +8,12 @@
 // late, while the same prompts one after the other make none late.
 //
 // For all engines of a region one host, their pacer, keeps the instant up to which each
-// of them has prompts to read. Who wants to send a prompt tells the pacer which engines
-// can answer it and how long each would read, and gets the engine and the instant to
-// send at. Nothing is given back and nothing is kept but the instants: a pacer that is
-// lost costs some pauses, and no promise rests on it.
+// of them has prompts to read (Clocks), and counts the places that are taken there
+// (places). Who wants to send a prompt tells the pacer which engines can answer it and how
+// long each would read, and gets the engine and the instant to send at, or waits in its
+// Queue until an engine is free. It says when the answer is complete. A pacer that is lost
+// costs some pauses and waits at engines, and no promise rests on it: the next one goes by
+// the engines' own words on their load.
 //
 // That the pacer chooses the engine is what evens them out. A host knows what it has
 // sent itself, and from reports what the others had sent a second or two ago: with 76
@@ -20,14 +22,26 @@
 //
 // # Usage
 //
-//	var clocks pacing.Clocks
-//	slot := clocks.Reserve(now, &pacing.Prompt{
+//	var queue pacing.Queue
+//	slot, waiter := queue.Ask(now, &pacing.Prompt{
 //		Candidates: []pacing.Candidate{{
 //			Server:  "i-7f3a91c2",
 //			Reading: 60 * time.Millisecond,
+//			Places:  32,
 //		}},
+//		Ticket:    ticket,
+//		Objective: arrived.Add(route.Objective),
+//		GiveUp:    arrived.Add(1300 * time.Millisecond),
+//		Holds:     true,
 //	})
-//	// if slot.Booked: send to slot.Server at slot.At
+//	if waiter != nil {
+//		slot = <-waiter.Granted
+//	}
+//	// if slot.Booked: send to slot.Server at slot.At, and when the answer is complete:
+//	queue.Ended(now, slot.Server, ticket)
+//
+// Clocks alone book an engine's reading ahead in the order of arrival; the queue is
+// measured against that (TestUnderOverloadWhoIsServedIsInTime).
 //
 // # Which host is the pacer
 //
