upstream: Have the extra answer come when the test says

The test is meant for bytes that come before a connection is kept and while it is idle: now they come in one write with the answer, or once the client has kept the connection.

--- a/internal/peer/upstream/upstream_test.go
+++ b/internal/peer/upstream/upstream_test.go
@@ -110,7 +110,9 @@
 // connection would get it as its own: so the connection is given up, whether the
 // bytes come before it is kept or while it is idle.
 func TestAnExtraAnswerEndsTheConnection(t *testing.T) {
-	for _, pause := range []time.Duration{0, 20 * time.Millisecond} {
+	const extra = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nXX"
+	for _, together := range []bool{true, false} {
+		idle, sent := make(chan struct{}), make(chan struct{})
 		address := server(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
 			for {
 				r, _, err := readRequest(reader)
@@ -118,9 +120,14 @@
 					return
 				}
 				answer := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n" + r.URL.Path[1:3]
+				if together {
+					_, _ = io.WriteString(conn, answer+extra)
+					continue
+				}
 				_, _ = io.WriteString(conn, answer)
-				time.Sleep(pause)
-				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nXX")
+				<-idle
+				_, _ = io.WriteString(conn, extra)
+				sent <- struct{}{}
 			}
 		})
 		client := &Client{}
@@ -128,7 +135,10 @@
 			got, err := fetch(t, client, request(address, target))
 			require.NoError(t, err)
 			require.Equal(t, target[1:], got)
-			time.Sleep(2 * pause)
+			if !together {
+				idle <- struct{}{}
+				<-sent
+			}
 		}
 		client.Close()
 	}
