--- a/internal/control/loading/follow.go
+++ b/internal/control/loading/follow.go
@@ -29,7 +29,7 @@
 	horizon = 4 * time.Second
 	// makeWayTime is what each replica that makes way adds to a load: an order, its end
 	// and the report of it. drainTime is what it adds where its model is asked for: an
-	// unload waits for the answers that run there, 2 s on the mean.
+	// unload waits for the answers that run there, which take some 2 s.
 	makeWayTime = 600 * time.Millisecond
 	drainTime   = 2 * time.Second
 	// regionalShare is how much more a move is worth for each second that its region is
