--- a/internal/host/gateway/pace.go
+++ b/internal/host/gateway/pace.go
@@ -26,6 +26,8 @@
 	// grantEvery is how often the queue looks whether an engine has read what was before
 	// the next prompt: a part of what reading one takes.
 	grantEvery = 10 * time.Millisecond
+	// leaveLimit is how long the word that a place is free may take: after it, engines'
+	// own words tell the same.
 	leaveLimit = 500 * time.Millisecond
 )
 
@@ -222,6 +224,9 @@
 // leavePlace tells a pacer that a prompt keeps its place no longer. If the word is lost,
 // engines' own words on their load make up for it.
 func (g *Gateway) leavePlace(pacer pacing.Host, server ident.ServerName, ticket pacing.Ticket) {
+	if !g.tomb.Alive() {
+		return // an answer that outlives the host's own goroutines has nobody to tell
+	}
 	g.tomb.Go(func() error {
 		ctx, cancel := context.WithTimeout(g.context(), leaveLimit)
 		defer cancel()
--- a/internal/host/gateway/pace_queue_test.go
+++ b/internal/host/gateway/pace_queue_test.go
@@ -67,3 +67,14 @@
 	require.True(t, slot.Booked)
 	leave()
 }
+
+// A host has stopped, and the last answer of a request ends after all else: its place is
+// given back to nobody, where a panic would end that connection without a word.
+func TestAPlaceIsLeftAfterTheHostsEnd(t *testing.T) {
+	f := newFleet(t)
+	f.keyValue.write("configuration", engineConfiguration())
+	f.start("a")
+	a := f.hosts["a"]
+	f.stop("a")
+	require.NotPanics(t, func() { a.leavePlace(pacing.Host{Address: "127.0.0.1:1"}, "e", 1) })
+}
