gateway: Have the test of shared places wait until hosts agree on the pacer

TestHostsShareThePlacesOfAnEngine failed once in a whole run: it waited until both hosts were counted, which the control publishes before the pacers follow from them, so that one host went by its own queue.

--- a/internal/host/gateway/pace_queue_test.go
+++ b/internal/host/gateway/pace_queue_test.go
@@ -33,17 +33,20 @@
 	f.keyValue.write("configuration", engineConfiguration())
 	f.start("a")
 	f.start("b")
-	a, b := f.hosts["a"], f.hosts["b"]
-	f.eventually(func() bool { return a.knownHosts.Load() == 2 && b.knownHosts.Load() == 2 }, "the hosts know one another")
+	pacer, other := f.pacerAndOther()
 	ctx := context.Background()
-	first, leave := a.Reserve(ctx, "m", waitingPrompt(1, time.Minute))
+	first, leave := pacer.Reserve(ctx, "m", waitingPrompt(1, time.Minute))
 	require.True(t, first.Booked)
-	second, _ := b.Reserve(ctx, "m", waitingPrompt(2, time.Minute))
-	require.False(t, second.Booked, "the place is taken")
-	require.False(t, second.Full, "it may wait")
+	f.eventually(func() bool {
+		slot, leave := other.Reserve(ctx, "m", waitingPrompt(2, time.Minute))
+		if slot.Booked {
+			leave() // the pacer did not answer in time: the host goes by itself for a while
+		}
+		return !slot.Booked && !slot.Full
+	}, "the place is taken, and the other may wait")
 	leave()
 	f.eventually(func() bool {
-		slot, leave := b.Reserve(ctx, "m", waitingPrompt(3, time.Minute))
+		slot, leave := other.Reserve(ctx, "m", waitingPrompt(3, time.Minute))
 		if slot.Booked {
 			leave()
 		}
@@ -51,6 +54,29 @@
 	}, "the place is free")
 }
 
+// pacerAndOther gives the host of two that both take for the pacer, and the other one.
+func (f *fleet) pacerAndOther() (*Gateway, *Gateway) {
+	a, b := f.hosts["a"], f.hosts["b"]
+	var pacer pacing.Host
+	f.eventually(func() bool {
+		byA, knownToA := a.pacers.of(time.Now(), "m", "north")
+		byB, knownToB := b.pacers.of(time.Now(), "m", "north")
+		pacer = byA
+		return knownToA && knownToB && byA.Name == byB.Name && len(a.pacers.known()) == 2 && len(b.pacers.known()) == 2
+	}, "the hosts know one another")
+	if pacer.Name == "a" {
+		return a, b
+	}
+	return b, a
+}
+
+// known gives the hosts that may be pacers.
+func (p *pacers) known() []pacing.Host {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.hosts
+}
+
 // A caller leaves while its prompt waits. The place that comes free later is for others.
 func TestACallerThatLeavesTakesNoPlace(t *testing.T) {
 	f := newFleet(t)
