pacing, loading: One copy of costs, and of what an engine may take

Found in reading the change: leastCost stood in pacing and in the gateway, the cost of a running answer in pacing and in balance, the condition under which an engine is looked at for a model in two places of one file, and the end of a prompt was looked up twice. The package comment of loading still told of work for each replica. Behaviour stays; tests are untouched.

--- a/internal/control/balance/choose.go
+++ b/internal/control/balance/choose.go
@@ -17,9 +17,6 @@
 	// another region and back, with a part for the price of the bytes.
 	nearWay = 8 * time.Millisecond
 	farWay  = 120 * time.Millisecond
-	// perRunning is what each running request adds to the time to the first token:
-	// its part of the steps that the prompt is read between.
-	perRunning = 700 * time.Microsecond
 	// perQueued is what each request over the places adds.
 	perQueued = 60 * time.Millisecond
 	// errorCost is what a server costs that fails every request.
@@ -106,7 +103,7 @@
 // runs there, both of which its pacer knows: the way, errors over the usual share, and
 // how much slower than expected it answers.
 func (p *Pool) beside(s *server, reading time.Duration, usualErrors float64) time.Duration {
-	slower := max(s.slowness-1, 0) * float64(reading+time.Duration(s.load())*perRunning)
+	slower := max(s.slowness-1, 0) * float64(reading+time.Duration(s.load())*pacing.PerRunning)
 	return p.way(s) + s.errorCost(usualErrors) + time.Duration(slower)
 }
 
@@ -262,7 +259,7 @@
 	}
 	before := float64(s.othersWaiting) * p.prompt
 	reading := time.Duration((before + work) * float64(time.Second))
-	wait := reading + time.Duration(s.load())*perRunning + time.Duration(queued)*perQueued
+	wait := reading + time.Duration(s.load())*pacing.PerRunning + time.Duration(queued)*perQueued
 	return time.Duration(float64(wait) * s.slowness)
 }
 
--- a/internal/control/loading/follow.go
+++ b/internal/control/loading/follow.go
@@ -126,14 +126,19 @@
 // mayHelp tells that an engine is less busy than those of some model that it lacks.
 func (p *Planner) mayHelp(lies *spread, wanted []*model, e *engine) bool {
 	return slices.ContainsFunc(wanted, func(m *model) bool {
-		return lies.shares[m.spec.Name].level-lies.load[e] >= leastDifference && !e.hasModel(m.spec.Name) && !e.isLoading(m.spec.Name)
+		return e.mayTake(m, lies.shares[m.spec.Name], lies.load[e])
 	})
 }
 
+// mayTake tells that an engine with a load lacks a model and is less busy than those that
+// have it.
+func (e *engine) mayTake(m *model, lies *share, load float64) bool {
+	return lies.level-load >= leastDifference && !e.hasModel(m.spec.Name) && !e.isLoading(m.spec.Name)
+}
+
 // moveTo gives what a replica of a model on an engine is worth, if it is possible.
 func (p *Planner) moveTo(now time.Time, here *spot, m *model, lies *share) (move, bool) {
-	name := m.spec.Name
-	if lies.level-here.load < leastDifference || here.engine.hasModel(name) || here.engine.isLoading(name) {
+	if !here.engine.mayTake(m, lies, here.load) {
 		return move{}, false
 	}
 	length, own := p.loadTime(here.engine, m)
--- a/internal/control/loading/loading.go
+++ b/internal/control/loading/loading.go
@@ -32,9 +32,9 @@
 //  1. A model that no server holds is loaded, in turn with models that have more work
 //     than their replicas can do.
 //  2. Adapters that are asked for are loaded where their model lies.
-//  3. Free memory goes to the model with the most work for each of its replicas.
-//  4. A replica makes way where the model that gets its place has much more work
-//     for each replica than the one that loses it would be left with.
+//  3. Replicas follow demand: a model gets one where the work, spread over the engines,
+//     then lies most evenly, in free memory or where others make way.
+//  4. In calm, room is kept free, and idle models get second copies.
 package loading
 
 import (
--- a/internal/control/pacing/places.go
+++ b/internal/control/pacing/places.go
@@ -46,12 +46,12 @@
 	p.running[ticket] = now
 }
 
-// end tells whether the prompt was running.
-func (p *places) end(now time.Time, ticket Ticket) bool {
+// end gives when the prompt was sent, if it was running.
+func (p *places) end(now time.Time, ticket Ticket) (time.Time, bool) {
 	p.ended = append(p.ended, now)
-	_, was := p.running[ticket]
+	sent, was := p.running[ticket]
 	delete(p.running, ticket)
-	return was
+	return sent, was
 }
 
 func (p *places) hear(now time.Time, load int) {
--- a/internal/control/pacing/queue.go
+++ b/internal/control/pacing/queue.go
@@ -37,15 +37,16 @@
 	// the wait for a place, lead, and a step. Without it a queue that is never empty lets
 	// each prompt go at the last moment, and all come late by a little.
 	margin = 150 * time.Millisecond
-	// perRunning is what each running answer adds to the time to the first event: its
-	// part of the steps that the prompt is read between.
-	perRunning = 700 * time.Microsecond
 	// startLength is for how long a place is taken until it is measured; lengthWeight the
 	// part of each new measure.
 	startLength  = 1500 * time.Millisecond
 	lengthWeight = 0.02
 )
 
+// PerRunning is what each running answer adds to the time to the first event: its part of
+// the steps that the prompt is read between.
+const PerRunning = 700 * time.Microsecond
+
 // Waiter is a prompt in the queue.
 type Waiter struct {
 	// Granted brings the slot.
@@ -64,7 +65,7 @@
 	waiter := &Waiter{
 		Granted: make(chan Slot, 1),
 		prompt:  prompt,
-		least:   leastCost(prompt.Candidates),
+		least:   LeastCost(prompt.Candidates),
 	}
 	if !q.overtaken(now, waiter) {
 		if slot, found := q.free(now, prompt); found && (prompt.Most == 0 || slot.Cost <= prompt.Most) {
@@ -113,9 +114,7 @@
 func (q *Queue) Ended(now time.Time, server ident.ServerName, ticket Ticket) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	p := q.at(server)
-	sent, known := p.running[ticket]
-	if p.end(now, ticket) && known {
+	if sent, was := q.at(server).end(now, ticket); was {
 		q.length = cmp.Or(q.length, startLength)
 		q.length += time.Duration(float64(now.Sub(sent)-q.length) * lengthWeight)
 	}
@@ -228,7 +227,7 @@
 		if ahead > lead || one.Places > 0 && taken >= most(one.Places) {
 			continue
 		}
-		cost := ahead + one.Reading + one.Beside + time.Duration(taken)*perRunning
+		cost := ahead + one.Reading + one.Beside + time.Duration(taken)*PerRunning
 		if !found || cost < best.Cost {
 			best, found = Slot{
 				Server: one.Server,
@@ -270,7 +269,9 @@
 	return best
 }
 
-func leastCost(candidates []Candidate) time.Duration {
+// LeastCost is what the cheapest of some engines, of which there must be one, costs if
+// nothing is before it.
+func LeastCost(candidates []Candidate) time.Duration {
 	least := candidates[0].Reading + candidates[0].Beside
 	for i := range candidates {
 		least = min(least, candidates[i].Reading+candidates[i].Beside)
--- a/internal/host/gateway/pace.go
+++ b/internal/host/gateway/pace.go
@@ -154,7 +154,7 @@
 		asked.Holds = true
 		return g.reserve(ctx, model, asked)
 	}
-	asked.Most = leastCost(far)
+	asked.Most = pacing.LeastCost(far)
 	slot, leave := g.reserve(ctx, model, asked)
 	if slot.Booked {
 		return slot, leave
@@ -187,15 +187,6 @@
 	return regions[own], far
 }
 
-// leastCost is what the cheapest of some engines costs if nothing is before it.
-func leastCost(offers []pacing.Candidate) time.Duration {
-	least := offers[0].Reading + offers[0].Beside
-	for i := range offers {
-		least = min(least, offers[i].Reading+offers[i].Beside)
-	}
-	return least
-}
-
 // reserve asks the pacer of engines that are all of one region. The function tells it
 // that the prompt has left its place.
 func (g *Gateway) reserve(ctx context.Context, model ident.ModelName, prompt pacing.Prompt) (pacing.Slot, func()) {
