--- a/internal/config/gateway/gateway.go
+++ b/internal/config/gateway/gateway.go
@@ -33,10 +33,11 @@
 	// KeyValue is where the platform's key-value service answers.
 	KeyValue string
 	// Seeds are peers to ask where the key-value service does not answer.
-	Seeds  []string
-	Memory unit.Bytes
-	Bounds Bounds
-	Log    settings.Log
+	Seeds     []string
+	Memory    unit.Bytes
+	Processor Processor
+	Bounds    Bounds
+	Log       settings.Log
 }
 
 // Listen has the addresses, as ip:port, at which the host listens.
@@ -50,6 +51,19 @@
 	Metrics string
 }
 
+// Processor is what the machine gives this process: Share of a core that is Speed times
+// as fast as others. In a fleet of unlike machines the strong ones do what has to be done
+// by few.
+type Processor struct {
+	Share float64
+	Speed float64
+}
+
+// Power is how fast the process can work, in cores of ordinary speed.
+func (p Processor) Power() float64 {
+	return p.Share * p.Speed
+}
+
 // Bounds are the deployment's own.
 type Bounds struct {
 	// Grace is how long the host has from a stop's signal to its end.
@@ -69,6 +83,10 @@
 func Default() Settings {
 	return Settings{
 		Memory: 256 * unit.Mebibyte,
+		Processor: Processor{
+			Share: 1,
+			Speed: 1,
+		},
 		Bounds: Bounds{
 			Grace:         8 * time.Second,
 			HolderLease:   3 * time.Second,
@@ -102,6 +120,7 @@
 				Max: 64 * unit.Gibibyte,
 			},
 			"What this process may use."),
+		jsonfile.May("Processor", func(s *Settings) *Processor { return &s.Processor }, processorTable, ""),
 		jsonfile.May("Bounds", func(s *Settings) *Bounds { return &s.Bounds }, boundsTable, ""),
 		jsonfile.May("Log", func(s *Settings) *settings.Log { return &s.Log }, settings.LogTable, ""),
 	},
@@ -134,6 +153,23 @@
 	},
 }
 
+var processorTable = jsonfile.Object[Processor]{
+	Members: []jsonfile.Member[Processor]{
+		jsonfile.May("Share", func(p *Processor) *float64 { return &p.Share },
+			jsonfile.Number{
+				Min: 0.01,
+				Max: 1024,
+			},
+			"How many cores this process may use, or which part of one."),
+		jsonfile.May("Speed", func(p *Processor) *float64 { return &p.Speed },
+			jsonfile.Number{
+				Min: 0.01,
+				Max: 1024,
+			},
+			"How fast a core is, 1 for an ordinary one; hosts compare it among themselves."),
+	},
+}
+
 var boundsTable = jsonfile.Object[Bounds]{
 	Members: []jsonfile.Member[Bounds]{
 		jsonfile.May("Grace", func(b *Bounds) *time.Duration { return &b.Grace }, length(time.Second),
--- a/internal/control/pacing/pacing.go
+++ b/internal/control/pacing/pacing.go
@@ -204,11 +204,13 @@
 	}
 }
 
-// Host is a host that may be a pacer.
+// Host is a host that may be a pacer. Power is how fast it can work, in cores.
 type Host struct {
-	Name    ident.HostID
-	Address string
-	Region  ident.Region
+	Name       ident.HostID
+	Address    string
+	DataCentre ident.DataCentre
+	Region     ident.Region
+	Power      float64
 }
 
 // hostsPerPacer is how many hosts send to one pacer. At 76 hosts and 350 prompts a
@@ -225,8 +227,60 @@
 	if len(there) == 0 {
 		there = hosts
 	}
-	group := xxhash.Sum64String(string(model)) % uint64(1+len(hosts)/hostsPerPacer)
-	return First(there, string(region)+"/"+strconv.FormatUint(group, 10), Ranks)
+	return pacersOf(there, region, int(xxhash.Sum64String(string(model))%uint64(groups(hosts))))
+}
+
+// groups is how many groups the models are dealt out to, each with its pacers.
+func groups(hosts []Host) int {
+	return 1 + len(hosts)/hostsPerPacer
+}
+
+func pacersOf(there []Host, region ident.Region, group int) []Host {
+	return FirstStrong(there, string(region)+"/"+strconv.Itoa(group), Ranks)
+}
+
+// AllPacers gives the first pacer of each group of each region.
+func AllPacers(hosts []Host) []Host {
+	regions := make(map[ident.Region][]Host)
+	for i := range hosts {
+		regions[hosts[i].Region] = append(regions[hosts[i].Region], hosts[i])
+	}
+	var all []Host
+	for region, there := range regions {
+		for group := range groups(hosts) {
+			all = append(all, pacersOf(there, region, group)[0])
+		}
+	}
+	return all
+}
+
+// strongPart is the part of the strongest host's power from which on a host counts as
+// strong.
+const strongPart = 0.5
+
+// FirstStrong gives the first hosts for a key, as First does, the strong ones before all
+// others: a host with a fifth of a core does its duties late while another has most of
+// its core to spare.
+func FirstStrong(hosts []Host, key string, most int) []Host {
+	strongest := 0.0
+	for i := range hosts {
+		strongest = max(strongest, hosts[i].Power)
+	}
+	var strong, rest []Host
+	for i := range hosts {
+		if hosts[i].Power >= strongPart*strongest {
+			strong = append(strong, hosts[i])
+		} else {
+			rest = append(rest, hosts[i])
+		}
+	}
+	first := First(strong, key, most)
+	return append(first, First(rest, key, most-len(first))...)
+}
+
+// InDataCentre gives the hosts of a data centre.
+func InDataCentre(hosts []Host, dataCentre ident.DataCentre) []Host {
+	return slices.DeleteFunc(slices.Clone(hosts), func(h Host) bool { return h.DataCentre != dataCentre })
 }
 
 // InRegion gives the hosts of a region.
--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -122,6 +122,14 @@
 	delete(m.entries, e.registration.Server.Name)
 }
 
+// Of gives a server's entry as it was last written.
+func (m *Machine) Of(name ident.ServerName) (backend.Registration, bool) {
+	if e, known := m.entries[name]; known {
+		return e.registration, true
+	}
+	return backend.Registration{}, false
+}
+
 // Servers gives the entries that count, sorted by name.
 func (m *Machine) Servers(now time.Time) []backend.Registration {
 	for _, e := range m.entries {
--- a/internal/host/gateway/control.go
+++ b/internal/host/gateway/control.go
@@ -8,6 +8,8 @@
 	"go.uber.org/zap"
 
 	"cicadaloom/internal/control/balance"
+	"cicadaloom/internal/control/entries"
+	"cicadaloom/internal/control/holdings"
 	"cicadaloom/internal/control/loading"
 	"cicadaloom/internal/control/pacing"
 	"cicadaloom/internal/control/registry"
@@ -48,27 +50,38 @@
 	asking   map[ident.ServerName]time.Time
 	// unheard has the engines that gave no report when last asked.
 	unheard map[ident.ServerName]bool
-	// holdings is the holder's word on the engines.
-	holdings map[ident.ServerName]heard
+	// holdings is the holder's word on the engines, fleet the entries of servers and hosts.
+	holdings holdings.Table
+	fleet    entries.Cache
+	// storeFailed is when the key-value service last failed a call of this host, or of
+	// the one that tells it of the service.
+	storeFailed time.Time
+	// relayed is what others have told this host of their demand, for the holder.
+	relayed  map[demandKey]loading.Demand
 	pools    map[ident.ServiceName]*balance.Pool
 	suspects suspects.Machine
 	dirty    bool
+	// hostsChanged tells that the hosts that can be reached are other ones now.
+	hostsChanged bool
 	// tickedAt is when the last tick came, late how many in a row came late.
 	tickedAt time.Time
 	late     int
 	gauges   gauges
-}
-
-// heard is the holder's word on one engine.
-type heard struct {
-	loading.Holding
-	at time.Time
+	// planSoon tells that something asked for waits for a plan, plannedAt when the last
+	// one began, planCost how long it took.
+	planSoon  bool
+	plannedAt time.Time
+	planCost  time.Duration
+	// holderFresh tells that the holder's word went when last looked at.
+	holderFresh bool
 }
 
 // peer is another host.
 type peer struct {
-	address string
-	region  ident.Region
+	address    string
+	dataCentre ident.DataCentre
+	region     ident.Region
+	power      float64
 	// began is when its process started, by its own clock: good for a preference.
 	began time.Time
 	// missingSince is set once the host's entry is gone. Its part of what hosts
@@ -79,22 +92,19 @@
 const (
 	// tick is how often the control looks at what is due.
 	tick = 100 * time.Millisecond
-	// holderTrust is how long the holder's word on an engine goes before the
-	// server's own entry: several exchanges.
-	holderTrust = 2 * time.Second
 	// forgetHost is how long a host without an entry still counts.
 	forgetHost = 20 * time.Second
 )
 
 func newControl(g *Gateway) *control {
 	return &control{
-		Gateway:  g,
-		hosts:    make(map[ident.HostID]*peer),
-		asking:   make(map[ident.ServerName]time.Time),
-		unheard:  make(map[ident.ServerName]bool),
-		holdings: make(map[ident.ServerName]heard),
-		pools:    make(map[ident.ServiceName]*balance.Pool),
-		gauges:   newGauges(g.options.Metrics),
+		Gateway: g,
+		hosts:   make(map[ident.HostID]*peer),
+		asking:  make(map[ident.ServerName]time.Time),
+		unheard: make(map[ident.ServerName]bool),
+		relayed: make(map[demandKey]loading.Demand),
+		pools:   make(map[ident.ServiceName]*balance.Pool),
+		gauges:  newGauges(g.options.Metrics),
 	}
 }
 
@@ -110,6 +120,9 @@
 		case now := <-ticker.C:
 			c.tick(now)
 		}
+		if c.planSoon {
+			c.plan(time.Now())
+		}
 		c.publish(time.Now())
 	}
 }
@@ -119,21 +132,26 @@
 	for name, host := range c.hosts {
 		if !host.missingSince.IsZero() && now.Sub(host.missingSince) > forgetHost {
 			delete(c.hosts, name)
+			c.hostsChanged = true
 		}
 	}
-	for name, word := range c.holdings {
-		if now.Sub(word.at) > holderTrust {
-			delete(c.holdings, name)
-			c.dirty = true
-		}
-	}
+	c.noteHolder(now)
 	if now.Sub(c.gauges.shownAt) > time.Second {
 		c.dirty = true // a missing entry may have become a gone one
+		c.holdings.Forget(now, func(name ident.ServerName) bool { _, there := c.registry.Of(name); return there })
 		c.gauges.show(now, c)
 	}
 	c.plan(now)
 }
 
+// noteHolder has servers described anew when the holder's word begins or ceases to go.
+func (c *control) noteHolder(now time.Time) {
+	if fresh := c.holdings.Fresh(now); fresh != c.holderFresh {
+		c.holderFresh = fresh
+		c.dirty = true
+	}
+}
+
 const (
 	// lateTick is a tick that comes so late that the host can't do its duties: the
 	// machine is slow, or stood still.
@@ -182,10 +200,20 @@
 		}
 	}
 	c.budget.SetHosts(max(hosts, 1))
+	if c.hostsChanged {
+		c.hostsChanged = false
+		c.publishHosts()
+	}
+}
+
+// publishHosts brings up to date what follows from the hosts that can be reached.
+func (c *control) publishHosts() {
 	reachable := c.reachable()
 	c.pacers.set(reachable)
-	readers := c.readers(reachable)
-	c.readerAddresses.Store(&readers)
+	following := c.readers(reachable)
+	c.following.Store(&following)
+	c.directAskers.Store(int64(askers(reachable)))
+	c.warm(reachable, &following)
 	youngest := true
 	for _, host := range c.hosts {
 		youngest = youngest && (!host.missingSince.IsZero() || !host.began.After(processStart))
@@ -193,19 +221,34 @@
 	c.youngest.Store(youngest)
 }
 
-// reachable gives the hosts that have an entry, sorted by name, with a connection to
-// each.
+// warm opens connections to the hosts that this one will soon ask, and no others: with
+// one to each of 300 hosts, connections took most of a host's memory.
+func (c *control) warm(reachable []pacing.Host, following *readers) {
+	addresses := append(following.addresses(), c.holderAddress())
+	for _, host := range pacing.AllPacers(reachable) {
+		addresses = append(addresses, host.Address)
+	}
+	for _, address := range addresses {
+		if address == "" || address == c.options.Settings.Listen.Peers {
+			continue
+		}
+		if err := c.peers.Warm(address); err != nil {
+			c.log.Debug("peer not reached", zap.String("Address", address), zap.Error(err))
+		}
+	}
+}
+
+// reachable gives the hosts that have an entry, sorted by name.
 func (c *control) reachable() []pacing.Host {
 	hosts := make([]pacing.Host, 0, len(c.hosts))
 	for name, host := range c.hosts {
 		if host.missingSince.IsZero() {
-			if err := c.peers.Warm(host.address); err != nil {
-				c.log.Debug("peer not reached", zap.String("Peer", string(name)), zap.Error(err))
-			}
 			hosts = append(hosts, pacing.Host{
-				Name:    name,
-				Address: host.address,
-				Region:  host.region,
+				Name:       name,
+				Address:    host.address,
+				DataCentre: host.dataCentre,
+				Region:     host.region,
+				Power:      host.power,
 			})
 		}
 	}
@@ -234,8 +277,8 @@
 		return server
 	}
 	server.Kind = backend.KindEngine
-	word, told := c.holdings[registration.Server.Name]
-	if told && word.Incarnation == server.Incarnation {
+	word, told := c.holdings.Of(registration.Server.Name)
+	if told && c.holderFresh && word.Incarnation == server.Incarnation {
 		server.Holds = word.Holds
 		server.Retiring = word.Retiring
 		server.Running = word.Running
@@ -287,6 +330,9 @@
 		Region:     host.Region,
 		Suspects:   c.suspects.Some(toldSuspects),
 		LastOrder:  c.lastOrderAt(now),
+
+		StoreHeard:  c.storeHeard(),
+		StoreFailed: c.storeFailed,
 	}
 	if c.configuration != nil {
 		greeting.Version = c.configuration.Version
@@ -307,15 +353,20 @@
 	return now.Add(-time.Duration(boot - max(c.lastOrder.Load(), processBoot)))
 }
 
-// word is what this host answers to a peer that has a configuration's version: with
-// the greeting, a newer configuration and the holder's view of the engines.
-func (c *control) word(theirs route.Version) gatewaypeer.Word {
-	word := c.greeting(time.Now())
-	if theirs < word.Version {
+// answer is what this host answers to a peer: with the greeting, a newer configuration
+// than theirs and, if they want it, what has changed in the fleet and at the engines.
+func (c *control) answer(now time.Time, theirs *gatewaypeer.Word) gatewaypeer.Word {
+	word := c.greeting(now)
+	if theirs.Version < word.Version {
 		word.Packed = c.packed
 	}
-	if c.tenure != nil {
-		word.Engines = c.engineWords(time.Now())
+	if theirs.WantsFleet {
+		update := c.fleet.Since(theirs.FleetKnown)
+		word.Fleet = &update
+	}
+	if theirs.WantsHoldings && c.holdings.Fresh(now) {
+		update := c.holdings.Since(theirs.HoldingsKnown)
+		word.Holdings = &update
 	}
 	return word
 }
--- a/internal/host/gateway/exchange.go
+++ b/internal/host/gateway/exchange.go
@@ -12,73 +12,115 @@
 	"cicadaloom/internal/control/loading"
 	"cicadaloom/internal/control/suspects"
 	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/domain/request"
 	"cicadaloom/internal/peer/gatewaypeer"
 )
 
 const (
-	// exchangeEvery is between two words to the holder.
+	// exchangeEvery is between two words to the holder, readerEvery to a reader.
 	exchangeEvery = 250 * time.Millisecond
-	// urgentEvery is between two words while requests wait for weights.
-	urgentEvery = 40 * time.Millisecond
+	readerEvery   = 400 * time.Millisecond
+	// urgentEvery is between two words to the holder while requests wait for weights,
+	// urgentReaderEvery to a reader.
+	urgentEvery       = 40 * time.Millisecond
+	urgentReaderEvery = 100 * time.Millisecond
 	// gossipEvery is between two words to some other peer.
 	gossipEvery = time.Second
 	// exchangeLimit has room for a configuration's text on a slow link.
 	exchangeLimit = 900 * time.Millisecond
 )
 
-// exchange tells the holder what is asked for, and some peer now and then what
-// everybody should know.
+// exchange tells the holder, or a reader, what is asked for, and some peer now and then
+// what everybody should know.
 func (g *Gateway) exchange() error {
-	ticker := time.NewTicker(exchangeEvery)
-	defer ticker.Stop()
-	every := exchangeEvery
+	var choice readerChoice
 	var last, gossip time.Time
-	holderLost := false
-	for {
-		urgent := false
-		select {
-		case <-g.tomb.Dying():
-			return nil
-		case <-ticker.C:
-		case <-g.missed:
-			urgent = true
-		}
+	lost := false
+	for g.tomb.Alive() {
+		urgent := g.awaitExchange()
 		now := time.Now()
-		if urgent && now.Sub(last) < g.fleetPace(urgentEvery) {
+		if urgent && now.Sub(last) < g.urgentPace() {
 			continue
 		}
 		last = now
-		if paced := g.fleetPace(exchangeEvery); paced != every {
-			every = paced
-			ticker.Reset(every)
-		}
-		if err := g.askPeer(toHolder); (err != nil) != holderLost {
-			holderLost = err != nil
+		if err := g.exchangeOnce(now, &choice); (err != nil) != lost {
+			lost = err != nil
 			g.logHolder(err)
 		}
-		if now.Sub(gossip) > gossipEvery {
+		if now.Sub(gossip) > gossipEvery && !g.hearsReaders() {
 			gossip = now
-			if err := g.askPeer(toSomePeer); err != nil {
+			if err := g.askPeer(g.gossip()); err != nil {
 				g.log.Debug("no word from peer", zap.Error(err))
 			}
 		}
 	}
+	return nil
+}
+
+// awaitExchange waits for the next word's time, and tells whether a request that waits
+// for weights has ended that early.
+func (g *Gateway) awaitExchange() bool {
+	timer := time.NewTimer(g.exchangePace())
+	defer timer.Stop()
+	select {
+	case <-g.tomb.Dying():
+	case <-timer.C:
+	case <-g.missed:
+		return true
+	}
+	return false
+}
+
+// exchangePace is between two words: to a reader, or to the holder by as many hosts as
+// ask it.
+func (g *Gateway) exchangePace() time.Duration {
+	if !g.following.Load().none() {
+		return readerEvery/2 + rand.N(readerEvery)
+	}
+	return stretch(exchangeEvery, g.directAskers.Load())
+}
+
+func (g *Gateway) urgentPace() time.Duration {
+	if !g.following.Load().none() {
+		return urgentReaderEvery
+	}
+	return stretch(urgentEvery, g.directAskers.Load())
+}
+
+// exchangeOnce asks a reader or, where there is none that answers, the holder.
+func (g *Gateway) exchangeOnce(now time.Time, choice *readerChoice) error {
+	reader := choice.pick(now, g.following.Load())
+	if reader == "" {
+		return g.askPeer(toHolder)
+	}
+	err := g.askPeer(listener{
+		address: func(*control) string { return reader },
+		plans:   true,
+		fleet:   true,
+	})
+	if err != nil {
+		choice.fail(now, reader)
+		g.log.Info("reader does not answer", zap.String("Reader", reader), zap.Error(err))
+	}
+	return err
 }
 
 func (g *Gateway) logHolder(err error) {
 	if err != nil {
-		g.log.Info("holder is lost", zap.Error(err))
+		g.log.Info("holder or reader is lost", zap.Error(err))
 		return
 	}
-	g.log.Info("holder answers again")
+	g.log.Info("holder or reader answers again")
 }
 
 // listener is whom a word goes to.
 type listener struct {
 	// address finds it, empty where there is none.
 	address func(c *control) string
-	// plans tells that it wants to know what this host was asked for.
+	// plans tells that it wants to know what this host was asked for, and has the
+	// holder's word on engines; fleet that it tells of the fleet's entries.
 	plans bool
+	fleet bool
 }
 
 var (
@@ -91,6 +133,14 @@
 	}
 )
 
+// gossip is what some peer is asked for. One that the service turns away asks it for the
+// fleet too: the service may serve the peer, and servers leave meanwhile.
+func (g *Gateway) gossip() listener {
+	to := toSomePeer
+	to.fleet = time.Since(g.storeHeard()) >= readerTrust
+	return to
+}
+
 // askPeer exchanges words with another host, if there is one to listen.
 func (g *Gateway) askPeer(to listener) error {
 	out := g.wordFor(to)
@@ -105,6 +155,9 @@
 		return err
 	}
 	g.post(wordHeard{word: theirs})
+	if to.fleet && !g.noteReader(theirs.StoreHeard) {
+		return errors.New("the reader itself hears nothing of the key-value service")
+	}
 	return nil
 }
 
@@ -144,6 +197,12 @@
 		out.word = c.greeting(now)
 		if m.to.plans {
 			out.word.Demand = c.takeDemand()
+			out.word.WantsHoldings = true
+			out.word.HoldingsKnown = c.holdings.Mark()
+		}
+		if m.to.fleet {
+			out.word.WantsFleet = true
+			out.word.FleetKnown = c.fleet.Revision()
 		}
 	}
 	m.reply <- out
@@ -186,23 +245,44 @@
 	g.seeds.Store(&seeds)
 }
 
+// demandKey is what demand is added up by on its way to the holder.
+type demandKey struct {
+	service ident.ServiceName
+	weights request.Weights
+}
+
+// takeDemand gives what this host was asked for since the last call, with what others
+// have told it.
 func (c *control) takeDemand() []gatewaypeer.Demand {
-	var all []gatewaypeer.Demand
 	for service, pool := range c.pools {
 		if c.configuration.Services[service].Engine == nil {
 			continue
 		}
 		for weights, demand := range pool.TakeDemand() {
-			all = append(all, gatewaypeer.Demand{
-				Service: service,
-				Weights: weights,
-				Demand:  loading.Demand(demand),
-			})
+			c.relay(service, weights, loading.Demand(demand))
 		}
 	}
+	all := make([]gatewaypeer.Demand, 0, len(c.relayed))
+	for key, demand := range c.relayed {
+		all = append(all, gatewaypeer.Demand{
+			Service: key.service,
+			Weights: key.weights,
+			Demand:  demand,
+		})
+	}
+	clear(c.relayed)
 	return all
 }
 
+// relay adds up demand that the holder is to be told.
+func (c *control) relay(service ident.ServiceName, weights request.Weights, demand loading.Demand) {
+	key := demandKey{
+		service: service,
+		weights: weights,
+	}
+	c.relayed[key] = c.relayed[key].Plus(demand)
+}
+
 // wordHeard brings a peer's word.
 type wordHeard struct {
 	word gatewaypeer.Word
@@ -227,12 +307,15 @@
 			Suspects: word.Suspects,
 		}}.apply(now, c)
 	}
-	if len(word.Engines) > 0 && c.tenure == nil {
-		holdings := make([]loading.Holding, 0, len(word.Engines))
-		for i := range word.Engines {
-			holdings = append(holdings, word.Engines[i].Holding)
+	if word.Fleet != nil {
+		if word.StoreHeard.After(word.StoreFailed) {
+			c.noteTrouble(word.StoreFailed) // before what went missing around it
 		}
-		c.hearHoldings(now, holdings)
+		c.takeNews(now, c.fleet.Hear(word.Fleet))
+		c.serversKnown.Store(c.fleet.Revision() > 0)
+	}
+	if word.Holdings != nil && c.tenure == nil {
+		c.hearLoads(now, c.holdings.Apply(now, word.Holdings))
 	}
 }
 
@@ -261,25 +344,30 @@
 
 func (m wordAsked) apply(now time.Time, c *control) {
 	c.hear(now, &m.word)
-	if c.tenure != nil && len(m.word.Demand) > 0 {
+	if len(m.word.Demand) > 0 {
 		c.hearDemand(now, m.word.Region, m.word.Demand)
 	}
-	m.reply <- c.word(m.word.Version)
+	m.reply <- c.answer(now, &m.word)
 }
 
-// hearDemand takes in what another host was asked for. What waits for weights is
-// planned for at once.
+// hearDemand takes in what another host was asked for: to plan by, or to pass on. What
+// waits for weights is passed on at once.
 func (c *control) hearDemand(now time.Time, region ident.Region, told []gatewaypeer.Demand) {
 	waits := false
 	for i := range told {
-		planner, known := c.planners[told[i].Service]
-		if !known {
-			continue
+		one := &told[i]
+		waits = waits || one.Waiting > 0
+		if c.tenure == nil {
+			c.relay(one.Service, one.Weights, one.Demand)
+		} else if planner, known := c.planners[one.Service]; known {
+			planner.Ask(now, region, one.Weights, one.Demand)
 		}
-		planner.Ask(now, region, told[i].Weights, told[i].Demand)
-		waits = waits || told[i].Waiting > 0
 	}
-	if waits {
-		c.plan(now)
+	switch {
+	case !waits:
+	case c.tenure == nil:
+		c.Miss()
+	default:
+		c.planSoon = true
 	}
 }
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -142,10 +142,16 @@
 	// knownHosts is how many hosts are known.
 	knownHosts atomic.Int64
 	seeds      atomic.Pointer[[]string]
-	// readerAddresses is where the readers of the region listen that this host follows,
-	// readerHeard when one of them last told it something, by the steady clock.
-	readerAddresses atomic.Pointer[[]string]
-	readerHeard     atomic.Int64
+	// following is whom this host asks in place of the key-value service, directAskers how
+	// many hosts exchange words with the holder itself.
+	following    atomic.Pointer[readers]
+	directAskers atomic.Int64
+	// readerHeard is when the service last answered the reader that told this host of it,
+	// fleetRead and configurationRead when it last answered this host itself; all by the
+	// steady clock, 0 for never.
+	readerHeard       atomic.Int64
+	fleetRead         atomic.Int64
+	configurationRead atomic.Int64
 	// endRequests has every request answered at once.
 	endRequests context.CancelFunc
 	missed      chan struct{}
@@ -172,7 +178,7 @@
 	}
 	g.budget.SetHosts(unknownHosts)
 	g.SetSeeds(options.Settings.Seeds)
-	g.readerAddresses.Store(&[]string{})
+	g.following.Store(&readers{})
 	g.former.Store(new(ident.HostID))
 	g.pools.Store(&map[ident.ServiceName]*balance.Pool{})
 	dialed := options.Metrics.NewCounter("cicadaloom_connections_opened_total")
@@ -235,7 +241,6 @@
 	g.tomb.Go(g.register)
 	g.tomb.Go(g.hold)
 	g.tomb.Go(g.exchange)
-	g.tomb.Go(g.followReaders)
 	g.tomb.Go(g.grantPrompts)
 }
 
--- a/internal/host/gateway/holder.go
+++ b/internal/host/gateway/holder.go
@@ -29,8 +29,11 @@
 	// formerPause is by how much longer other hosts wait than the last holder while their
 	// process is younger than freshProcess: about what hosts that were killed together
 	// need to begin one after the other.
-	formerPause  = 400 * time.Millisecond
-	freshProcess = 3 * time.Second
+	formerPause = 400 * time.Millisecond
+	// followerPause is by how much longer hosts wait that hear of the service from others:
+	// they would all claim by a word that is already old.
+	followerPause = 1500 * time.Millisecond
+	freshProcess  = 3 * time.Second
 	// fencedPause is how long a new holder waits where engines refuse the orders of
 	// earlier ones: until hosts and reports have caught up.
 	fencedPause = 300 * time.Millisecond
@@ -136,6 +139,9 @@
 	if !g.youngest.Load() {
 		pause += elderPause
 	}
+	if g.hearsReaders() {
+		pause += followerPause
+	}
 	if former != "" && time.Since(processStart) < freshProcess {
 		pause += formerPause
 	}
--- a/internal/host/gateway/messages.go
+++ b/internal/host/gateway/messages.go
@@ -14,8 +14,21 @@
 // troubled tells that the key-value service failed a call.
 type troubled struct{}
 
+// apply leaves out what befalls this host alone: what goes missing for a peer that the
+// service answers is gone.
 func (troubled) apply(now time.Time, c *control) {
-	c.registry.Troubled(now)
+	if !c.peerHearsStore() {
+		c.noteTrouble(now)
+	}
+}
+
+// noteTrouble takes in that the service failed at an instant: entries that go missing
+// around it may come back.
+func (c *control) noteTrouble(at time.Time) {
+	if at.After(c.storeFailed) {
+		c.storeFailed = at
+		c.registry.Troubled(at)
+	}
 }
 
 // configurationListed brings the configuration as it stands.
@@ -33,33 +46,12 @@
 
 // listed brings the entries of all servers and hosts.
 type listed struct {
-	entries []store.Entry
+	listing store.Listing
 }
 
 func (m listed) apply(now time.Time, c *control) {
-	registrations := make([]backend.Registration, 0, len(m.entries))
-	hosts := make(map[ident.HostID]bool)
-	c.holder = ""
-	for i := range m.entries {
-		entry := &m.entries[i]
-		switch {
-		case strings.HasPrefix(entry.Key, c.options.Layout.RegistrationPrefix):
-			if registration, readable := c.registration(entry, now); readable {
-				registrations = append(registrations, registration)
-			}
-		case strings.HasPrefix(entry.Key, c.options.Layout.HostPrefix):
-			hosts[c.hostEntry(entry)] = true
-		}
-	}
-	c.registry.Replace(now, registrations)
-	for name, host := range c.hosts {
-		if !hosts[name] && host.missingSince.IsZero() {
-			host.missingSince = now
-		}
-	}
-	c.vacant.Store(c.holder == "")
+	c.takeNews(now, c.fleet.Replace(m.listing))
 	c.serversKnown.Store(true)
-	c.dirty = true
 }
 
 // fromKeyValue names where a configuration came from.
@@ -78,12 +70,17 @@
 
 // changed brings changes of these entries.
 type changed struct {
-	events []store.Event
+	batch store.Batch
 }
 
 func (m changed) apply(now time.Time, c *control) {
-	for i := range m.events {
-		event := &m.events[i]
+	c.takeNews(now, c.fleet.Apply(m.batch))
+}
+
+// takeNews takes in what has changed among the entries of servers and hosts.
+func (c *control) takeNews(now time.Time, events []store.Event) {
+	for i := range events {
+		event := &events[i]
 		key := event.Entry.Key
 		switch {
 		case strings.HasPrefix(key, c.options.Layout.RegistrationPrefix):
@@ -109,9 +106,11 @@
 		c.registry.Remove(now, name)
 		return
 	}
-	c.log.Info("server's entry changed", zap.String("Server", string(name)), zap.String("State", string(registration.Server.State)),
-		zap.String("Incarnation", string(registration.Report.Incarnation)), zap.Int64("OrdersAccepted", registration.Report.OrdersAccepted),
-		zap.Int64("Revision", int64(entry.Revision)))
+	if before, known := c.registry.Of(name); !known || before.Report.Incarnation != registration.Report.Incarnation || before.Server.State != registration.Server.State {
+		c.log.Info("server's entry changed", zap.String("Server", string(name)), zap.String("State", string(registration.Server.State)),
+			zap.String("Incarnation", string(registration.Report.Incarnation)), zap.Int64("OrdersAccepted", registration.Report.OrdersAccepted),
+			zap.Int64("Revision", int64(entry.Revision)))
+	}
 	c.registry.Put(now, registration)
 }
 
@@ -125,32 +124,34 @@
 	default:
 		if host, known := c.hosts[c.options.Layout.hostOf(key)]; known {
 			host.missingSince = now
+			c.hostsChanged = true
 		}
 	}
 }
 
-// hostEntry takes in one entry of the hosts' own, and gives the host whose it is.
-func (c *control) hostEntry(entry *store.Entry) ident.HostID {
+// hostEntry takes in one entry of the hosts' own.
+func (c *control) hostEntry(entry *store.Entry) {
 	layout := &c.options.Layout
 	switch entry.Key {
 	case layout.holderKey():
 		c.holder = ident.HostID(entry.Value)
-		return ""
+		c.hostsChanged = true // its connection is opened ahead of the first word
+		return
 	case layout.termKey():
 		former := ident.HostID(entry.Value)
 		c.former.Store(&former)
 		c.term.Store(int64(entry.Revision))
-		return ""
+		return
 	}
 	name := layout.hostOf(entry.Key)
 	if name == "" {
-		return ""
+		return
 	}
 	host, err := decodeHost(entry.Value)
 	if err != nil {
 		c.log.Warn("host's entry not readable", zap.String("Peer", string(name)), zap.Error(err))
-		return ""
+		return
 	}
 	c.hosts[name] = &host
-	return name
+	c.hostsChanged = true
 }
--- a/internal/host/gateway/metrics.go
+++ b/internal/host/gateway/metrics.go
@@ -14,6 +14,8 @@
 	servers       *metrics.Gauge
 	holds         *metrics.Gauge
 	waiting       *metrics.Gauge
+	// planned has how long plans take, in seconds.
+	planned *metrics.Histogram
 }
 
 func newGauges(set *metrics.Set) gauges {
@@ -23,6 +25,7 @@
 		servers:       set.NewGauge("cicadaloom_backend_servers", nil),
 		holds:         set.NewGauge("cicadaloom_holds_orders", nil),
 		waiting:       set.NewGauge("cicadaloom_prompts_waiting", nil),
+		planned:       set.NewHistogram("cicadaloom_plan_seconds"),
 	}
 }
 
--- a/internal/host/gateway/plan.go
+++ b/internal/host/gateway/plan.go
@@ -6,11 +6,11 @@
 
 	"go.uber.org/zap"
 
+	"cicadaloom/internal/control/holdings"
 	"cicadaloom/internal/control/loading"
 	"cicadaloom/internal/control/pacing"
 	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/ident"
-	"cicadaloom/internal/peer/gatewaypeer"
 )
 
 const (
@@ -21,6 +21,13 @@
 	paceEngines     = 16
 	mostReportEvery = time.Second
 	reportLimit     = 600 * time.Millisecond
+	// planEvery is between two plans, planSoonEvery where something that is asked for
+	// waits for one. planShare is the part of the time that plans may take: a holder that
+	// planned at each word of each of 300 hosts gave reports, orders and its own lease no
+	// time.
+	planEvery     = tick - 10*time.Millisecond
+	planSoonEvery = 50 * time.Millisecond
+	planShare     = 0.2
 	// orderLimit is how long an order may go without an answer.
 	orderLimit = 900 * time.Millisecond
 )
@@ -34,7 +41,7 @@
 	c.tenure = m.tenure
 	c.planners = make(map[ident.ServiceName]*loading.Planner)
 	c.asking = make(map[ident.ServerName]time.Time)
-	c.plan(now)
+	c.planSoon = true
 }
 
 // tenureEnded tells that it no longer is.
@@ -45,11 +52,29 @@
 	c.planners = nil
 }
 
-// plan asks engines for reports and gives the orders that are due.
+// planDue tells that it is time for the next plan.
+func (c *control) planDue(now time.Time) bool {
+	every := planEvery
+	if c.planSoon {
+		every = planSoonEvery
+	}
+	every = max(every, time.Duration(float64(c.planCost)/planShare))
+	return c.tenure != nil && c.configuration != nil && now.Sub(c.plannedAt) >= every
+}
+
+// plan asks engines for reports and gives the orders that are due, if it is time to.
 func (c *control) plan(now time.Time) {
-	if c.tenure == nil || c.configuration == nil {
+	if !c.planDue(now) {
 		return
 	}
+	c.plannedAt = now
+	c.planSoon = false
+	c.planAll(now)
+	c.planCost = time.Since(now)
+	c.gauges.planned.Update(c.planCost.Seconds())
+}
+
+func (c *control) planAll(now time.Time) {
 	byService := make(map[ident.ServiceName][]loading.Server)
 	registrations := c.registry.Servers(now)
 	every := reportEvery * time.Duration(len(registrations)) / paceEngines
@@ -69,6 +94,20 @@
 	for name, servers := range byService {
 		c.planService(now, name, servers)
 	}
+	if c.tenure.begun() {
+		c.tellHoldings(now)
+	}
+}
+
+// tellHoldings has the holder's own knowledge of engines as what all hosts are told.
+func (c *control) tellHoldings(now time.Time) {
+	var all []loading.Holding
+	for _, planner := range c.planners {
+		all = append(all, planner.Holdings(now)...)
+	}
+	before := c.holdings.Mark()
+	c.holdings.Tell(now, c.tenure.token, all)
+	c.hearLoads(now, c.holdings.Since(before).Engines)
 }
 
 func (c *control) planService(now time.Time, name ident.ServiceName, servers []loading.Server) {
@@ -103,47 +142,31 @@
 			zap.String("For", string(decision.For)), zap.Float64("Work", decision.Work), zap.Float64("Left", decision.Left),
 			zap.Int("Replicas", decision.Replicas))
 	}
-	c.hearHoldings(now, planner.Holdings(now))
 }
 
-// hearHoldings takes the holder's word into the pools.
-func (c *control) hearHoldings(now time.Time, holdings []loading.Holding) {
-	for _, holding := range holdings {
-		c.holdings[holding.Server] = heard{
-			Holding: holding,
-			at:      now,
-		}
+// hearLoads takes in that the holder's word on some engines has changed.
+func (c *control) hearLoads(now time.Time, engines []holdings.Engine) {
+	c.noteHolder(now)
+	if len(engines) == 0 {
+		return
 	}
 	c.dirty = true
-	loads := make([]pacing.Load, 0, len(holdings))
-	for i := range holdings {
+	loads := make([]pacing.Load, 0, len(engines))
+	for i := range engines {
 		loads = append(loads, pacing.Load{
-			Server: holdings[i].Server,
-			Load:   holdings[i].Running + holdings[i].Waiting,
+			Server: engines[i].Server,
+			Load:   engines[i].Running + engines[i].Waiting,
 		})
 	}
 	c.pacers.queue.Heard(now, loads)
 }
 
-func (c *control) engineWords(now time.Time) []gatewaypeer.Engine {
-	var words []gatewaypeer.Engine
-	if !c.tenure.begun() {
-		return nil
-	}
-	for service, planner := range c.planners {
-		for _, holding := range planner.Holdings(now) {
-			words = append(words, gatewaypeer.Engine{
-				Service: service,
-				Holding: holding,
-			})
-		}
-	}
-	return words
-}
-
 // askReport asks an engine for its report, if it is time to.
 func (c *control) askReport(now time.Time, every time.Duration, service ident.ServiceName, registration *backend.Registration) {
 	server, life := registration.Server, registration.Report.Incarnation
+	if planner, known := c.planners[service]; known && planner.HasOrder(server.Name) {
+		every = reportEvery // its end is waited for
+	}
 	if now.Sub(c.asking[server.Name]) < every {
 		return
 	}
@@ -231,6 +254,6 @@
 func (m answered) apply(now time.Time, c *control) {
 	if planner, known := c.planners[m.service]; known {
 		planner.Answered(now, m.order.Server, &m.order, m.answer)
-		c.plan(now)
+		c.planSoon = true
 	}
 }
--- a/internal/host/gateway/readers.go
+++ b/internal/host/gateway/readers.go
@@ -5,87 +5,182 @@
 	"compress/gzip"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
-	"go.uber.org/zap"
 
 	"cicadaloom/internal/control/pacing"
+	"cicadaloom/internal/domain/ident"
 )
 
-// In a large fleet a few hosts of each region, its readers, follow the configuration in
-// the key-value service, and tell the others of their region. A configuration of 1,650
-// routes is 0.4 MB. With 36 hosts of a region that each read every one of a quick series
-// of them, the link to the service's region (60 Mbit/s for all traffic) was full for
-// 15 s, and two thirds of them were up to 8 s behind.
+// In a large fleet a few hosts of each data centre, its readers, follow the key-value
+// service, and tell the others there of what they learn. They also pass on what those
+// are asked for to the holder, and the holder's word to them. With 295 hosts that each
+// did all of this, the calls to the service cost as much as half of what was served, and
+// the holder's link and processor were full of words to hosts.
 //
-// A host that hears from no reader follows the service itself: so nothing depends on
-// who is taken for a reader.
+// A host that hears from no reader that is up to date follows the service itself: so
+// nothing depends on who is taken for a reader.
 const (
-	// readersPerRegion is how many hosts of a region follow the service, where there are
-	// more than manyHosts.
-	readersPerRegion = 3
-	manyHosts        = 10
-	// askReaders is between two words with some reader. It is a fraction of the 4 s in
-	// which a configuration must be in force.
-	askReaders = 600 * time.Millisecond
-	// readerTrust is for how long a reader's word stands in for the service's.
-	readerTrust = 2500 * time.Millisecond
+	// readersPerDataCentre is how many hosts of a data centre follow the service, where
+	// its region has more than manyHosts.
+	readersPerDataCentre = 2
+	manyHosts            = 10
+	// readerTrust is how old a reader's view of the service may be to stand in for it: a
+	// round of its watch, the pause after it and some. It is a part of the 4 s in which a
+	// change must be known.
+	readerTrust = 2200 * time.Millisecond
 	// needPoll is how often a host looks whether it has to follow the service itself.
 	needPoll = 100 * time.Millisecond
+	// silentReader is for how long a reader that didn't answer, or had nothing new itself,
+	// isn't asked.
+	silentReader = 1500 * time.Millisecond
 )
 
-// readers gives where the readers of this host's region listen, none where it is one of
-// them or where every host is.
-func (c *control) readers(reachable []pacing.Host) []string {
+// readers is whom a host asks in place of the key-value service. Its zero value is for
+// hosts that follow the service themselves.
+type readers struct {
+	// near are those of the host's own data centre, far the others of its region.
+	near []string
+	far  []string
+	// few tells that few hosts follow the service, whether this is one of them or not.
+	few bool
+}
+
+func (r *readers) none() bool {
+	return len(r.near) == 0
+}
+
+func (r *readers) addresses() []string {
+	return slices.Concat(r.near, r.far)
+}
+
+// readers gives whom this host asks.
+func (c *control) readers(reachable []pacing.Host) readers {
 	own := &c.options.Settings.Host
 	there := pacing.InRegion(reachable, own.Region)
 	if len(there) <= manyHosts {
-		return nil
+		return readers{}
 	}
-	var addresses []string
-	for _, reader := range pacing.First(there, "reader", readersPerRegion) {
-		if reader.Name == own.Name {
-			return nil
+	found := readers{
+		few: true,
+	}
+	for _, dataCentre := range dataCentres(there) {
+		for _, reader := range dataCentreReaders(there, dataCentre) {
+			switch {
+			case reader.Name == own.Name:
+				return readers{
+					few: true,
+				}
+			case dataCentre == own.DataCentre:
+				found.near = append(found.near, reader.Address)
+			default:
+				found.far = append(found.far, reader.Address)
+			}
 		}
-		addresses = append(addresses, reader.Address)
 	}
-	return addresses
+	return found
+}
+
+func dataCentreReaders(hosts []pacing.Host, dataCentre ident.DataCentre) []pacing.Host {
+	return pacing.FirstStrong(pacing.InDataCentre(hosts, dataCentre), "reader", readersPerDataCentre)
+}
+
+// dataCentres gives where some hosts stand, each once, sorted.
+func dataCentres(hosts []pacing.Host) []ident.DataCentre {
+	var all []ident.DataCentre
+	for i := range hosts {
+		all = append(all, hosts[i].DataCentre)
+	}
+	slices.Sort(all)
+	return slices.Compact(all)
 }
 
-// followReaders asks one of the region's readers after another for its word.
-func (g *Gateway) followReaders() error {
-	for g.tomb.Alive() {
-		g.sleep(askReaders/2 + rand.N(askReaders))
-		readers := *g.readerAddresses.Load()
-		if len(readers) == 0 {
+// askers counts the hosts that exchange words with the holder itself.
+func askers(reachable []pacing.Host) int {
+	byRegion := make(map[ident.Region][]pacing.Host)
+	for i := range reachable {
+		byRegion[reachable[i].Region] = append(byRegion[reachable[i].Region], reachable[i])
+	}
+	count := 0
+	for _, there := range byRegion {
+		if len(there) <= manyHosts {
+			count += len(there)
 			continue
 		}
-		reader := listener{
-			address: func(*control) string { return readers[rand.IntN(len(readers))] },
-		}
-		if err := g.askPeer(reader); err != nil {
-			g.log.Debug("no word from reader", zap.Error(err))
-			continue
+		count += readersPerDataCentre * len(dataCentres(there))
+	}
+	return count
+}
+
+// readerChoice remembers which readers did not answer. It belongs to one goroutine.
+type readerChoice struct {
+	silent map[string]time.Time
+}
+
+// pick gives a reader to ask, empty where none has answered lately: one of the host's
+// own data centre, or else of its region.
+func (r *readerChoice) pick(now time.Time, from *readers) string {
+	for _, list := range [][]string{from.near, from.far} {
+		answers := slices.DeleteFunc(slices.Clone(list), func(address string) bool { return now.Before(r.silent[address]) })
+		if len(answers) > 0 {
+			return answers[rand.IntN(len(answers))]
 		}
-		g.readerHeard.Store(steadyClock())
 	}
-	return nil
+	return ""
+}
+
+func (r *readerChoice) fail(now time.Time, address string) {
+	if r.silent == nil {
+		r.silent = make(map[string]time.Time)
+	}
+	r.silent[address] = now.Add(silentReader)
 }
 
 // hearsReaders tells that a reader's word stands in for the service's.
 func (g *Gateway) hearsReaders() bool {
+	return !g.following.Load().none() && g.peerHearsStore()
+}
+
+// peerHearsStore tells that the service has lately answered a peer that told this host of
+// the fleet.
+func (g *Gateway) peerHearsStore() bool {
 	heard := g.readerHeard.Load()
-	return heard > 0 && len(*g.readerAddresses.Load()) > 0 && steadyClock()-heard < int64(readerTrust)
+	return heard > 0 && steadyClock()-heard < int64(readerTrust)
 }
 
-// awaitNeed waits for as long as readers tell this host of the configuration.
+// awaitNeed waits for as long as readers tell this host of the service.
 func (g *Gateway) awaitNeed() {
 	for g.tomb.Alive() && g.hearsReaders() {
 		g.sleep(needPoll)
 	}
 }
 
+// storeHeard is when the service last answered this host, or the reader that it asks;
+// zero where neither has happened. What it has heard since both prefixes were read is
+// as old as the older one.
+func (g *Gateway) storeHeard() time.Time {
+	heard := max(min(g.fleetRead.Load(), g.configurationRead.Load()), g.readerHeard.Load())
+	if heard == 0 {
+		return time.Time{}
+	}
+	return processStart.Add(time.Duration(heard))
+}
+
+// noteReader takes in how old a reader's view of the service is, and tells whether it
+// stands in for the service's own.
+func (g *Gateway) noteReader(storeHeard time.Time) bool {
+	if storeHeard.IsZero() {
+		return false
+	}
+	heard := int64(storeHeard.Sub(processStart))
+	if heard > g.readerHeard.Load() {
+		g.readerHeard.Store(heard)
+	}
+	return steadyClock()-heard < int64(readerTrust)
+}
+
 // pack compresses a configuration for peers: to a tenth of its length. It is done once
 // for all of them.
 func pack(text []byte) []byte {
--- a/internal/host/gateway/register.go
+++ b/internal/host/gateway/register.go
@@ -57,6 +57,8 @@
 	Region     string
 	// Began is when the host's process started, in Unix milliseconds of its clock.
 	Began int64
+	// Power is how fast the host can work, in cores.
+	Power float64
 }
 
 // register keeps this host's entry, under a lease.
@@ -85,6 +87,7 @@
 		DataCentre: string(host.DataCentre),
 		Region:     string(host.Region),
 		Began:      processStart.UnixMilli(),
+		Power:      g.options.Settings.Processor.Power(),
 	})
 	if err != nil {
 		return 0, errors.Wrap(err, "host entry")
@@ -124,8 +127,10 @@
 		return peer{}, errors.Wrap(err, "entry of a host")
 	}
 	return peer{
-		address: wire.Peers,
-		region:  ident.Region(wire.Region),
-		began:   time.UnixMilli(wire.Began),
+		address:    wire.Peers,
+		dataCentre: ident.DataCentre(wire.DataCentre),
+		region:     ident.Region(wire.Region),
+		power:      wire.Power,
+		began:      time.UnixMilli(wire.Began),
 	}, nil
 }
--- a/internal/host/gateway/watch.go
+++ b/internal/host/gateway/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -28,9 +29,11 @@
 	// it is read again after a pause, rather than each step on the way. Configurations are
 	// large, and in a quick series of them the steps alone would fill a slow link for
 	// seconds.
-	newest  bool
-	replace func(entries []store.Entry)
-	change  func(events []store.Event)
+	newest bool
+	// read is where it is noted when the service last answered.
+	read    *atomic.Int64
+	replace func(listing store.Listing)
+	change  func(batch store.Batch)
 }
 
 // errChanged ends a watch of which only the newest state counts.
@@ -41,9 +44,10 @@
 	return g.watch(&watcher{
 		prefix:  g.options.Layout.ConfigurationKey,
 		newest:  true,
-		replace: func(entries []store.Entry) { g.post(configurationListed{entries: entries}) },
-		change: func(events []store.Event) {
-			last := &events[len(events)-1]
+		read:    &g.configurationRead,
+		replace: func(listing store.Listing) { g.post(configurationListed{entries: listing.Entries}) },
+		change: func(batch store.Batch) {
+			last := &batch.Events[len(batch.Events)-1]
 			if !last.Deleted {
 				g.post(configurationListed{entries: []store.Entry{last.Entry}})
 			}
@@ -56,8 +60,9 @@
 func (g *Gateway) watchFleet() error {
 	return g.watch(&watcher{
 		prefix:  g.options.Layout.FleetPrefix,
-		replace: func(entries []store.Entry) { g.post(listed{entries: entries}) },
-		change:  func(events []store.Event) { g.post(changed{events: events}) },
+		read:    &g.fleetRead,
+		replace: func(listing store.Listing) { g.post(listed{listing: listing}) },
+		change:  func(batch store.Batch) { g.post(changed{batch: batch}) },
 	})
 }
 
@@ -95,21 +100,23 @@
 // watch ends.
 func (g *Gateway) watchOnce(w *watcher, read func()) error {
 	ctx := g.context()
-	if w.newest {
-		g.awaitNeed()
-	}
+	g.awaitNeed()
 	listing, err := g.options.KeyValue.List(ctx, w.prefix)
 	if err != nil {
 		return err
 	}
 	read()
-	w.replace(listing.Entries)
-	return g.options.KeyValue.Watch(ctx, w.prefix, listing.Revision, watchRound, func(batch store.Batch) error {
+	w.replace(listing)
+	w.read.Store(steadyClock())
+	return g.options.KeyValue.Watch(ctx, w.prefix, listing.Revision, g.watchRound(), func(batch store.Batch) error {
+		if len(batch.Events) > 0 {
+			w.change(batch)
+		}
+		w.read.Store(steadyClock()) // after the change is on its way to the control
 		if len(batch.Events) > 0 {
-			w.change(batch.Events)
 			g.sleep(g.changePause(w))
 		}
-		if w.newest && (len(batch.Events) > 1 || g.hearsReaders()) {
+		if g.hearsReaders() || w.newest && len(batch.Events) > 1 {
 			return errChanged
 		}
 		return nil
@@ -132,8 +139,22 @@
 // connection that has gone silent has to be found within the 4 s for which that excuses a
 // host. Each round is a call that counts: one of 2.4 s in place of 1.2 s halved them on a
 // calm day. With 6 s for the configuration, a host that the service had turned away
-// learned of a change after 4.1 s, from a peer.
-const watchRound = 2400 * time.Millisecond
+// learned of a change after 4.1 s, from a peer. Readers take shorter rounds: by their age
+// the others tell whether a reader still hears from the service.
+const (
+	longRound   = 2400 * time.Millisecond
+	readerRound = 1200 * time.Millisecond
+)
+
+func (g *Gateway) watchRound() time.Duration {
+	if g.following.Load().few {
+		return readerRound
+	}
+	return longRound
+}
+
+// readerPause is between a change and a reader's next round.
+const readerPause = 600 * time.Millisecond
 
 // followPause is between the rounds of hosts that don't give orders, in a large fleet:
 // a server that leaves has to be known 4 s after it says so.
@@ -144,6 +165,9 @@
 	if w.newest {
 		return changePace // few follow it in a large fleet, and others wait for them
 	}
+	if following := g.following.Load(); following.few && following.none() {
+		return readerPause
+	}
 	pause := g.fleetPace(changePace)
 	if pause >= mostPace*changePace && g.holding.Load() == nil {
 		return followPause
@@ -153,8 +177,12 @@
 
 // fleetPace stretches a pause by the size of the fleet.
 func (g *Gateway) fleetPace(pause time.Duration) time.Duration {
-	hosts := time.Duration(g.knownHosts.Load())
-	return max(pause, min(pause*hosts/paceHosts, pause*mostPace))
+	return stretch(pause, g.knownHosts.Load())
+}
+
+// stretch makes a pause longer where many hosts keep it.
+func stretch(pause time.Duration, hosts int64) time.Duration {
+	return max(pause, min(pause*time.Duration(hosts)/paceHosts, pause*mostPace))
 }
 
 // sleep waits, but not beyond the host's end.
--- a/internal/peer/gatewaypeer/codec.go
+++ b/internal/peer/gatewaypeer/codec.go
@@ -5,12 +5,15 @@
 
 	"github.com/pkg/errors"
 
+	"cicadaloom/internal/control/entries"
+	"cicadaloom/internal/control/holdings"
 	"cicadaloom/internal/control/loading"
 	"cicadaloom/internal/control/pacing"
 	"cicadaloom/internal/control/suspects"
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/domain/request"
 	"cicadaloom/internal/domain/route"
+	"cicadaloom/internal/domain/store"
 	"cicadaloom/internal/wire/gatewaypeerpb"
 )
 
@@ -23,12 +26,21 @@
 		PackedConfiguration:  w.Packed,
 		HolderToken:          int64(w.Token),
 		OrdersEnded:          int64(max(time.Since(w.LastOrder), 0)),
+		WantsFleet:           w.WantsFleet,
+		WantsHoldings:        w.WantsHoldings,
+		FleetKnown:           int64(w.FleetKnown),
+		HoldingsKnown:        encodeMark(w.HoldingsKnown),
+		StoreHeard:           ago(w.StoreHeard),
+		StoreFailed:          ago(w.StoreFailed),
 	}
 	for i := range w.Demand {
 		wire.Demand = append(wire.Demand, encodeDemand(&w.Demand[i]))
 	}
-	for i := range w.Engines {
-		wire.Engines = append(wire.Engines, encodeEngine(&w.Engines[i]))
+	if w.Fleet != nil {
+		wire.Fleet = encodeFleet(w.Fleet)
+	}
+	if w.Holdings != nil {
+		wire.Holdings = encodeHoldings(w.Holdings)
 	}
 	for i := range w.Suspects {
 		wire.Suspects = append(wire.Suspects, encodeSuspect(&w.Suspects[i]))
@@ -37,6 +49,7 @@
 }
 
 func decode(wire *gatewaypeerpb.Word) Word {
+	now := time.Now()
 	word := Word{
 		Host:       ident.HostID(wire.GetHost()),
 		DataCentre: ident.DataCentre(wire.GetDataCentre()),
@@ -44,13 +57,23 @@
 		Version:    route.Version(wire.GetConfigurationVersion()),
 		Packed:     wire.GetPackedConfiguration(),
 		Token:      ident.FencingNumber(wire.GetHolderToken()),
-		LastOrder:  time.Now().Add(-time.Duration(max(wire.GetOrdersEnded(), 0))),
+		LastOrder:  now.Add(-time.Duration(max(wire.GetOrdersEnded(), 0))),
+
+		WantsFleet:    wire.GetWantsFleet(),
+		WantsHoldings: wire.GetWantsHoldings(),
+		FleetKnown:    ident.Revision(wire.GetFleetKnown()),
+		HoldingsKnown: decodeMark(wire.GetHoldingsKnown()),
+		StoreHeard:    instant(now, wire.GetStoreHeard()),
+		StoreFailed:   instant(now, wire.GetStoreFailed()),
 	}
 	for _, one := range wire.GetDemand() {
 		word.Demand = append(word.Demand, decodeDemand(one))
 	}
-	for _, one := range wire.GetEngines() {
-		word.Engines = append(word.Engines, decodeEngine(one))
+	if wire.GetFleet() != nil {
+		word.Fleet = decodeFleet(wire.GetFleet())
+	}
+	if wire.GetHoldings() != nil {
+		word.Holdings = decodeHoldings(wire.GetHoldings(), now)
 	}
 	for _, one := range wire.GetSuspects() {
 		word.Suspects = append(word.Suspects, decodeSuspect(one))
@@ -86,15 +109,109 @@
 	}
 }
 
+// ago tells an instant by how long ago it was, 0 for the zero instant: hosts' clocks
+// differ.
+func ago(at time.Time) int64 {
+	if at.IsZero() {
+		return 0
+	}
+	return max(int64(time.Since(at)), 1)
+}
+
+// instant reads what ago gave.
+func instant(now time.Time, ago int64) time.Time {
+	if ago <= 0 {
+		return time.Time{}
+	}
+	return now.Add(-time.Duration(ago))
+}
+
+func encodeMark(m holdings.Mark) *gatewaypeerpb.Mark {
+	return &gatewaypeerpb.Mark{
+		Token:   int64(m.Token),
+		Changes: m.Changes,
+	}
+}
+
+func decodeMark(wire *gatewaypeerpb.Mark) holdings.Mark {
+	return holdings.Mark{
+		Token:   ident.FencingNumber(wire.GetToken()),
+		Changes: wire.GetChanges(),
+	}
+}
+
+func encodeFleet(u *entries.Update) *gatewaypeerpb.Fleet {
+	wire := &gatewaypeerpb.Fleet{
+		Revision: int64(u.Revision),
+		Complete: u.Complete,
+		Entries:  make([]*gatewaypeerpb.Entry, 0, len(u.Events)),
+	}
+	for i := range u.Events {
+		event := &u.Events[i]
+		wire.Entries = append(wire.Entries, &gatewaypeerpb.Entry{
+			Key:      event.Entry.Key,
+			Value:    event.Entry.Value,
+			Revision: int64(event.Entry.Revision),
+			Deleted:  event.Deleted,
+		})
+	}
+	return wire
+}
+
+func decodeFleet(wire *gatewaypeerpb.Fleet) *entries.Update {
+	update := &entries.Update{
+		Revision: ident.Revision(wire.GetRevision()),
+		Complete: wire.GetComplete(),
+		Events:   make([]store.Event, 0, len(wire.GetEntries())),
+	}
+	for _, one := range wire.GetEntries() {
+		update.Events = append(update.Events, store.Event{
+			Entry: store.Entry{
+				Key:      one.GetKey(),
+				Value:    one.GetValue(),
+				Revision: ident.Revision(one.GetRevision()),
+			},
+			Deleted: one.GetDeleted(),
+		})
+	}
+	return update
+}
+
+func encodeHoldings(u *holdings.Update) *gatewaypeerpb.Holdings {
+	wire := &gatewaypeerpb.Holdings{
+		Mark:    encodeMark(u.Mark),
+		Heard:   ago(u.Heard),
+		Engines: make([]*gatewaypeerpb.Engine, 0, len(u.Engines)),
+	}
+	for i := range u.Engines {
+		wire.Engines = append(wire.Engines, encodeEngine(&u.Engines[i]))
+	}
+	return wire
+}
+
+func decodeHoldings(wire *gatewaypeerpb.Holdings, now time.Time) *holdings.Update {
+	update := &holdings.Update{
+		Mark:    decodeMark(wire.GetMark()),
+		Heard:   instant(now, wire.GetHeard()),
+		Engines: make([]holdings.Engine, 0, len(wire.GetEngines())),
+	}
+	for _, one := range wire.GetEngines() {
+		update.Engines = append(update.Engines, decodeEngine(one))
+	}
+	return update
+}
+
 // encodeEngine gathers what is held by model: an adapter takes no more than its
 // name then.
-func encodeEngine(e *Engine) *gatewaypeerpb.Engine {
+func encodeEngine(e *holdings.Engine) *gatewaypeerpb.Engine {
 	wire := &gatewaypeerpb.Engine{
-		Service:     string(e.Service),
 		Server:      string(e.Server),
 		Incarnation: string(e.Incarnation),
 		Running:     int64(e.Running),
 		Waiting:     int64(e.Waiting),
+		HeldChanged: e.HeldChanged,
+		LoadChanged: e.LoadChanged,
+		LoadOnly:    e.LoadOnly,
 	}
 	byModel := make(map[ident.ModelName]*gatewaypeerpb.Held)
 	held := func(name ident.ModelName) *gatewaypeerpb.Held {
@@ -120,15 +237,17 @@
 	return wire
 }
 
-func decodeEngine(wire *gatewaypeerpb.Engine) Engine {
-	engine := Engine{
-		Service: ident.ServiceName(wire.GetService()),
+func decodeEngine(wire *gatewaypeerpb.Engine) holdings.Engine {
+	engine := holdings.Engine{
 		Holding: loading.Holding{
 			Server:      ident.ServerName(wire.GetServer()),
 			Incarnation: ident.Incarnation(wire.GetIncarnation()),
 			Running:     int(wire.GetRunning()),
 			Waiting:     int(wire.GetWaiting()),
 		},
+		HeldChanged: wire.GetHeldChanged(),
+		LoadChanged: wire.GetLoadChanged(),
+		LoadOnly:    wire.GetLoadOnly(),
 	}
 	for _, held := range wire.GetHeld() {
 		model := ident.ModelName(held.GetModel())
--- a/internal/peer/gatewaypeer/gatewaypeer.go
+++ b/internal/peer/gatewaypeer/gatewaypeer.go
@@ -3,9 +3,9 @@
 //
 // There are three calls. Reserve asks a pacer which engine to send a prompt to, and
 // when, and Leave tells it that the prompt has its answer. In Exchange each side tells what it knows. Everybody tells the
-// configuration's version and the suspects; the asker tells the holder the demand
-// that it has met, and the holder tells what the engines hold. The wire form is
-// proto/gatewaypeer/gatewaypeer.proto.
+// configuration's version and the suspects; the asker tells the demand that it has met,
+// and who answers tells what has changed in the fleet and at the engines since the asker
+// last heard. The wire form is proto/gatewaypeer/gatewaypeer.proto.
 //
 // # Usage
 //
@@ -25,6 +25,8 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"cicadaloom/internal/control/entries"
+	"cicadaloom/internal/control/holdings"
 	"cicadaloom/internal/control/loading"
 	"cicadaloom/internal/control/pacing"
 	"cicadaloom/internal/control/suspects"
@@ -50,8 +52,19 @@
 	// teller's process may have given an order: before it began, it gave none.
 	LastOrder time.Time
 	Demand    []Demand
-	Engines   []Engine
 	Suspects  []suspects.Suspect
+	// WantsFleet and WantsHoldings ask for the changes after FleetKnown and HoldingsKnown;
+	// Fleet and Holdings answer that, nil where nobody asked.
+	WantsFleet    bool
+	WantsHoldings bool
+	FleetKnown    ident.Revision
+	HoldingsKnown holdings.Mark
+	Fleet         *entries.Update
+	Holdings      *holdings.Update
+	// StoreHeard is when the key-value service last answered the teller, or who told it
+	// of the fleet; StoreFailed when it last failed. Both are zero where it never did.
+	StoreHeard  time.Time
+	StoreFailed time.Time
 }
 
 // Demand is what has come for some weights since it was last told.
@@ -61,12 +74,6 @@
 	loading.Demand
 }
 
-// Engine is the holder's knowledge of one engine.
-type Engine struct {
-	Service ident.ServiceName
-	loading.Holding
-}
-
 // Handler answers peers.
 type Handler interface {
 	Exchange(ctx context.Context, theirs Word) (Word, error)
