gateway: Have a starting fleet learn of itself before it asks, and ask peers when turned away

Cause: hosts that start together each began two watches and ended them, and nearly all claimed the holder's key; a host that the service turns away heard of the fleet from peers too seldom to take what goes missing there for gone.

Change: hosts of a first start (a setting) wait for about a second, and for the first word of a reader; hosts that have readers claim last, from the start; a host that is turned away asks peers every 0.4 s.

--- a/internal/config/gateway/gateway.go
+++ b/internal/config/gateway/gateway.go
@@ -36,8 +36,10 @@
 	Seeds     []string
 	Memory    unit.Bytes
 	Processor Processor
-	Bounds    Bounds
-	Log       settings.Log
+	// FirstStart tells that the whole fleet starts for the first time: callers come later.
+	FirstStart bool
+	Bounds     Bounds
+	Log        settings.Log
 }
 
 // Listen has the addresses, as ip:port, at which the host listens.
@@ -121,6 +123,8 @@
 			},
 			"What this process may use."),
 		jsonfile.May("Processor", func(s *Settings) *Processor { return &s.Processor }, processorTable, ""),
+		jsonfile.May("FirstStart", func(s *Settings) *bool { return &s.FirstStart }, jsonfile.Flag{},
+			"Whether the whole fleet starts for the first time: hosts take a second to learn of one another then, rather than each ask for everything at once."),
 		jsonfile.May("Bounds", func(s *Settings) *Bounds { return &s.Bounds }, boundsTable, ""),
 		jsonfile.May("Log", func(s *Settings) *settings.Log { return &s.Log }, settings.LogTable, ""),
 	},
--- a/internal/host/gateway/exchange.go
+++ b/internal/host/gateway/exchange.go
@@ -47,7 +47,7 @@
 			lost = err != nil
 			g.logHolder(err)
 		}
-		if now.Sub(gossip) > gossipEvery && !g.hearsReaders() {
+		if now.Sub(gossip) > g.gossipPace() && !g.hearsReaders() {
 			gossip = now
 			if err := g.askPeer(g.gossip()); err != nil {
 				g.log.Debug("no word from peer", zap.Error(err))
@@ -133,14 +133,27 @@
 	}
 )
 
+// turnedAway tells that the service has not answered this host for some time.
+func (g *Gateway) turnedAway() bool {
+	own := min(g.fleetRead.Load(), g.configurationRead.Load())
+	return steadyClock()-own >= int64(readerTrust)
+}
+
 // gossip is what some peer is asked for. One that the service turns away asks it for the
 // fleet too: the service may serve the peer, and servers leave meanwhile.
 func (g *Gateway) gossip() listener {
 	to := toSomePeer
-	to.fleet = time.Since(g.storeHeard()) >= readerTrust
+	to.fleet = g.turnedAway()
 	return to
 }
 
+func (g *Gateway) gossipPace() time.Duration {
+	if g.turnedAway() {
+		return readerEvery
+	}
+	return gossipEvery
+}
+
 // askPeer exchanges words with another host, if there is one to listen.
 func (g *Gateway) askPeer(to listener) error {
 	out := g.wordFor(to)
--- a/internal/host/gateway/holder.go
+++ b/internal/host/gateway/holder.go
@@ -30,8 +30,8 @@
 	// process is younger than freshProcess: about what hosts that were killed together
 	// need to begin one after the other.
 	formerPause = 400 * time.Millisecond
-	// followerPause is by how much longer hosts wait that hear of the service from others:
-	// they would all claim by a word that is already old.
+	// followerPause is by how much longer hosts wait that are to hear of the service from
+	// others: they would all claim by a word that is already old, and they are weak ones.
 	followerPause = 1500 * time.Millisecond
 	freshProcess  = 3 * time.Second
 	// fencedPause is how long a new holder waits where engines refuse the orders of
@@ -139,7 +139,7 @@
 	if !g.youngest.Load() {
 		pause += elderPause
 	}
-	if g.hearsReaders() {
+	if !g.following.Load().none() {
 		pause += followerPause
 	}
 	if former != "" && time.Since(processStart) < freshProcess {
--- a/internal/host/gateway/readers.go
+++ b/internal/host/gateway/readers.go
@@ -168,6 +168,22 @@
 	return processStart.Add(time.Duration(heard))
 }
 
+// firstWord is for how long after a host's start, at most, it waits for the first word of
+// a reader before it watches the service itself.
+const firstWord = 3 * time.Second
+
+// awaitReaders waits for the first word of a reader, and tells whether it has come. A
+// fleet that starts would begin as many watches as it has hosts, and end them at once.
+func (g *Gateway) awaitReaders() bool {
+	for g.tomb.Alive() && time.Since(processStart) < firstWord && !g.hearsReaders() {
+		if g.serversKnown.Load() && g.following.Load().none() {
+			return false
+		}
+		g.sleep(needPoll)
+	}
+	return g.hearsReaders()
+}
+
 // noteReader takes in how old a reader's view of the service is, and tells whether it
 // stands in for the service's own.
 func (g *Gateway) noteReader(storeHeard time.Time) bool {
--- a/internal/host/gateway/readers_test.go
+++ b/internal/host/gateway/readers_test.go
@@ -21,6 +21,7 @@
 // largeRegion starts more hosts in one data centre than follow the service by themselves,
 // and waits until all but the readers are told by these.
 func largeRegion(t *testing.T) (*fleet, []string) {
+	t.Parallel() // most of the time is waited
 	f := newFleet(t)
 	f.serve("old", "one")
 	f.serve("old", "two")
@@ -87,6 +88,7 @@
 func TestHostsOfALargeRegionLearnFromTheirReaders(t *testing.T) {
 	f, names := largeRegion(t)
 	f.eventually(func() bool { return f.knows(names, 4, 2) }, "all know")
+	time.Sleep(longRound + readerTrust) // until the readers' first rounds are over, which were long
 	f.keyValue.roundsOf()
 	time.Sleep(mustBeKnown) // in calm
 	f.keyValue.write("configuration", configuration(5, "old"))
--- a/internal/host/gateway/watch.go
+++ b/internal/host/gateway/watch.go
@@ -55,9 +55,16 @@
 	})
 }
 
+// fleetPause is about how long the hosts of a fleet that starts for the first time take
+// until all have written their entries: one reading is enough then.
+const fleetPause = 900 * time.Millisecond
+
 // watchFleet follows the entries of servers and hosts: one watch for both, as calls
 // are counted, a waiting one as well.
 func (g *Gateway) watchFleet() error {
+	if g.options.Settings.FirstStart {
+		g.sleep(fleetPause/2 + rand.N(fleetPause))
+	}
 	return g.watch(&watcher{
 		prefix:  g.options.Layout.FleetPrefix,
 		read:    &g.fleetRead,
@@ -108,6 +115,9 @@
 	read()
 	w.replace(listing)
 	w.read.Store(steadyClock())
+	if g.awaitReaders() {
+		return errChanged
+	}
 	return g.options.KeyValue.Watch(ctx, w.prefix, listing.Revision, g.watchRound, func(batch store.Batch) error {
 		if len(batch.Events) > 0 {
 			w.change(batch)
