gateway: Have a host that starts learn whom to ask before it reads everything

Change: a host first reads the hosts' own entries, a tenth of that, and asks its readers if there are any; a plan that took long as its machine stood still delays the next by half a second at most; no line for each server at the first reading.

--- a/internal/host/gateway/control.go
+++ b/internal/host/gateway/control.go
@@ -179,6 +179,9 @@
 
 // publish brings the pools up to date with what is known of servers.
 func (c *control) publish(now time.Time) {
+	if c.hostsChanged {
+		c.publishHosts()
+	}
 	if !c.dirty || c.configuration == nil {
 		return
 	}
@@ -200,14 +203,11 @@
 		}
 	}
 	c.budget.SetHosts(max(hosts, 1))
-	if c.hostsChanged {
-		c.hostsChanged = false
-		c.publishHosts()
-	}
 }
 
 // publishHosts brings up to date what follows from the hosts that can be reached.
 func (c *control) publishHosts() {
+	c.hostsChanged = false
 	reachable := c.reachable()
 	c.pacers.set(reachable)
 	following := c.readers(reachable)
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -138,7 +138,10 @@
 	youngest  atomic.Bool
 	stopping  atomic.Bool
 	stopBegun chan struct{}
-	suspected atomic.Pointer[suspects.View]
+	started   time.Time
+	// hostsLearned is closed once it is known whom to ask, or can't be.
+	hostsLearned chan struct{}
+	suspected    atomic.Pointer[suspects.View]
 	// knownHosts is how many hosts are known.
 	knownHosts atomic.Int64
 	seeds      atomic.Pointer[[]string]
@@ -169,6 +172,9 @@
 		inbox:     make(chan message, inboxSize),
 		missed:    make(chan struct{}, 1),
 		stopBegun: make(chan struct{}),
+		started:   time.Now(),
+
+		hostsLearned: make(chan struct{}),
 		budget: retries.New(retries.Options{
 			Ratio:  options.Settings.Bounds.RetryRatio,
 			Window: options.Settings.Bounds.RetryWindow,
--- a/internal/host/gateway/messages.go
+++ b/internal/host/gateway/messages.go
@@ -51,7 +51,9 @@
 
 func (m listed) apply(now time.Time, c *control) {
 	c.takeNews(now, c.fleet.Replace(m.listing))
-	c.serversKnown.Store(true)
+	if !c.serversKnown.Swap(true) {
+		c.log.Info("servers known", zap.Int("Entries", len(m.listing.Entries)), zap.Int64("Revision", int64(m.listing.Revision)))
+	}
 }
 
 // fromKeyValue names where a configuration came from.
@@ -68,6 +70,26 @@
 	return registration, true
 }
 
+// hostsListed brings the entries of hosts alone, before all others.
+type hostsListed struct {
+	entries []store.Entry
+	learned chan<- struct{}
+}
+
+func (m hostsListed) apply(now time.Time, c *control) {
+	events := make([]store.Event, 0, len(m.entries))
+	for i := range m.entries {
+		events = append(events, store.Event{
+			Entry: m.entries[i],
+		})
+	}
+	c.takeNews(now, c.fleet.Apply(store.Batch{
+		Events: events,
+	}))
+	c.publishHosts()
+	close(m.learned)
+}
+
 // changed brings changes of these entries.
 type changed struct {
 	batch store.Batch
@@ -106,7 +128,9 @@
 		c.registry.Remove(now, name)
 		return
 	}
-	if before, known := c.registry.Of(name); !known || before.Report.Incarnation != registration.Report.Incarnation || before.Server.State != registration.Server.State {
+	// What an engine holds changes all the time, by orders that the holder logs.
+	before, known := c.registry.Of(name)
+	if c.serversKnown.Load() && (!known || before.Report.Incarnation != registration.Report.Incarnation || before.Server.State != registration.Server.State) {
 		c.log.Info("server's entry changed", zap.String("Server", string(name)), zap.String("State", string(registration.Server.State)),
 			zap.String("Incarnation", string(registration.Report.Incarnation)), zap.Int64("OrdersAccepted", registration.Report.OrdersAccepted),
 			zap.Int64("Revision", int64(entry.Revision)))
--- a/internal/host/gateway/plan.go
+++ b/internal/host/gateway/plan.go
@@ -24,10 +24,12 @@
 	// planEvery is between two plans, planSoonEvery where something that is asked for
 	// waits for one. planShare is the part of the time that plans may take: a holder that
 	// planned at each word of each of 300 hosts gave reports, orders and its own lease no
-	// time.
+	// time. One that took long because its machine stood still delays the next by no more
+	// than mostPlanEvery.
 	planEvery     = tick - 10*time.Millisecond
 	planSoonEvery = 50 * time.Millisecond
 	planShare     = 0.2
+	mostPlanEvery = 500 * time.Millisecond
 	// orderLimit is how long an order may go without an answer.
 	orderLimit = 900 * time.Millisecond
 )
@@ -58,7 +60,7 @@
 	if c.planSoon {
 		every = planSoonEvery
 	}
-	every = max(every, time.Duration(float64(c.planCost)/planShare))
+	every = min(max(every, time.Duration(float64(c.planCost)/planShare)), mostPlanEvery)
 	return c.tenure != nil && c.configuration != nil && now.Sub(c.plannedAt) >= every
 }
 
--- a/internal/host/gateway/readers.go
+++ b/internal/host/gateway/readers.go
@@ -3,12 +3,14 @@
 import (
 	"bytes"
 	"compress/gzip"
+	"context"
 	"io"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"cicadaloom/internal/control/pacing"
 	"cicadaloom/internal/domain/ident"
@@ -168,18 +170,40 @@
 	return processStart.Add(time.Duration(heard))
 }
 
-// firstWord is for how long after a host's start, at most, it waits for the first word of
-// a reader before it watches the service itself.
-const firstWord = 3 * time.Second
+const (
+	// firstWord is for how long after a host's start, at most, it waits for the first word
+	// of a reader before it asks the service itself, wordPoll how often it looks.
+	firstWord = 2 * time.Second
+	wordPoll  = 20 * time.Millisecond
+	// learnLimit is how long the reading of the hosts may take.
+	learnLimit = 700 * time.Millisecond
+)
+
+// learnHosts reads the hosts' own entries before all else: by them a host knows whether
+// there are readers to ask. The entries of all servers, read by 300 hosts at once after a
+// loss of power, filled the link to the service's region for 3 s; those of hosts are a
+// tenth of that, and readers are near.
+func (g *Gateway) learnHosts() {
+	ctx, cancel := context.WithTimeout(g.context(), learnLimit)
+	defer cancel()
+	listing, err := g.options.KeyValue.List(ctx, g.options.Layout.HostPrefix)
+	if err != nil {
+		g.log.Info("hosts not learned", zap.Error(err))
+		close(g.hostsLearned)
+		return
+	}
+	g.post(hostsListed{
+		entries: listing.Entries,
+		learned: g.hostsLearned,
+	})
+}
 
-// awaitReaders waits for the first word of a reader, and tells whether it has come. A
-// fleet that starts would begin as many watches as it has hosts, and end them at once.
+// awaitReaders waits for the first word of a reader, if there are any to ask, and tells
+// whether one stands in for the service.
 func (g *Gateway) awaitReaders() bool {
-	for g.tomb.Alive() && time.Since(processStart) < firstWord && !g.hearsReaders() {
-		if g.serversKnown.Load() && g.following.Load().none() {
-			return false
-		}
-		g.sleep(needPoll)
+	g.sleepUnless(firstWord, g.hostsLearned)
+	for g.tomb.Alive() && time.Since(g.started) < firstWord && !g.hearsReaders() && !g.following.Load().none() {
+		g.sleep(wordPoll)
 	}
 	return g.hearsReaders()
 }
--- a/internal/host/gateway/readers_test.go
+++ b/internal/host/gateway/readers_test.go
@@ -169,3 +169,22 @@
 		return true
 	}, "it is loaded, and all know")
 }
+
+// All power is lost and comes back: 300 hosts each read all entries and the configuration
+// at once, and the link to the service's region was full for seconds. Hosts read whom to
+// ask, and ask those, as the entries of before still stand. All know everything within
+// the time in which a host has to serve again.
+func TestAFleetThatComesBackAsksItsReaders(t *testing.T) {
+	f, names := largeRegion(t)
+	for _, name := range names {
+		f.kill(name)
+	}
+	f.keyValue.forgetReadings()
+	for _, name := range names {
+		f.start(name)
+	}
+	require.Eventually(t, func() bool { return f.knows(names, 4, 2) }, mustBeKnown, 10*time.Millisecond)
+	require.LessOrEqual(t, f.keyValue.readers("servers"), readersPerDataCentre+1)
+	require.LessOrEqual(t, f.keyValue.readers("configuration"), readersPerDataCentre+1)
+	require.Equal(t, len(names), f.keyValue.readers("servers-ours/"))
+}
--- a/internal/host/gateway/watch.go
+++ b/internal/host/gateway/watch.go
@@ -41,6 +41,7 @@
 
 // watchConfiguration follows the operator's configuration.
 func (g *Gateway) watchConfiguration() error {
+	g.sleepUnless(firstWord, g.hostsLearned)
 	return g.watch(&watcher{
 		prefix:  g.options.Layout.ConfigurationKey,
 		newest:  true,
@@ -65,6 +66,7 @@
 	if g.options.Settings.FirstStart {
 		g.sleep(fleetPause/2 + rand.N(fleetPause))
 	}
+	g.learnHosts()
 	return g.watch(&watcher{
 		prefix:  g.options.Layout.FleetPrefix,
 		read:    &g.fleetRead,
@@ -107,7 +109,9 @@
 // watch ends.
 func (g *Gateway) watchOnce(w *watcher, read func()) error {
 	ctx := g.context()
-	g.awaitNeed()
+	if g.awaitReaders() {
+		g.awaitNeed()
+	}
 	listing, err := g.options.KeyValue.List(ctx, w.prefix)
 	if err != nil {
 		return err
@@ -115,9 +119,6 @@
 	read()
 	w.replace(listing)
 	w.read.Store(steadyClock())
-	if g.awaitReaders() {
-		return errChanged
-	}
 	return g.options.KeyValue.Watch(ctx, w.prefix, listing.Revision, g.watchRound, func(batch store.Batch) error {
 		if len(batch.Events) > 0 {
 			w.change(batch)
--- a/internal/host/gateway/world_test.go
+++ b/internal/host/gateway/world_test.go
@@ -40,8 +40,10 @@
 	last     store.LeaseID
 	// away has the hosts that the service does not answer; "" stands for all.
 	away map[string]bool
-	// rounds counts the readings and rounds of watches of each host.
-	rounds map[string]int
+	// rounds counts the readings and rounds of watches of each host, readings has the
+	// hosts that have read a prefix.
+	rounds   map[string]int
+	readings map[string]map[string]bool
 }
 
 func newKeyValue() *keyValue {
@@ -53,6 +55,7 @@
 		lengths:  make(map[store.LeaseID]time.Duration),
 		away:     make(map[string]bool),
 		rounds:   make(map[string]int),
+		readings: make(map[string]map[string]bool),
 	}
 }
 
@@ -151,6 +154,19 @@
 	return rounds
 }
 
+func (k *keyValue) forgetReadings() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	clear(k.readings)
+}
+
+// readers counts the hosts that have read a prefix.
+func (k *keyValue) readers(prefix string) int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.readings[prefix])
+}
+
 func (k *keyValue) value(key string) string {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -164,6 +180,10 @@
 	}
 	defer c.mu.Unlock()
 	c.rounds[c.host]++
+	if c.readings[prefix] == nil {
+		c.readings[prefix] = make(map[string]bool)
+	}
+	c.readings[prefix][c.host] = true
 	listing := store.Listing{
 		Revision: c.revision,
 	}
@@ -422,6 +442,9 @@
 		Ready:   freeAddress(f.t),
 		Peers:   freeAddress(f.t),
 	}
+	if before, started := f.listen[name]; started {
+		loaded.Listen = before
+	}
 	loaded.Seeds = seeds
 	loaded.Bounds.Fenced = !f.unfenced
 	loaded.Bounds.HolderLease = holdersApart
