gateway: Give each host of the tests a port of its own

Cause: TestReadersThatHearNothingAreNotFollowed failed once, as a host could not listen: a port that was free when it was looked for had been taken by another test's host beside it. Ports are counted up now, on an address from which no connection goes out.

--- a/internal/host/gateway/world_test.go
+++ b/internal/host/gateway/world_test.go
@@ -9,8 +9,10 @@
 	"net/http/httptest"
 	"slices"
 	"sort"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -424,13 +426,27 @@
 	}
 }
 
+// lastPort is the last one that freeAddress gave.
+var lastPort atomic.Int64
+
+// freeAddress gives an address that no other test is given and no connection goes out
+// from: those have another loopback address, and ports from a range above.
 func freeAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
+	for range 100 {
+		address := "127.0.1.1:" + strconv.FormatInt(firstPort+lastPort.Add(1), 10)
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			require.NoError(t, listener.Close())
+			return address
+		}
+	}
+	t.Fatal("no free address")
+	return ""
 }
 
+// firstPort is where the ports of the tests' hosts begin.
+const firstPort = 20000
+
 // start starts a host; seeds are the peers' addresses that it is told.
 func (f *fleet) start(name string, seeds ...string) {
 	loaded := settings.Default()
