relay, retries: Charge no retry for what reached nobody, and lend what hosts can spare

Each of 295 hosts has some 6 retries in 10 s, while servers that crash press on few at once; all of them together used a quarter of the budget. And a send that was refused a connection made the next one a retry, though it is the first that arrives.

Ruled out: a smaller safety margin (it keeps the bound over the window's edges).

Change: a send that reached nobody asks for no retry. In a large fleet hosts give what they can spare to a reader, where it counts as spent at once; the reader lends it one by one, never more in a window than it was given in it.

--- /dev/null
+++ b/internal/control/retries/lend_test.go
@@ -0,0 +1,88 @@
+package retries
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Hosts give what they can spare to one of them, who lends it, and each retries as often
+// as it may, in any pattern; gifts get lost. In no window may all of them together spend
+// more than the whole budget: lending moves retries, and makes none.
+func TestLendingMakesNoRetries(t *testing.T) {
+	options := Options{
+		Ratio:  0.2,
+		Window: 10 * time.Second,
+		Slack:  54,
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		const hosts = 5
+		var budgets []*Budget
+		for range hosts {
+			budget := New(options)
+			budget.SetHosts(hosts)
+			budgets = append(budgets, budget)
+		}
+		lender := budgets[0]
+		var arrived, spent []time.Time
+		now := start
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond)
+			budget := budgets[rapid.IntRange(0, hosts-1).Draw(t, "host")]
+			budget.Arrived(now, "notes")
+			arrived = append(arrived, now)
+			if gifts := budget.Spare(now); rapid.IntRange(0, 5).Draw(t, "lost") > 0 {
+				lender.Receive(now, gifts)
+			}
+			for range rapid.IntRange(0, 12).Draw(t, "wanted") {
+				if budget.Take(now, "notes") || lender.Lend(now, "notes") {
+					spent = append(spent, now)
+				}
+			}
+		}
+		for _, from := range spent {
+			inWindow := count(spent, from, options.Window)
+			requests := max(count(arrived, from, options.Window), count(arrived, from.Add(-options.Window), options.Window),
+				count(arrived, from.Add(-options.Window/2), options.Window))
+			require.LessOrEqual(t, float64(inWindow), options.Ratio*float64(requests)+options.Slack)
+		}
+	})
+}
+
+// 50 hosts have 34 requests each in ten seconds, and servers fail 60 requests of one of
+// them within a second. By its own part it may send 6 of them again; with what the others
+// spare, all.
+func TestOneHostUsesWhatOthersHaveLeft(t *testing.T) {
+	options := Options{
+		Ratio:  0.2,
+		Window: 10 * time.Second,
+		Slack:  630,
+	}
+	const hosts, fleet, requests, failed = 50, 295, 34, 60
+	var budgets []*Budget
+	now := start
+	for range hosts {
+		budget := New(options)
+		budget.SetHosts(fleet)
+		for range requests {
+			budget.Arrived(now, "notes")
+		}
+		budgets = append(budgets, budget)
+	}
+	own, all := 0, 0
+	for range failed {
+		if budgets[1].Take(now, "notes") {
+			own++
+		}
+	}
+	for _, budget := range budgets[2:] {
+		budgets[0].Receive(now, budget.Spare(now))
+	}
+	for all = own; all < failed && budgets[0].Lend(now, "notes"); all++ {
+	}
+	require.LessOrEqual(t, own, 7)
+	require.Equal(t, failed, all)
+	require.True(t, budgets[2].Take(now, "notes"), "a host keeps some for itself")
+}
--- a/internal/control/retries/retries.go
+++ b/internal/control/retries/retries.go
@@ -3,7 +3,8 @@
 // In any window of time a service may get a share of its requests again, and
 // some more. The hosts keep that without a word between them: each spends the
 // share of the requests that it has itself seen, and its own part of the rest.
-// Their sum is never over the whole budget, whoever is cut off.
+// Their sum is never over the whole budget, whoever is cut off. What a host can
+// spare it may give to others (Spare, Receive, Lend).
 //
 // # Usage
 //
@@ -59,7 +60,10 @@
 type counts struct {
 	requests [buckets]int
 	spent    [buckets]int
-	at       int64 // number of the newest bucket
+	// given and lent are what other hosts have given this one, and what of it was lent.
+	given [buckets]int
+	lent  [buckets]int
+	at    int64 // number of the newest bucket
 }
 
 // New gives a budget for one host, the only one until SetHosts says otherwise.
@@ -91,17 +95,21 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c := b.counts(now, service)
+	if b.left(now, c) < 1 {
+		return false
+	}
+	c.spent[c.at%buckets]++
+	return true
+}
+
+// left is how many retries this host has left in the window.
+func (b *Budget) left(now time.Time, c *counts) float64 {
 	requests, spent := 0, 0
 	for i := range buckets {
 		requests += c.requests[i]
 		spent += c.spent[i]
 	}
-	allowed := safety * (b.options.Ratio*float64(requests) + b.slack(now))
-	if float64(spent+1) > allowed {
-		return false
-	}
-	c.spent[c.at%buckets]++
-	return true
+	return safety*(b.options.Ratio*float64(requests)+b.slack(now)) - float64(spent)
 }
 
 // slack is this host's part of the free retries. A process that has only begun has
@@ -129,6 +137,8 @@
 		c.at++
 		c.requests[c.at%buckets] = 0
 		c.spent[c.at%buckets] = 0
+		c.given[c.at%buckets] = 0
+		c.lent[c.at%buckets] = 0
 	}
 	c.at = max(c.at, bucket)
 	return c
--- a/internal/host/gateway/exchange.go
+++ b/internal/host/gateway/exchange.go
@@ -216,6 +216,7 @@
 		if m.to.fleet {
 			out.word.WantsFleet = true
 			out.word.FleetKnown = c.fleet.Revision()
+			out.word.Gifts = c.budget.Spare(now)
 		}
 	}
 	m.reply <- out
@@ -357,6 +358,7 @@
 
 func (m wordAsked) apply(now time.Time, c *control) {
 	c.hear(now, &m.word)
+	c.budget.Receive(now, m.word.Gifts)
 	if len(m.word.Demand) > 0 {
 		c.hearDemand(now, m.word.Region, m.word.Demand)
 	}
--- a/internal/peer/gatewaypeer/codec.go
+++ b/internal/peer/gatewaypeer/codec.go
@@ -9,6 +9,7 @@
 	"cicadaloom/internal/control/holdings"
 	"cicadaloom/internal/control/loading"
 	"cicadaloom/internal/control/pacing"
+	"cicadaloom/internal/control/retries"
 	"cicadaloom/internal/control/suspects"
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/domain/request"
@@ -36,6 +37,12 @@
 	for i := range w.Demand {
 		wire.Demand = append(wire.Demand, encodeDemand(&w.Demand[i]))
 	}
+	for _, gift := range w.Gifts {
+		wire.Gifts = append(wire.Gifts, &gatewaypeerpb.Gift{
+			Service: string(gift.Service),
+			Retries: int64(gift.Retries),
+		})
+	}
 	if w.Fleet != nil {
 		wire.Fleet = encodeFleet(w.Fleet)
 	}
@@ -69,6 +76,12 @@
 	for _, one := range wire.GetDemand() {
 		word.Demand = append(word.Demand, decodeDemand(one))
 	}
+	for _, one := range wire.GetGifts() {
+		word.Gifts = append(word.Gifts, retries.Gift{
+			Service: ident.ServiceName(one.GetService()),
+			Retries: int(one.GetRetries()),
+		})
+	}
 	if wire.GetFleet() != nil {
 		word.Fleet = decodeFleet(wire.GetFleet())
 	}
--- a/internal/peer/gatewaypeer/gatewaypeer.go
+++ b/internal/peer/gatewaypeer/gatewaypeer.go
@@ -1,7 +1,7 @@
 // Package gatewaypeer is what entry hosts say to one another that have their
 // configuration and backend servers from a key-value service.
 //
-// There are three calls. Reserve asks a pacer which engine to send a prompt to, and
+// There are four calls. Borrow asks for a retry that others have left over. Reserve asks a pacer which engine to send a prompt to, and
 // when, and Leave tells it that the prompt has its answer. In Exchange each side tells what it knows. Everybody tells the
 // configuration's version and the suspects; the asker tells the demand that it has met,
 // and who answers tells what has changed in the fleet and at the engines since the asker
@@ -29,6 +29,7 @@
 	"cicadaloom/internal/control/holdings"
 	"cicadaloom/internal/control/loading"
 	"cicadaloom/internal/control/pacing"
+	"cicadaloom/internal/control/retries"
 	"cicadaloom/internal/control/suspects"
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/domain/request"
@@ -61,6 +62,8 @@
 	HoldingsKnown holdings.Mark
 	Fleet         *entries.Update
 	Holdings      *holdings.Update
+	// Gifts are retries that are the teller's no longer: who is told may lend them.
+	Gifts []retries.Gift
 	// StoreHeard is when the key-value service last answered the teller, or who told it
 	// of the fleet; StoreFailed when it last failed. Both are zero where it never did.
 	StoreHeard  time.Time
@@ -79,6 +82,8 @@
 	Exchange(ctx context.Context, theirs Word) (Word, error)
 	// Paced finds an engine for a prompt, and the instant to send it. It may wait.
 	Paced(ctx context.Context, prompt *pacing.Prompt) pacing.Slot
+	// Lend gives out one retry that other hosts have given this one, if any is left.
+	Lend(service ident.ServiceName) bool
 	// Left tells that a prompt keeps its place at an engine no longer.
 	Left(server ident.ServerName, ticket pacing.Ticket)
 }
@@ -135,6 +140,12 @@
 	return &gatewaypeerpb.Left{}, nil
 }
 
+func (s *service) Borrow(_ context.Context, wire *gatewaypeerpb.Need) (*gatewaypeerpb.Loan, error) {
+	return &gatewaypeerpb.Loan{
+		Granted: s.handler.Lend(ident.ServiceName(wire.GetService())),
+	}, nil
+}
+
 // Pool calls peers, over one connection to each. The zero value works; it is safe
 // for many goroutines.
 type Pool struct {
@@ -167,6 +178,21 @@
 	return decodeSlot(wire, prompt, time.Now())
 }
 
+// Borrow asks the host at an address for a retry.
+func (p *Pool) Borrow(ctx context.Context, address string, service ident.ServiceName) (bool, error) {
+	connection, err := p.Connection(address)
+	if err != nil {
+		return false, err
+	}
+	wire, err := gatewaypeerpb.NewPeerClient(connection).Borrow(ctx, &gatewaypeerpb.Need{
+		Service: string(service),
+	})
+	if err != nil {
+		return false, errors.Wrapf(err, "retry of %s", address)
+	}
+	return wire.GetGranted(), nil
+}
+
 // Leave tells the pacer at an address that a prompt keeps its place no longer.
 func (p *Pool) Leave(ctx context.Context, address string, server ident.ServerName, ticket pacing.Ticket) error {
 	connection, err := p.Connection(address)
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -115,6 +115,9 @@
 	// some time until one is free. The function ends the place of a slot that is booked;
 	// one that is neither booked nor full may be asked for again.
 	Reserve(ctx context.Context, model ident.ModelName, prompt *pacing.Prompt) (pacing.Slot, func())
+	// Borrow asks for a retry that other hosts have left over, where this host's own are
+	// spent.
+	Borrow(ctx context.Context, service ident.ServiceName) bool
 	// Verdict tells whether servers have died under a request of the same content.
 	Verdict(fingerprint ident.Fingerprint) suspects.Verdict
 	// Lost tells of a server that broke off under a request, Cleared of a suspect
--- a/internal/traffic/relay/serving.go
+++ b/internal/traffic/relay/serving.go
@@ -35,9 +35,11 @@
 	deadline time.Time
 	trail    outcome.Trail
 	tried    []ident.ServerName
-	// sends counts all sends, runs those that may have run.
-	sends int
-	runs  int
+	// sends counts all sends, arrivals those that may have reached a server, runs those
+	// that may have run.
+	sends    int
+	arrivals int
+	runs     int
 	// stream is the state of an answer that has begun.
 	stream stream
 	// leavePlace gives back the place at an engine that the last send was booked for.
@@ -133,7 +135,7 @@
 // attempt makes one send. It tells whether another one is to be made.
 func (s *serving) attempt(ctx context.Context) bool {
 	h := s.handler
-	if s.sends > 0 && !h.Budget.Take(h.Now(), s.service) {
+	if s.arrivals > 0 && !s.mayRetry(ctx) {
 		s.giveUp("the retry budget is spent")
 		return false
 	}
@@ -150,6 +152,9 @@
 	s.trail.Sending(attempt)
 	sent := s.send(ctx, ticket)
 	now := h.Now()
+	if sent.result != balance.Unreached {
+		s.arrivals++
+	}
 	s.endSend(ticket, now, sent.result)
 	if sent.proof {
 		s.trail.Refused(attempt)
@@ -166,6 +171,13 @@
 	return s.goOn(ctx, &sent)
 }
 
+// mayRetry spends a retry of this host's, or of what other hosts have left over. A send
+// that has reached no server asks for none: the next one is the first that arrives.
+func (s *serving) mayRetry(ctx context.Context) bool {
+	h := s.handler
+	return h.Budget.Take(h.Now(), s.service) || h.Knowledge.Borrow(ctx, s.service)
+}
+
 // noteStream tells the pool whether the stream of an engine paused for too long. One that
 // went on at another engine says nothing of how prompts are read.
 func (s *serving) noteStream() {
--- a/internal/traffic/relay/world_test.go
+++ b/internal/traffic/relay/world_test.go
@@ -81,6 +81,8 @@
 	end     context.CancelFunc
 	// suspected is what the fleet knows of requests that crash servers.
 	suspected suspects.Machine
+	// lends is how many retries others have left over.
+	lends int
 }
 
 func (w *world) Routes() *routetable.Table { return w.table }
@@ -106,6 +108,13 @@
 	return slot, func() { w.queue.Ended(time.Now(), slot.Server, prompt.Ticket) }
 }
 
+func (w *world) Borrow(context.Context, ident.ServiceName) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lends--
+	return w.lends >= 0
+}
+
 func (w *world) Verdict(fingerprint ident.Fingerprint) suspects.Verdict {
 	w.mu.Lock()
 	defer w.mu.Unlock()
