--- a/internal/control/loading/follow.go
+++ b/internal/control/loading/follow.go
@@ -215,10 +215,15 @@
 			loss:  loss,
 		})
 	}
+	sortByLoss(all)
+	return all
+}
+
+// sortByLoss puts the least loss first, and large models before small ones.
+func sortByLoss(all []victim) {
 	slices.SortFunc(all, func(a, b victim) int {
 		return cmp.Or(cmp.Compare(a.loss, b.loss), cmp.Compare(b.model.spec.Memory, a.model.spec.Memory), cmp.Compare(a.model.spec.Name, b.model.spec.Name))
 	})
-	return all
 }
 
 // pick chooses victims that give so much memory for a model, with the least loss, and
--- a/internal/control/loading/replace.go
+++ b/internal/control/loading/replace.go
@@ -1,8 +1,6 @@
 package loading
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"cicadaloom/internal/domain/ident"
@@ -107,9 +105,7 @@
 			})
 		}
 	}
-	slices.SortFunc(all, func(a, b victim) int {
-		return cmp.Or(cmp.Compare(a.loss, b.loss), cmp.Compare(b.model.spec.Memory, a.model.spec.Memory), cmp.Compare(a.model.spec.Name, b.model.spec.Name))
-	})
+	sortByLoss(all)
 	return all
 }
 
--- a/internal/control/retries/lend_test.go
+++ b/internal/control/retries/lend_test.go
@@ -19,12 +19,7 @@
 	}
 	rapid.Check(t, func(t *rapid.T) {
 		const hosts = 5
-		var budgets []*Budget
-		for range hosts {
-			budget := New(options)
-			budget.SetHosts(hosts)
-			budgets = append(budgets, budget)
-		}
+		budgets := newBudgets(options, hosts)
 		lender := budgets[0]
 		var arrived, spent []time.Time
 		now := start
@@ -42,12 +37,7 @@
 				}
 			}
 		}
-		for _, from := range spent {
-			inWindow := count(spent, from, options.Window)
-			requests := max(count(arrived, from, options.Window), count(arrived, from.Add(-options.Window), options.Window),
-				count(arrived, from.Add(-options.Window/2), options.Window))
-			require.LessOrEqual(t, float64(inWindow), options.Ratio*float64(requests)+options.Slack)
-		}
+		requireWithin(t, options, arrived, spent)
 	})
 }
 
--- a/internal/control/retries/retries_test.go
+++ b/internal/control/retries/retries_test.go
@@ -21,12 +21,7 @@
 	}
 	rapid.Check(t, func(t *rapid.T) {
 		const hosts = 7
-		var budgets []*Budget
-		for range hosts {
-			budget := New(options)
-			budget.SetHosts(hosts)
-			budgets = append(budgets, budget)
-		}
+		budgets := newBudgets(options, hosts)
 		var arrived, spent []time.Time
 		now := start
 		for range rapid.IntRange(1, 400).Draw(t, "steps") {
@@ -40,15 +35,31 @@
 				}
 			}
 		}
-		for _, from := range spent {
-			inWindow := count(spent, from, options.Window)
-			requests := max(count(arrived, from, options.Window), count(arrived, from.Add(-options.Window), options.Window),
-				count(arrived, from.Add(-options.Window/2), options.Window))
-			require.LessOrEqual(t, float64(inWindow), options.Ratio*float64(requests)+options.Slack)
-		}
+		requireWithin(t, options, arrived, spent)
 	})
 }
 
+// requireWithin tells that in no window more was spent than the whole budget.
+func requireWithin(t require.TestingT, options Options, arrived, spent []time.Time) {
+	for _, from := range spent {
+		inWindow := count(spent, from, options.Window)
+		requests := max(count(arrived, from, options.Window), count(arrived, from.Add(-options.Window), options.Window),
+			count(arrived, from.Add(-options.Window/2), options.Window))
+		require.LessOrEqual(t, float64(inWindow), options.Ratio*float64(requests)+options.Slack)
+	}
+}
+
+// newBudgets gives the budgets of hosts that share one.
+func newBudgets(options Options, hosts int) []*Budget {
+	var budgets []*Budget
+	for range hosts {
+		budget := New(options)
+		budget.SetHosts(hosts)
+		budgets = append(budgets, budget)
+	}
+	return budgets
+}
+
 func count(instants []time.Time, from time.Time, window time.Duration) int {
 	n := 0
 	for _, at := range instants {
--- a/internal/host/gateway/metrics.go
+++ b/internal/host/gateway/metrics.go
@@ -14,6 +14,7 @@
 	servers       *metrics.Gauge
 	holds         *metrics.Gauge
 	waiting       *metrics.Gauge
+	storeAge      *metrics.Gauge
 	// planned has how long plans take, in seconds.
 	planned *metrics.Histogram
 }
@@ -25,6 +26,7 @@
 		servers:       set.NewGauge("cicadaloom_backend_servers", nil),
 		holds:         set.NewGauge("cicadaloom_holds_orders", nil),
 		waiting:       set.NewGauge("cicadaloom_prompts_waiting", nil),
+		storeAge:      set.NewGauge("cicadaloom_store_age_seconds", nil),
 		planned:       set.NewHistogram("cicadaloom_plan_seconds"),
 	}
 }
@@ -42,4 +44,7 @@
 	}
 	g.holds.Set(holds)
 	g.waiting.Set(float64(c.pacers.queue.Waiting()))
+	if heard := c.storeHeard(); !heard.IsZero() {
+		g.storeAge.Set(now.Sub(heard).Seconds())
+	}
 }
