--- a/internal/control/pacing/pacing_test.go
+++ b/internal/control/pacing/pacing_test.go
@@ -190,3 +190,28 @@
 	require.Equal(t, 1, count(76))
 	require.Equal(t, 3, count(370))
 }
+
+// Of 49 hosts of a data centre three have four times the processor of the others. They do
+// what few have to do; where there are none left, others stand in.
+func TestStrongHostsComeFirst(t *testing.T) {
+	var hosts []Host
+	for i := range 49 {
+		power := 0.2
+		if i%20 == 3 {
+			power = 0.8
+		}
+		hosts = append(hosts, Host{
+			Name:  ident.HostID("h" + strconv.Itoa(i)),
+			Power: power,
+		})
+	}
+	for _, key := range []string{"a", "b", "c"} {
+		first := FirstStrong(hosts, key, 4)
+		require.Len(t, first, 4)
+		for _, host := range first[:3] {
+			require.Equal(t, 0.8, host.Power)
+		}
+		require.Equal(t, 0.2, first[3].Power)
+	}
+	require.Len(t, FirstStrong(hosts[:1], "a", 4), 1)
+}
