gateway: Have a starting host go on asking readers that aren't there yet

Cause: after all hosts were killed a host gave each reader up for 1.5 s that had not begun itself or knew nothing yet, and after 2 s all read everything at once.

Change: a host that knows nothing yet asks every 0.1 s, and leaves a reader alone for 0.1 s only.

Before, after: TestAFleetThatComesBackAsksItsReaders, with readers that begin 0.6 s after the others, red before (not within 1 s), green three times after.

--- a/internal/host/gateway/exchange.go
+++ b/internal/host/gateway/exchange.go
@@ -20,6 +20,8 @@
 	// exchangeEvery is between two words to the holder, readerEvery to a reader.
 	exchangeEvery = 250 * time.Millisecond
 	readerEvery   = 400 * time.Millisecond
+	// firstEvery is between two words of a host that knows nothing yet.
+	firstEvery = 100 * time.Millisecond
 	// urgentEvery is between two words to the holder while requests wait for weights,
 	// urgentReaderEvery to a reader.
 	urgentEvery       = 40 * time.Millisecond
@@ -74,6 +76,9 @@
 // exchangePace is between two words: to a reader, or to the holder by as many hosts as
 // ask it.
 func (g *Gateway) exchangePace() time.Duration {
+	if g.storeHeard().IsZero() {
+		return firstEvery
+	}
 	if !g.following.Load().none() {
 		return readerEvery/2 + rand.N(readerEvery)
 	}
@@ -99,7 +104,7 @@
 		fleet:   true,
 	})
 	if err != nil {
-		choice.fail(now, reader)
+		choice.fail(reader, now.Add(g.readerPatience()))
 		g.log.Info("reader does not answer", zap.String("Reader", reader), zap.Error(err))
 	}
 	return err
--- a/internal/host/gateway/readers.go
+++ b/internal/host/gateway/readers.go
@@ -36,8 +36,10 @@
 	// needPoll is how often a host looks whether it has to follow the service itself.
 	needPoll = 100 * time.Millisecond
 	// silentReader is for how long a reader that didn't answer, or had nothing new itself,
-	// isn't asked.
-	silentReader = 1500 * time.Millisecond
+	// isn't asked; silentAtStart by a host that knows nothing yet: a reader may begin at
+	// the same time, and be there in a moment.
+	silentReader  = 1500 * time.Millisecond
+	silentAtStart = 100 * time.Millisecond
 )
 
 // readers is whom a host asks in place of the key-value service. Its zero value is for
@@ -133,11 +135,11 @@
 	return ""
 }
 
-func (r *readerChoice) fail(now time.Time, address string) {
+func (r *readerChoice) fail(address string, until time.Time) {
 	if r.silent == nil {
 		r.silent = make(map[string]time.Time)
 	}
-	r.silent[address] = now.Add(silentReader)
+	r.silent[address] = until
 }
 
 // hearsReaders tells that a reader's word stands in for the service's.
@@ -152,6 +154,14 @@
 	return heard > 0 && steadyClock()-heard < int64(readerTrust)
 }
 
+// readerPatience is for how long a reader is left alone that didn't answer.
+func (g *Gateway) readerPatience() time.Duration {
+	if g.storeHeard().IsZero() {
+		return silentAtStart
+	}
+	return silentReader
+}
+
 // awaitNeed waits for as long as readers tell this host of the service.
 func (g *Gateway) awaitNeed() {
 	for g.tomb.Alive() && g.hearsReaders() {
--- a/internal/host/gateway/readers_test.go
+++ b/internal/host/gateway/readers_test.go
@@ -172,18 +172,31 @@
 
 // All power is lost and comes back: 300 hosts each read all entries and the configuration
 // at once, and the link to the service's region was full for seconds. Hosts read whom to
-// ask, and ask those, as the entries of before still stand. All know everything within
-// the time in which a host has to serve again.
+// ask, and ask those, as the entries of before still stand. The readers are the last to
+// begin: the others must not give them up for not being there yet, and serve at once when
+// they are.
 func TestAFleetThatComesBackAsksItsReaders(t *testing.T) {
+	const startSpread = 600 * time.Millisecond
+	const mustServeAgain = time.Second
 	f, names := largeRegion(t)
+	var readers, others []string
 	for _, name := range names {
+		if f.hosts[name].following.Load().none() {
+			readers = append(readers, name)
+		} else {
+			others = append(others, name)
+		}
 		f.kill(name)
 	}
 	f.keyValue.forgetReadings()
-	for _, name := range names {
+	for _, name := range others {
+		f.start(name)
+	}
+	time.Sleep(startSpread)
+	for _, name := range readers {
 		f.start(name)
 	}
-	require.Eventually(t, func() bool { return f.knows(names, 4, 2) }, mustBeKnown, 10*time.Millisecond)
+	require.Eventually(t, func() bool { return f.knows(names, 4, 2) }, mustServeAgain, 10*time.Millisecond)
 	require.LessOrEqual(t, f.keyValue.readers("servers"), readersPerDataCentre+1)
 	require.LessOrEqual(t, f.keyValue.readers("configuration"), readersPerDataCentre+1)
 	require.Equal(t, len(names), f.keyValue.readers("servers-ours/"))
