--- a/internal/host/gateway/control.go
+++ b/internal/host/gateway/control.go
@@ -221,8 +221,8 @@
 	c.youngest.Store(youngest)
 }
 
-// warm opens connections to the hosts that this one will soon ask, and no others: with
-// one to each of 300 hosts, connections took most of a host's memory.
+// warm opens connections to the hosts that this one will soon ask, and no others: those to
+// all hosts of a large fleet would take most of a host's memory.
 func (c *control) warm(reachable []pacing.Host, following *readers) {
 	addresses := append(following.addresses(), c.holderAddress())
 	for _, host := range pacing.AllPacers(reachable) {
--- a/internal/host/gateway/plan.go
+++ b/internal/host/gateway/plan.go
@@ -22,10 +22,9 @@
 	mostReportEvery = time.Second
 	reportLimit     = 600 * time.Millisecond
 	// planEvery is between two plans, planSoonEvery where something that is asked for
-	// waits for one. planShare is the part of the time that plans may take: a holder that
-	// planned at each word of each of 300 hosts gave reports, orders and its own lease no
-	// time. One that took long because its machine stood still delays the next by no more
-	// than mostPlanEvery.
+	// waits for one. planShare is the part of the time that plans may take, so that reports
+	// and words of hosts never wait for long. A plan that took long because its machine
+	// stood still delays the next by no more than mostPlanEvery.
 	planEvery     = tick - 10*time.Millisecond
 	planSoonEvery = 50 * time.Millisecond
 	planShare     = 0.2
--- a/internal/host/gateway/readers.go
+++ b/internal/host/gateway/readers.go
@@ -18,9 +18,9 @@
 
 // In a large fleet a few hosts of each data centre, its readers, follow the key-value
 // service, and tell the others there of what they learn. They also pass on what those
-// are asked for to the holder, and the holder's word to them. With 295 hosts that each
-// did all of this, the calls to the service cost as much as half of what was served, and
-// the holder's link and processor were full of words to hosts.
+// are asked for to the holder, and the holder's word to them. If each host did all of
+// this, calls to the service would grow with hosts times changes, and the holder's link
+// and processor would be full of words to hosts.
 //
 // A host that hears from no reader that is up to date follows the service itself: so
 // nothing depends on who is taken for a reader.
@@ -190,9 +190,9 @@
 )
 
 // learnHosts reads the hosts' own entries before all else: by them a host knows whether
-// there are readers to ask. The entries of all servers, read by 300 hosts at once after a
-// loss of power, filled the link to the service's region for 3 s; those of hosts are a
-// tenth of that, and readers are near.
+// there are readers to ask. Where a large fleet begins at once, as after a loss of power,
+// the entries of all servers would fill the link to the service's region for seconds;
+// those of hosts are a tenth of that, and readers are near.
 func (g *Gateway) learnHosts() {
 	ctx, cancel := context.WithTimeout(g.context(), learnLimit)
 	defer cancel()
