loading: One loop over what a server serves, one look whether a load may begin

Four loops looked up and checked the same models of a server, three the servers of a model, three asked for a load's time and the pace together. holdsLight keeps its own loop: it is looked at for each engine in each step. lastAsked goes by the step's instant as the rest does.

--- a/internal/control/loading/adapters.go
+++ b/internal/control/loading/adapters.go
@@ -51,11 +51,7 @@
 // adapterReplicas counts the servers that hold an adapter, or will in a moment.
 func (p *Planner) adapterReplicas(weights request.Weights) int {
 	count := 0
-	m, declared := p.models[weights.Model]
-	if !declared {
-		return 0
-	}
-	for _, e := range m.on {
+	for _, e := range p.on(weights.Model) {
 		if !e.Leaving && e.serves(weights.Model) && e.allAdapters()[weights] {
 			count++
 		}
@@ -68,11 +64,7 @@
 func (p *Planner) placeAdapter(now time.Time, weights request.Weights) (backend.CountedOrder, bool) {
 	var best *engine
 	var lowest float64
-	m, declared := p.models[weights.Model]
-	if !declared {
-		return backend.CountedOrder{}, false
-	}
-	for _, e := range m.on {
+	for _, e := range p.on(weights.Model) {
 		if !e.open(now) || !e.serves(weights.Model) || e.allAdapters()[weights] {
 			continue
 		}
@@ -84,7 +76,8 @@
 	if best == nil {
 		return backend.CountedOrder{}, false
 	}
-	if len(best.allAdapters()) < p.engine.AdapterPlaces && p.free(best) >= m.spec.AdapterMemory {
+	spec := p.models[weights.Model].spec
+	if len(best.allAdapters()) < p.engine.AdapterPlaces && p.free(best) >= spec.AdapterMemory {
 		return p.order(now, best, backend.LoadAdapter, weights), true
 	}
 	return p.evictAdapter(now, weights.Model)
@@ -96,7 +89,7 @@
 	var from *engine
 	var oldest request.Weights
 	var oldestAt time.Time
-	for _, e := range p.models[model].on {
+	for _, e := range p.on(model) {
 		if !e.open(now) || !e.serves(model) {
 			continue
 		}
--- a/internal/control/loading/demand.go
+++ b/internal/control/loading/demand.go
@@ -144,8 +144,8 @@
 
 // lastAsked is when a model was last asked for, or when the planner began if nobody has
 // since.
-func (p *Planner) lastAsked(name ident.ModelName) time.Time {
-	at := p.demandFor(p.summedAt, name).lastAsk
+func (p *Planner) lastAsked(now time.Time, name ident.ModelName) time.Time {
+	at := p.demandFor(now, name).lastAsk
 	if at.Before(p.begunAt) {
 		return p.begunAt
 	}
--- a/internal/control/loading/follow.go
+++ b/internal/control/loading/follow.go
@@ -154,8 +154,8 @@
 	if !here.engine.mayTake(m, lies, here.load) {
 		return move{}, false
 	}
-	length, own := p.loadTime(here.engine, m)
-	if !own && !p.mayBegin(now) {
+	length, may := p.mayLoad(now, here.engine, m)
+	if !may {
 		return move{}, false
 	}
 	one := move{
@@ -192,11 +192,7 @@
 // that others stand in for, and the last ones of models that nobody asks for.
 func (p *Planner) victims(now time.Time, e *engine, lies *spread) []victim {
 	var all []victim
-	for _, name := range e.held {
-		v, declared := p.models[name]
-		if !declared || !e.serves(name) {
-			continue
-		}
+	for name, v := range p.served(e) {
 		one := lies.shares[name]
 		work := one.on(e)
 		loss := one.loss(work)
--- a/internal/control/loading/loading.go
+++ b/internal/control/loading/loading.go
@@ -39,6 +39,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"time"
 
@@ -168,6 +169,25 @@
 	m.inRegion[e.Region]--
 }
 
+// on gives the servers that hold a model, or will; none for one that isn't declared.
+func (p *Planner) on(name ident.ModelName) []*engine {
+	if m, declared := p.models[name]; declared {
+		return m.on
+	}
+	return nil
+}
+
+// served gives the declared models that a server serves.
+func (p *Planner) served(e *engine) iter.Seq2[ident.ModelName, *model] {
+	return func(yield func(ident.ModelName, *model) bool) {
+		for _, name := range e.held {
+			if m, declared := p.models[name]; declared && e.serves(name) && !yield(name, m) {
+				return
+			}
+		}
+	}
+}
+
 // NewPlanner gives a planner that knows nothing.
 func NewPlanner(options Options) *Planner {
 	options.Window = cmp.Or(options.Window, defaultWindow)
@@ -400,11 +420,9 @@
 
 // countOn counts the replicas on one server.
 func (p *Planner) countOn(e *engine) {
-	for _, name := range e.held {
-		if m, declared := p.models[name]; declared && e.serves(name) {
-			m.add(e)
-			m.ready++
-		}
+	for _, m := range p.served(e) {
+		m.add(e)
+		m.ready++
 	}
 	if e.pending == nil || e.pending.order.Kind != backend.LoadModel || e.serves(e.pending.order.Model) {
 		return
--- a/internal/control/loading/moves.go
+++ b/internal/control/loading/moves.go
@@ -170,8 +170,8 @@
 		if !e.open(now) || e.hasModel(m.spec.Name) || p.free(e) < m.spec.Memory || len(e.retiring) > 0 {
 			continue
 		}
-		length, own := p.loadTime(e, m)
-		if !own && !p.mayBegin(now) {
+		length, may := p.mayLoad(now, e, m)
+		if !may {
 			continue
 		}
 		cost := length.Seconds() - p.regionalNeed(now, m, e) + busyness(e)
@@ -299,11 +299,7 @@
 // readyElsewhere counts the other servers that serve a model by a fresh report.
 func (p *Planner) readyElsewhere(now time.Time, but *engine, name ident.ModelName) int {
 	count := 0
-	m, declared := p.models[name]
-	if !declared {
-		return 0
-	}
-	for _, e := range m.on {
+	for _, e := range p.on(name) {
 		if e != but && !e.Leaving && e.serves(name) && now.Sub(e.report.At) < reportTrust {
 			count++
 		}
--- a/internal/control/loading/pace.go
+++ b/internal/control/loading/pace.go
@@ -34,6 +34,12 @@
 	}
 }
 
+// mayLoad tells whether a load of a model on a server may begin now, and how long it takes.
+func (p *Planner) mayLoad(now time.Time, e *engine, m *model) (time.Duration, bool) {
+	length, own := p.loadTime(e, m)
+	return length, own || p.mayBegin(now)
+}
+
 // loadTime gives how long a load takes, and whether the weights come from the server
 // itself.
 func (p *Planner) loadTime(e *engine, m *model) (time.Duration, bool) {
--- a/internal/control/loading/replace.go
+++ b/internal/control/loading/replace.go
@@ -68,8 +68,8 @@
 	if !e.open(now) || e.hasModel(m.spec.Name) || len(e.retiring) > 0 {
 		return replacement{}, false
 	}
-	length, own := p.loadTime(e, m)
-	if !own && !p.mayBegin(now) {
+	length, may := p.mayLoad(now, e, m)
+	if !may {
 		return replacement{}, false
 	}
 	victims, found := pick(p.replaceable(now, e, m), m, m.spec.Memory-p.free(e))
@@ -92,11 +92,7 @@
 // nowhere, the least loss first.
 func (p *Planner) replaceable(now time.Time, e *engine, m *model) []victim {
 	var all []victim
-	for _, name := range e.held {
-		v, declared := p.models[name]
-		if !declared || !e.serves(name) {
-			continue
-		}
+	for name, v := range p.served(e) {
 		if loss, may := p.mayMakeWay(now, e, v, m); may {
 			all = append(all, victim{
 				model: v,
@@ -127,7 +123,7 @@
 // lastLossOf is what is lost with the last replica of a model that nobody asks for: the
 // less, the longer nobody has, and if it can soon be back.
 func (p *Planner) lastLossOf(now time.Time, e *engine, v *model) float64 {
-	loss := lastLoss * fadeSilent.Seconds() / (fadeSilent + now.Sub(p.lastAsked(v.spec.Name))).Seconds()
+	loss := lastLoss * fadeSilent.Seconds() / (fadeSilent + now.Sub(p.lastAsked(now, v.spec.Name))).Seconds()
 	if _, own := p.loadTime(e, v); !own {
 		loss += coldLoss
 	}
--- a/internal/control/loading/room.go
+++ b/internal/control/loading/room.go
@@ -25,12 +25,8 @@
 		if !e.open(now) || len(e.retiring) > 0 || p.hasRoom(now, e, room) {
 			continue
 		}
-		for _, name := range e.held {
-			v, declared := p.models[name]
-			if !declared {
-				continue
-			}
-			if p.canDoWithout(now, e, v) && p.free(e)+v.spec.Memory >= room {
+		for _, v := range p.served(e) {
+			if p.canDoWithout(now, v) && p.free(e)+v.spec.Memory >= room {
 				cost := p.left(now, v) + workForTime*busyness(e)
 				best.offer(e, v, cost)
 			}
@@ -63,8 +59,8 @@
 }
 
 // canDoWithout tells that a model has more replicas than it should, and doesn't rise.
-func (p *Planner) canDoWithout(now time.Time, e *engine, v *model) bool {
-	return e.serves(v.spec.Name) && v.ready > max(p.target(now, v), 1) && !p.rises(now, v.spec.Name)
+func (p *Planner) canDoWithout(now time.Time, v *model) bool {
+	return v.ready > max(p.target(now, v), 1) && !p.rises(now, v.spec.Name)
 }
 
 // left is the work for each replica that a model is left with after losing one.
