entryhost: Refuse calls of hosts of another fleet

Cause: a host took over documents from whoever spoke to its address. Claims would have been granted there as well. Change: calls between hosts name the cluster id of the key-value service, and a host refuses another id. While either side knows none, as at a start in an outage, calls are admitted.

--- a/internal/control/loop/loop.go
+++ b/internal/control/loop/loop.go
@@ -50,6 +50,7 @@
 	"cicadaloom/internal/domain/store"
 	"cicadaloom/internal/peer/engine"
 	"cicadaloom/internal/peer/entryhost"
+	"cicadaloom/internal/peer/grpcpeer"
 	"cicadaloom/internal/peer/hostlist"
 	"cicadaloom/internal/peer/plain"
 )
@@ -69,8 +70,10 @@
 type Options struct {
 	Settings settings.Settings
 	KeyValue KeyValue
-	Log      *zap.Logger
-	Metrics  *metrics.Set
+	// Fleet gives the fleet of this host, which its calls to peers name; nil names none.
+	Fleet   grpcpeer.Fleet
+	Log     *zap.Logger
+	Metrics *metrics.Set
 	// Decisions is where moves are kept for those who ask; nil keeps none.
 	Decisions *decisions.Log
 }
@@ -174,6 +177,7 @@
 			Address: hostOf(options.Settings.Platform.HostList),
 		},
 	}
+	l.pool.Fleet = options.Fleet
 	l.pool.Meter = newMeter(options.Metrics, "hosts")
 	l.engines.Count(newMeter(options.Metrics, "servers"))
 	l.plains.Count(newMeter(options.Metrics, "servers"))
--- a/internal/domain/ident/ident.go
+++ b/internal/domain/ident/ident.go
@@ -74,6 +74,10 @@
 // its caller sends under a new id.
 type Fingerprint uint64
 
+// FleetID tells hosts of one key-value service from those of another; 0 while a host
+// has not reached it yet.
+type FleetID uint64
+
 // Revision orders the states of the platform's key-value service. It only grows.
 type Revision int64
 
--- a/internal/peer/entryhost/entryhost.go
+++ b/internal/peer/entryhost/entryhost.go
@@ -108,7 +108,9 @@
 // Server listens for peers.
 type Server struct {
 	Handler Handler
-	server  grpcpeer.Server
+	// Fleet gives the fleet of this host: others' calls are refused.
+	Fleet  grpcpeer.Fleet
+	server grpcpeer.Server
 }
 
 // Start listens at an address ("ip:port"; port 0 takes any) and gives the
@@ -118,6 +120,7 @@
 	if metered, wanted := s.Handler.(Metered); wanted {
 		counted = metered.Meter()
 	}
+	s.server.Fleet = s.Fleet
 	return s.server.Start(address, func(registrar grpc.ServiceRegistrar) {
 		entryhostpb.RegisterEntryHostServer(registrar, &service{
 			handler: s.Handler,
--- a/internal/peer/entryhost/entryhost_test.go
+++ b/internal/peer/entryhost/entryhost_test.go
@@ -15,6 +15,8 @@
 	"cicadaloom/internal/control/demand"
 	"cicadaloom/internal/control/documents"
 	"cicadaloom/internal/control/membership"
+	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/peer/grpcpeer"
 )
 
 func TestMain(m *testing.M) {
@@ -73,9 +75,15 @@
 }
 
 func serve(t *testing.T, handler *peer) (string, *Pool) {
+	t.Helper()
+	return serveFleet(t, handler, nil)
+}
+
+func serveFleet(t *testing.T, handler *peer, fleet grpcpeer.Fleet) (string, *Pool) {
 	t.Helper()
 	server := &Server{
 		Handler: handler,
+		Fleet:   fleet,
 	}
 	address, err := server.Start("127.0.0.1:0")
 	require.NoError(t, err)
@@ -87,6 +95,46 @@
 	return address, pool
 }
 
+// A team's requests were refused by classes that its document hadn't: those of a document
+// of the same team in another fleet. A host of that fleet had gone, a host of this one got
+// its address, and the other fleet's hosts went on telling it what they know. Their
+// revisions were higher.
+func TestAHostOfAnotherFleetIsRefused(t *testing.T) {
+	ours := ident.FleetID(7)
+	handler := &peer{}
+	address, pool := serveFleet(t, handler, func() ident.FleetID { return ours })
+	theirs := ident.FleetID(8)
+	pool.Fleet = func() ident.FleetID { return theirs }
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	knowledge := Knowledge{
+		Peers: []membership.Peer{{
+			Host: "entry-2",
+		}},
+	}
+	_, err := pool.Exchange(ctx, address, knowledge)
+	require.ErrorContains(t, err, "found fleet 8, allowed 7")
+	require.Empty(t, handler.heard.Peers)
+	_, err = pool.Claim(ctx, address, claims.Claim{
+		Attempt: "att-1",
+	})
+	require.Error(t, err, "a claim granted elsewhere is no claim")
+
+	for _, known := range []struct {
+		ours, theirs ident.FleetID
+	}{
+		{ours: 7, theirs: 7},
+		{ours: 7, theirs: 0},
+		{ours: 0, theirs: 7},
+	} {
+		handler.heard = Knowledge{}
+		ours, theirs = known.ours, known.theirs
+		_, err = pool.Exchange(ctx, address, knowledge)
+		require.NoError(t, err, "hosts that start in an outage learn from peers")
+		require.NotEmpty(t, handler.heard.Peers)
+	}
+}
+
 func TestEveryCallReachesThePeer(t *testing.T) {
 	handler := &peer{
 		knows: Knowledge{
--- a/internal/peer/etcd/client.go
+++ b/internal/peer/etcd/client.go
@@ -36,8 +36,10 @@
 import (
 	"math"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
+	"cicadaloom/internal/domain/ident"
 	pb "cicadaloom/internal/wire/etcdserverpb"
 
 	"github.com/pkg/errors"
@@ -88,6 +90,7 @@
 	leases     pb.LeaseClient
 	watches    pb.WatchClient
 	calls      callCounts
+	fleet      atomic.Uint64
 }
 
 // Dial returns a client of the endpoints, each "ip:port". It doesn't wait for a
@@ -115,6 +118,12 @@
 	}, nil
 }
 
+// Fleet gives the id of the key-value service's cluster, as its last answer to a read
+// had it; 0 before the first one.
+func (c *Client) Fleet() ident.FleetID {
+	return ident.FleetID(c.fleet.Load())
+}
+
 // Close ends the connection, and with it all calls and watches.
 func (c *Client) Close() error {
 	return errors.Wrap(c.connection.Close(), "key-value client")
--- a/internal/peer/etcd/client_test.go
+++ b/internal/peer/etcd/client_test.go
@@ -40,6 +40,19 @@
 	}, patience, time.Millisecond)
 }
 
+func TestAServiceIsToldFromOthers(t *testing.T) {
+	kv, other := start(t, standin.Options{}), start(t, standin.Options{})
+	client, again, elsewhere := dial(t, etcd.Options{}, kv.address), dial(t, etcd.Options{}, kv.address), dial(t, etcd.Options{}, other.address)
+	require.Zero(t, client.Fleet(), "not reached yet")
+	for _, each := range []*etcd.Client{client, again, elsewhere} {
+		_, err := each.List(t.Context(), "all/")
+		require.NoError(t, err)
+	}
+	require.NotZero(t, client.Fleet())
+	require.Equal(t, client.Fleet(), again.Fleet())
+	require.NotEqual(t, client.Fleet(), elsewhere.Fleet())
+}
+
 func TestServiceThatComesBackIsFoundAgain(t *testing.T) {
 	kv := start(t, standin.Options{})
 	kv.mustWrite(t, "key", "1")
--- a/internal/peer/etcd/read.go
+++ b/internal/peer/etcd/read.go
@@ -20,6 +20,7 @@
 	if err != nil {
 		return store.Entry{}, call.readFailed(err)
 	}
+	c.fleet.Store(response.Header.GetClusterId())
 	return entryOrAbsent(key, response.Kvs), nil
 }
 
@@ -36,6 +37,7 @@
 	if err != nil {
 		return store.Listing{}, call.readFailed(err)
 	}
+	c.fleet.Store(response.Header.GetClusterId())
 	listing := store.Listing{
 		Revision: ident.Revision(response.Header.GetRevision()),
 	}
--- a/internal/peer/grpcpeer/grpcpeer.go
+++ b/internal/peer/grpcpeer/grpcpeer.go
@@ -40,8 +40,11 @@
 
 // Server listens for peers. The zero value works, once.
 type Server struct {
-	tomb tomb.Tomb
-	grpc *grpc.Server
+	// Fleet gives the fleet of this host, if there is more than one: calls of hosts of
+	// another are refused.
+	Fleet Fleet
+	tomb  tomb.Tomb
+	grpc  *grpc.Server
 }
 
 // Start listens at an address ("ip:port"; port 0 takes any), registers the
@@ -51,10 +54,14 @@
 	if err != nil {
 		return "", errors.Wrapf(err, "listen for peers at %s", address)
 	}
-	s.grpc = grpc.NewServer(grpc.MaxRecvMsgSize(maxMessage), grpc.KeepaliveParams(keepalive.ServerParameters{
-		Time:    keepaliveTime,
-		Timeout: keepaliveTimeout,
-	}))
+	s.grpc = grpc.NewServer(
+		grpc.MaxRecvMsgSize(maxMessage),
+		grpc.KeepaliveParams(keepalive.ServerParameters{
+			Time:    keepaliveTime,
+			Timeout: keepaliveTimeout,
+		}),
+		grpc.UnaryInterceptor(s.Fleet.admit),
+	)
 	register(s.grpc)
 	bound := listener.Addr().String()
 	if counted != nil {
@@ -81,7 +88,9 @@
 // many goroutines.
 type Pool struct {
 	// Meter counts what the connections carry; nil counts nothing.
-	Meter       *meter.Meter
+	Meter *meter.Meter
+	// Fleet gives the fleet of this host, if there is more than one; calls name it.
+	Fleet       Fleet
 	mu          sync.Mutex
 	connections map[string]*grpc.ClientConn
 	closed      bool
@@ -102,7 +111,8 @@
 		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
 			return p.Meter.Dial(ctx, "tcp", address)
 		}),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)))
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
+		grpc.WithUnaryInterceptor(p.Fleet.name))
 	if err != nil {
 		return nil, errors.Wrapf(err, "peer %s", address)
 	}
--- a/internal/standin/etcd/state.go
+++ b/internal/standin/etcd/state.go
@@ -1,6 +1,7 @@
 package etcd
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sort"
 	"time"
@@ -17,11 +18,13 @@
 // state is what the service holds. It has no lock: Server guards it.
 type state struct {
 	valueLimit unit.Bytes
-	revision   int64
-	keys       map[string]*mvccpb.KeyValue // replaced at each write, never changed
-	leases     map[int64]*lease
-	lastLease  int64
-	history    history
+	// cluster tells this service from every other.
+	cluster   uint64
+	revision  int64
+	keys      map[string]*mvccpb.KeyValue // replaced at each write, never changed
+	leases    map[int64]*lease
+	lastLease int64
+	history   history
 }
 
 // lease is the state of a lease and the keys that go with it.
@@ -34,6 +37,7 @@
 func newState(events int, valueLimit unit.Bytes) *state {
 	return &state{
 		valueLimit: valueLimit,
+		cluster:    rand.Uint64(),
 		revision:   1, // that of an empty etcd
 		keys:       map[string]*mvccpb.KeyValue{},
 		leases:     map[int64]*lease{},
@@ -45,7 +49,7 @@
 
 func (s *state) header() *pb.ResponseHeader {
 	return &pb.ResponseHeader{
-		ClusterId: 1,
+		ClusterId: s.cluster,
 		MemberId:  1,
 		Revision:  s.revision,
 		RaftTerm:  1,
--- a/internal/traffic/host/host.go
+++ b/internal/traffic/host/host.go
@@ -103,12 +103,14 @@
 	h.control = loop.New(loop.Options{
 		Settings:  loaded,
 		KeyValue:  keyValue,
+		Fleet:     keyValue.Fleet,
 		Log:       log,
 		Metrics:   h.metrics,
 		Decisions: h.decisions,
 	})
 	peers := &entryhost.Server{
 		Handler: h.control,
+		Fleet:   keyValue.Fleet,
 	}
 	h.Peers, err = peers.Start(loaded.Listen.Peers)
 	if err != nil {
