gateway: Have hosts that readers tell ask seldom for a service that is away

Change: a host that has readers and knows something pauses 3 s on the mean after a failed reading; readers keep their pace, and tell when the service is back. Ruled out: asking never (the service may turn just the readers away).

--- a/internal/host/gateway/readers_test.go
+++ b/internal/host/gateway/readers_test.go
@@ -137,6 +137,30 @@
 	require.Eventually(t, func() bool { return f.knows(names, 6, 1) }, 2*mustBeKnown, 10*time.Millisecond, "the readers hear of it from peers")
 }
 
+// The service is away for seconds. Each of 283 hosts that are told by readers asked for it
+// every second, in vain and in calls that are counted. They have to ask seldom, and still
+// learn in time of what has changed once it is back.
+func TestAnOutageIsWatchedByReaders(t *testing.T) {
+	const outage = 8 * time.Second
+	f, names := largeRegion(t)
+	f.keyValue.goAway("", true)
+	f.keyValue.roundsOf()
+	time.Sleep(outage)
+	rounds := f.keyValue.roundsOf()
+	const prefixes = 2
+	asked := 0
+	for _, name := range names {
+		if !f.hosts[name].following.Load().none() {
+			asked += rounds[name]
+		}
+	}
+	most := outage.Seconds() / toldPause.Seconds() // by one host, on the mean, for each prefix
+	require.LessOrEqual(t, float64(asked), prefixes*most*float64(len(names)-readersPerDataCentre))
+	f.keyValue.write("configuration", configuration(8, "old"))
+	f.keyValue.goAway("", false)
+	require.Eventually(t, func() bool { return f.knows(names, 8, 2) }, mustBeKnown, 10*time.Millisecond)
+}
+
 // Both readers are killed at once, and their entries stay for as long as their leases.
 // The others must learn of a change in time all the same.
 func TestReadersThatDieTogetherAreNotMissed(t *testing.T) {
--- a/internal/host/gateway/watch.go
+++ b/internal/host/gateway/watch.go
@@ -20,8 +20,21 @@
 	// mostPause is the longest one in a fleet of any size: what has changed in an outage
 	// must be known 4 s after it.
 	mostPause = 1500 * time.Millisecond
+	// toldPause is the mean pause of hosts that readers tell when the service is back.
+	toldPause = 3 * time.Second
 )
 
+// failurePause is how long to wait after a reading that failed. Of the hosts of a large
+// region all would ask a service that is away, each every second, in calls that are
+// counted; readers go on to, and tell the others. Those ask now and then, since the
+// service may turn just the readers away.
+func (g *Gateway) failurePause(pause time.Duration) time.Duration {
+	if !g.following.Load().none() && !g.storeHeard().IsZero() {
+		return toldPause/2 + rand.N(toldPause)
+	}
+	return min(g.fleetPace(pause/2+rand.N(pause)), mostPause)
+}
+
 // watcher takes in what stands under one prefix of the key-value service.
 type watcher struct {
 	prefix string
@@ -98,7 +111,7 @@
 			lost = true
 		}
 		g.post(troubled{})
-		g.sleep(min(g.fleetPace(pause/2+rand.N(pause)), mostPause))
+		g.sleep(g.failurePause(pause))
 		pause = min(2*pause, longestPause)
 	}
 	return nil
--- a/internal/host/gateway/world_test.go
+++ b/internal/host/gateway/world_test.go
@@ -77,6 +77,13 @@
 	return nil
 }
 
+// noteRefused counts a reading that the service refused: it is a call like all others.
+func (c *client) noteRefused() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.rounds[c.host]++
+}
+
 // lapse ends the leases whose time is over.
 func (k *keyValue) lapse() {
 	for lease, until := range k.leases {
@@ -178,6 +185,7 @@
 
 func (c *client) List(_ context.Context, prefix string) (store.Listing, error) {
 	if err := c.lock(); err != nil {
+		c.noteRefused()
 		return store.Listing{}, err
 	}
 	defer c.mu.Unlock()
