pacing: Have one pacer a region up to some hundreds of hosts

Cause: at 295 hosts a region's models were dealt out to three pacers, and each counted the places of an engine for itself. Change: groups of models begin at 400 hosts in place of 128. The test of several pacers at 370 hosts now asks for one there, and for three at 1,000. Ruled out: engines' memory (52,166 tokens for 12 answers of 1,700).

--- a/internal/control/pacing/pacing.go
+++ b/internal/control/pacing/pacing.go
@@ -213,9 +213,10 @@
 	Power      float64
 }
 
-// hostsPerPacer is how many hosts send to one pacer. At 76 hosts and 350 prompts a
-// second it takes a few hundredths of a core, where a host may have a fifth of one.
-const hostsPerPacer = 128
+// hostsPerPacer is how many hosts send to the pacers of one group of models. Pacers of one
+// region each count the places of an engine for themselves, and together send more than it
+// has: so there are several only where one would not have the processor time.
+const hostsPerPacer = 400
 
 // Ranks is how many hosts may stand in for the first pacer, one after the other.
 const Ranks = 2
--- a/internal/control/pacing/pacing_test.go
+++ b/internal/control/pacing/pacing_test.go
@@ -170,8 +170,8 @@
 	require.Empty(t, Pacers(nil, "m", "west"))
 }
 
-// One pacer serves up to 128 hosts. In a larger fleet the models are dealt out to
-// several.
+// One pacer serves some hundreds of hosts, so that it counts all places of an engine. In a
+// larger fleet the models are dealt out to several.
 func TestALargeFleetHasSeveralPacers(t *testing.T) {
 	count := func(size int) int {
 		var hosts []Host
@@ -188,7 +188,8 @@
 		return len(pacers)
 	}
 	require.Equal(t, 1, count(76))
-	require.Equal(t, 3, count(370))
+	require.Equal(t, 1, count(370))
+	require.Equal(t, 3, count(1000))
 }
 
 // Of 49 hosts of a data centre three have four times the processor of the others. They do
--- a/internal/control/pacing/queue_test.go
+++ b/internal/control/pacing/queue_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -150,6 +151,7 @@
 	waiter   *Waiter
 	// begins is when an engine begins to read its prompt, zero where none ever does.
 	begins time.Time
+	sent   time.Time
 	server ident.ServerName
 }
 
@@ -180,6 +182,8 @@
 	// calming callers come after them, one every calm.
 	calm    time.Duration
 	calming int
+	// pacers is how many queues the callers are dealt out to; 0 stands for one.
+	pacers int
 }
 
 // comeBack is when a caller that is refused asks again.
@@ -230,6 +234,43 @@
 	require.GreaterOrEqual(t, share(patient, objective), share(hasty, objective)-0.02)
 }
 
+// Four engines hold the models of three groups, and for some seconds a tenth more is asked
+// for than they have places for. With a pacer for each group, each sends what it takes for
+// free until the engines' words come, and prompts wait at engines behind what is more
+// urgent, or push running answers out. A region of 295 hosts had three; it has to have one.
+func TestOnePacerCountsAllPlaces(t *testing.T) {
+	played := load{
+		engines: []ident.ServerName{"a", "b", "c", "d"},
+		places:  12,
+		answer:  2 * time.Second,
+		every:   38 * time.Millisecond,
+		callers: 300,
+	}
+	const objective, stay = 1200 * time.Millisecond, 4800 * time.Millisecond
+	waited := func(pacers int) float64 {
+		played.pacers = pacers
+		long := 0
+		callers := played.queued(objective, stay, Patience(objective, 1))
+		for _, c := range callers {
+			if c.begins.Sub(c.sent) > 200*time.Millisecond {
+				long++
+			}
+		}
+		return float64(long) / float64(len(callers))
+	}
+	three, one := waited(3), waited(1)
+	t.Logf("waited at an engine: %.2f with three pacers, %.2f with one", three, one)
+	require.Zero(t, one)
+	hosts := make([]Host, 295)
+	for i := range hosts {
+		hosts[i] = Host{
+			Name:   ident.HostID("h" + strconv.Itoa(i)),
+			Region: ident.Region("r" + strconv.Itoa(i%2)),
+		}
+	}
+	require.Len(t, AllPacers(hosts), 2, "one in each region")
+}
+
 // share is the part of callers whose prompt begins in time.
 func share(callers []*caller, objective time.Duration) float64 {
 	inTime := 0
@@ -291,25 +332,51 @@
 
 // queued has the prompts wait at their pacer, each for so long at most.
 func (l *load) queued(objective, patience, wait time.Duration) []*caller {
-	var q Queue
+	queues := make([]Queue, max(l.pacers, 1))
 	engines := make(fleet)
 	callers := l.arrivals()
 	over := callers[len(callers)-1].arrived.Add(2*patience + comeBack)
+	told := start
 	for now := start; now.Before(over); now = now.Add(10 * time.Millisecond) {
-		l.end(&q, callers, now)
+		if now.Sub(told) >= time.Second {
+			told = now
+			for i := range queues {
+				queues[i].Heard(now, engines.loads(now))
+			}
+		}
+		l.end(queues, callers, now)
 		for i, c := range callers {
 			if asks := !c.asks.IsZero() && !c.asks.After(now); asks {
-				l.ask(&q, engines, c, now, l.prompt(c.asks, Ticket(i), objective, wait))
+				l.ask(&queues[i%len(queues)], engines, c, now, l.prompt(c.asks, Ticket(i), objective, wait))
 			}
 		}
-		q.Grant(now)
-		for _, c := range callers {
-			l.take(&q, engines, c, now)
+		for i := range queues {
+			queues[i].Grant(now)
+		}
+		for i, c := range callers {
+			l.take(&queues[i%len(queues)], engines, c, now)
 		}
 	}
 	return callers
 }
 
+// loads gives what runs at the engines, or waits there.
+func (f fleet) loads(now time.Time) []Load {
+	var loads []Load
+	for server, ends := range f {
+		load := Load{
+			Server: server,
+		}
+		for _, at := range ends {
+			if at.After(now) {
+				load.Load++
+			}
+		}
+		loads = append(loads, load)
+	}
+	return loads
+}
+
 // ask has a caller's prompt sent or wait. One that is refused comes back, if it has not yet.
 func (l *load) ask(q *Queue, engines fleet, c *caller, now time.Time, prompt *Prompt) {
 	c.asks = time.Time{}
@@ -346,15 +413,16 @@
 
 func (l *load) send(engines fleet, c *caller, slot Slot) {
 	c.server = slot.Server
+	c.sent = slot.At
 	c.begins = engines.begin(slot.Server, slot.At, l.places)
 	engines.run(slot.Server, c.begins.Add(l.answer))
 }
 
 // end gives back the places of answers that are complete.
-func (l *load) end(q *Queue, callers []*caller, now time.Time) {
+func (l *load) end(queues []Queue, callers []*caller, now time.Time) {
 	for i, c := range callers {
 		if c.server != "" && !c.begins.Add(l.answer).After(now) {
-			q.Ended(now, c.server, Ticket(i))
+			queues[i%len(queues)].Ended(now, c.server, Ticket(i))
 			c.server = ""
 		}
 	}
