pacing: Count the places of an engine once a look

Cause: each look at who waits counted what runs at each engine anew for each prompt. Change: an engine's count is kept for the instant of the look, until it changes.

--- a/internal/control/pacing/places.go
+++ b/internal/control/pacing/places.go
@@ -16,7 +16,9 @@
 	// free every 50 ms; the two that wait there lose 0.1 s at most.
 	placesPerSpare = 16
 	// loadLag is how old an engine's word on its load is at most when it comes: some
-	// hundred milliseconds at the engine, a round of reports and a round of the hosts.
+	// hundred milliseconds at the engine, a round of reports, which takes a second at some
+	// hundred engines, and a round each of a reader and of the hosts. A word that is older
+	// would free places of prompts that have been sent since.
 	loadLag = 1500 * time.Millisecond
 	// loadTrust is how long such a word is held against what the pacer counts itself.
 	loadTrust = 3 * time.Second
@@ -37,6 +39,10 @@
 	heardAt time.Time
 	// waiters are those in the queue who may have the engine.
 	waiters []*Waiter
+	// counted is what taken gave at countedAt, if nothing has changed since: a look at all
+	// who wait asks for it once for each of them.
+	counted   int
+	countedAt time.Time
 }
 
 func (p *places) send(now time.Time, ticket Ticket) {
@@ -44,6 +50,7 @@
 		p.running = make(map[Ticket]time.Time)
 	}
 	p.running[ticket] = now
+	p.countedAt = time.Time{}
 }
 
 // end gives when the prompt was sent, if it was running.
@@ -51,16 +58,26 @@
 	p.ended = append(p.ended, now)
 	sent, was := p.running[ticket]
 	delete(p.running, ticket)
+	p.countedAt = time.Time{}
 	return sent, was
 }
 
 func (p *places) hear(now time.Time, load int) {
 	p.load = load
 	p.heardAt = now
+	p.countedAt = time.Time{}
 }
 
 // taken is how many prompts run at the engine, or wait there.
 func (p *places) taken(now time.Time) int {
+	if p.countedAt.IsZero() || !p.countedAt.Equal(now) {
+		p.counted = p.count(now)
+		p.countedAt = now
+	}
+	return p.counted
+}
+
+func (p *places) count(now time.Time) int {
 	count, fresh := 0, 0
 	for ticket, sent := range p.running {
 		age := now.Sub(sent)
