--- a/internal/host/gateway/readers.go
+++ b/internal/host/gateway/readers.go
@@ -25,11 +25,10 @@
 // A host that hears from no reader that is up to date follows the service itself: so
 // nothing depends on who is taken for a reader.
 const (
-	// manyHosts is how many hosts a region has at most that all follow the service.
-	manyHosts = 10
-	// leastReaders is how many hosts of a larger region follow it at least, one in each
-	// data centre.
-	leastReaders = 2
+	// readersPerDataCentre is how many hosts of a data centre follow the service, where
+	// its region has more than manyHosts.
+	readersPerDataCentre = 2
+	manyHosts            = 10
 	// readerTrust is how old a reader's view of the service may be to stand in for it: a
 	// round of its watch, the pause after it and some. It is a part of the 4 s in which a
 	// change must be known.
@@ -71,31 +70,25 @@
 	found := readers{
 		few: true,
 	}
-	for _, reader := range readersOf(there) {
-		switch {
-		case reader.Name == own.Name:
-			return readers{
-				few: true,
+	for _, dataCentre := range dataCentres(there) {
+		for _, reader := range dataCentreReaders(there, dataCentre) {
+			switch {
+			case reader.Name == own.Name:
+				return readers{
+					few: true,
+				}
+			case dataCentre == own.DataCentre:
+				found.near = append(found.near, reader.Address)
+			default:
+				found.far = append(found.far, reader.Address)
 			}
-		case reader.DataCentre == own.DataCentre:
-			found.near = append(found.near, reader.Address)
-		default:
-			found.far = append(found.far, reader.Address)
 		}
 	}
 	return found
 }
 
-// readersOf gives the readers of a large region. Where one of them fails its data centre,
-// hosts there ask those of the others.
-func readersOf(there []pacing.Host) []pacing.Host {
-	places := dataCentres(there)
-	each := (leastReaders + len(places) - 1) / len(places)
-	var all []pacing.Host
-	for _, dataCentre := range places {
-		all = append(all, pacing.FirstStrong(pacing.InDataCentre(there, dataCentre), "reader", each)...)
-	}
-	return all
+func dataCentreReaders(hosts []pacing.Host, dataCentre ident.DataCentre) []pacing.Host {
+	return pacing.FirstStrong(pacing.InDataCentre(hosts, dataCentre), "reader", readersPerDataCentre)
 }
 
 // dataCentres gives where some hosts stand, each once, sorted.
@@ -116,7 +109,7 @@
 			count += len(there)
 			continue
 		}
-		count += len(readersOf(there))
+		count += readersPerDataCentre * len(dataCentres(there))
 	}
 	return count
 }
--- a/internal/host/gateway/readers_test.go
+++ b/internal/host/gateway/readers_test.go
@@ -33,7 +33,7 @@
 		f.start(name)
 	}
 	f.eventually(func() bool {
-		return f.agree(names) && len(f.followers()) == len(names)-leastReaders
+		return f.agree(names) && len(f.followers()) == len(names)-readersPerDataCentre
 	}, "all but the readers follow these")
 	return f, names
 }
@@ -50,7 +50,7 @@
 			readers++
 		}
 	}
-	return readers == leastReaders
+	return readers == readersPerDataCentre
 }
 
 // followers gives the hosts that hear of the service from readers.
@@ -130,7 +130,7 @@
 			others = append(others, name)
 		}
 	}
-	require.Len(t, others, len(names)-leastReaders)
+	require.Len(t, others, len(names)-readersPerDataCentre)
 	f.keyValue.write("configuration", configuration(6, "old"))
 	f.keyValue.delete("servers/two")
 	require.Eventually(t, func() bool { return f.knows(others, 6, 1) }, mustBeKnown, 10*time.Millisecond)
@@ -155,7 +155,7 @@
 		}
 	}
 	most := outage.Seconds() / toldPause.Seconds() // by one host, on the mean, for each prefix
-	require.LessOrEqual(t, float64(asked), prefixes*most*float64(len(names)-leastReaders))
+	require.LessOrEqual(t, float64(asked), prefixes*most*float64(len(names)-readersPerDataCentre))
 	f.keyValue.write("configuration", configuration(8, "old"))
 	f.keyValue.goAway("", false)
 	require.Eventually(t, func() bool { return f.knows(names, 8, 2) }, mustBeKnown, 10*time.Millisecond)
@@ -238,7 +238,7 @@
 		f.start(name)
 	}
 	require.Eventually(t, func() bool { return f.knows(names, 4, 2) }, mustServeAgain, 10*time.Millisecond)
-	require.LessOrEqual(t, f.keyValue.readers("servers"), leastReaders+1)
-	require.LessOrEqual(t, f.keyValue.readers("configuration"), leastReaders+1)
+	require.LessOrEqual(t, f.keyValue.readers("servers"), readersPerDataCentre+1)
+	require.LessOrEqual(t, f.keyValue.readers("configuration"), readersPerDataCentre+1)
 	require.Equal(t, len(names), f.keyValue.readers("servers-ours/hosts/north-1/"))
 }
--- a/internal/host/gateway/watch_test.go
+++ b/internal/host/gateway/watch_test.go
@@ -73,14 +73,14 @@
 			reading++
 			continue
 		}
-		require.Len(t, found.near, 1)
-		require.Len(t, found.far, 1)
+		require.Len(t, found.near, readersPerDataCentre)
+		require.Len(t, found.far, readersPerDataCentre)
 		if _, known := agreed[self%2]; !known {
 			agreed[self%2] = found
 		}
 		require.Equal(t, agreed[self%2], found)
 	}
-	require.Equal(t, leastReaders, reading)
+	require.Equal(t, 2*readersPerDataCentre, reading)
 }
 
 // A host that follows readers hears from none any more, or from one that hears nothing of
