gateway: Have pacers be no readers, and wait longer for their answers

A prompt that waits asked its pacer again every 0.15 s: with hundreds of them, thousands of askings a second. Change: in large regions hosts that aren't readers pace; a prompt waits 0.4 s for one answer, and 0.2 s in place of 0.1 s for a late one. Checked: gateway tests with -race, ok.

--- a/internal/host/gateway/control.go
+++ b/internal/host/gateway/control.go
@@ -210,11 +210,12 @@
 func (c *control) publishHosts() {
 	c.hostsChanged = false
 	reachable := c.reachable()
-	c.pacers.set(reachable)
+	mayPace := withoutReaders(reachable)
+	c.pacers.set(mayPace)
 	following := c.readers(reachable)
 	c.following.Store(&following)
 	c.directAskers.Store(int64(askers(reachable)))
-	c.warm(reachable, &following)
+	c.warm(mayPace, &following)
 	youngest := true
 	for _, host := range c.hosts {
 		youngest = youngest && (!host.missingSince.IsZero() || !host.began.After(processStart))
@@ -224,9 +225,9 @@
 
 // warm opens connections to the hosts that this one will soon ask, and no others: those to
 // all hosts of a large fleet would take most of a host's memory.
-func (c *control) warm(reachable []pacing.Host, following *readers) {
+func (c *control) warm(mayPace []pacing.Host, following *readers) {
 	addresses := append(following.addresses(), c.holderAddress())
-	for _, host := range pacing.AllPacers(reachable) {
+	for _, host := range pacing.AllPacers(mayPace) {
 		addresses = append(addresses, host.Address)
 	}
 	for _, address := range addresses {
--- a/internal/host/gateway/pace.go
+++ b/internal/host/gateway/pace.go
@@ -15,14 +15,16 @@
 
 const (
 	// reserveLimit is how long a pacer may take to answer: a way between regions and
-	// back with something to spare. After it the prompt goes by this host's own clock.
-	reserveLimit = 100 * time.Millisecond
+	// back, and what a busy pacer takes. After it the prompt goes by this host's own clock,
+	// to engines that may be full.
+	reserveLimit = 200 * time.Millisecond
 	// silentPacer is how long a pacer that did not answer isn't asked: the next one
 	// is, and after that nobody.
 	silentPacer = 1500 * time.Millisecond
 	// holdFor is how long a prompt waits in the queue for one answer. Its host asks again
-	// then, with the engines that have come meanwhile.
-	holdFor = 150 * time.Millisecond
+	// then, with the engines that have come meanwhile; a pacer of hundreds who wait answers
+	// a thousand of them a second.
+	holdFor = 400 * time.Millisecond
 	// grantEvery is how often the queue looks whether an engine has read what was before
 	// the next prompt: a part of what reading one takes.
 	grantEvery = 10 * time.Millisecond
--- a/internal/host/gateway/readers.go
+++ b/internal/host/gateway/readers.go
@@ -91,6 +91,24 @@
 	return pacing.FirstStrong(pacing.InDataCentre(hosts, dataCentre), "reader", readersPerDataCentre)
 }
 
+// withoutReaders gives the hosts that may pace prompts. Readers, one of whom is the holder,
+// have enough to do in a large region: prompts whose pacer answers late go to engines that
+// are full.
+func withoutReaders(reachable []pacing.Host) []pacing.Host {
+	reads := make(map[ident.HostID]bool)
+	for _, there := range pacing.ByRegion(reachable) {
+		if len(there) <= manyHosts {
+			continue
+		}
+		for _, dataCentre := range dataCentres(there) {
+			for _, reader := range dataCentreReaders(there, dataCentre) {
+				reads[reader.Name] = true
+			}
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(reachable), func(h pacing.Host) bool { return reads[h.Name] })
+}
+
 // dataCentres gives where some hosts stand, each once, sorted.
 func dataCentres(hosts []pacing.Host) []ident.DataCentre {
 	var all []ident.DataCentre
