--- a/internal/control/loading/loading.go
+++ b/internal/control/loading/loading.go
@@ -229,6 +229,9 @@
 		seen[server.Name] = true
 		e, known := p.engines[server.Name]
 		if !known || e.Incarnation != server.Incarnation || e.Address != server.Address {
+			if known && e.reported {
+				p.beganAnew(&server)
+			}
 			e = &engine{
 				adapters: make(map[request.Weights]time.Time),
 				retiring: make(map[ident.ModelName]time.Time),
--- a/internal/control/loading/pace.go
+++ b/internal/control/loading/pace.go
@@ -86,6 +86,16 @@
 	p.before = past.Held
 }
 
+// beganAnew takes in that an engine has lost what it held. All that was loaded there before
+// has been counted: where many engines come back empty, the pace is needed for them.
+func (p *Planner) beganAnew(server *Server) {
+	if p.before != nil {
+		p.before[server.Name] = Held{
+			Incarnation: server.Incarnation,
+		}
+	}
+}
+
 // noteForeign counts the loads that a report shows and that this planner has not ordered:
 // those of earlier holders, also where an order of theirs came late. First reports tell of
 // loads only where it is known what engines held before.
--- a/internal/control/loading/pace_test.go
+++ b/internal/control/loading/pace_test.go
@@ -120,3 +120,33 @@
 	require.Positive(t, w.begun[len(w.begun)-1].Sub(took), "a load has begun since")
 	require.Positive(t, before)
 }
+
+// A later holder's engines crash together and come back empty. Each of them counted as one
+// whose load nobody had seen, and half of the pace was gone just when all had to be loaded
+// again. What this holder has ordered it has counted.
+func TestEnginesThatBeginAnewLeaveThePace(t *testing.T) {
+	w := newWorld(8, 8)
+	w.declare.LoadsPerSecond = 2
+	var f follower
+	planner := NewPlanner(Options{})
+	planner.Declare(w.declare)
+	for range 400 {
+		w.round(planner, 1)
+		f.hear(w, 3)
+	}
+	planner = NewPlanner(Options{})
+	planner.Declare(w.declare)
+	planner.BeginPaced(w.now, f.past)
+	for range 100 {
+		w.round(planner, 2)
+	}
+	for _, e := range w.engines {
+		e.restart()
+		e.disk = nil
+	}
+	w.begun = nil
+	for range 10 {
+		w.round(planner, 2)
+	}
+	require.GreaterOrEqual(t, len(w.begun), len(w.engines), "one at each")
+}
