--- a/internal/control/loading/follow.go
+++ b/internal/control/loading/follow.go
@@ -24,8 +24,7 @@
 	// it loses. Below it, two models of like demand would take turns at the same place.
 	gainOverLoss = 1.5
 	// horizon is how long a placement lasts, until demand moves again: a load that takes
-	// as long is worth half. With 8 s instead of 4 s the days with trouble at 18 engines
-	// were worth 0.712 instead of 0.717.
+	// as long is worth half.
 	horizon = 4 * time.Second
 	// makeWayTime is what each replica that makes way adds to a load: an order, its end
 	// and the report of it. drainTime is what it adds where its model is asked for: an
@@ -259,8 +258,8 @@
 
 // mayDrop tells that the last replica of a model may go: nobody has asked for the model
 // for a while, and the engine keeps its weights at hand, so that it is back within a
-// second if somebody does. With 13 of 18 engines left, four ran next to nothing, full of
-// models that nobody asked for, while others had three times what they could do.
+// second if somebody does. After a loss of engines those left would be full of models that
+// nobody asks for, while others have several times what they can do.
 func (p *Planner) mayDrop(now time.Time, e *engine, v *model) bool {
 	if now.Sub(p.begunAt) < max(silentAfter, learnTime) || !p.silent(now, v.spec.Name) || v.replicas > 1 {
 		return false
--- a/internal/control/loading/moves.go
+++ b/internal/control/loading/moves.go
@@ -113,8 +113,8 @@
 // place is taken; a busy model that gave up its last but one then would make hundreds
 // of requests late for the sake of none. As soon as somebody asks for the missing one,
 // it gets its place, though not from one that would be left with far more work than it
-// can do (2.1 engines' time a replica was seen): such a one makes way only after others
-// had time to, leftPerSecond more for each second.
+// can do: such a one makes way only after others had time to, leftPerSecond more for each
+// second.
 const (
 	spareLeft     = 0.3
 	askedLeft     = 0.6
--- a/internal/control/loading/spread.go
+++ b/internal/control/loading/spread.go
@@ -13,8 +13,8 @@
 // engine that has least before it, as pacers choose: a model's replicas fill up to one
 // level, on top of what else their engines do. It tells what a replica more, or one
 // less, is worth, where counting each model's work for each of its replicas does not:
-// three busy models on one engine, each with many replicas, had 40 prompts waiting
-// there for its 32 places while five engines of eighteen were idle.
+// busy models that share one engine each look well off by their other replicas, while
+// prompts wait there and other engines are idle.
 type spread struct {
 	load   map[*engine]float64
 	shares map[ident.ModelName]*share
--- a/internal/control/pacing/pacing.go
+++ b/internal/control/pacing/pacing.go
@@ -16,9 +16,8 @@
 // the engines' own words on their load.
 //
 // That the pacer chooses the engine is what evens them out. A host knows what it has
-// sent itself, and from reports what the others had sent a second or two ago: with 76
-// hosts, one of four engines got 62 prompts in two seconds and another 10, and two
-// thirds of the streams paused for too long while the engines together had time left.
+// sent itself, and from reports what the others had sent a second or two ago: many hosts
+// then choose the same engine, whose streams pause for too long while others have time left.
 //
 // # Usage
 //
--- a/internal/control/pacing/queue.go
+++ b/internal/control/pacing/queue.go
@@ -14,9 +14,8 @@
 // for use by many goroutines.
 //
 // An engine has places for so many answers, and works off what is over them in the order
-// of arrival: with 40 prompts waiting for the 32 places of one engine, each began 2 s
-// late, when its caller was about to leave, while a replica that had just been loaded was
-// idle. What waits here goes to whichever engine is free first, and the order is not
+// of arrival: prompts that wait there for their places begin when their callers are about
+// to leave, while a replica that has just been loaded is idle. What waits here goes to whichever engine is free first, and the order is not
 // that of arrival: who can still be in time goes before who can't. Where more comes than
 // can be done, the first come first served would make everybody late.
 type Queue struct {
--- a/internal/host/gateway/takeover.go
+++ b/internal/host/gateway/takeover.go
@@ -28,8 +28,8 @@
 // had ever begun. A host that was itself the last holder has nobody to be apart from; it
 // waits for what it sent in its earlier term.
 //
-// With 3 s in place of 0.3 s, a fleet whose hosts are restarted one every 2 s had no
-// orders for half of 14 s, in the middle of a change of demand.
+// Where hosts are restarted one after the other the holder changes each time: with longer
+// pauses nobody gives orders for half of the time.
 func (g *Gateway) takeoverPause(t *tenure) time.Duration {
 	bounds := &g.options.Settings.Bounds
 	switch {
--- a/internal/host/gateway/watch.go
+++ b/internal/host/gateway/watch.go
@@ -149,18 +149,17 @@
 	// of changes comes in few calls.
 	changePace = 200 * time.Millisecond
 	// paceHosts is how many hosts there may be before each of them slows down what it
-	// asks of the service and of the holder, and mostPace by how much at most. With 76
-	// hosts that each followed every entry at once, one day cost 15,700 calls and the
-	// service turned hosts away; what they learn has to be known within seconds only.
+	// asks of the service and of the holder, and mostPace by how much at most. Hosts
+	// that all follow every entry at once cost more calls than the service allows; what they
+	// learn has to be known within seconds only.
 	paceHosts = 10
 	mostPace  = 6
 )
 
 // watchRound is how long the service may hold a round of a watch without news. A
 // connection that has gone silent has to be found within the 4 s for which that excuses a
-// host. Each round is a call that counts: one of 2.4 s in place of 1.2 s halved them on a
-// calm day. With 6 s for the configuration, a host that the service had turned away
-// learned of a change after 4.1 s, from a peer. Readers take shorter rounds: by their age
+// host. Each round is a call that counts; but a host that the service turns away learns of a
+// change only when its round is over, and asks peers. Readers take shorter rounds: by their age
 // the others tell whether a reader still hears from the service.
 const (
 	longRound   = 2400 * time.Millisecond
--- a/internal/traffic/relay/choose.go
+++ b/internal/traffic/relay/choose.go
@@ -135,9 +135,8 @@
 }
 
 const (
-	// leastReturn is as long as a replica takes to be loaded from a disk, and some. With what
-	// the queue expected instead, 0.2 s often, more were refused twice: 0.0143 of what five
-	// days with trouble owe was lost so, three seeds each, and 0.0106 with it.
+	// leastReturn is as long as a replica takes to be loaded from a disk, and some. What the
+	// queue expects is often shorter, and who comes back then is refused twice.
 	leastReturn = 1500 * time.Millisecond
 	// returnSpread is by how much more of it the last comes back than the first.
 	returnSpread = 0.25
