--- a/internal/control/pacing/queue_test.go
+++ b/internal/control/pacing/queue_test.go
@@ -115,7 +115,7 @@
 
 // In a fleet of 240 engines their words come by way of the holder and a reader, and are
 // two seconds old. One from before the prompts that run there must not free their places:
-// 28 in 100 prompts were sent to engines that had none, and waited there for a second.
+// others would be sent there, and wait for seconds behind them.
 func TestAnOldWordFreesNoPlaces(t *testing.T) {
 	var q Queue
 	now := fill(t, &q, start, "e").Add(2 * time.Second)
@@ -249,7 +249,7 @@
 // Four engines hold the models of three groups, and for some seconds a tenth more is asked
 // for than they have places for. With a pacer for each group, each sends what it takes for
 // free until the engines' words come, and prompts wait at engines behind what is more
-// urgent, or push running answers out. A region of 295 hosts had three; it has to have one.
+// urgent, or push running answers out. A region of some hundred hosts has to have one.
 func TestOnePacerCountsAllPlaces(t *testing.T) {
 	played := load{
 		engines: []ident.ServerName{"a", "b", "c", "d"},
@@ -272,6 +272,7 @@
 	}
 	three, one := waited(3), waited(1)
 	t.Logf("waited at an engine: %.2f with three pacers, %.2f with one", three, one)
+	require.Greater(t, three, 0.1, "the load shows the cause")
 	require.Zero(t, one)
 	hosts := make([]Host, 295)
 	for i := range hosts {
--- a/internal/host/gateway/readers_test.go
+++ b/internal/host/gateway/readers_test.go
@@ -137,9 +137,9 @@
 	require.Eventually(t, func() bool { return f.knows(names, 6, 1) }, 2*mustBeKnown, 10*time.Millisecond, "the readers hear of it from peers")
 }
 
-// The service is away for seconds. Each of 283 hosts that are told by readers asked for it
-// every second, in vain and in calls that are counted. They have to ask seldom, and still
-// learn in time of what has changed once it is back.
+// The service is away for seconds. Each of hundreds of hosts that are told by readers asked
+// for it every second, in vain and in calls that are counted. They have to ask seldom, and
+// still learn in time of what has changed once it is back.
 func TestAnOutageIsWatchedByReaders(t *testing.T) {
 	const outage = 8 * time.Second
 	f, names := largeRegion(t)
