--- a/internal/control/loading/engine.go
+++ b/internal/control/loading/engine.go
@@ -77,19 +77,6 @@
 	return slices.Contains(e.held, name)
 }
 
-// heldIn takes the models out of a report.
-func heldIn(report *backend.Report) Held {
-	held := Held{
-		Incarnation: report.Incarnation,
-	}
-	for i := range report.Residents {
-		if report.Residents[i].Adapter == "" {
-			held.Models = append(held.Models, report.Residents[i].Model)
-		}
-	}
-	return held
-}
-
 // noteHeld takes in the models that the engine holds.
 func (e *engine) noteHeld(at time.Time, models []ident.ModelName) {
 	e.held = models
