--- a/internal/scenario/testbed/bed.go
+++ b/internal/scenario/testbed/bed.go
@@ -29,10 +29,12 @@
 type bedKey struct{}
 
 // loopback names the variable with the loopback address of a scenario, firstNetwork is
-// the third part of the first such address.
+// the third part of the first such address, networks how many there are: far more than
+// scenarios that run side by side.
 const (
 	loopback     = "loopback"
 	firstNetwork = 16
+	networks     = 200
 )
 
 // scenarios counts those that were set up.
@@ -47,7 +49,7 @@
 	env.Values[bedKey{}] = b
 	env.Defer(b.endAll)
 	env.Setenv("TMPDIR", os.TempDir())
-	env.Setenv(loopback, fmt.Sprintf("127.0.%d.1", firstNetwork+scenarios.Add(1)))
+	env.Setenv(loopback, fmt.Sprintf("127.0.%d.1", firstNetwork+scenarios.Add(1)%networks))
 	return nil
 }
 
