--- a/internal/control/loading/loading.go
+++ b/internal/control/loading/loading.go
@@ -267,10 +267,11 @@
 	if report.OrdersAccepted < e.accepted && report.At.Sub(e.acceptedAt) < reportLag {
 		return
 	}
-	p.noteForeign(e, report)
+	held := heldIn(report)
+	p.noteForeign(e, report, held)
 	e.report = *report
 	e.reported = true
-	e.noteHeld(report.At, heldIn(report).Models)
+	e.noteHeld(report.At, held.Models)
 	e.changed()
 	e.accepted = report.OrdersAccepted
 	for weights := range e.adapters {
--- a/internal/control/loading/pace.go
+++ b/internal/control/loading/pace.go
@@ -63,7 +63,7 @@
 // noteForeign counts the loads that a report shows and that this planner has not ordered:
 // those of earlier holders, also where an order of theirs came late. First reports tell of
 // loads only where it is known what engines held before.
-func (p *Planner) noteForeign(e *engine, report *backend.Report) {
+func (p *Planner) noteForeign(e *engine, report *backend.Report, held Held) {
 	known := Held{
 		Incarnation: e.Incarnation,
 		Models:      e.held,
@@ -78,7 +78,7 @@
 	if e.pending != nil && e.pending.order.Kind == backend.LoadModel {
 		known.Models = append(slices.Clone(known.Models), e.pending.order.Model)
 	}
-	loads := heldIn(report).LoadsSince(known)
+	loads := held.LoadsSince(known)
 	if !e.reported && report.OrderUnderWay {
 		loads++
 	}
