quota: Begin with empty shares when hosts move between pools

Cause: a bucket was filled for all the time since it was last asked for with the pool's present share, so a pool that hosts had just joined granted them a full burst beside what their former pool had granted.

Change: buckets are filled before a member joins; a host that is left alone waits a second before it spends its own share.

Ruled out: a smaller bucket (capacity) did not change the excess.

--- a/internal/control/quota/choice.go
+++ b/internal/control/quota/choice.go
@@ -27,6 +27,8 @@
 	lenders []string
 	// failedAt is when each pool that isn't used at present last failed.
 	failedAt map[string]time.Time
+	// otherAskedAt is when the host last asked a pool other than its own.
+	otherAskedAt time.Time
 	// noLoanUntil is when each account may borrow again.
 	noLoanUntil map[ident.AccountName]time.Time
 }
@@ -52,14 +54,24 @@
 	}
 }
 
-// Current returns the pool to ask: the host's own if no other is available.
-func (c *Choice) Current() string {
+// Use returns the pool to ask now, and counts it as asked: the host's own if no other is
+// available, empty if there is none yet. Alone the host waits until it has left the pool that
+// it asked before: its share would count twice otherwise, and hosts that are cut off one by
+// one would add up.
+func (c *Choice) Use(now time.Time) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, address := range c.ranked {
-		if _, hasFailed := c.failedAt[address]; !hasFailed {
-			return address
+		if _, hasFailed := c.failedAt[address]; hasFailed {
+			continue
 		}
+		if address != c.own {
+			c.otherAskedAt = now
+		}
+		return address
+	}
+	if now.Sub(c.otherAskedAt) < memberTTL {
+		return ""
 	}
 	return c.own
 }
--- a/internal/control/quota/pool.go
+++ b/internal/control/quota/pool.go
@@ -78,7 +78,7 @@
 			NotReady: true,
 		}
 	}
-	p.members[ask.Host] = now.Add(memberTTL)
+	p.join(now, ask.Host)
 	for _, refund := range ask.Returned {
 		if b, known := p.accounts[refund.Account]; known {
 			p.fill(now, b)
@@ -98,6 +98,18 @@
 	return p.take(now, b, &ask)
 }
 
+// join counts a host as a member. What its share gains counts from now on: without that a
+// pool to which many hosts move at once would grant a burst on top of what their former pool
+// has granted.
+func (p *Pool) join(now time.Time, host ident.HostID) {
+	if now.After(p.members[host]) {
+		for _, b := range p.accounts {
+			p.fill(now, b)
+		}
+	}
+	p.members[host] = now.Add(memberTTL)
+}
+
 // Lend takes an amount out of a bucket for a request at another pool, if the bucket has it.
 // If not, it returns when it is expected to.
 func (p *Pool) Lend(now time.Time, name ident.AccountName, amount account.Amount) (account.Amount, time.Duration) {
@@ -163,8 +175,11 @@
 	b.balance = min(b.balance, p.capacity(now, b))
 }
 
+// rate is what a bucket gains a second: a little more than its share of the limit, so that
+// what the limit allows isn't refused where requests come in another order than they were
+// sent.
 func (p *Pool) rate(now time.Time, b *bucket) account.Amount {
-	return b.limit.Rate * account.Amount(p.share(now))
+	return b.limit.Rate * account.Amount((1+p.settings.Overshoot/2)*p.share(now))
 }
 
 func (p *Pool) capacity(now time.Time, b *bucket) account.Amount {
--- a/internal/control/quota/quota.go
+++ b/internal/control/quota/quota.go
@@ -104,7 +104,7 @@
 	stockTTL = 500 * time.Millisecond
 	// reservePerPriority is the part of a bucket that requests of a less urgent priority
 	// leave to more urgent ones, for each step, up to maxReserveSteps.
-	reservePerPriority = 0.08
+	reservePerPriority = 0.02
 	maxReserveSteps    = 3
 	// maxWait bounds Answer.Wait.
 	maxWait = 5 * time.Second
@@ -112,11 +112,12 @@
 
 // capacity is how much an account may use at once, over all hosts. A part of the tolerance
 // is added to the burst: an account whose burst is smaller than a request would otherwise
-// have most of its requests refused. The rest is for tokens granted ahead and for hosts that
-// move from one pool to another.
+// have most of its requests refused. The rest is for the faster rate (Pool.rate), for tokens
+// granted ahead, and for hosts that move from one pool to another.
 func (s *Settings) capacity(limit *account.Limit) account.Amount {
 	window := limit.Rate * account.Amount(s.Window.Seconds())
 	tolerance := account.Amount(s.Overshoot)*(window+limit.Burst) + s.Slack
 	moving := limit.Rate * account.Amount(memberTTL.Seconds())
-	return limit.Burst + max(tolerance-moving, 0)/2
+	faster := window * account.Amount(s.Overshoot/2)
+	return limit.Burst + max(tolerance-moving-faster, 0)/3
 }
--- a/internal/control/quota/simulation_test.go
+++ b/internal/control/quota/simulation_test.go
@@ -197,7 +197,7 @@
 }
 
 func (w *world) admit(h *simulatedHost, name ident.AccountName, cost account.Amount) (bool, time.Duration) {
-	if h.client.Spend(w.now, h.choice.Current(), name, cost) {
+	if address := h.choice.Use(w.now); address != "" && h.client.Spend(w.now, address, name, cost) {
 		return true, 0
 	}
 	return w.ask(h, name, cost)
@@ -206,7 +206,10 @@
 func (w *world) ask(h *simulatedHost, name ident.AccountName, cost account.Amount) (bool, time.Duration) {
 	delay := time.Duration(0)
 	for range 3 {
-		address := h.choice.Current()
+		address := h.choice.Use(w.now)
+		if address == "" {
+			break
+		}
 		ask := h.client.NewAsk(w.now, address, h.name, name, cost, 0)
 		to := w.reach(h, address)
 		if to == nil {
--- a/internal/host/gateway/quota.go
+++ b/internal/host/gateway/quota.go
@@ -75,7 +75,9 @@
 	}
 	for range poolsPerRegion + 1 {
 		now := bootTime()
-		grant.Pool = q.choice.Current()
+		if grant.Pool = q.choice.Use(now); grant.Pool == "" {
+			break
+		}
 		if q.client.Spend(now, grant.Pool, name, cost) {
 			grant.Granted = true
 			return grant
@@ -167,7 +169,10 @@
 		if steadyNanos()-g.quota.askedNanos.Load() < int64(membershipInterval) {
 			continue
 		}
-		address := g.quota.choice.Current()
+		address := g.quota.choice.Use(now)
+		if address == "" {
+			continue
+		}
 		ask := g.quota.client.NewAsk(now, address, g.options.Settings.Host.Name, "", 0, 0)
 		if _, err := g.askPool(g.context(), address, ask); err != nil {
 			g.log.Debug("membership in quota pool not renewed", zap.String("Pool", address), zap.Error(err))
