gateway: Bound reports, and let large fleets start without a herd

The leader asked each engine for a report a second, 2,400 in all, and passed every change on: the busiest host used 83% of its processor and sent 7.8 MB a second. After the kill all hosts of a data centre asked two watchers for all entries, gave up after 0.9 s, asked again, and after 2 s listed 3,300 entries each from the service over a 30 Mbit/s link (worked out from the figures and the code, not traced).

Change: at most 800 reports a second (as before up to 800 engines); a starting host's exchanges may take longer after each one that was given up, and it waits longer for its watchers the more hosts ask them. An account that is short for a moment makes its request wait up to 0.1 s instead of 429.

--- a/internal/host/gateway/exchange.go
+++ b/internal/host/gateway/exchange.go
@@ -27,8 +27,12 @@
 	urgentWatcherInterval = 100 * time.Millisecond
 	// gossipInterval is between two messages to a random peer.
 	gossipInterval = time.Second
-	// exchangeTimeout leaves time for a configuration's text on a slow link.
-	exchangeTimeout = 900 * time.Millisecond
+	// exchangeTimeout leaves time for a configuration's text on a slow link. It is doubled
+	// after each exchange that took longer, up to maxExchangeTimeout: where a large fleet
+	// starts at once, all hosts of a data centre ask two watchers for all entries, and calls
+	// that are given up and repeated would keep them from ever being answered.
+	exchangeTimeout    = 900 * time.Millisecond
+	maxExchangeTimeout = 4 * exchangeTimeout
 )
 
 // runExchanges sends this host's demand to the leader, or to a watcher that relays it. At
@@ -164,13 +168,18 @@
 	if out.address == "" {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(g.context(), exchangeTimeout)
+	timeout := g.currentExchangeTimeout()
+	ctx, cancel := context.WithTimeout(g.context(), timeout)
 	defer cancel()
 	received, err := g.peers.Exchange(ctx, out.address, out.message)
 	if err != nil {
+		if ctx.Err() != nil {
+			g.exchangeTimeout.Store(int64(min(2*timeout, maxExchangeTimeout)))
+		}
 		g.peers.Drop(out.address)
 		return err
 	}
+	g.exchangeTimeout.Store(int64(exchangeTimeout))
 	g.post(messageReceived{message: received})
 	if to.returnsFleet && !g.notePeerView(received.StoreAnsweredAt) {
 		return errors.New("the reader itself hears nothing of the key-value service")
@@ -178,6 +187,15 @@
 	return nil
 }
 
+// currentExchangeTimeout is longer than exchangeTimeout only while the host has no view of the
+// fleet: later a silent watcher must be noticed soon.
+func (g *Gateway) currentExchangeTimeout() time.Duration {
+	if !g.storeAnsweredAt().IsZero() {
+		return exchangeTimeout
+	}
+	return max(time.Duration(g.exchangeTimeout.Load()), exchangeTimeout)
+}
+
 // buildMessage returns the next message and its destination; the address is empty where
 // there is none or the host ends.
 func (g *Gateway) buildMessage(to recipient) outgoingMessage {
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -181,6 +181,10 @@
 	peerViewNanos          atomic.Int64
 	fleetReadNanos         atomic.Int64
 	configurationReadNanos atomic.Int64
+	// exchangeTimeout is the timeout of the next exchange, in nanoseconds; see there.
+	exchangeTimeout atomic.Int64
+	// nearHostCount is the number of hosts of this data centre, as first read.
+	nearHostCount atomic.Int64
 	// cancelRequests makes every request in progress answer at once. exchangeWanted wakes
 	// the exchange with the leader, since a request waits for weights or a configuration.
 	cancelRequests context.CancelFunc
--- a/internal/host/gateway/plan.go
+++ b/internal/host/gateway/plan.go
@@ -15,12 +15,15 @@
 
 const (
 	// reportInterval is between two report requests to one engine, where there are no more
-	// than reportEngines engines: above that it grows in proportion, up to maxReportInterval,
-	// so that the leader requests 64 reports a second at most up to 64 engines.
-	reportInterval    = 250 * time.Millisecond
-	reportEngines     = 16
-	maxReportInterval = time.Second
-	reportTimeout     = 600 * time.Millisecond
+	// than reportEngines engines: above that it grows in proportion, up to slowReportInterval,
+	// so that the leader requests 64 reports a second at most up to 64 engines. From
+	// reportsPerSecond engines on it grows again: with more reports the leader, and the
+	// watchers that pass on what has changed, would use up their processors.
+	reportInterval     = 250 * time.Millisecond
+	reportEngines      = 16
+	slowReportInterval = time.Second
+	reportsPerSecond   = 800
+	reportTimeout      = 600 * time.Millisecond
 	// planInterval is between two plans, urgentPlanInterval where a request waits for one.
 	// maxPlanShare is the fraction of the time that plans may take, so that reports and hosts'
 	// messages never wait for long. A plan that took long because its machine was suspended
@@ -78,8 +81,7 @@
 func (c *control) planAll(now time.Time) {
 	byService := make(map[ident.ServiceName][]loading.Server)
 	registrations := c.registry.Servers(now)
-	interval := reportInterval * time.Duration(len(registrations)) / reportEngines
-	interval = min(max(interval, reportInterval), maxReportInterval)
+	interval := reportIntervalFor(len(registrations))
 	for _, registration := range registrations {
 		service := c.configuration.Services[registration.Server.Service]
 		if service.Engine == nil {
@@ -100,6 +102,13 @@
 	}
 }
 
+// reportIntervalFor returns the time between two report requests to one of so many servers.
+func reportIntervalFor(servers int) time.Duration {
+	interval := reportInterval * time.Duration(servers) / reportEngines
+	interval = min(max(interval, reportInterval), slowReportInterval)
+	return max(interval, time.Second*time.Duration(servers)/reportsPerSecond)
+}
+
 // updateInventory replaces the inventory, which hosts are sent, by what the leader's planners
 // know of the engines.
 func (c *control) updateInventory(now time.Time) {
--- a/internal/host/gateway/quota.go
+++ b/internal/host/gateway/quota.go
@@ -25,6 +25,8 @@
 	lendTimeout = 150 * time.Millisecond
 	// membershipInterval is how often a host asks its pool at least, to remain a member.
 	membershipInterval = 300 * time.Millisecond
+	// maxAdmitWait is how long a request may wait for its account to gain what it needs.
+	maxAdmitWait = 100 * time.Millisecond
 	// startingRetryAfter is when a client may retry whose account can't be checked yet, since
 	// this host doesn't know the other hosts.
 	startingRetryAfter = 300 * time.Millisecond
@@ -66,8 +68,18 @@
 }
 
 // Admit implements relay.ControlPlane. If the pool of the region does not answer, the next one
-// is asked, and in the end this host spends its own share.
+// is asked, and in the end this host spends its own share. A request that has to wait for a
+// moment only waits here: its client would lose more time by coming back.
 func (g *Gateway) Admit(ctx context.Context, name ident.AccountName, cost account.Amount, priority int) quota.Grant {
+	grant := g.acquireQuota(ctx, name, cost, priority)
+	if grant.Granted || grant.RetryAfter > maxAdmitWait || ctx.Err() != nil {
+		return grant
+	}
+	g.sleepUnless(grant.RetryAfter, ctx.Done())
+	return g.acquireQuota(ctx, name, cost, priority)
+}
+
+func (g *Gateway) acquireQuota(ctx context.Context, name ident.AccountName, cost account.Amount, priority int) quota.Grant {
 	q := &g.quota
 	grant := quota.Grant{
 		Account: name,
--- a/internal/host/gateway/watchers.go
+++ b/internal/host/gateway/watchers.go
@@ -210,9 +210,13 @@
 }
 
 const (
-	// firstReplyWait is how long after a host's start, at most, it waits for the first reply
-	// of a watcher before it asks the service itself, firstReplyPoll how often it checks.
+	// firstReplyWait is how long after a host's start, at least, it waits for the first reply
+	// of a watcher before it asks the service itself, firstReplyPoll how often it checks. In a
+	// large data centre it waits for firstReplyTime more for each host that asks the same
+	// watcher: if all asked the service, their listings would fill the link between regions
+	// for half a minute.
 	firstReplyWait = 2 * time.Second
+	firstReplyTime = 120 * time.Millisecond
 	firstReplyPoll = 20 * time.Millisecond
 	// hostListTimeout is how long reading the host entries may take.
 	hostListTimeout = 700 * time.Millisecond
@@ -240,7 +244,8 @@
 // waitForFirstReply waits for the first reply of a watcher, if there are any to ask.
 func (g *Gateway) waitForFirstReply() {
 	g.sleepUnless(firstReplyWait, g.hostListDone)
-	for g.tomb.Alive() && time.Since(g.startedAt) < firstReplyWait && !g.hasFreshWatcher() && !g.watchers.Load().isEmpty() {
+	wait := max(firstReplyWait, firstReplyTime*time.Duration(g.nearHostCount.Load()/watchersPerDataCentre))
+	for g.tomb.Alive() && time.Since(g.startedAt) < wait && !g.hasFreshWatcher() && !g.watchers.Load().isEmpty() {
 		g.sleep(firstReplyPoll)
 	}
 }
