--- a/internal/traffic/relay/accounts.go
+++ b/internal/traffic/relay/accounts.go
@@ -71,6 +71,15 @@
 	return table != nil && !table.Accounts().IsEmpty() && table.Accounts().Find(s.request.Key) == nil
 }
 
+// priorityInAccount ranks a request among those of its account: they are all alike if the
+// account has a priority.
+func (s *requestState) priorityInAccount() int {
+	if s.account.HasPriority {
+		return 0
+	}
+	return s.route.Priority
+}
+
 // admit asks for the request's part of its account's limit. It ends the request and returns
 // false if the account is over its limit.
 func (s *requestState) admit() bool {
@@ -79,7 +88,7 @@
 	}
 	ctx, cancel := s.withDeadline(s.deadline)
 	defer cancel()
-	s.grant = s.handler.ControlPlane.Admit(ctx, s.account.Name, s.account.Limit.Cost(s.request.Tokens()), s.route.Priority)
+	s.grant = s.handler.ControlPlane.Admit(ctx, s.account.Name, s.account.Limit.Cost(s.request.Tokens()), s.priorityInAccount())
 	switch {
 	case s.grant.Granted:
 		return true
