gateway: Update pools for loads alone less often where engines are many

Change: a change of loads alone waits a millisecond for each engine since the last update (0.1 s at 112 engines, as before; the tick's update each second bounds it).

--- a/internal/control/holdings/holdings.go
+++ b/internal/control/holdings/holdings.go
@@ -83,6 +83,11 @@
 	return t.cursor
 }
 
+// Len returns the number of engines.
+func (t *Table) Len() int {
+	return len(t.engines)
+}
+
 // IsFresh returns whether the leader's last report is no older than MaxAge.
 func (t *Table) IsFresh(now time.Time) bool {
 	return now.Sub(t.reportedAt) <= MaxAge
--- a/internal/host/gateway/control.go
+++ b/internal/host/gateway/control.go
@@ -67,6 +67,10 @@
 	pools         map[ident.ServiceName]*balance.Pool
 	suspects      suspects.Machine
 	poolsOutdated bool
+	// loadsOutdated tells that engines' loads have changed since poolsPublishedAt, when the
+	// pools were last updated.
+	loadsOutdated    bool
+	poolsPublishedAt time.Time
 	// hostsChanged tells that the set of reachable hosts has changed since it was published.
 	hostsChanged bool
 	// lastTickAt is when the last tick came, lateTicks how many in a row came late.
@@ -187,15 +191,22 @@
 	}
 }
 
+// loadPublishInterval is the time between two updates of the pools for changes of load alone,
+// for each engine: with thousands of engines most of a host's processor time would go there.
+// What engines have in memory is updated at once.
+const loadPublishInterval = time.Millisecond
+
 // publish updates the pools from the registered servers.
 func (c *control) publish(now time.Time) {
 	if c.hostsChanged {
 		c.publishHosts()
 	}
-	if !c.poolsOutdated || c.configuration == nil {
+	areLoadsDue := c.loadsOutdated && now.Sub(c.poolsPublishedAt) >= loadPublishInterval*time.Duration(c.inventory.Len())
+	if !c.poolsOutdated && !areLoadsDue || c.configuration == nil {
 		return
 	}
-	c.poolsOutdated = false
+	c.poolsOutdated, c.loadsOutdated = false, false
+	c.poolsPublishedAt = now
 	byService := make(map[ident.ServiceName][]balance.ServerInfo, len(c.pools))
 	for _, registration := range c.registry.Servers(now) {
 		service := registration.Server.Service
--- a/internal/host/gateway/plan.go
+++ b/internal/host/gateway/plan.go
@@ -163,7 +163,8 @@
 	if len(engines) == 0 {
 		return
 	}
-	c.poolsOutdated = true
+	c.loadsOutdated = true
+	c.poolsOutdated = c.poolsOutdated || slices.ContainsFunc(engines, func(e holdings.Engine) bool { return !e.LoadOnly })
 	loads := make([]pacing.ServerLoad, 0, len(engines))
 	for i := range engines {
 		loads = append(loads, pacing.ServerLoad{
