balance: Bound the prefill cooldown by the tokens of an event

Cause: on the shifted work an event holds four tokens, so a pause between two events spans four steps, and each may contain a prompt; the cooldown was bounded at 25 ms for two tokens.

Change: the bound is 12.5 ms a token of an event, which the configuration gives.

--- a/internal/control/balance/balance.go
+++ b/internal/control/balance/balance.go
@@ -131,9 +131,11 @@
 	meanPrefillSeconds float64 // moving average
 	// clear is the prefill cooldown: how long an engine gets no further prompt after each
 	// one.
-	clear   time.Duration
-	changed chan struct{}
-	demand  map[request.Weights]*Demand
+	clear time.Duration
+	// tokensPerEvent is how many tokens an event of a stream has, 0 if that isn't known.
+	tokensPerEvent int
+	changed        chan struct{}
+	demand         map[request.Weights]*Demand
 }
 
 // Demand is the demand for one set of weights.
@@ -168,7 +170,7 @@
 		answerSeconds:      make(map[ident.ModelName]float64),
 		responseTime:       initialResponseTime,
 		meanPrefillSeconds: initialPrefillSeconds,
-		clear:              maxPrefillCooldown,
+		clear:              cooldownPerToken * defaultTokensPerEvent,
 		changed:            make(chan struct{}),
 		demand:             make(map[request.Weights]*Demand),
 	}
--- a/internal/control/balance/pauses_test.go
+++ b/internal/control/balance/pauses_test.go
@@ -13,7 +13,7 @@
 // within a few of them.
 func TestPrefillCooldownFollowsStreamPauses(t *testing.T) {
 	pool := NewPool(Location{})
-	require.Equal(t, maxPrefillCooldown, pool.PrefillCooldown())
+	require.Equal(t, 25*time.Millisecond, pool.PrefillCooldown())
 	for range 400 {
 		pool.RecordStream(false)
 	}
@@ -21,7 +21,20 @@
 	for range 6 {
 		pool.RecordStream(true)
 	}
-	require.Equal(t, maxPrefillCooldown, pool.PrefillCooldown())
+	require.Equal(t, 25*time.Millisecond, pool.PrefillCooldown())
+}
+
+// Guards against streams that pause for too long since each of their events spans more
+// steps, and so more prompts, than the longest cooldown allows for.
+func TestCooldownGrowsWithTheTokensOfAnEvent(t *testing.T) {
+	pool := NewPool(Location{})
+	pool.SetTokensPerEvent(4)
+	for range 20 {
+		pool.RecordStream(true)
+	}
+	require.Equal(t, 50*time.Millisecond, pool.PrefillCooldown())
+	pool.SetTokensPerEvent(2)
+	require.Equal(t, 25*time.Millisecond, pool.PrefillCooldown())
 }
 
 // One stream of a hundred pauses for too long by chance. That alone must not keep half of
--- a/internal/domain/route/route.go
+++ b/internal/domain/route/route.go
@@ -114,6 +114,8 @@
 	HostMemory   unit.Bytes  // for copies of weights
 	Disk         unit.Bytes  // for copies of weights
 	AdapterSlots int
+	// TokensPerEvent is how many tokens an event of a stream has, 0 if that isn't known.
+	TokensPerEvent int
 	// LoadsPerSecond is the load rate that the weight store allows over all servers.
 	LoadsPerSecond float64
 	Models         []Model
--- a/internal/host/gateway/control.go
+++ b/internal/host/gateway/control.go
@@ -340,10 +340,13 @@
 		Region:     c.options.Settings.Host.Region,
 	}
 	pools := make(map[ident.ServiceName]*balance.Pool, len(decoded.Services))
-	for name := range decoded.Services {
+	for name, service := range decoded.Services {
 		if pools[name] = c.pools[name]; pools[name] == nil {
 			pools[name] = balance.NewPool(location)
 		}
+		if service.Engine != nil {
+			pools[name].SetTokensPerEvent(service.Engine.TokensPerEvent)
+		}
 	}
 	c.pools = pools
 	c.poolsOutdated = true
