--- a/internal/control/routetable/routetable.go
+++ b/internal/control/routetable/routetable.go
@@ -49,6 +49,16 @@
 	return table
 }
 
+// NewAfter builds the table of a configuration that replaces that of an earlier table, nil if
+// there is none.
+func NewAfter(earlier *Table, configuration *route.Configuration) *Table {
+	table := New(configuration)
+	if earlier != nil {
+		table.accounts.Succeed(&earlier.accounts)
+	}
+	return table
+}
+
 // Configuration returns the configuration that the table was built from.
 func (t *Table) Configuration() *route.Configuration {
 	return t.configuration
--- a/internal/domain/account/account.go
+++ b/internal/domain/account/account.go
@@ -3,6 +3,7 @@
 //
 // A Directory finds the account of a key. It has only digests of keys: a key is in memory
 // in clear text no longer than the request or the configuration that it came with.
+// Directories never change once they are used; many goroutines may use one concurrently.
 //
 // # Usage
 //
@@ -94,12 +95,13 @@
 	return sha256.Sum256(buffer[:copy(buffer[:], key)]), true
 }
 
-// Directory finds accounts by key. It never changes; many goroutines may use it
-// concurrently. The zero value has no accounts.
+// Directory finds accounts by key. The zero value has no accounts.
 type Directory struct {
 	byKey  map[KeyDigest]*Account
 	byName map[ident.AccountName]*Account
 	shared []ident.AccountName
+	// removed are keys of earlier configurations that no account has any more.
+	removed map[KeyDigest]struct{}
 }
 
 // NewDirectory returns the directory of a configuration's accounts, which must not change
@@ -123,6 +125,38 @@
 	return d
 }
 
+// maxRemovedKeys bounds the keys that are remembered as removed.
+const maxRemovedKeys = 10_000
+
+// Succeed remembers which keys of an earlier configuration have been removed. It must be
+// called before the directory is used.
+func (d *Directory) Succeed(earlier *Directory) {
+	d.removed = make(map[KeyDigest]struct{})
+	for digest := range earlier.byKey {
+		d.noteRemoved(digest)
+	}
+	for digest := range earlier.removed {
+		d.noteRemoved(digest)
+	}
+}
+
+func (d *Directory) noteRemoved(digest KeyDigest) {
+	if _, isKept := d.byKey[digest]; !isKept && len(d.removed) < maxRemovedKeys {
+		d.removed[digest] = struct{}{}
+	}
+}
+
+// WasRemoved reports whether a key belonged to an account in an earlier configuration, and
+// to none in this one.
+func (d *Directory) WasRemoved(key string) bool {
+	digest, isValid := Digest(key)
+	if !isValid {
+		return false
+	}
+	_, isRemoved := d.removed[digest]
+	return isRemoved
+}
+
 // IsEmpty reports whether there are no accounts: requests need no key then.
 func (d *Directory) IsEmpty() bool {
 	return len(d.byName) == 0
--- a/internal/domain/account/account_test.go
+++ b/internal/domain/account/account_test.go
@@ -51,6 +51,28 @@
 	require.Equal(t, "notes", string(directory.WithSharedKeys()[0]))
 }
 
+func TestDirectoryRemembersRemovedKeys(t *testing.T) {
+	withKeys := func(keys ...string) Directory {
+		listed := Account{
+			Name: "boats",
+		}
+		for _, key := range keys {
+			listed.Keys = append(listed.Keys, digestOf(t, key))
+		}
+		return NewDirectory([]Account{listed})
+	}
+	first := withKeys("k1", "k2")
+	second := withKeys("k2")
+	second.Succeed(&first)
+	third := withKeys("k1", "k3")
+	third.Succeed(&second)
+	require.True(t, second.WasRemoved("k1"))
+	require.False(t, second.WasRemoved("k2"))
+	require.False(t, second.WasRemoved("k3"), "a key that is not known yet was not removed")
+	require.False(t, third.WasRemoved("k1"), "a key that is back was not removed")
+	require.True(t, third.WasRemoved("k2"))
+}
+
 func TestCostCountsTokensOrRequests(t *testing.T) {
 	tokens := Limit{
 		Unit:        Tokens,
--- a/internal/host/gateway/control.go
+++ b/internal/host/gateway/control.go
@@ -354,7 +354,7 @@
 	c.Gateway.pools.Store(&pools)
 	c.quota.pool.SetAccounts(bootTime(), decoded.Accounts)
 	c.quota.hasLimits.Store(slices.ContainsFunc(decoded.Accounts, func(a account.Account) bool { return a.Limit.IsSet() }))
-	table := routetable.New(decoded)
+	table := routetable.NewAfter(c.Routes(), decoded)
 	if c.routes.Swap(table) == nil {
 		close(c.routesKnown)
 	}
--- a/internal/traffic/relay/accounts.go
+++ b/internal/traffic/relay/accounts.go
@@ -31,9 +31,13 @@
 		if s.authenticate(table) {
 			return table
 		}
-		if s.request.Key == "" {
+		switch {
+		case s.request.Key == "":
 			s.refuseKey("no key, or more than one")
 			return nil
+		case table.Accounts().WasRemoved(s.request.Key):
+			s.refuseKey("the key was removed")
+			return nil
 		}
 		newer, isCurrent := s.handler.ControlPlane.AwaitNewerRoutes(ctx, table)
 		switch {
--- a/internal/traffic/relay/accounts_test.go
+++ b/internal/traffic/relay/accounts_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -107,6 +108,17 @@
 	require.Equal(t, "account=forged key=k1 priority=2", env.ask(http.MethodGet, "1", keyHeader("k1")).body)
 }
 
+// Guards against clients that wait for an answer which is known: their key was removed.
+func TestRemovedKeyIsRefusedAtOnce(t *testing.T) {
+	env := newTestEnv(t, rankedRoute())
+	earlier := env.withAccounts(accountWithKey(t, "boats", "k1"))
+	env.table = routetable.NewAfter(earlier, env.withAccounts(accountWithKey(t, "boats", "k2")).Configuration())
+	env.isOutOfTouch = true
+	started := time.Now()
+	require.Equal(t, http.StatusUnauthorized, env.ask(http.MethodGet, "1", keyHeader("k1")).status)
+	require.Less(t, time.Since(started), unknownKeyWait/2)
+}
+
 // Guards against a host that refuses a new key since it has an older configuration.
 func TestUnknownKeyWaitsForANewerConfiguration(t *testing.T) {
 	env := newTestEnv(t, rankedRoute())
