--- a/internal/control/quota/pool.go
+++ b/internal/control/quota/pool.go
@@ -26,9 +26,6 @@
 	balance account.Amount
 	// filledAt is when the balance was last brought up to date.
 	filledAt time.Time
-	// used counts all tokens granted; refused counts the asks that were refused.
-	used    account.Amount
-	refused int64
 }
 
 // NewPool returns a pool without accounts or members that starts now.
@@ -85,7 +82,6 @@
 		if b, known := p.accounts[refund.Account]; known {
 			p.fill(now, b)
 			b.balance = min(b.balance+refund.Amount, p.capacity(now, b))
-			b.used -= refund.Amount
 		}
 	}
 	b, known := p.accounts[ask.Account]
@@ -149,7 +145,6 @@
 		return 0, p.timeUntil(now, b, amount)
 	}
 	b.balance -= amount
-	b.used += amount
 	return amount, 0
 }
 
@@ -162,14 +157,12 @@
 		needed = ask.Cost
 	}
 	if b.balance < needed {
-		b.refused++
 		return Answer{
 			Wait: p.timeUntil(now, b, needed),
 		}
 	}
 	ahead := p.ahead(now, b, capacity, ask)
 	b.balance -= ask.Cost + ahead
-	b.used += ask.Cost + ahead
 	return Answer{
 		Granted: true,
 		Ahead:   ahead,
--- a/internal/traffic/relay/accounts.go
+++ b/internal/traffic/relay/accounts.go
@@ -7,6 +7,7 @@
 
 	"cicadaloom/internal/control/routetable"
 	"cicadaloom/internal/domain/account"
+	"cicadaloom/internal/domain/ident"
 )
 
 const (
@@ -166,9 +167,9 @@
 }
 
 // accountName is the name of the client's account, empty if it has none.
-func accountName(a *account.Account) string {
+func accountName(a *account.Account) ident.AccountName {
 	if a == nil {
 		return ""
 	}
-	return string(a.Name)
+	return a.Name
 }
--- a/internal/traffic/relay/ending.go
+++ b/internal/traffic/relay/ending.go
@@ -106,7 +106,7 @@
 		zap.Duration("Objective", s.objective()),
 		zap.Duration("AllowedGap", s.allowedGap()),
 		zap.Int64("Configuration", int64(s.configurationVersion)),
-		zap.String("Account", accountName(s.account)),
+		zap.String("Account", string(accountName(s.account))),
 		zap.String("Service", string(s.service)),
 		zap.String("Model", string(s.request.Model)),
 		zap.String("Adapter", string(s.request.Adapter)),
--- a/internal/traffic/relay/send.go
+++ b/internal/traffic/relay/send.go
@@ -6,7 +6,6 @@
 	"strings"
 
 	"cicadaloom/internal/control/balance"
-	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/domain/route"
 	"cicadaloom/internal/peer/httpsend"
 	"cicadaloom/internal/peer/upstream"
@@ -44,7 +43,7 @@
 		Deadline:    s.deadline,
 		Priority:    s.priority(),
 		HidesKey:    s.hidesKey,
-		Account:     ident.AccountName(accountName(s.account)),
+		Account:     accountName(s.account),
 		ResumeAfter: s.stream.lastEventID,
 		Version:     s.stream.version,
 	})
