relay, platform: Log the request limits that servers name

The header is decoded, kept per incarnation of the server (package backpressure) and logged with the request whose answer named it; nothing acts on it yet.

Odd values: negative, NaN and unreadable ones leave what was known, infinite and huge ones count as no limit. An answer without a limit ends it only if its request was sent after the limit was last named, since answers overtake each other.

--- /dev/null
+++ b/internal/control/backpressure/backpressure.go
@@ -0,0 +1,157 @@
+// Package backpressure keeps what backend servers' answers say about the requests that they
+// accept, for one host.
+//
+// A Table has a Server for each incarnation of a backend server. Whoever receives an answer
+// records its signals there; whoever is about to send looks at the State. Servers outlive the
+// lists of servers that other packages keep: a server that leaves the list and returns is
+// treated as before.
+//
+// # Usage
+//
+//	var table backpressure.Table
+//	server := table.Server(now, "i-7f3a91c2", "1778468908392")
+//	change := server.Record(sentAt, now, signals)
+//	if server.State().HasLimit {
+//		// ask for a permit before the next send
+//	}
+//
+// # Order of answers
+//
+// Answers on different connections overtake each other. An answer without a limit ends the
+// limit only if its request was sent after an answer last named one.
+//
+// A Table and its Servers are safe for concurrent use and start no goroutines. A nil Server
+// accepts all requests.
+package backpressure
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cicadaloom/internal/domain/backend"
+	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/domain/unit"
+)
+
+// Table has the servers that a host has met. The zero value is ready to use.
+type Table struct {
+	mu      sync.Mutex
+	servers map[serverKey]*Server
+	sweptAt time.Time
+}
+
+type serverKey struct {
+	name        ident.ServerName
+	incarnation ident.Incarnation
+}
+
+// Server is one incarnation of a backend server.
+type Server struct {
+	mu sync.Mutex
+	// state is nil while nothing is known.
+	state  atomic.Pointer[State]
+	usedAt atomic.Int64 // Unix nanoseconds
+}
+
+// State is what a server has last asked for.
+type State struct {
+	// HasLimit is whether the server names a request limit. Limit is the limit, and LimitNamedAt
+	// when an answer last named one.
+	HasLimit     bool
+	Limit        unit.Rate
+	LimitNamedAt time.Time
+}
+
+// Change is what an answer has changed.
+type Change struct {
+	// LimitNamed is whether the answer names another limit than the one before, or the first;
+	// LimitEnded is whether it ends the limit.
+	LimitNamed bool
+	LimitEnded bool
+}
+
+const (
+	sweepInterval = time.Minute
+	// retention is for how long a server that nobody asks for is remembered.
+	retention = time.Hour
+)
+
+// Server returns a server, a new one if it is not known.
+func (t *Table) Server(now time.Time, name ident.ServerName, incarnation ident.Incarnation) *Server {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sweep(now)
+	key := serverKey{
+		name:        name,
+		incarnation: incarnation,
+	}
+	server, known := t.servers[key]
+	if !known {
+		server = &Server{}
+		if t.servers == nil {
+			t.servers = make(map[serverKey]*Server)
+		}
+		t.servers[key] = server
+	}
+	server.usedAt.Store(now.UnixNano())
+	return server
+}
+
+func (t *Table) sweep(now time.Time) {
+	if now.Sub(t.sweptAt) < sweepInterval {
+		return
+	}
+	t.sweptAt = now
+	for key, server := range t.servers {
+		if now.UnixNano()-server.usedAt.Load() > int64(retention) {
+			delete(t.servers, key)
+		}
+	}
+}
+
+// State returns what the server has last asked for.
+func (s *Server) State() State {
+	if s == nil {
+		return State{}
+	}
+	state := s.state.Load()
+	if state == nil {
+		return State{}
+	}
+	return *state
+}
+
+// Record applies the signals of an answer that arrived now, to a request sent at sentAt.
+func (s *Server) Record(sentAt, now time.Time, signals backend.Signals) Change {
+	if signals == (backend.Signals{}) && s.state.Load() == nil {
+		return Change{}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := s.State()
+	change := state.applyLimit(sentAt, now, signals.RequestLimit)
+	s.usedAt.Store(now.UnixNano())
+	s.state.Store(&state)
+	return change
+}
+
+func (s *State) applyLimit(sentAt, now time.Time, limit backend.RequestLimit) Change {
+	switch limit.Statement {
+	case backend.LimitNamed:
+		change := Change{
+			LimitNamed: !s.HasLimit || s.Limit != limit.Rate,
+		}
+		s.HasLimit, s.Limit, s.LimitNamedAt = true, limit.Rate, now
+		return change
+	case backend.LimitNone:
+		if s.HasLimit && sentAt.After(s.LimitNamedAt) {
+			s.HasLimit, s.Limit = false, 0
+			return Change{
+				LimitEnded: true,
+			}
+		}
+	case backend.LimitUnreadable:
+	}
+	return Change{}
+}
--- a/internal/domain/unit/unit.go
+++ b/internal/domain/unit/unit.go
@@ -1,4 +1,4 @@
-// Package unit has types for amounts of bytes and tokens, so that fields need no unit
+// Package unit has types for amounts and rates, so that fields need no unit
 // in their names.
 //
 // # Usage
@@ -35,3 +35,6 @@
 
 // Tokens is a number of tokens of a model.
 type Tokens int64
+
+// Rate is a number of requests a second.
+type Rate float64
--- a/internal/host/gateway/fleet_test.go
+++ b/internal/host/gateway/fleet_test.go
@@ -367,6 +367,9 @@
 	return relay.Answer{
 		RequestID: ident.RequestID(header.Get("Id")),
 		Signed:    true,
+		Signals: backend.Signals{
+			RequestLimit: backend.ParseRequestLimit(header.Get("Limit")),
+		},
 	}
 }
 
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -61,6 +61,7 @@
 	tomb "gopkg.in/tomb.v2"
 
 	settings "cicadaloom/internal/config/gateway"
+	"cicadaloom/internal/control/backpressure"
 	"cicadaloom/internal/control/balance"
 	"cicadaloom/internal/control/quota"
 	"cicadaloom/internal/control/retries"
@@ -137,6 +138,7 @@
 	handler         *relay.Handler
 	upstreamClient  *upstream.Client
 	budget          *retries.Budget
+	backpressure    backpressure.Table
 	schedulers      promptSchedulers
 	quota           quotaPools
 	callerServer    httpserve.Server
@@ -242,6 +244,7 @@
 		ControlPlane: g,
 		Upstream:     g.upstreamClient,
 		Budget:       g.budget,
+		Backpressure: &g.backpressure,
 		Log:          options.Log,
 		Metrics:      relay.NewMetrics(options.Metrics),
 		Now:          time.Now,
--- a/internal/traffic/relay/metrics.go
+++ b/internal/traffic/relay/metrics.go
@@ -73,6 +73,11 @@
 	m.set.GetOrCreateHistogram(`cicadaloom_first_event_seconds{` + labels(r) + `}`).Update(took.Seconds())
 }
 
+// recordSignal counts what servers' answers ask for, by kind, each time it changes.
+func (m *Metrics) recordSignal(kind string) {
+	m.set.GetOrCreateCounter(`cicadaloom_server_signals_total{kind="` + kind + `"}`).Inc()
+}
+
 func (m *Metrics) recordSend(service ident.ServiceName, result balance.Result) {
 	m.set.GetOrCreateCounter(`cicadaloom_sends_total{service="` + string(service) + `",result="` + string(result) + `"}`).Inc()
 }
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -16,6 +16,7 @@
 //		ControlPlane: control,
 //		Upstream:     &upstream.Client{},
 //		Budget:       retries.New(options),
+//		Backpressure: &backpressure.Table{},
 //		Log:          log,
 //		Metrics:      relay.NewMetrics(set),
 //		Now:          time.Now,
@@ -52,6 +53,7 @@
 
 	"go.uber.org/zap"
 
+	"cicadaloom/internal/control/backpressure"
 	"cicadaloom/internal/control/balance"
 	"cicadaloom/internal/control/pacing"
 	"cicadaloom/internal/control/quota"
@@ -59,6 +61,7 @@
 	"cicadaloom/internal/control/routetable"
 	"cicadaloom/internal/control/suspects"
 	"cicadaloom/internal/domain/account"
+	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/domain/request"
 	"cicadaloom/internal/domain/route"
@@ -106,6 +109,7 @@
 	Instance   ident.ServerName
 	Version    ident.Version
 	ServerLoad ServerLoad
+	Signals    backend.Signals
 }
 
 // ServerLoad is the load that a server reports; Slots is 0 if it reports none.
@@ -156,6 +160,8 @@
 	ControlPlane ControlPlane
 	Upstream     *upstream.Client
 	Budget       *retries.Budget
+	// Backpressure has what servers' answers ask for.
+	Backpressure *backpressure.Table
 	Log          *zap.Logger
 	Metrics      *Metrics
 	Now          func() time.Time
--- a/internal/traffic/relay/send.go
+++ b/internal/traffic/relay/send.go
@@ -47,6 +47,7 @@
 		ResumeAfter: s.stream.lastEventID,
 		Version:     s.stream.version,
 	})
+	sentAt := h.Now()
 	exchange, err := h.Upstream.Send(ctx, upstream.Request{
 		Address:    ticket.Address,
 		Deadline:   s.deadline,
@@ -70,6 +71,7 @@
 			reason: "the answer is not this request's",
 		}
 	}
+	s.recordSignals(ticket, sentAt, &answer)
 	if answer.ServerLoad.Slots > 0 {
 		ticket.UpdateLoad(answer.ServerLoad.Running, answer.ServerLoad.Waiting)
 	}
--- /dev/null
+++ b/internal/traffic/relay/signals.go
@@ -0,0 +1,32 @@
+package relay
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"cicadaloom/internal/control/balance"
+)
+
+// recordSignals records what a server's answer says about the requests that the server
+// accepts. An answer of another server that has the address now says nothing about this one.
+func (s *requestState) recordSignals(ticket *balance.Ticket, sentAt time.Time, answer *Answer) {
+	if answer.Instance != "" && answer.Instance != ticket.Server {
+		return
+	}
+	h := s.handler
+	now := h.Now()
+	change := h.Backpressure.Server(now, ticket.Server, ticket.Incarnation).Record(sentAt, now, answer.Signals)
+	server := []zap.Field{
+		zap.String("Server", string(ticket.Server)),
+		zap.String("Incarnation", string(ticket.Incarnation)),
+		zap.String("Request", string(s.request.ID)),
+	}
+	switch {
+	case change.LimitNamed:
+		h.Metrics.recordSignal("RequestLimit")
+		h.Log.Info("server names a request limit", append(server, zap.Float64("Limit", float64(answer.Signals.RequestLimit.Rate)))...)
+	case change.LimitEnded:
+		h.Log.Info("server names no request limit any more", server...)
+	}
+}
--- a/internal/traffic/relay/testenv_test.go
+++ b/internal/traffic/relay/testenv_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"cicadaloom/internal/control/backpressure"
 	"cicadaloom/internal/control/balance"
 	"cicadaloom/internal/control/pacing"
 	"cicadaloom/internal/control/quota"
@@ -73,6 +74,9 @@
 		Signed:    header.Get("Signed") != "",
 		NotRun:    header.Get("Not-Run") != "",
 		Misplaced: status == http.StatusMisdirectedRequest,
+		Signals: backend.Signals{
+			RequestLimit: backend.ParseRequestLimit(header.Get("Limit")),
+		},
 	}
 }
 
@@ -237,11 +241,12 @@
 			Window: time.Second,
 			Slack:  100,
 		}),
-		Log:      zap.NewNop(),
-		Metrics:  NewMetrics(metrics.NewSet()),
-		Now:      time.Now,
-		Random:   func() uint64 { counter++; return counter },
-		Shutdown: shutdownContext,
+		Backpressure: &backpressure.Table{},
+		Log:          zap.NewNop(),
+		Metrics:      NewMetrics(metrics.NewSet()),
+		Now:          time.Now,
+		Random:       func() uint64 { counter++; return counter },
+		Shutdown:     shutdownContext,
 	}
 	w.front = httptest.NewServer(w.handler)
 	t.Cleanup(func() {
