dispatch, routing: Hold servers' request limits in serve too

Change: the header is X-Request-Limit in the protocol of serve, spoken by the stand-ins; routing leaves out servers that accept nothing now by their own word, and dispatch takes a permit before each attempt, from the same package as gateway. A request for which all servers are closed for longer than its promise is refused at once (too_busy, Retry-After), before its claim is written.

Before: TestServiceLimitHoldsOverAllHosts failed on the stand-in alone, 684 requests in 2 s where 17 were allowed, from 3 hosts. After: passes, and all tests of traffic, routing, loop, peers and stand-ins.

--- a/internal/command/standin/plain.go
+++ b/internal/command/standin/plain.go
@@ -15,7 +15,8 @@
   POST /faults   sets the fault switches, GET /faults shows them
   GET /stats     shows the runs of each request id and each body
 
-The switches: Down, FreezeRequests, CutAfterRun, Refuse, LeaveNow, WorkFor.
+The switches: Down, FreezeRequests, CutAfterRun, Refuse, LeaveNow,
+RequestLimit, WorkFor.
 `
 
 func init() {
--- a/internal/control/backpressure/backpressure.go
+++ b/internal/control/backpressure/backpressure.go
@@ -85,8 +85,11 @@
 // retention is for how long a server that is not listed is remembered.
 const retention = time.Hour
 
-// Server returns a server, a new one if it is not known.
+// Server returns a server, a new one if it is not known; nil from a nil Table.
 func (t *Table) Server(name ident.ServerName, incarnation ident.Incarnation) *Server {
+	if t == nil {
+		return nil
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	key := serverKey{
@@ -140,6 +143,9 @@
 
 // Record applies the signals of an answer that arrived now, to a request sent at sentAt.
 func (s *Server) Record(sentAt, now time.Time, signals backend.Signals) Change {
+	if s == nil {
+		return Change{}
+	}
 	if signals == (backend.Signals{}) && s.state.Load() == nil {
 		return Change{}
 	}
--- a/internal/control/loop/loop.go
+++ b/internal/control/loop/loop.go
@@ -29,7 +29,7 @@
 // One file for each concern: documents, claims, placement (plan, orders and the
 // leader's lease), leader (the hint on who leads), demand, servers (the platform's
 // host list, polls and crash checks), watch (which host polls which server, and how
-// reports spread), peers (exchanges between entry hosts), traffic (outcomes of
+// reports spread), limits (permits for limited servers), peers (exchanges between entry hosts), traffic (outcomes of
 // requests), operators (status and edits), decisions and gather (questions to all
 // hosts), metrics, start (creation, planned stop and end).
 package loop
@@ -44,6 +44,7 @@
 	tomb "gopkg.in/tomb.v2"
 
 	"cicadaloom/internal/config/settings"
+	"cicadaloom/internal/control/backpressure"
 	"cicadaloom/internal/control/burn"
 	"cicadaloom/internal/control/claims"
 	"cicadaloom/internal/control/decisions"
@@ -61,7 +62,9 @@
 	"cicadaloom/internal/peer/entryhost"
 	"cicadaloom/internal/peer/grpcpeer"
 	"cicadaloom/internal/peer/hostlist"
+	"cicadaloom/internal/peer/permitpeer"
 	"cicadaloom/internal/peer/plain"
+	"cicadaloom/internal/traffic/limiter"
 )
 
 // KeyValue is the platform's key-value service.
@@ -105,12 +108,17 @@
 	engines engine.Client
 	plains  plain.Client
 	list    hostlist.Client
+	limiter *limiter.Limiter
 
-	table    atomic.Pointer[routing.Table]
-	suspects atomic.Pointer[suspects.View]
-	inForce  atomic.Pointer[documents.Snapshot]
-	dropped  atomic.Int64
-	stopping atomic.Bool
+	// pressures has what servers' answers have asked for.
+	pressures backpressure.Table
+	// isInTouch tells that this host sees most of the hosts that it knows.
+	isInTouch atomic.Bool
+	table     atomic.Pointer[routing.Table]
+	suspects  atomic.Pointer[suspects.View]
+	inForce   atomic.Pointer[documents.Snapshot]
+	dropped   atomic.Int64
+	stopping  atomic.Bool
 }
 
 // message is handled by the control goroutine.
@@ -192,6 +200,14 @@
 		},
 	}
 	l.pool.Fleet = options.Fleet
+	l.limiter = limiter.New(limiter.Options{
+		Own: options.Settings.Host.Name,
+		Peers: permitpeer.Client{
+			Pool: &l.pool.Pool,
+		},
+		IsInTouch: l.isInTouch.Load,
+		Log:       options.Log,
+	})
 	l.pool.Meter = newMeter(options.Metrics, "hosts")
 	l.engines.UseMeter(newMeter(options.Metrics, "servers"))
 	l.plains.UseMeter(newMeter(options.Metrics, "servers"))
--- a/internal/control/loop/peers.go
+++ b/internal/control/loop/peers.go
@@ -32,6 +32,7 @@
 	c.runOrderCommands(c.orders.Step(now, leaderHint(c.membership.Leader(now), c.membership.Roster(now), c.membership.Self.Host)))
 	c.updateLiveHosts(now)
 	c.updateHostCount(now)
+	c.updateLimiter(now)
 	c.updateGauges(now)
 	for _, peer := range c.membership.Targets(now, c.orders.IsLeading()) {
 		c.exchange(now, peer)
--- a/internal/control/loop/servers.go
+++ b/internal/control/loop/servers.go
@@ -164,6 +164,7 @@
 	c.routing.Step(now, routing.ServerList{
 		Servers: m.servers,
 	})
+	c.pressures.Sweep(now, c.routing.HasIncarnation)
 	c.shareLeaving(now)
 	c.planServers(now, m.servers)
 	c.tableOutdated = true
--- a/internal/control/loop/start.go
+++ b/internal/control/loop/start.go
@@ -30,6 +30,7 @@
 				DataCentre: host.DataCentre,
 				Region:     host.Region,
 			},
+			Pressures: &l.pressures,
 		},
 		membership: membership.Machine{
 			Self: membership.Peer{
--- a/internal/control/routing/choose.go
+++ b/internal/control/routing/choose.go
@@ -39,6 +39,9 @@
 	NumTried int
 	// IdleOnly restricts the choice to replicas with no other request in flight.
 	IdleOnly bool
+	// OpenBy is until when the request can wait for a server that accepts none now by its own
+	// word; zero if it can't.
+	OpenBy time.Time
 	// OtherRegion selects replicas in another region instead of this one.
 	OtherRegion bool
 	// Version, if set, is the only version that can continue the answer of a stream.
@@ -190,10 +193,8 @@
 }
 
 func (r *Replica) isUsable(request *Request) bool {
-	for i := range request.NumTried {
-		if request.Tried[i] == r.Server {
-			return false
-		}
+	if request.hasTried(r.Server) || !r.isOpen(request) {
+		return false
 	}
 	if r.inOtherRegion != request.OtherRegion {
 		return false
@@ -207,6 +208,22 @@
 	return !r.LoadTracker.IsEjected(request.Now) && r.missingUntil.Load() <= request.Now.UnixNano()
 }
 
+// isOpen reports whether the server accepts the request, by its own word, in time.
+func (r *Replica) isOpen(request *Request) bool {
+	state := r.Pressure.State()
+	opensAt := state.OpensAt()
+	return !opensAt.After(request.Now) || !opensAt.After(request.OpenBy)
+}
+
+func (r *Request) hasTried(server ident.ServerName) bool {
+	for i := range r.NumTried {
+		if r.Tried[i] == server {
+			return true
+		}
+	}
+	return false
+}
+
 // ExpectedTTFT returns the expected time to the first token (TTFT) at a replica.
 func (r *Replica) ExpectedTTFT(now time.Time, hasCachedPrefix bool) time.Duration {
 	prefill := r.LoadTracker.PrefillTime()
--- a/internal/control/routing/machine.go
+++ b/internal/control/routing/machine.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"cicadaloom/internal/control/backpressure"
 	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/document"
 	"cicadaloom/internal/domain/ident"
@@ -33,7 +34,9 @@
 // Machine keeps the state that the tables are built from. It belongs to the control
 // goroutine.
 type Machine struct {
-	Location     Location
+	Location Location
+	// Pressures has what servers' answers have asked for; nil stands for nothing.
+	Pressures    *backpressure.Table
 	revision     ident.Revision
 	declarations map[targetKey]declaration
 	servers      map[ident.ServerName]*serverState
@@ -135,6 +138,12 @@
 	return requests
 }
 
+// HasIncarnation reports whether a server is listed, and its last report is of an incarnation.
+func (m *Machine) HasIncarnation(name ident.ServerName, incarnation ident.Incarnation) bool {
+	state, known := m.servers[name]
+	return known && state.report.Incarnation == incarnation
+}
+
 // LeavingServers returns the servers that have reported that they are leaving, or
 // for which a ServerLeaving event came.
 func (m *Machine) LeavingServers() []ServerLeaving {
--- a/internal/control/routing/table.go
+++ b/internal/control/routing/table.go
@@ -41,6 +41,7 @@
 	"time"
 
 	"cicadaloom/internal/control/admission"
+	"cicadaloom/internal/control/backpressure"
 	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/document"
 	"cicadaloom/internal/domain/ident"
@@ -87,6 +88,8 @@
 	DataCentre  ident.DataCentre
 	Region      ident.Region
 	LoadTracker *LoadTracker
+	// Pressure is what the server's answers have asked for.
+	Pressure *backpressure.Server
 	// Team is the share that the target's team has of the server.
 	Team *admission.Team
 	// nameHash is a hash of the server's name.
@@ -127,6 +130,28 @@
 	return r.inOtherRegion
 }
 
+// OpensAt returns when the first of the servers that a request may be sent to accepts one
+// again, if all of them accept none now by their own word. The second result is false if there
+// are none, or if one has another reason.
+func (t *Target) OpensAt(request *Request) (time.Time, bool) {
+	var first time.Time
+	for i := range t.Replicas {
+		replica := &t.Replicas[i]
+		if request.hasTried(replica.Server) {
+			continue
+		}
+		state := replica.Pressure.State()
+		at := state.OpensAt()
+		if !at.After(request.Now) {
+			return time.Time{}, false
+		}
+		if first.IsZero() || at.Before(first) {
+			first = at
+		}
+	}
+	return first, !first.IsZero()
+}
+
 // HasOtherRegionReplicas reports whether the target has replicas in another region.
 func (t *Target) HasOtherRegionReplicas() bool {
 	return t.localCount < len(t.Replicas)
--- a/internal/peer/engine/engine.go
+++ b/internal/peer/engine/engine.go
@@ -146,7 +146,11 @@
 func (c *Call) checkResponse(response *http.Response) error {
 	matches := response.Header.Get(engineapi.HeaderAttempt) == string(c.AttemptID)
 	if response.StatusCode != http.StatusOK {
-		return httpsend.ReadRefusal(response, matches && httpsend.HasNotRunProof(response))
+		refusal := httpsend.ReadRefusal(response, matches && httpsend.HasNotRunProof(response))
+		if !matches {
+			refusal.Signals = backend.Signals{}
+		}
+		return refusal
 	}
 	if !matches {
 		return errors.Wrapf(ErrMismatchedAnswer, "attempt %q answered as %q",
--- a/internal/peer/engine/stream.go
+++ b/internal/peer/engine/stream.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/tmaxmax/go-sse"
 
+	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/domain/unit"
 	"cicadaloom/internal/peer/httpsend"
@@ -77,6 +78,7 @@
 	cancel      context.CancelFunc
 	response    *http.Response
 	incarnation ident.Incarnation
+	signals     backend.Signals
 	isStreamed  bool
 
 	mu                 sync.Mutex // guards the fields below
@@ -94,6 +96,7 @@
 		cancel:      cancel,
 		response:    response,
 		incarnation: ident.Incarnation(response.Header.Get(engineapi.HeaderIncarnation)),
+		signals:     engineapi.ParseSignals(response.Header),
 		isStreamed:  call.Stream,
 		tokens:      call.ResumeAt,
 	}
@@ -109,6 +112,11 @@
 	return s.incarnation
 }
 
+// Signals returns what the answer says about the requests that the engine accepts.
+func (s *Stream) Signals() backend.Signals {
+	return s.signals
+}
+
 // Next waits for the next event. After End it returns io.EOF. An error wraps
 // ErrTruncatedStream, ErrMalformedStream or the cause of the cancelled context; every
 // later call returns the same error.
--- a/internal/peer/entryhost/entryhost.go
+++ b/internal/peer/entryhost/entryhost.go
@@ -1,7 +1,7 @@
 // Package entryhost is the gRPC service between entry hosts: its client, its server,
 // and the mapping between protobuf messages and the types of the control packages.
 //
-// The service has seven calls:
+// The service has seven calls, besides that of package permitpeer:
 //
 //   - Exchange is the heartbeat. Each side sends the heartbeats, documents, server
 //     loads, suspects and leaving backend servers that it knows. Each part carries its
@@ -46,6 +46,7 @@
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/peer/grpcpeer"
 	"cicadaloom/internal/peer/meter"
+	"cicadaloom/internal/peer/permitpeer"
 	"cicadaloom/internal/wire/entryhostpb"
 )
 
@@ -99,6 +100,7 @@
 
 // Handler serves the calls of peers. Its methods are called concurrently.
 type Handler interface {
+	permitpeer.Handler
 	Exchange(ctx context.Context, theirs Message) (Message, error)
 	BurnCounts(ctx context.Context) (BurnCounts, error)
 	Demand(ctx context.Context, rates demand.HostRates) error
@@ -136,6 +138,7 @@
 		entryhostpb.RegisterEntryHostServer(registrar, &service{
 			handler: s.Handler,
 		})
+		permitpeer.Register(registrar, s.Handler)
 	}, connMeter)
 }
 
--- a/internal/peer/entryhost/entryhost_test.go
+++ b/internal/peer/entryhost/entryhost_test.go
@@ -15,6 +15,7 @@
 	"cicadaloom/internal/control/demand"
 	"cicadaloom/internal/control/documents"
 	"cicadaloom/internal/control/membership"
+	"cicadaloom/internal/control/permits"
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/peer/grpcpeer"
 )
@@ -70,6 +71,8 @@
 	return true, p.err
 }
 
+func (p *fakeHandler) IssuePermit(permits.Ask) permits.Answer { return permits.Answer{} }
+
 func (p *fakeHandler) ReleaseForPeer(context.Context, claims.Release) (bool, error) {
 	return true, p.err
 }
--- a/internal/peer/httpsend/refusal.go
+++ b/internal/peer/httpsend/refusal.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/wire/engineapi"
 )
 
@@ -21,7 +22,9 @@
 	// RetryAfter is when the server wants the request to be retried; zero if it does
 	// not say.
 	RetryAfter time.Time
-	Body       []byte
+	// Signals is what the response says about the requests that the server accepts.
+	Signals backend.Signals
+	Body    []byte
 	// Sent is false only if no connection to the server was established.
 	Sent bool
 	// Cause is the error behind a refusal without a status, or without a usable body.
@@ -85,6 +88,7 @@
 		Status:     response.StatusCode,
 		NotRun:     notRun,
 		RetryAfter: engineapi.ParseRetryAfter(response.Header.Get("Retry-After"), time.Now()),
+		Signals:    engineapi.ParseSignals(response.Header),
 		Body:       body,
 		Sent:       true,
 	}
--- a/internal/peer/plain/plain.go
+++ b/internal/peer/plain/plain.go
@@ -34,6 +34,7 @@
 
 	"github.com/pkg/errors"
 
+	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/peer/httpsend"
 	"cicadaloom/internal/peer/meter"
@@ -83,6 +84,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Signals is what the response says about the requests that the service accepts.
+	Signals backend.Signals
 }
 
 // Do forwards a request. Exactly one of the results is nil.
@@ -127,9 +130,10 @@
 		}
 	}
 	return &Answer{
-		Status: response.StatusCode,
-		Header: forwardedHeader(response.Header),
-		Body:   body,
+		Status:  response.StatusCode,
+		Header:  forwardedHeader(response.Header),
+		Body:    body,
+		Signals: engineapi.ParseSignals(response.Header),
 	}, nil
 }
 
--- a/internal/standin/engine/chat.go
+++ b/internal/standin/engine/chat.go
@@ -68,6 +68,9 @@
 	current := e.current()
 	w.Header().Set(engineapi.HeaderIncarnation, string(current.id))
 	w.Header().Set(engineapi.HeaderAttempt, r.Header.Get(engineapi.HeaderAttempt))
+	if limit := e.Faults.Get().RequestLimit; limit != "" {
+		w.Header().Set(engineapi.HeaderRequestLimit, limit)
+	}
 	body, ok := server.ReadBody(w, r)
 	if !ok {
 		return
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -132,6 +132,8 @@
 	ForeignAnswers int
 	// LeaveNow refuses new requests and reports Leaving.
 	LeaveNow bool
+	// RequestLimit is named in all answers to chats, if it is not empty.
+	RequestLimit string
 }
 
 // Engine is the simulated engine. Create it with New.
--- a/internal/standin/plain/plain.go
+++ b/internal/standin/plain/plain.go
@@ -72,6 +72,8 @@
 	Refuse bool
 	// LeaveNow refuses requests as Refuse does, and reports Leaving.
 	LeaveNow bool
+	// RequestLimit is named in all answers, if it is not empty.
+	RequestLimit string
 	// WorkFor replaces the option WorkTime, if it is not 0.
 	WorkFor fault.Duration
 }
@@ -190,6 +192,9 @@
 	request := ident.RequestID(r.Header.Get(engineapi.HeaderRequest))
 	w.Header().Set(engineapi.HeaderRequest, string(request))
 	w.Header().Set(engineapi.HeaderIncarnation, string(s.incarnation))
+	if limit := s.Faults.Get().RequestLimit; limit != "" {
+		w.Header().Set(engineapi.HeaderRequestLimit, limit)
+	}
 	if s.isLeaving() || s.Faults.Get().Refuse || !s.acquire() {
 		s.refuse(w)
 		return
--- a/internal/traffic/dispatch/chat.go
+++ b/internal/traffic/dispatch/chat.go
@@ -44,6 +44,7 @@
 	}
 	// Refuse a request that can't be answered in time before claiming it, since
 	// a claim costs a write to the key-value service.
+	h.routing.OpenBy = h.firstTokenLimit()
 	if _, failure := h.chooseReplica(ctx); failure != nil {
 		return failure
 	}
@@ -82,7 +83,7 @@
 // sendUntilAnswered sends the chat until it is answered or fails for good.
 func (h *chatHandler) sendUntilAnswered(ctx context.Context) (Answer, *Failure) {
 	for {
-		choice, failure := h.chooseReplica(ctx)
+		choice, failure := h.takeReplica(ctx)
 		if failure != nil {
 			return h.answer, h.markCutStream(failure)
 		}
@@ -125,6 +126,7 @@
 		return h.handleError(ctx, choice, err, dog.hasStalled())
 	}
 	defer stream.Close()
+	h.recordSignals(choice, stream.Signals())
 	h.routing.Version = choice.Replica.Version
 	return h.forwardAnswer(ctx, choice, stream, dog)
 }
@@ -247,7 +249,10 @@
 func (h *chatHandler) handleError(ctx context.Context, choice routing.Choice, err error, hasStalled bool) (bool, *Failure) {
 	gauge := choice.Replica.LoadTracker
 	var refusal *engine.Refusal
-	if errors.As(err, &refusal) && refusal.ProvesNotRun() {
+	if errors.As(err, &refusal) {
+		h.recordSignals(choice, refusal.Signals)
+	}
+	if refusal != nil && refusal.ProvesNotRun() {
 		return h.handleRefusal(choice, refusal)
 	}
 	switch {
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -15,6 +15,7 @@
 //		ControlPlane:  loop,
 //		Claims:        loop,
 //		Reporter:      loop,
+//		Limits:        loop,
 //		Engines:       &engine.Client{},
 //		PlainServices: &plain.Client{},
 //		Policy:        routing.LeastCost{},
@@ -47,6 +48,7 @@
 	"cicadaloom/internal/control/admission"
 	"cicadaloom/internal/control/burn"
 	"cicadaloom/internal/control/decisions"
+	"cicadaloom/internal/control/permits"
 	"cicadaloom/internal/control/routing"
 	"cicadaloom/internal/control/suspects"
 	"cicadaloom/internal/domain/ident"
@@ -68,6 +70,13 @@
 	ReportCleared(fingerprint ident.Fingerprint)
 }
 
+// Limits gets permits for requests to servers that name a request limit. Its methods may ask
+// other hosts; ReportLimitEnded doesn't wait.
+type Limits interface {
+	Permit(ctx context.Context, ask permits.Ask) permits.Answer
+	ReportLimitEnded(ask permits.Ask)
+}
+
 // Engines sends requests to engines.
 type Engines interface {
 	Chat(ctx context.Context, address string, call engine.Call) (*engine.Stream, error)
@@ -84,6 +93,7 @@
 	ControlPlane  ControlPlane
 	Claims        Claims
 	Reporter      Reporter
+	Limits        Limits
 	Engines       Engines
 	PlainServices PlainServices
 	Policy        routing.Policy
@@ -132,6 +142,8 @@
 	// from 0; ticket is the latest attempt's admission at its server.
 	classPosition int
 	ticket        admission.Ticket
+	// permit is that of the next attempt.
+	permit permit
 	// linkTransfer counts the latest attempt's traffic over the link, if it is
 	// sent to another region.
 	linkTransfer LinkTransfer
--- a/internal/traffic/dispatch/route.go
+++ b/internal/traffic/dispatch/route.go
@@ -172,9 +172,12 @@
 }
 
 func (h *requestHandler) failNoReplica(now time.Time) *Failure {
+	opensAt, isClosed := h.target.OpensAt(&h.routing)
 	switch {
 	case h.verdict == suspects.Refuse:
 		return h.failSuspect()
+	case isClosed:
+		return h.failClosed(opensAt)
 	case h.routing.NumTried > 0:
 		return h.fail(CodeBackendFailed, "no backend server is left to try", now.Add(retryAfterFailure))
 	case h.verdict == suspects.ServeAlone:
--- a/internal/traffic/dispatch/service.go
+++ b/internal/traffic/dispatch/service.go
@@ -49,7 +49,7 @@
 
 func (h *plainHandler) sendUntilAnswered(ctx context.Context) (Answer, *Failure) {
 	for {
-		choice, failure := h.chooseReplica(ctx)
+		choice, failure := h.takeReplica(ctx)
 		if failure != nil {
 			return h.answer, failure
 		}
@@ -75,8 +75,10 @@
 		Once:      !h.mayRepeat,
 	})
 	if refusal != nil {
+		h.recordSignals(choice, refusal.Signals)
 		return h.handleError(ctx, choice, refusal, dog.hasStalled())
 	}
+	h.recordSignals(choice, answer.Signals)
 	return false, h.finishAnswered(choice, answer)
 }
 
--- a/internal/traffic/host/host.go
+++ b/internal/traffic/host/host.go
@@ -178,6 +178,7 @@
 		ControlPlane:  h.control,
 		Claims:        h.control,
 		Reporter:      h.control,
+		Limits:        h.control,
 		Engines:       h.engines,
 		PlainServices: h.plainServices,
 		Policy:        policy,
--- a/internal/wire/engineapi/engineapi.go
+++ b/internal/wire/engineapi/engineapi.go
@@ -25,6 +25,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"cicadaloom/internal/domain/backend"
 )
 
 // URL paths of engines, the host list, the weight store and plain services.
@@ -51,6 +53,9 @@
 	// statement that it did not run the request.
 	HeaderNotRun = "X-Not-Run"
 	NotRunProof  = "true"
+	// HeaderRequestLimit is on all answers of a backend server in need: the requests a second
+	// that it accepts from all hosts together.
+	HeaderRequestLimit = "X-Request-Limit"
 )
 
 // ContentTypeStream is the content type of server-sent events.
@@ -88,6 +93,14 @@
 	return count, nil
 }
 
+// ParseSignals parses what the header of an answer says about the requests that the backend
+// server accepts.
+func ParseSignals(header http.Header) backend.Signals {
+	return backend.Signals{
+		RequestLimit: backend.ParseRequestLimit(header.Get(HeaderRequestLimit)),
+	}
+}
+
 // ParseRetryAfter parses a Retry-After header in either of its forms (RFC 9110, 10.2.3)
 // and returns the time to retry at. An absent or invalid one is the zero time.
 func ParseRetryAfter(value string, now time.Time) time.Time {
