relay, gateway: Send nothing to servers that have asked for rest

Ruled out: a rest that is forgotten with the list of servers, and 'the same server again is better than none', which the code would have done next; both are tested now.

Change: a server that has asked for rest is left out until the end of it: at the choice, at a reservation, at the moment of sending, and where no other server is left. State is kept per incarnation and outlives the lists. A request for which all servers rest for longer than it can wait is refused at once, with the end of the first rest as Retry-After; a shorter rest is waited for. The leader asks such an engine for no reports and gives it no orders.

--- a/internal/control/backpressure/backpressure.go
+++ b/internal/control/backpressure/backpressure.go
@@ -73,10 +73,15 @@
 // OpensAt returns when the server accepts the next request of this host, a past instant or zero
 // for at once.
 func (s *State) OpensAt() time.Time {
-	if s.HasLimit {
+	if s.HasLimit && s.PermitAt.After(s.RestUntil) {
 		return s.PermitAt
 	}
-	return time.Time{}
+	return s.RestUntil
+}
+
+// IsResting reports whether the server wants no requests from this host now.
+func (s *State) IsResting(now time.Time) bool {
+	return s.RestUntil.After(now)
 }
 
 // Change is what an answer has changed.
--- a/internal/control/balance/server.go
+++ b/internal/control/balance/server.go
@@ -124,7 +124,7 @@
 // waits for its permit may go to a server whose next permit is free later.
 func (s *server) isOpen(now time.Time, criteria *Criteria) bool {
 	state := s.pressure.State()
-	return criteria.AwaitsPermit || !state.OpensAt().After(now)
+	return !state.IsResting(now) && (criteria.AwaitsPermit || !state.OpensAt().After(now))
 }
 
 // recordParts remembers that the server's cache holds parts of a prompt.
--- a/internal/host/gateway/fleet_test.go
+++ b/internal/host/gateway/fleet_test.go
@@ -301,14 +301,17 @@
 	mu     sync.Mutex
 	orders []backend.CountedOrder
 	// times has when each of the orders arrived.
-	times     []time.Time
-	counts    map[ident.ServerName]int64
+	times  []time.Time
+	counts map[ident.ServerName]int64
+	// reports counts the reports that were asked for.
+	reports   map[ident.ServerName]int
 	residents map[ident.ServerName][]backend.Resident
 }
 
 func (e *engines) FetchReport(_ context.Context, server *backend.Server, incarnation ident.Incarnation, _ time.Time) (backend.Report, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.reports[server.Name]++
 	return backend.Report{
 		Server:         server.Name,
 		Incarnation:    incarnation,
@@ -335,6 +338,12 @@
 	return backend.OrderAccepted, nil
 }
 
+func (e *engines) countReports(server ident.ServerName) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.reports[server]
+}
+
 func (e *engines) sentOrders() []backend.CountedOrder {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -432,6 +441,7 @@
 		keyValue: newKeyValue(),
 		engines: &engines{
 			counts:    make(map[ident.ServerName]int64),
+			reports:   make(map[ident.ServerName]int),
 			residents: make(map[ident.ServerName][]backend.Resident),
 		},
 		hosts:  make(map[string]*Gateway),
--- a/internal/host/gateway/gateway_test.go
+++ b/internal/host/gateway/gateway_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"cicadaloom/internal/control/loading"
 	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/domain/route"
@@ -265,7 +266,12 @@
 	}
 	c.term.extendLease(steadyNanos(), bootNanos(), time.Minute)
 	term := c.term
-	c.sendOrder("models", "one:1", backend.CountedOrder{
+	c.sendOrder("models", &loading.Server{
+		Server: backend.Server{
+			Name:    "one",
+			Address: "one:1",
+		},
+	}, backend.CountedOrder{
 		Server: "one",
 	})
 	require.Eventually(t, term.ended.Load, 5*time.Second, time.Millisecond)
--- a/internal/host/gateway/limits_test.go
+++ b/internal/host/gateway/limits_test.go
@@ -11,6 +11,9 @@
 
 	"github.com/stretchr/testify/require"
 	tomb "gopkg.in/tomb.v2"
+
+	"cicadaloom/internal/domain/backend"
+	"cicadaloom/internal/domain/ident"
 )
 
 // limitedServer names a request limit from an instant on, and counts what it gets.
@@ -119,3 +122,21 @@
 	require.LessOrEqual(t, limited.mostSince(namedAt.Add(time.Second), window), allowed)
 	require.Greater(t, limited.mostSince(namedAt.Add(time.Second), window), 2, "the limit is used")
 }
+
+// Guards against a leader that goes on with reports and orders at an engine that wants nothing
+// from its host.
+func TestLeaderLeavesRestingEngineAlone(t *testing.T) {
+	f := newFleet(t)
+	f.keyValue.write("configuration", engineConfiguration())
+	f.start("a")
+	f.hosts["a"].backpressure.Server("one", "1").Record(time.Now(), time.Now(), backend.Signals{
+		RestUntil: time.Now().Add(time.Minute),
+	})
+	f.serve("models", "one")
+	f.serve("models", "two")
+	f.eventually(func() bool { return len(f.engines.sentOrders()) > 0 && f.engines.countReports("two") > 3 }, "orders and reports")
+	require.Zero(t, f.engines.countReports("one"))
+	for _, order := range f.engines.sentOrders() {
+		require.Equal(t, ident.ServerName("two"), order.Server)
+	}
+}
--- a/internal/host/gateway/plan.go
+++ b/internal/host/gateway/plan.go
@@ -148,7 +148,7 @@
 	}
 	for _, order := range planner.Step(now) {
 		at := slices.IndexFunc(servers, func(s loading.Server) bool { return s.Name == order.Server })
-		c.sendOrder(name, servers[at].Address, order)
+		c.sendOrder(name, &servers[at], order)
 	}
 	for _, decision := range planner.TakeRetirements() {
 		c.log.Info("replica is retired", zap.String("Server", string(decision.Server)), zap.String("Model", string(decision.Model)),
@@ -181,7 +181,8 @@
 	if planner, known := c.planners[service]; known && planner.HasPendingOrder(server.Name) {
 		interval = reportInterval // so that the end of the order is seen soon
 	}
-	if now.Sub(c.reportAskedAt[server.Name]) < interval {
+	pressure := c.backpressure.Server(server.Name, incarnation)
+	if state := pressure.State(); now.Sub(c.reportAskedAt[server.Name]) < interval || state.IsResting(now) {
 		return
 	}
 	c.reportAskedAt[server.Name] = now
@@ -231,16 +232,19 @@
 	}
 }
 
-// sendOrder sends an order, unless this host may send none at that very instant.
-func (c *control) sendOrder(service ident.ServiceName, address string, order backend.CountedOrder) {
+// sendOrder sends an order, unless this host may send none at that very instant, or none to this
+// server.
+func (c *control) sendOrder(service ident.ServiceName, server *loading.Server, order backend.CountedOrder) {
 	term := c.term
+	address := server.Address
+	pressure := c.backpressure.Server(server.Name, server.Incarnation)
 	order.Leader = c.options.Settings.Host.Name
 	order.Fencing = term.token
 	c.tomb.Go(func() error {
 		answer, err := backend.OrderConflicts, error(nil)
 		// Stored before the order is sent, so that what a new leader is told covers it.
 		c.lastOrderBootNanos.Store(bootNanos())
-		if term.mayOrder() {
+		if state := pressure.State(); term.mayOrder() && !state.IsResting(time.Now()) {
 			answer, err = c.options.Engines.SendOrder(c.context(), address, &order, time.Now().Add(orderTimeout))
 		}
 		c.log.Info("order", zap.String("Server", string(order.Server)), zap.String("Kind", string(order.Kind)),
--- a/internal/traffic/relay/ending.go
+++ b/internal/traffic/relay/ending.go
@@ -14,9 +14,15 @@
 	"cicadaloom/internal/peer/upstream"
 )
 
-// abandon ends a request that can't be sent again.
+// abandon ends a request that can't be sent again. Where all servers have asked for rest, its
+// client may retry when the first of them accepts requests again.
 func (s *requestState) abandon(reason string) {
-	s.abandonWithRetryAfter(busyRetryAfter, reason)
+	now := s.handler.Now()
+	retryAfter := busyRetryAfter
+	if opensAt, isClosed := s.pool.OpensAt(now, balance.Criteria{Weights: s.request.Weights()}); isClosed {
+		retryAfter = max(retryAfter, s.spread(opensAt.Sub(now)))
+	}
+	s.abandonWithRetryAfter(retryAfter, reason)
 }
 
 func (s *requestState) abandonWithRetryAfter(retryAfter time.Duration, reason string) {
--- a/internal/traffic/relay/permit.go
+++ b/internal/traffic/relay/permit.go
@@ -115,7 +115,14 @@
 // whose time has come.
 func (s *requestState) mayStillSend(ticket *balance.Ticket) bool {
 	state := ticket.Pressure.State()
-	return !state.HasLimit || state.Limit >= s.permit.limit && s.handler.Now().Before(s.permit.expiresAt)
+	now := s.handler.Now()
+	switch {
+	case state.IsResting(now):
+		return false
+	case state.HasLimit:
+		return state.Limit >= s.permit.limit && now.Before(s.permit.expiresAt)
+	}
+	return true
 }
 
 func newPermitAsk(ticket *balance.Ticket, limit backend.RequestLimit, at time.Time) permits.Ask {
--- a/internal/traffic/relay/rest_test.go
+++ b/internal/traffic/relay/rest_test.go
@@ -4,10 +4,16 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"cicadaloom/internal/control/pacing"
+	"cicadaloom/internal/domain/backend"
+	"cicadaloom/internal/domain/route"
 )
 
 // askForRest refuses a request and asks for rest.
@@ -34,3 +40,79 @@
 	}
 	require.LessOrEqual(t, w.countArrivals("resting"), 1)
 }
+
+// Guards against a request that is sent again to a server that has asked for rest, since no
+// other is left, or waits for it until its time is over.
+func TestRequestIsRefusedAtOnceWhereAllServersRest(t *testing.T) {
+	w := newTestEnv(t, safeRoute())
+	w.serve("a", askForRest("20"))
+	w.serve("b", askForRest("30"))
+	for _, id := range []string{"first", "second"} {
+		started := time.Now()
+		refused := w.ask(http.MethodGet, id, nil)
+		require.Less(t, time.Since(started), time.Second)
+		require.Equal(t, http.StatusServiceUnavailable, refused.status)
+		retryAfter, err := strconv.ParseFloat(refused.header.Get("Retry-After"), 64)
+		require.NoError(t, err)
+		require.InDelta(t, 22, retryAfter, 3.5)
+	}
+	require.ElementsMatch(t, []string{"a first", "b first"}, w.arrivals())
+}
+
+// Guards against a request that is refused although a server accepts it again in time.
+func TestRequestWaitsForEndOfShortRest(t *testing.T) {
+	w := newTestEnv(t, safeRoute())
+	var rested atomic.Bool
+	w.serve("a", func(to http.ResponseWriter, r *http.Request) {
+		if rested.Swap(true) {
+			_, _ = io.WriteString(to, "answer")
+			return
+		}
+		askForRest("0.5")(to, r)
+	})
+	started := time.Now()
+	require.Equal(t, http.StatusOK, w.ask(http.MethodGet, "r1", nil).status)
+	require.Greater(t, time.Since(started), 450*time.Millisecond)
+	require.Len(t, w.arrivals(), 2)
+}
+
+// Guards against a request that was granted an engine before the engine asked for rest, and is
+// sent there.
+func TestPromptGrantedBeforeRestIsNotSent(t *testing.T) {
+	w := newTestEnv(t, route.Route{
+		Kind:      route.Safe,
+		Timeout:   10 * time.Second,
+		Objective: 100 * time.Millisecond,
+	})
+	w.serve("engine", answerWith(http.StatusOK, "answer"))
+	w.serveEngine("m")
+	w.queue.Reserve(time.Now(), &pacing.Prompt{
+		Candidates: []pacing.Candidate{{
+			Server:      "engine",
+			PrefillTime: 50 * time.Millisecond,
+		}},
+	})
+	var granted sync.WaitGroup
+	granted.Go(func() { w.ask(http.MethodGet, "granted", http.Header{"Weights": {"m"}}) })
+	require.Eventually(t, func() bool { return w.reservations.Load() == 1 }, time.Second, time.Millisecond)
+	w.pressures.Server("engine", "1").Record(time.Now(), time.Now(), backend.Signals{
+		RestUntil: time.Now().Add(20 * time.Second),
+	})
+	granted.Wait()
+	require.Empty(t, w.arrivals())
+}
+
+// Guards against a rest that is forgotten when the list of servers changes, or the server leaves
+// it for a moment.
+func TestRestOutlastsListOfServers(t *testing.T) {
+	w := newTestEnv(t, safeRoute())
+	w.serve("resting", askForRest("30"))
+	w.serve("spare", answerSlowly)
+	require.Equal(t, http.StatusOK, w.ask(http.MethodGet, "first", nil).status)
+	w.pool.SetServers(w.servers[1:])
+	w.pool.SetServers(w.servers)
+	for i := range 10 {
+		require.Equal(t, http.StatusOK, w.ask(http.MethodGet, strconv.Itoa(i), nil).status)
+	}
+	require.LessOrEqual(t, w.countArrivals("resting"), 1)
+}
