balance, gateway: Send nothing to servers that have said that they leave

Its entry alone told hosts so far; some servers never report that they drain.

Change: the incarnation counts as leaving at this host from the first such answer, also when its entry leaves the list and returns; the leader loads nothing there.

Before: TestServerThatSaysItLeavesGetsNoRequests failed, 39 of 40 requests reached the server, and TestServerThatSaysItLeavesDoesNotReturn failed. After: both pass, as do TestLeaderOrdersNoLoadsOnEngineThatSaysItLeaves and all tests of relay and balance.

--- a/internal/control/balance/choose.go
+++ b/internal/control/balance/choose.go
@@ -157,7 +157,7 @@
 		if !p.canAnswer(s, criteria) || isKept && s.retiring[criteria.Weights.Model] {
 			continue
 		}
-		if verdict == NoneHolds && !s.info.Leaving {
+		if verdict == NoneHolds && !s.isLeaving() {
 			verdict = NoneTakes
 		}
 		if !s.isAvailable(now, p.serverLimit) || !s.isOpen(now, criteria) || slices.Contains(criteria.Tried, s.info.Name) {
@@ -176,7 +176,7 @@
 	defer p.mu.Unlock()
 	var first time.Time
 	for _, s := range p.list {
-		if s.info.Leaving || !p.canAnswer(s, &criteria) || slices.Contains(criteria.Tried, s.info.Name) {
+		if s.isLeaving() || !p.canAnswer(s, &criteria) || slices.Contains(criteria.Tried, s.info.Name) {
 			continue
 		}
 		state := s.pressure.State()
@@ -201,7 +201,7 @@
 // the server that keeps the model as soon as a request misses it.
 func (p *Pool) isModelKept(model ident.ModelName) bool {
 	for _, s := range p.list {
-		if !s.info.Leaving && !s.retiring[model] && s.holds[request.Weights{Model: model}] {
+		if !s.isLeaving() && !s.retiring[model] && s.holds[request.Weights{Model: model}] {
 			return true
 		}
 	}
--- a/internal/control/balance/server.go
+++ b/internal/control/balance/server.go
@@ -114,12 +114,17 @@
 
 // isAvailable reports whether the server accepts one more request of this host.
 func (s *server) isAvailable(now time.Time, serverLimit int) bool {
-	if s.info.Leaving || s.ownInFlight >= serverLimit || now.Before(s.ejectedUntil) {
+	if s.isLeaving() || s.ownInFlight >= serverLimit || now.Before(s.ejectedUntil) {
 		return false
 	}
 	return s.failures == 0 || !s.probing
 }
 
+// isLeaving reports whether the server leaves, by its entry or by its own word.
+func (s *server) isLeaving() bool {
+	return s.info.Leaving || s.pressure.State().IsLeaving
+}
+
 // isOpen reports whether the server accepts one more request by its own word. A request that
 // waits for its permit may go to a server whose next permit is free later.
 func (s *server) isOpen(now time.Time, criteria *Criteria) bool {
--- a/internal/host/gateway/limits_test.go
+++ b/internal/host/gateway/limits_test.go
@@ -140,3 +140,19 @@
 		require.Equal(t, ident.ServerName("two"), order.Server)
 	}
 }
+
+// Guards against a leader that loads models on an engine that has said that it is leaving.
+func TestLeaderOrdersNoLoadsOnEngineThatSaysItLeaves(t *testing.T) {
+	f := newFleet(t)
+	f.keyValue.write("configuration", engineConfiguration())
+	f.start("a")
+	f.hosts["a"].backpressure.Server("one", "1").Record(time.Now(), time.Now(), backend.Signals{
+		IsLeaving: true,
+	})
+	f.serve("models", "one")
+	f.serve("models", "two")
+	f.eventually(func() bool { return len(f.engines.sentOrders()) > 0 && f.engines.countReports("one") > 3 }, "orders and reports")
+	for _, order := range f.engines.sentOrders() {
+		require.Equal(t, ident.ServerName("two"), order.Server)
+	}
+}
--- a/internal/host/gateway/plan.go
+++ b/internal/host/gateway/plan.go
@@ -90,7 +90,7 @@
 		byService[service.Name] = append(byService[service.Name], loading.Server{
 			Server:      registration.Server,
 			Incarnation: registration.Report.Incarnation,
-			Leaving:     registration.Report.Leaving,
+			Leaving:     registration.Report.Leaving || c.saysItLeaves(&registration),
 		})
 		c.requestReport(now, interval, service.Name, &registration)
 	}
@@ -102,6 +102,11 @@
 	}
 }
 
+// saysItLeaves reports whether a server has said in its answers to this host that it is leaving.
+func (c *control) saysItLeaves(registration *backend.Registration) bool {
+	return c.backpressure.Server(registration.Server.Name, registration.Report.Incarnation).State().IsLeaving
+}
+
 // reportIntervalFor returns the time between two report requests to one of so many servers.
 func reportIntervalFor(servers int) time.Duration {
 	interval := reportInterval * time.Duration(servers) / reportEngines
--- a/internal/traffic/relay/permit.go
+++ b/internal/traffic/relay/permit.go
@@ -117,7 +117,7 @@
 	state := ticket.Pressure.State()
 	now := s.handler.Now()
 	switch {
-	case state.IsResting(now):
+	case state.IsLeaving || state.IsResting(now):
 		return false
 	case state.HasLimit:
 		return state.Limit >= s.permit.limit && now.Before(s.permit.expiresAt)
--- a/internal/traffic/relay/rest_test.go
+++ b/internal/traffic/relay/rest_test.go
@@ -116,3 +116,42 @@
 	}
 	require.LessOrEqual(t, w.countArrivals("resting"), 1)
 }
+
+// Guards against a server that has said that it is leaving and gets requests from the same host.
+func TestServerThatSaysItLeavesGetsNoRequests(t *testing.T) {
+	w := newTestEnv(t, safeRoute())
+	w.serve("leaving", func(to http.ResponseWriter, _ *http.Request) {
+		to.Header().Set("Leaving", "1")
+		_, _ = io.WriteString(to, "answer")
+	})
+	w.serve("spare", answerSlowly)
+	for i := range 40 {
+		require.Equal(t, http.StatusOK, w.ask(http.MethodGet, strconv.Itoa(i), nil).status)
+	}
+	require.LessOrEqual(t, w.countArrivals("leaving"), 1)
+}
+
+// Guards against a server that has said that it is leaving, and gets requests again when its
+// entry returns.
+func TestServerThatSaysItLeavesDoesNotReturn(t *testing.T) {
+	w := newTestEnv(t, safeRoute())
+	w.serve("leaving", func(to http.ResponseWriter, _ *http.Request) {
+		to.Header().Set("Leaving", "1")
+		_, _ = io.WriteString(to, "answer")
+	})
+	require.Equal(t, http.StatusOK, w.ask(http.MethodGet, "first", nil).status)
+	w.serve("spare", answerSlowly)
+	w.pool.SetServers(w.servers[1:])
+	w.pool.SetServers(w.servers)
+	for i := range 10 {
+		require.Equal(t, http.StatusOK, w.ask(http.MethodGet, strconv.Itoa(i), nil).status)
+	}
+	require.Equal(t, 1, w.countArrivals("leaving"))
+
+	w.servers[0].Incarnation = "2"
+	w.pool.SetServers(w.servers)
+	for i := range 10 {
+		w.ask(http.MethodGet, strconv.Itoa(i), nil)
+	}
+	require.Equal(t, 2, w.countArrivals("leaving"), "a new incarnation is asked")
+}
