--- a/internal/traffic/relay/limit_test.go
+++ b/internal/traffic/relay/limit_test.go
@@ -140,3 +140,15 @@
 	}
 	require.Less(t, time.Since(started), 2*time.Second)
 }
+
+// Guards against a request that asks again and again while no issuer of permits answers.
+func TestPermitIsNotAskedForAgainAtOnceWhileNobodyDecides(t *testing.T) {
+	w := newTestEnv(t, safeRoute())
+	w.serve("limited", nameLimit("2"))
+	require.Equal(t, http.StatusOK, w.ask(http.MethodGet, "told", nil).status)
+	w.isUndecided.Store(true)
+	refused := w.ask(http.MethodGet, "waits", nil)
+	require.Equal(t, http.StatusServiceUnavailable, refused.status)
+	require.NotEmpty(t, refused.header.Get("Retry-After"))
+	require.LessOrEqual(t, w.permitsAsked.Load(), int64(8))
+}
--- a/internal/traffic/relay/permit.go
+++ b/internal/traffic/relay/permit.go
@@ -39,7 +39,7 @@
 		return nil, verdict
 	}
 	until := s.openDeadline()
-	if !opensAt.After(until) {
+	if !opensAt.After(until) && !s.handler.Now().Before(s.undecidedUntil) {
 		booking := criteria
 		booking.AwaitsPermit = true
 		if ticket, verdict = s.takePermittedTicket(ctx, booking, until); ticket != nil {
@@ -99,6 +99,9 @@
 	ticket.Pressure.LearnLimit(answer.Limit, answer.LimitAt)
 	if answer.Outcome != permits.Granted {
 		ticket.Pressure.SetPermitAt(answer.SendAt)
+		if !answer.SendAt.After(sendBy) {
+			s.undecidedUntil = answer.SendAt
+		}
 		return false
 	}
 	if answer.SendAt.After(ticket.SendAt) {
--- a/internal/traffic/relay/serving.go
+++ b/internal/traffic/relay/serving.go
@@ -64,6 +64,8 @@
 	// closedUntil is when the first server accepts a request again by its own word, set if that
 	// is too late for this request.
 	closedUntil time.Time
+	// undecidedUntil is when permits may be asked for again after no issuer has decided.
+	undecidedUntil time.Time
 	// permit is that of the current send.
 	permit permit
 	// queueTime is how long the request waited for its turn at engines; prefillTime is the
--- a/internal/traffic/relay/testenv_test.go
+++ b/internal/traffic/relay/testenv_test.go
@@ -100,6 +100,9 @@
 	missingReported int
 	queue           pacing.Queue
 	issuer          permits.Issuer
+	// permitsAsked counts the asks for permits; with isUndecided no issuer answers them.
+	permitsAsked atomic.Int64
+	isUndecided  atomic.Bool
 	// reservations counts the reservations of engines.
 	reservations atomic.Int64
 	shutdown     context.CancelFunc
@@ -167,6 +170,12 @@
 
 // Permit issues permits as a host does that is the only one.
 func (w *testEnv) Permit(_ context.Context, ask permits.Ask) permits.Answer {
+	w.permitsAsked.Add(1)
+	if w.isUndecided.Load() {
+		return permits.Answer{
+			SendAt: time.Now().Add(time.Second),
+		}
+	}
 	return w.issuer.Issue(time.Now(), 0, ask)
 }
 
