limiter: Hold the steps around a send once, for gateway and serve

The permit, the second look at the moment of sending, and the record of an answer's signals stood in relay and in dispatch. Behaviour is meant to stay.

--- a/internal/control/backpressure/backpressure.go
+++ b/internal/control/backpressure/backpressure.go
@@ -1,10 +1,9 @@
 // Package backpressure keeps what backend servers' answers say about the requests that they
 // accept, for one host.
 //
-// A Table has a Server for each incarnation of a backend server. Whoever receives an answer
-// records its signals there; whoever is about to send looks at the State. Servers outlive the
-// lists of servers that other packages keep: a server that leaves the list and returns is
-// treated as before.
+// A Table has a Server for each incarnation of a backend server. The signals of each answer are
+// recorded there, and the State is checked before each send. Servers outlive the lists of servers
+// that other packages keep: a server that leaves the list and returns is treated as before.
 //
 // # Usage
 //
@@ -34,11 +33,11 @@
 	"cicadaloom/internal/domain/unit"
 )
 
-// Table has the servers that a host has met. The zero value is ready to use.
+// Table keeps the servers of one host. The zero value is ready to use.
 type Table struct {
 	mu      sync.Mutex
 	servers map[serverKey]*Server
-	// unlistedSince has when a server was first found missing from the list of servers.
+	// unlistedSince is when each server that is not listed was first found missing.
 	unlistedSince map[serverKey]time.Time
 }
 
@@ -125,8 +124,8 @@
 	return server
 }
 
-// adoptUnknown gives what is known of a server whose incarnation was not known yet to the first
-// one that is.
+// adoptUnknown moves the entry of a server without a known incarnation to the first incarnation
+// that becomes known.
 func (t *Table) adoptUnknown(key serverKey) (*Server, bool) {
 	unknown := serverKey{
 		name: key.name,
@@ -228,8 +227,8 @@
 	s.state.Store(&state)
 }
 
-// LearnLimit applies a statement about the limit that another host has heard, if it is newer
-// than this host's. It starts no limit: that is what the server's own answers do.
+// LearnLimit applies a statement about the limit that another host has received, if it is newer
+// than this host's. Only the server's own answers start a limit.
 func (s *Server) LearnLimit(limit backend.RequestLimit, at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/control/balance/balance.go
+++ b/internal/control/balance/balance.go
@@ -117,7 +117,7 @@
 // Pool holds the servers of one service. It is safe for use by many goroutines.
 type Pool struct {
 	location Location
-	// pressures has what servers' answers have asked for.
+	// pressures keeps the signals of servers' answers.
 	pressures *backpressure.Table
 
 	mu      sync.Mutex
--- a/internal/control/loop/loop.go
+++ b/internal/control/loop/loop.go
@@ -110,9 +110,9 @@
 	list    hostlist.Client
 	limiter *limiter.Limiter
 
-	// pressures has what servers' answers have asked for.
+	// pressures keeps the signals of servers' answers.
 	pressures backpressure.Table
-	// isInTouch tells that this host sees most of the hosts that it knows.
+	// isInTouch is whether this host sees most of the hosts that it knows.
 	isInTouch atomic.Bool
 	table     atomic.Pointer[routing.Table]
 	suspects  atomic.Pointer[suspects.View]
--- a/internal/control/permits/issuer.go
+++ b/internal/control/permits/issuer.go
@@ -15,12 +15,12 @@
 	// settleTime is how long a host that has become the first in rank issues backupShare: the
 	// time in which the other hosts learn of the change.
 	settleTime = 4 * time.Second
-	// burstTime is for how long permits that nobody has asked for can still be used.
+	// burstTime is how long an unused permit stays available.
 	burstTime = 250 * time.Millisecond
 	// minRate is issued for servers that name a lower limit, such as 0: only the answer to a
 	// request tells that the limit has ended.
 	minRate unit.Rate = 0.1
-	// scheduleTTL is for how long a server that nobody asks for is remembered.
+	// scheduleTTL is how long a server without asks is remembered.
 	scheduleTTL = time.Minute
 )
 
--- a/internal/control/permits/permits.go
+++ b/internal/control/permits/permits.go
@@ -5,8 +5,8 @@
 // wait; the answer is the instant at which it may be sent, or the next instant that is free if
 // that is too late. So a request that can't be sent in time is refused without waiting, and the
 // caller learns when to return. Statements about the limit travel with asks and answers, and
-// the newest one counts: hosts that hear nothing from the server learn that a limit has changed
-// or ended.
+// the newest one counts: a host learns that a limit has changed or ended without an answer of its
+// own.
 //
 // A Choice picks the issuer by rendezvous hashing over the hosts of the server's region, so
 // that hosts that know the same hosts agree without a message. If the first host in rank does
--- a/internal/control/routing/machine.go
+++ b/internal/control/routing/machine.go
@@ -35,7 +35,7 @@
 // goroutine.
 type Machine struct {
 	Location Location
-	// Pressures has what servers' answers have asked for; nil stands for nothing.
+	// Pressures keeps the signals of servers' answers; nil keeps none.
 	Pressures    *backpressure.Table
 	revision     ident.Revision
 	declarations map[targetKey]declaration
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -142,8 +142,6 @@
 	// from 0; ticket is the latest attempt's admission at its server.
 	classPosition int
 	ticket        admission.Ticket
-	// permit is that of the next attempt.
-	permit permit
 	// linkTransfer counts the latest attempt's traffic over the link, if it is
 	// sent to another region.
 	linkTransfer LinkTransfer
--- a/internal/traffic/host/limit_test.go
+++ b/internal/traffic/host/limit_test.go
@@ -12,8 +12,7 @@
 	"cicadaloom/internal/standin/plain"
 )
 
-// Guards against hosts that together send a service more than the request limit that it names,
-// and against requests that wait for it in vain.
+// Guards against hosts that together send a service more than the request limit that it names.
 func TestServiceLimitHoldsOverAllHosts(t *testing.T) {
 	const (
 		limit  = 4.0
--- a/internal/traffic/limiter/limiter.go
+++ b/internal/traffic/limiter/limiter.go
@@ -1,21 +1,27 @@
-// Package limiter gets permits for requests to backend servers that name a request limit, and
-// issues those that this host's peers ask for.
+// Package limiter does what sending to a backend server takes beside the send: it gets the
+// permit if the server names a request limit, checks at the moment of sending what the server's
+// answers have said, and records what the next answer says. It also issues the permits that this
+// host's peers ask for.
 //
-// The decisions are those of package control/permits; a Limiter connects them with the peers.
-// It starts no goroutines, and is safe for concurrent use.
+// The decisions are those of packages control/permits and control/backpressure; a Limiter
+// connects them with the peers. The package starts no goroutines. A Limiter is safe for
+// concurrent use.
 //
 // # Usage
 //
 //	limits := limiter.New(limiter.Options{
-//		Own:      "front-brest-a-1",
-//		Peers:    peers,
+//		Own:       "front-brest-a-1",
+//		Peers:     peers,
 //		IsInTouch: isInTouch,
-//		Log:      log,
+//		Log:       log,
 //	})
 //	limits.SetHosts(hosts)
-//	answer := limits.Acquire(ctx, ask)
+//	permit, answer := target.Acquire(ctx, source, sendBy)
 //	if answer.Outcome == permits.Granted {
-//		// send at answer.SendAt
+//		// wait until permit.SendAt
+//	}
+//	if target.Allows(permit, permit.SendAt, now) {
+//		// send, and record the answer: target.Record
 //	}
 package limiter
 
--- /dev/null
+++ b/internal/traffic/limiter/target.go
@@ -0,0 +1,120 @@
+package limiter
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cicadaloom/internal/control/backpressure"
+	"cicadaloom/internal/control/permits"
+	"cicadaloom/internal/domain/backend"
+	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/domain/unit"
+)
+
+const (
+	// Patience is how long a request waits for a permit while other servers may answer.
+	Patience = 30 * time.Millisecond
+	// permitTTL is how long after its instant a permit can be used: a host that was suspended
+	// must not send all that has waited there at once.
+	permitTTL = 250 * time.Millisecond
+)
+
+// Source grants permits. It may ask other hosts.
+type Source interface {
+	Permit(ctx context.Context, ask permits.Ask) permits.Answer
+}
+
+// Target is a server that a request is to be sent to.
+type Target struct {
+	Server      ident.ServerName
+	Incarnation ident.Incarnation
+	Region      ident.Region
+	Pressure    *backpressure.Server
+}
+
+// Permit is the right to send one request to a server at an instant. The zero value is that for
+// a server without a request limit.
+type Permit struct {
+	SendAt time.Time
+	limit  unit.Rate
+}
+
+// Acquire gets the permit for a request that can be sent until sendBy, if the server has a limit.
+// If there is none, the answer's SendAt is when the request may try again.
+func (t *Target) Acquire(ctx context.Context, source Source, sendBy time.Time) (Permit, permits.Answer) {
+	state := t.Pressure.State()
+	if !state.HasLimit {
+		return Permit{}, permits.Answer{
+			Outcome: permits.Granted,
+		}
+	}
+	ask := t.newAsk(backend.RequestLimit{
+		Statement: backend.LimitNamed,
+		Rate:      state.Limit,
+	}, state.LimitNamedAt)
+	ask.NeedsSend = true
+	ask.SendBy = sendBy
+	answer := source.Permit(ctx, ask)
+	t.Pressure.LearnLimit(answer.Limit, answer.LimitAt)
+	if answer.Outcome != permits.Granted {
+		t.Pressure.SetPermitAt(answer.SendAt)
+		return Permit{}, answer
+	}
+	return Permit{
+		SendAt: answer.SendAt,
+		limit:  t.Pressure.State().Limit,
+	}, answer
+}
+
+// Allows reports whether a request whose time has come may be sent, by what the server's answers
+// have said meanwhile. sendAt is when the request was to be sent.
+func (t *Target) Allows(permit Permit, sendAt, now time.Time) bool {
+	state := t.Pressure.State()
+	switch {
+	case state.IsLeaving || state.IsResting(now):
+		return false
+	case state.HasLimit:
+		return !permit.SendAt.IsZero() && state.Limit >= permit.limit && now.Sub(sendAt) < permitTTL
+	}
+	return true
+}
+
+// Record records and logs the signals of the server's answer to a request sent at sentAt.
+func (t *Target) Record(log *zap.Logger, request ident.RequestID, sentAt, now time.Time, signals backend.Signals) backpressure.Change {
+	change := t.Pressure.Record(sentAt, now, signals)
+	if change == (backpressure.Change{}) {
+		return change
+	}
+	log = log.With(zap.String("Server", string(t.Server)), zap.String("Incarnation", string(t.Incarnation)), zap.String("Request", string(request)))
+	if change.LimitNamed {
+		log.Info("server names a request limit", zap.Float64("Limit", float64(signals.RequestLimit.Rate)))
+	}
+	if change.LimitEnded {
+		log.Info("server names no request limit any more")
+	}
+	if change.RestBegan {
+		log.Info("server asks for rest", zap.Duration("For", signals.RestUntil.Sub(now)))
+	}
+	if change.LeavingBegan {
+		log.Info("server says that it is leaving")
+	}
+	return change
+}
+
+// LimitEnded returns the message that the server has named no limit in its answer to a request
+// sent at sentAt.
+func (t *Target) LimitEnded(sentAt time.Time) permits.Ask {
+	return t.newAsk(backend.RequestLimit{}, sentAt)
+}
+
+func (t *Target) newAsk(limit backend.RequestLimit, at time.Time) permits.Ask {
+	return permits.Ask{
+		Server:      t.Server,
+		Incarnation: t.Incarnation,
+		Region:      t.Region,
+		Limit:       limit,
+		LimitAt:     at,
+	}
+}
--- a/internal/traffic/relay/ending.go
+++ b/internal/traffic/relay/ending.go
@@ -181,7 +181,7 @@
 		zap.String("Result", string(sent.result)),
 		zap.Int("Status", sent.status),
 		zap.Bool("ProvedNotRun", sent.provedNotRun),
-		zap.Duration("Rest", sent.rest),
+		zap.Duration("Rest", max(sent.restUntil.Sub(now), 0)),
 		zap.Duration("Expected", ticket.ExpectedFirstByte),
 		zap.Duration("After", now.Sub(s.arrived)),
 		zap.String("Why", sent.reason),
--- a/internal/traffic/relay/metrics.go
+++ b/internal/traffic/relay/metrics.go
@@ -8,6 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"cicadaloom/internal/control/backpressure"
 	"cicadaloom/internal/control/balance"
 	"cicadaloom/internal/domain/account"
 	"cicadaloom/internal/domain/ident"
@@ -73,9 +74,20 @@
 	m.set.GetOrCreateHistogram(`cicadaloom_first_event_seconds{` + labels(r) + `}`).Update(took.Seconds())
 }
 
-// recordSignal counts what servers' answers ask for, by kind, each time it changes.
-func (m *Metrics) recordSignal(kind string) {
-	m.set.GetOrCreateCounter(`cicadaloom_server_signals_total{kind="` + kind + `"}`).Inc()
+// recordSignals counts what servers' answers begin to ask for, by kind.
+func (m *Metrics) recordSignals(change backpressure.Change) {
+	if change == (backpressure.Change{}) {
+		return
+	}
+	for kind, began := range map[string]bool{
+		"RequestLimit": change.LimitNamed,
+		"Rest":         change.RestBegan,
+		"Leaving":      change.LeavingBegan,
+	} {
+		if began {
+			m.set.GetOrCreateCounter(`cicadaloom_server_signals_total{kind="` + kind + `"}`).Inc()
+		}
+	}
 }
 
 func (m *Metrics) recordSend(service ident.ServiceName, result balance.Result) {
--- a/internal/traffic/relay/permit.go
+++ b/internal/traffic/relay/permit.go
@@ -7,30 +7,14 @@
 
 	"cicadaloom/internal/control/balance"
 	"cicadaloom/internal/control/permits"
-	"cicadaloom/internal/domain/backend"
-	"cicadaloom/internal/domain/unit"
+	"cicadaloom/internal/traffic/limiter"
 )
 
-const (
-	// permitPatience is how long a request waits for a permit while other servers may answer.
-	permitPatience = 30 * time.Millisecond
-	// permitTTL is how long after its instant a permit can be used: a host that was suspended
-	// must not send all that has waited there at once.
-	permitTTL = 250 * time.Millisecond
-)
-
-// permit is the right to send one request to a server with a request limit. The zero value is
-// that of a request without one.
-type permit struct {
-	limit     unit.Rate
-	expiresAt time.Time
-}
-
 // takeOpenTicket takes a ticket for a server that accepts the request by its own word. Where no
 // server does now, it books the first instant at which one does; if that is too late for the
 // request, closedUntil is set.
 func (s *requestState) takeOpenTicket(ctx context.Context, criteria balance.Criteria) (*balance.Ticket, balance.Verdict) {
-	ticket, verdict := s.takePermittedTicket(ctx, criteria, s.handler.Now().Add(permitPatience))
+	ticket, verdict := s.takePermittedTicket(ctx, criteria, s.handler.Now().Add(limiter.Patience))
 	if ticket != nil || verdict != balance.NoneTakes || s.overloadedFor > 0 {
 		return ticket, verdict
 	}
@@ -84,32 +68,17 @@
 // acquirePermit gets the permit for a send, if the server has a limit, and delays the send until
 // the permit's instant.
 func (s *requestState) acquirePermit(ctx context.Context, ticket *balance.Ticket, sendBy time.Time) bool {
-	s.permit = permit{}
-	state := ticket.Pressure.State()
-	if !state.HasLimit {
-		return true
-	}
-	ask := newPermitAsk(ticket, backend.RequestLimit{
-		Statement: backend.LimitNamed,
-		Rate:      state.Limit,
-	}, state.LimitNamedAt)
-	ask.NeedsSend = true
-	ask.SendBy = sendBy
-	answer := s.handler.ControlPlane.Permit(ctx, ask)
-	ticket.Pressure.LearnLimit(answer.Limit, answer.LimitAt)
+	target := targetOf(ticket)
+	permit, answer := target.Acquire(ctx, s.handler.ControlPlane, sendBy)
 	if answer.Outcome != permits.Granted {
-		ticket.Pressure.SetPermitAt(answer.SendAt)
 		if !answer.SendAt.After(sendBy) {
 			s.undecidedUntil = answer.SendAt
 		}
 		return false
 	}
-	if answer.SendAt.After(ticket.SendAt) {
-		ticket.SendAt = answer.SendAt
-	}
-	s.permit = permit{
-		limit:     ticket.Pressure.State().Limit,
-		expiresAt: ticket.SendAt.Add(permitTTL),
+	s.permit = permit
+	if permit.SendAt.After(ticket.SendAt) {
+		ticket.SendAt = permit.SendAt
 	}
 	return true
 }
@@ -117,24 +86,16 @@
 // mayStillSend reports whether what the server's answers have said meanwhile allows a send
 // whose time has come.
 func (s *requestState) mayStillSend(ticket *balance.Ticket) bool {
-	state := ticket.Pressure.State()
-	now := s.handler.Now()
-	switch {
-	case state.IsLeaving || state.IsResting(now):
-		return false
-	case state.HasLimit:
-		return state.Limit >= s.permit.limit && now.Before(s.permit.expiresAt)
-	}
-	return true
+	target := targetOf(ticket)
+	return target.Allows(s.permit, ticket.SendAt, s.handler.Now())
 }
 
-func newPermitAsk(ticket *balance.Ticket, limit backend.RequestLimit, at time.Time) permits.Ask {
-	return permits.Ask{
+func targetOf(ticket *balance.Ticket) limiter.Target {
+	return limiter.Target{
 		Server:      ticket.Server,
 		Incarnation: ticket.Incarnation,
 		Region:      ticket.Region,
-		Limit:       limit,
-		LimitAt:     at,
+		Pressure:    ticket.Pressure,
 	}
 }
 
--- a/internal/traffic/relay/send.go
+++ b/internal/traffic/relay/send.go
@@ -20,9 +20,9 @@
 	// provedNotRun reports that the request provably did not run.
 	provedNotRun bool
 	status       int
-	// rest is for how long the server wants no requests from this host.
-	rest   time.Duration
-	reason string
+	// restUntil is until when the server wants no requests from this host.
+	restUntil time.Time
+	reason    string
 }
 
 // bufferedAnswer is a complete answer in memory.
@@ -118,7 +118,7 @@
 		result:       balance.Refused,
 		provedNotRun: true,
 		status:       exchange.Response.StatusCode,
-		rest:         max(answer.Signals.RestUntil.Sub(s.handler.Now()), 0),
+		restUntil:    answer.Signals.RestUntil,
 		reason:       "the server refused the request",
 	}
 	switch {
--- a/internal/traffic/relay/serving.go
+++ b/internal/traffic/relay/serving.go
@@ -17,6 +17,7 @@
 	"cicadaloom/internal/domain/request"
 	"cicadaloom/internal/domain/route"
 	"cicadaloom/internal/peer/upstream"
+	"cicadaloom/internal/traffic/limiter"
 )
 
 // requestState is the state of one request in progress.
@@ -67,7 +68,7 @@
 	// undecidedUntil is when permits may be asked for again after no issuer has decided.
 	undecidedUntil time.Time
 	// permit is that of the current send.
-	permit permit
+	permit limiter.Permit
 	// queueTime is how long the request waited for its turn at engines; prefillTime is the
 	// expected prefill at the engine of the last send.
 	queueTime   time.Duration
--- a/internal/traffic/relay/signals.go
+++ b/internal/traffic/relay/signals.go
@@ -3,11 +3,7 @@
 import (
 	"time"
 
-	"go.uber.org/zap"
-
-	"cicadaloom/internal/control/backpressure"
 	"cicadaloom/internal/control/balance"
-	"cicadaloom/internal/domain/backend"
 )
 
 // recordSignals records what a server's answer says about the requests that the server
@@ -17,30 +13,10 @@
 		return
 	}
 	h := s.handler
-	now := h.Now()
-	change := ticket.Pressure.Record(sentAt, now, answer.Signals)
-	if change == (backpressure.Change{}) {
-		return
-	}
-	server := []zap.Field{
-		zap.String("Server", string(ticket.Server)),
-		zap.String("Incarnation", string(ticket.Incarnation)),
-		zap.String("Request", string(s.request.ID)),
-	}
-	if change.LimitNamed {
-		h.Metrics.recordSignal("RequestLimit")
-		h.Log.Info("server names a request limit", append(server, zap.Float64("Limit", float64(answer.Signals.RequestLimit.Rate)))...)
-	}
+	target := targetOf(ticket)
+	change := target.Record(h.Log, s.request.ID, sentAt, h.Now(), answer.Signals)
+	h.Metrics.recordSignals(change)
 	if change.LimitEnded {
-		h.Log.Info("server names no request limit any more", server...)
-		h.ControlPlane.ReportLimitEnded(newPermitAsk(ticket, backend.RequestLimit{}, sentAt))
-	}
-	if change.RestBegan {
-		h.Metrics.recordSignal("Rest")
-		h.Log.Info("server asks for rest", append(server, zap.Duration("For", answer.Signals.RestUntil.Sub(now)))...)
-	}
-	if change.LeavingBegan {
-		h.Metrics.recordSignal("Leaving")
-		h.Log.Info("server says that it is leaving", server...)
+		h.ControlPlane.ReportLimitEnded(target.LimitEnded(sentAt))
 	}
 }
