permits: Let a refusal name an instant that is still to come

Found in review. The time for which a request waits for a permit while other servers may answer counted from the first look at them, not from the ask: after a wait in a scheduler's queue, or for an issuer that did not answer, a permit that was free was refused with the present instant, and dispatch asked again at once, without end. It counts from the ask now, and the issuer grants what is free at once.

--- a/internal/control/permits/issuer.go
+++ b/internal/control/permits/issuer.go
@@ -128,10 +128,11 @@
 	}
 }
 
-// issue books the next permit, if it is free by sendBy.
+// issue books the next permit, if it is free by sendBy or now: an ask may have been on its way
+// for longer than it can wait. So the instant of a refusal is never a past one.
 func (s *schedule) issue(now, sendBy time.Time) (Outcome, time.Time) {
 	sendAt := later(s.next, now)
-	if sendAt.After(sendBy) {
+	if sendAt.After(sendBy) && sendAt.After(now) {
 		return Refused, sendAt
 	}
 	s.next = later(s.next, now.Add(-burstTime)).Add(s.interval(now))
--- a/internal/control/permits/permits_test.go
+++ b/internal/control/permits/permits_test.go
@@ -70,6 +70,18 @@
 	require.Equal(t, now.Add(750*time.Millisecond), issuer.Issue(now, firstRank, ask(named(2), at(0), now)).SendAt)
 }
 
+// Guards against a host that asks again and again, since it is refused a permit that is free: its
+// ask took longer to arrive than the request can wait.
+func TestRefusalNamesFutureInstant(t *testing.T) {
+	issuer := newSettledIssuer(2)
+	now := at(40 * time.Second)
+	late := ask(named(2), at(0), now.Add(-time.Second))
+	require.Equal(t, Granted, issuer.Issue(now, firstRank, late).Outcome)
+	refused := issuer.Issue(now, firstRank, late)
+	require.Equal(t, Refused, refused.Outcome)
+	require.True(t, refused.SendAt.After(now))
+}
+
 // Guards against hosts that go on under a limit that another host has seen end or change.
 func TestNewestStatementCounts(t *testing.T) {
 	issuer := newSettledIssuer(1)
--- a/internal/traffic/dispatch/permit.go
+++ b/internal/traffic/dispatch/permit.go
@@ -14,7 +14,6 @@
 // request may be sent there.
 func (h *requestHandler) takeReplica(ctx context.Context) (routing.Choice, *Failure) {
 	h.routing.OpenBy = time.Time{}
-	sendBy := h.Now().Add(limiter.Patience)
 	for {
 		choice, failure := h.chooseReplica(ctx)
 		if failure != nil {
@@ -22,7 +21,6 @@
 				return choice, failure
 			}
 			h.routing.OpenBy = h.firstTokenLimit()
-			sendBy = h.routing.OpenBy
 			continue
 		}
 		state := choice.Replica.Pressure.State()
@@ -30,9 +28,9 @@
 			return choice, h.failAbandoned(ctx)
 		}
 		target := targetOf(choice)
-		permit, answer := target.Acquire(ctx, h.Limits, sendBy)
+		permit, answer := target.Acquire(ctx, h.Limits, h.Now(), h.routing.OpenBy)
 		if answer.Outcome != permits.Granted {
-			if !answer.SendAt.After(sendBy) && !h.routing.OpenBy.IsZero() {
+			if !answer.SendAt.After(h.routing.OpenBy) {
 				return choice, h.failClosed(answer.SendAt)
 			}
 			continue
--- a/internal/traffic/limiter/limiter.go
+++ b/internal/traffic/limiter/limiter.go
@@ -16,7 +16,7 @@
 //		Log:       log,
 //	})
 //	limits.SetHosts(hosts)
-//	permit, answer := target.Acquire(ctx, source, sendBy)
+//	permit, answer := target.Acquire(ctx, source, now, until)
 //	if answer.Outcome == permits.Granted {
 //		// wait until permit.SendAt
 //	}
--- a/internal/traffic/limiter/target.go
+++ b/internal/traffic/limiter/target.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// Patience is how long a request waits for a permit while other servers may answer.
-	Patience = 30 * time.Millisecond
+	// patience is how long a request waits for a permit while other servers may answer.
+	patience = 30 * time.Millisecond
 	// permitTTL is how long after its instant a permit can be used: a host that was suspended
 	// must not send all that has waited there at once.
 	permitTTL = 250 * time.Millisecond
@@ -41,9 +41,10 @@
 	limit  unit.Rate
 }
 
-// Acquire gets the permit for a request that can be sent until sendBy, if the server has a limit.
-// If there is none, the answer's SendAt is when the request may try again.
-func (t *Target) Acquire(ctx context.Context, source Source, sendBy time.Time) (Permit, permits.Answer) {
+// Acquire gets the permit for a request, if the server has a limit. The request can wait until an
+// instant; if that has passed, it waits for a moment only. If there is no permit, the answer's
+// SendAt is when the request may try again.
+func (t *Target) Acquire(ctx context.Context, source Source, now, until time.Time) (Permit, permits.Answer) {
 	state := t.Pressure.State()
 	if !state.HasLimit {
 		return Permit{}, permits.Answer{
@@ -55,7 +56,10 @@
 		Rate:      state.Limit,
 	}, state.LimitNamedAt)
 	ask.NeedsSend = true
-	ask.SendBy = sendBy
+	ask.SendBy = now.Add(patience)
+	if until.After(ask.SendBy) {
+		ask.SendBy = until
+	}
 	answer := source.Permit(ctx, ask)
 	t.Pressure.LearnLimit(answer.Limit, answer.LimitAt)
 	if answer.Outcome != permits.Granted {
--- a/internal/traffic/relay/permit.go
+++ b/internal/traffic/relay/permit.go
@@ -14,7 +14,7 @@
 // server does now, it books the first instant at which one does; if that is too late for the
 // request, closedUntil is set.
 func (s *requestState) takeOpenTicket(ctx context.Context, criteria balance.Criteria) (*balance.Ticket, balance.Verdict) {
-	ticket, verdict := s.takePermittedTicket(ctx, criteria, s.handler.Now().Add(limiter.Patience))
+	ticket, verdict := s.takePermittedTicket(ctx, criteria, time.Time{})
 	if ticket != nil || verdict != balance.NoneTakes || s.overloadedFor > 0 {
 		return ticket, verdict
 	}
@@ -49,12 +49,12 @@
 }
 
 // takePermittedTicket takes tickets until one is for a server without a limit, or for one that
-// has a permit free by sendBy.
-func (s *requestState) takePermittedTicket(ctx context.Context, criteria balance.Criteria, sendBy time.Time) (*balance.Ticket, balance.Verdict) {
+// has a permit free at once, or until an instant.
+func (s *requestState) takePermittedTicket(ctx context.Context, criteria balance.Criteria, until time.Time) (*balance.Ticket, balance.Verdict) {
 	criteria.Tried = slices.Clone(criteria.Tried)
 	for {
 		ticket, verdict := s.takeQueuedTicket(ctx, criteria)
-		if ticket == nil || s.acquirePermit(ctx, ticket, sendBy) {
+		if ticket == nil || s.acquirePermit(ctx, ticket, until) {
 			return ticket, verdict
 		}
 		criteria.Tried = append(criteria.Tried, ticket.Server)
@@ -67,11 +67,11 @@
 
 // acquirePermit gets the permit for a send, if the server has a limit, and delays the send until
 // the permit's instant.
-func (s *requestState) acquirePermit(ctx context.Context, ticket *balance.Ticket, sendBy time.Time) bool {
+func (s *requestState) acquirePermit(ctx context.Context, ticket *balance.Ticket, until time.Time) bool {
 	target := targetOf(ticket)
-	permit, answer := target.Acquire(ctx, s.handler.ControlPlane, sendBy)
+	permit, answer := target.Acquire(ctx, s.handler.ControlPlane, s.handler.Now(), until)
 	if answer.Outcome != permits.Granted {
-		if !answer.SendAt.After(sendBy) {
+		if !answer.SendAt.After(until) {
 			s.undecidedUntil = answer.SendAt
 		}
 		return false
