--- a/internal/control/permits/permits_test.go
+++ b/internal/control/permits/permits_test.go
@@ -258,7 +258,7 @@
 			length = 30 * time.Second
 			window = 4 * time.Second
 		)
-		size := rapid.SampledFrom([]int{1, 2, 7, 40}).Draw(t, "hosts")
+		size := rapid.SampledFrom([]int{1, 2, 7, 40, 300}).Draw(t, "hosts")
 		limit := rapid.SampledFrom([]unit.Rate{0, 0.5, 1, 2.1, 8, 50}).Draw(t, "limit")
 		lag := func() time.Duration {
 			return time.Duration(rapid.IntRange(0, int(settleTime/2/time.Millisecond)).Draw(t, "lag")) * time.Millisecond
