--- a/internal/host/gateway/limits_test.go
+++ b/internal/host/gateway/limits_test.go
@@ -64,14 +64,19 @@
 // serveLimited adds a limited server.
 func (f *fleet) serveLimited(service, name string) *limitedServer {
 	limited := &limitedServer{}
-	server := httptest.NewServer(limited)
+	f.serveHandler(service, name, limited)
+	return limited
+}
+
+// serveHandler adds a backend server.
+func (f *fleet) serveHandler(service, name string, handler http.Handler) {
+	server := httptest.NewServer(handler)
 	f.t.Cleanup(server.Close)
 	f.keyValue.write("servers/"+name, entry{
 		Service: service,
 		Address: server.Listener.Addr().String(),
 		Life:    "1",
 	})
-	return limited
 }
 
 // press sends requests through all hosts until the returned function is called.
