gateway: Keep an order in doubt while its engine rests

Found in reading the diff. An order that had no answer is sent again; where the engine rested by then, the copy was not sent and counted as refused by the engine, so that the planner forgot the first one, which may still take effect. It counts as unanswered now. Memory was safe, since each order names the count of orders before it; the load rate limit was not, as it counts orders in doubt. TestOrderIsSentAfterRestOfEngine.

--- a/internal/host/gateway/limits_test.go
+++ b/internal/host/gateway/limits_test.go
@@ -161,3 +161,18 @@
 		require.Equal(t, ident.ServerName("two"), order.Server)
 	}
 }
+
+// Guards against an order in doubt that is forgotten while its engine rests, and against an engine
+// that gets no orders any more.
+func TestOrderIsSentAfterRestOfEngine(t *testing.T) {
+	f := newFleet(t)
+	f.keyValue.write("configuration", engineConfiguration())
+	f.start("a")
+	until := time.Now().Add(4 * time.Second)
+	f.hosts["a"].backpressure.Server("one", "1").Record(time.Now(), time.Now(), backend.Signals{
+		RestUntil: until,
+	})
+	f.serve("models", "one")
+	f.eventually(func() bool { return len(f.engines.sentOrders()) > 0 }, "an order")
+	require.False(t, time.Now().Before(until))
+}
--- a/internal/host/gateway/plan.go
+++ b/internal/host/gateway/plan.go
@@ -249,7 +249,12 @@
 		answer, err := backend.OrderConflicts, error(nil)
 		// Stored before the order is sent, so that what a new leader is told covers it.
 		c.lastOrderBootNanos.Store(bootNanos())
-		if state := pressure.State(); term.mayOrder() && !state.IsResting(time.Now()) {
+		switch state := pressure.State(); {
+		case !term.mayOrder():
+		case state.IsResting(time.Now()):
+			// An earlier copy of the order may have arrived.
+			answer = backend.OrderUnknown
+		default:
 			answer, err = c.options.Engines.SendOrder(c.context(), address, &order, time.Now().Add(orderTimeout))
 		}
 		c.log.Info("order", zap.String("Server", string(order.Server)), zap.String("Kind", string(order.Kind)),
