backpressure, dispatch, relay: Say three things once

Found in reading the whole change; behaviour and assertions stay.

- When a server left the list stood in a map beside the servers.
It is a field of the server now, and goes where the server goes when its incarnation becomes known; the map kept the old entry.
- dispatch had a wait beside the one that the permits brought: waitUntil serves both.
Without the second look at the moment of sending both fail, as before.

--- a/internal/control/backpressure/backpressure.go
+++ b/internal/control/backpressure/backpressure.go
@@ -37,8 +37,6 @@
 type Table struct {
 	mu      sync.Mutex
 	servers map[serverKey]*Server
-	// unlistedSince is when each server that is not listed was first found missing.
-	unlistedSince map[serverKey]time.Time
 }
 
 type serverKey struct {
@@ -51,6 +49,9 @@
 	mu sync.Mutex
 	// state is nil while nothing is known.
 	state atomic.Pointer[State]
+	// unlistedSince is when the server was first found missing from the list, zero while it is
+	// listed. The Table's mutex guards it.
+	unlistedSince time.Time
 }
 
 // State is what a server has last asked for.
@@ -143,18 +144,13 @@
 func (t *Table) Sweep(now time.Time, isListed func(name ident.ServerName, incarnation ident.Incarnation) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.unlistedSince == nil {
-		t.unlistedSince = make(map[serverKey]time.Time)
-	}
-	for key := range t.servers {
-		since, wasUnlisted := t.unlistedSince[key]
+	for key, server := range t.servers {
 		switch {
 		case isListed(key.name, key.incarnation):
-			delete(t.unlistedSince, key)
-		case !wasUnlisted:
-			t.unlistedSince[key] = now
-		case now.Sub(since) > retention:
-			delete(t.unlistedSince, key)
+			server.unlistedSince = time.Time{}
+		case server.unlistedSince.IsZero():
+			server.unlistedSince = now
+		case now.Sub(server.unlistedSince) > retention:
 			delete(t.servers, key)
 		}
 	}
--- a/internal/traffic/dispatch/route.go
+++ b/internal/traffic/dispatch/route.go
@@ -141,7 +141,7 @@
 			h.routing.PairOnly = false
 			continue
 		}
-		if !waitForNextTry(ctx) {
+		if !h.waitUntil(ctx, h.Now().Add(replicaWaitInterval)) {
 			return choice, err
 		}
 	}
@@ -158,19 +158,6 @@
 	return h.routing.PairOnly && h.lostAttempts == 0 && (waited >= maxConfinedWait || !h.crashNotice.isRecent(h.routing.Now))
 }
 
-// waitForNextTry waits for replicaWaitInterval. It returns false if the context
-// ends first.
-func waitForNextTry(ctx context.Context) bool {
-	timer := time.NewTimer(replicaWaitInterval)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (h *requestHandler) failNoReplica(now time.Time) *Failure {
 	opensAt, isClosed := h.target.OpensAt(&h.routing)
 	switch {
--- a/internal/traffic/relay/limit_test.go
+++ b/internal/traffic/relay/limit_test.go
@@ -90,9 +90,10 @@
 	require.Greater(t, time.Since(started), 400*time.Millisecond)
 }
 
-// Guards against a request that was granted an engine before the engine named its limit, and is
-// sent there without a permit.
-func TestPromptGrantedBeforeLimitNeedsPermit(t *testing.T) {
+// requireNotSentAfter grants a prompt an engine, records a signal of the engine before the prompt
+// is sent, and requires that it is not sent.
+func requireNotSentAfter(t *testing.T, signals backend.Signals) {
+	t.Helper()
 	w := newTestEnv(t, route.Route{
 		Kind:      route.Safe,
 		Timeout:   10 * time.Second,
@@ -109,13 +110,19 @@
 	var granted sync.WaitGroup
 	granted.Go(func() { w.ask(http.MethodGet, "granted", http.Header{"Weights": {"m"}}) })
 	require.Eventually(t, func() bool { return w.reservations.Load() == 1 }, time.Second, time.Millisecond)
-	w.pressures.Server("engine", "1").Record(time.Now(), time.Now(), backend.Signals{
-		RequestLimit: backend.ParseRequestLimit("0.1"),
-	})
+	w.pressures.Server("engine", "1").Record(time.Now(), time.Now(), signals)
 	granted.Wait()
 	require.Empty(t, w.arrivals())
 }
 
+// Guards against a request that was granted an engine before the engine named its limit, and is
+// sent there without a permit.
+func TestPromptGrantedBeforeLimitNeedsPermit(t *testing.T) {
+	requireNotSentAfter(t, backend.Signals{
+		RequestLimit: backend.ParseRequestLimit("0.1"),
+	})
+}
+
 // Guards against a limit that goes on after the server has stopped naming it.
 func TestLimitEndsWithTheHeader(t *testing.T) {
 	w := newTestEnv(t, safeRoute())
--- a/internal/traffic/relay/relay_test.go
+++ b/internal/traffic/relay/relay_test.go
@@ -16,7 +16,6 @@
 
 	"cicadaloom/internal/control/balance"
 	"cicadaloom/internal/control/pacing"
-	"cicadaloom/internal/control/routetable"
 	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/domain/request"
@@ -396,18 +395,7 @@
 	})
 	model := ident.ModelName("m")
 	w.serve("e", func(to http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(to, "answer") })
-	w.servers[0].Kind = backend.KindEngine
-	w.servers[0].Holds = []request.Weights{{Model: model}}
-	w.pool.SetServers(w.servers)
-	configuration := *w.table.Configuration()
-	configuration.Services = map[ident.ServiceName]route.Service{
-		"desk": {
-			Engine: &route.Engine{
-				Models: []route.Model{{Name: model}},
-			},
-		},
-	}
-	w.table = routetable.New(&configuration)
+	w.serveEngine(model)
 	header := http.Header{
 		"Weights": {string(model)},
 	}
--- a/internal/traffic/relay/rest_test.go
+++ b/internal/traffic/relay/rest_test.go
@@ -4,16 +4,13 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
-	"cicadaloom/internal/control/pacing"
 	"cicadaloom/internal/domain/backend"
-	"cicadaloom/internal/domain/route"
 )
 
 // askForRest refuses a request and asks for rest.
@@ -79,27 +76,9 @@
 // Guards against a request that was granted an engine before the engine asked for rest, and is
 // sent there.
 func TestPromptGrantedBeforeRestIsNotSent(t *testing.T) {
-	w := newTestEnv(t, route.Route{
-		Kind:      route.Safe,
-		Timeout:   10 * time.Second,
-		Objective: 100 * time.Millisecond,
-	})
-	w.serve("engine", answerWith(http.StatusOK, "answer"))
-	w.serveEngine("m")
-	w.queue.Reserve(time.Now(), &pacing.Prompt{
-		Candidates: []pacing.Candidate{{
-			Server:      "engine",
-			PrefillTime: 50 * time.Millisecond,
-		}},
-	})
-	var granted sync.WaitGroup
-	granted.Go(func() { w.ask(http.MethodGet, "granted", http.Header{"Weights": {"m"}}) })
-	require.Eventually(t, func() bool { return w.reservations.Load() == 1 }, time.Second, time.Millisecond)
-	w.pressures.Server("engine", "1").Record(time.Now(), time.Now(), backend.Signals{
+	requireNotSentAfter(t, backend.Signals{
 		RestUntil: time.Now().Add(20 * time.Second),
 	})
-	granted.Wait()
-	require.Empty(t, w.arrivals())
 }
 
 // Guards against a rest that is forgotten when the list of servers changes, or the server leaves
