host: Let the test of a service's limit fail where hosts issue permits for themselves

Cause: with three hosts and a limit of 4 a second, hosts that each issue permits for themselves stay below the bound: a new issuer issues a quarter for 4 s, and a host that believes that it has lost touch does so for as long as it believes it. 3 x 1 a second is less than the limit.

Change: nine hosts, a limit of 20, 9 s. The bound is the users' rule as before.

--- a/internal/traffic/host/limit_test.go
+++ b/internal/traffic/host/limit_test.go
@@ -15,10 +15,15 @@
 // Guards against hosts that together send a service more than the request limit that it names.
 func TestServiceLimitHoldsOverAllHosts(t *testing.T) {
 	const (
-		limit  = 4.0
+		limit  = 20.0
 		window = 2 * time.Second
+		step   = 100 * time.Millisecond
+		// A new issuer issues a quarter of the limit for 4 s, and so does one that has lost touch
+		// with the others for as long as it has: with nine hosts that is seen in any case.
+		length = 9 * time.Second
+		hosts  = 9
 	)
-	f := newFleet(t, 1, 3)
+	f := newFleet(t, 1, hosts)
 	service := f.addPlainService("boat-desk", plain.Options{})
 	f.putDocument("testdata/desk.json", 0)
 	ask := func(host *Host) (int, string, time.Duration) {
@@ -55,13 +60,13 @@
 	}
 	time.Sleep(time.Second)
 	var counts []int
-	for range 40 {
+	for range length / step {
 		counts = append(counts, len(service.Stats().Runs))
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(step)
 	}
 	clients.Kill(nil)
 	require.NoError(t, clients.Wait())
-	steps := int(window / (100 * time.Millisecond))
+	steps := int(window / step)
 	most := 0
 	for i := range counts[:len(counts)-steps] {
 		most = max(most, counts[i+steps]-counts[i])
