balance: Find servers by the weights that they hold

Cause: each choice went through all servers of the service, sorted the error shares of all of them, and asked of each whether it keeps the model. With 3,900 engines that is done two or three times for each prompt, on hosts with a fifth of a core. SetServers built all servers and their sets anew at each change of one.

Change: an index of the engines by weights; the error share that half of the servers stay below is found among those that have one; UpdateServers applies changes of single servers. What answers contradict is still undone at the next update, as before.

--- a/internal/control/balance/balance.go
+++ b/internal/control/balance/balance.go
@@ -122,8 +122,13 @@
 
 	mu      sync.Mutex
 	servers map[ident.ServerName]*server
-	// list holds the servers in the order of their names.
-	list []*server
+	index   index
+	// failing are the servers with an error share, corrected those whose weights or retiring
+	// models were changed by answers since they were last reported.
+	failing   map[*server]struct{}
+	corrected map[*server]struct{}
+	// engineSlots is the number of slots of the engine that was last reported, 0 if none was.
+	engineSlots int
 	// serverLimit bounds this host's requests in flight at one server.
 	serverLimit int
 	// secondsPerToken is the prefill time of an engine for one prompt token, by model:
@@ -171,6 +176,8 @@
 		location:           location,
 		pressures:          pressures,
 		servers:            make(map[ident.ServerName]*server),
+		failing:            make(map[*server]struct{}),
+		corrected:          make(map[*server]struct{}),
 		serverLimit:        1 << 20,
 		secondsPerToken:    make(map[ident.ModelName]float64),
 		answerSeconds:      make(map[ident.ModelName]float64),
@@ -199,8 +206,8 @@
 	Waiting int
 }
 
-// SetServers replaces the list of servers. What was learnt about a server is dropped when
-// its incarnation or address changes.
+// SetServers replaces all servers. What was learnt about a server is dropped when its
+// incarnation or address changes.
 func (p *Pool) SetServers(servers []ServerInfo) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -209,34 +216,83 @@
 		seen[servers[i].Name] = true
 		p.setServer(&servers[i])
 	}
-	for name := range p.servers {
+	for name, s := range p.servers {
 		if !seen[name] {
-			delete(p.servers, name)
+			p.removeServer(s)
 		}
 	}
-	p.list = p.list[:0]
-	for _, s := range p.servers {
-		p.list = append(p.list, s)
+	p.revertCorrections()
+	p.notifyChanged()
+}
+
+// UpdateServers applies changes of single servers, as SetServers does for all. Names that are
+// not known are ignored in removed.
+func (p *Pool) UpdateServers(changed []ServerInfo, removed []ident.ServerName) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := range changed {
+		p.setServer(&changed[i])
 	}
-	slices.SortFunc(p.list, func(a, b *server) int {
-		if a.info.Name < b.info.Name {
-			return -1
+	for _, name := range removed {
+		if s, known := p.servers[name]; known {
+			p.removeServer(s)
 		}
-		return 1
-	})
+	}
+	p.revertCorrections()
 	p.notifyChanged()
 }
 
+// RevertCorrections restores what was last reported of servers that answers have contradicted:
+// the reports may have been right again since.
+func (p *Pool) RevertCorrections() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.corrected) > 0 {
+		p.revertCorrections()
+		p.notifyChanged()
+	}
+}
+
+func (p *Pool) revertCorrections() {
+	for s := range p.corrected {
+		p.setWeights(s)
+	}
+	clear(p.corrected)
+}
+
 func (p *Pool) setServer(info *ServerInfo) {
 	s, known := p.servers[info.Name]
-	if !known || s.info.Incarnation != info.Incarnation || s.info.Address != info.Address {
-		s = &server{
-			cachedParts: make(map[partKey]struct{}),
-		}
+	if known && (s.info.Incarnation != info.Incarnation || s.info.Address != info.Address) {
+		p.removeServer(s)
+		known = false
+	}
+	if !known {
+		s = &server{}
 		p.servers[info.Name] = s
 	}
 	s.pressure = p.pressures.Server(info.Name, info.Incarnation)
 	s.update(info)
+	p.setWeights(s)
+	if info.Kind == backend.KindEngine && info.Slots > 0 {
+		p.engineSlots = info.Slots
+	}
+}
+
+// setWeights sets a server's weights and retiring models to what was last reported.
+func (p *Pool) setWeights(s *server) {
+	s.retiring = s.info.Retiring
+	if !s.isIndexed || !slices.Equal(s.holds, s.info.Holds) {
+		p.index.remove(s)
+		s.holds = s.info.Holds
+		p.index.add(s)
+	}
+}
+
+func (p *Pool) removeServer(s *server) {
+	delete(p.servers, s.info.Name)
+	delete(p.failing, s)
+	delete(p.corrected, s)
+	p.index.remove(s)
 }
 
 // notifyChanged wakes the requests that wait for a server.
@@ -278,12 +334,10 @@
 	if !measured {
 		answerSeconds = initialAnswerSeconds
 	}
-	for _, s := range p.list {
-		if s.info.Kind == backend.KindEngine && s.info.Slots > 0 {
-			return answerSeconds / float64(s.info.Slots)
-		}
+	if p.engineSlots == 0 {
+		return 0
 	}
-	return 0
+	return answerSeconds / float64(p.engineSlots)
 }
 
 // CountMissing counts a request that arrived when no server held its weights.
--- a/internal/control/balance/choose.go
+++ b/internal/control/balance/choose.go
@@ -153,8 +153,8 @@
 	verdict := NoneHolds
 	isKept := p.isModelKept(criteria.Weights.Model)
 	baseline := p.baselineErrorShare()
-	for _, s := range p.list {
-		if !p.canAnswer(s, criteria) || isKept && s.retiring[criteria.Weights.Model] {
+	for s := range p.index.candidates(criteria.Weights) {
+		if isKept && s.isRetiring(criteria.Weights.Model) {
 			continue
 		}
 		if verdict == NoneHolds && !s.isLeaving() {
@@ -175,8 +175,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var first time.Time
-	for _, s := range p.list {
-		if s.isLeaving() || !p.canAnswer(s, &criteria) || slices.Contains(criteria.Tried, s.info.Name) {
+	for s := range p.index.candidates(criteria.Weights) {
+		if s.isLeaving() || slices.Contains(criteria.Tried, s.info.Name) {
 			continue
 		}
 		state := s.pressure.State()
@@ -192,7 +192,7 @@
 }
 
 func (p *Pool) canAnswer(s *server, criteria *Criteria) bool {
-	return s.info.Kind != backend.KindEngine || s.holds[criteria.Weights]
+	return s.info.Kind != backend.KindEngine || slices.Contains(s.holds, criteria.Weights)
 }
 
 // isModelKept reports whether some server holds a model and is not about to unload it.
@@ -200,12 +200,9 @@
 // which they would refuse repeatedly. An adapter that no other server holds is loaded by
 // the server that keeps the model as soon as a request misses it.
 func (p *Pool) isModelKept(model ident.ModelName) bool {
-	for _, s := range p.list {
-		if !s.isLeaving() && !s.retiring[model] && s.holds[request.Weights{Model: model}] {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(p.index.holders[request.Weights{Model: model}], func(s *server) bool {
+		return !s.isLeaving() && !s.isRetiring(model)
+	})
 }
 
 // cost is the expected time to the first byte, increased by an error share above the
@@ -296,15 +293,25 @@
 // baselineErrorShare is the highest error share in the better half of the servers. An error
 // share up to it is caused by the requests, and is no reason to avoid a server.
 func (p *Pool) baselineErrorShare() float64 {
-	if len(p.list) == 0 {
+	median := (len(p.servers) - 1) / 2
+	withoutErrors := len(p.servers) - len(p.failing)
+	if len(p.failing) == 0 || median < withoutErrors {
 		return 0
 	}
-	shares := make([]float64, 0, len(p.list))
-	for _, s := range p.list {
+	shares := make([]float64, 0, len(p.failing))
+	for s := range p.failing {
 		shares = append(shares, s.errorShare)
 	}
 	slices.Sort(shares)
-	return shares[(len(shares)-1)/2]
+	return shares[median-withoutErrors]
+}
+
+// raiseErrorShare counts a send that a server failed.
+func (p *Pool) raiseErrorShare(s *server) {
+	s.errorShare += (1 - s.errorShare) * fastSmoothing
+	if p.servers[s.info.Name] == s {
+		p.failing[s] = struct{}{}
+	}
 }
 
 // RecordFirstByte reports that the first bytes of the answer have arrived.
@@ -369,21 +376,21 @@
 		t.recordAnswerTime(now)
 	case Failed:
 		s.recordSuccess()
-		s.errorShare += (1 - s.errorShare) * fastSmoothing
+		p.raiseErrorShare(s)
 	case Refused:
 		// An engine may refuse a model that it is about to unload before the leader's
 		// message arrives here.
-		s.retiring[t.criteria.Weights.Model] = s.info.Kind == backend.KindEngine
+		p.correctRetiring(s, t.criteria.Weights.Model)
 		s.probing = false
 	case Misplaced:
 		s.info.Leaving = true
 	case NotHeld:
-		delete(s.holds, t.criteria.Weights)
+		p.correctHolds(s, t.criteria.Weights)
 		s.probing = false
 	case Unreached:
 		s.recordFailure(now)
 	case Broken, Silent:
-		s.errorShare += (1 - s.errorShare) * fastSmoothing
+		p.raiseErrorShare(s)
 		s.recordFailure(now)
 	case Left:
 		s.probing = false
@@ -391,6 +398,25 @@
 	p.notifyChanged()
 }
 
+// correctRetiring marks a model of an engine as retiring until the next report.
+func (p *Pool) correctRetiring(s *server, model ident.ModelName) {
+	if s.info.Kind != backend.KindEngine || p.servers[s.info.Name] != s || s.isRetiring(model) {
+		return
+	}
+	s.retiring = append(slices.Clone(s.retiring), model)
+	p.corrected[s] = struct{}{}
+}
+
+// correctHolds removes weights from an engine until the next report.
+func (p *Pool) correctHolds(s *server, weights request.Weights) {
+	if s.info.Kind != backend.KindEngine || p.servers[s.info.Name] != s {
+		return
+	}
+	p.index.removeHolder(weights, s)
+	s.holds = slices.DeleteFunc(slices.Clone(s.holds), func(w request.Weights) bool { return w == weights })
+	p.corrected[s] = struct{}{}
+}
+
 // recordAnswerTime learns from the time between the answer's first byte and its end.
 func (t *Ticket) recordAnswerTime(now time.Time) {
 	if t.server.info.Kind != backend.KindEngine || t.firstByteAt.IsZero() {
--- a/internal/control/balance/server.go
+++ b/internal/control/balance/server.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
 	"cicadaloom/internal/control/backpressure"
@@ -13,8 +14,12 @@
 	info ServerInfo
 	// pressure is what the server's answers have asked for.
 	pressure *backpressure.Server
-	holds    map[request.Weights]bool
-	retiring map[ident.ModelName]bool
+	// holds and retiring are the reported weights and retiring models, corrected by answers.
+	// They may be shared with other owners, and are replaced, not changed.
+	holds    []request.Weights
+	retiring []ident.ModelName
+	// isIndexed is whether the pool's index has the server under its weights.
+	isIndexed bool
 	// ownInFlight counts this host's requests there, ownUnstarted those of them whose
 	// answer has not started.
 	ownInFlight  int
@@ -60,14 +65,6 @@
 		info.Leaving = true // an incarnation never takes requests again after it began to leave
 	}
 	s.info = *info
-	s.holds = make(map[request.Weights]bool, len(info.Holds))
-	for _, weights := range info.Holds {
-		s.holds[weights] = true
-	}
-	s.retiring = make(map[ident.ModelName]bool, len(info.Retiring))
-	for _, model := range info.Retiring {
-		s.retiring[model] = true
-	}
 	if info.Running >= 0 {
 		s.updateLoad(info.Running, info.Waiting)
 	}
@@ -120,6 +117,11 @@
 	return s.failures == 0 || !s.probing
 }
 
+// isRetiring reports whether a model is about to be unloaded.
+func (s *server) isRetiring(model ident.ModelName) bool {
+	return slices.Contains(s.retiring, model)
+}
+
 // isLeaving reports whether the server leaves, by its entry or by its own word.
 func (s *server) isLeaving() bool {
 	return s.info.Leaving || s.pressure.State().IsLeaving
@@ -137,6 +139,9 @@
 	if len(s.cachedParts) > maxCachedParts {
 		clear(s.cachedParts)
 	}
+	if s.cachedParts == nil {
+		s.cachedParts = make(map[partKey]struct{}, len(parts))
+	}
 	for _, part := range parts {
 		s.cachedParts[newPartKey(weights, part)] = struct{}{}
 	}
