registry: Return which entries have changed

So that the owner of the table need not go through all entries at each change of one, nor once a second for entries whose time to come back is over.

--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -18,9 +18,14 @@
 //	for _, registration := range table.Servers(now) {
 //		...
 //	}
+//	for _, name := range table.TakeChanges(now) {
+//		registration, known := table.Get(name) // or it is gone
+//	}
 package registry
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -35,6 +40,7 @@
 	// leftRetention is how long an incarnation that has left is remembered, so that an entry
 	// that arrives late or is written again can't bring it back.
 	leftRetention = time.Minute
+	sweepInterval = leftRetention / 10
 )
 
 // Table has the entries. The zero value is empty and ready to use; it belongs to one goroutine.
@@ -44,6 +50,11 @@
 	leftAt map[serverIncarnation]time.Time
 	// failedAt is when the service last failed a call of this host.
 	failedAt time.Time
+	// missing has the servers whose entry is missing, changed those whose entry has changed or
+	// been dropped since TakeChanges.
+	missing map[ident.ServerName]struct{}
+	changed map[ident.ServerName]struct{}
+	sweptAt time.Time
 }
 
 type serverIncarnation struct {
@@ -62,10 +73,8 @@
 // missing entries may come back.
 func (t *Table) RecordFailure(now time.Time) {
 	t.failedAt = now
-	for _, e := range t.entries {
-		if !e.missingUntil.IsZero() {
-			e.missingUntil = now.Add(returnTimeout)
-		}
+	for name := range t.missing {
+		t.entries[name].missingUntil = now.Add(returnTimeout)
 	}
 }
 
@@ -75,6 +84,8 @@
 	if t.entries == nil {
 		t.entries = make(map[ident.ServerName]*entry)
 		t.leftAt = make(map[serverIncarnation]time.Time)
+		t.missing = make(map[ident.ServerName]struct{})
+		t.changed = make(map[ident.ServerName]struct{})
 	}
 	key := incarnationOf(&registration)
 	if registration.Report.Leaving {
@@ -84,9 +95,12 @@
 		registration.Report.Leaving = true
 		registration.Server.State = backend.StateLeaving
 	}
-	t.entries[registration.Server.Name] = &entry{
+	name := registration.Server.Name
+	t.entries[name] = &entry{
 		registration: registration,
 	}
+	delete(t.missing, name)
+	t.changed[name] = struct{}{}
 }
 
 func incarnationOf(registration *backend.Registration) serverIncarnation {
@@ -105,13 +119,60 @@
 	}
 	if !e.registration.Report.Leaving && now.Sub(t.failedAt) < returnTimeout {
 		e.missingUntil = t.failedAt.Add(returnTimeout)
+		t.missing[name] = struct{}{}
 		return
 	}
-	t.drop(e)
+	t.drop(name)
+}
+
+func (t *Table) drop(name ident.ServerName) {
+	delete(t.entries, name)
+	delete(t.missing, name)
+	t.changed[name] = struct{}{}
 }
 
-func (t *Table) drop(e *entry) {
-	delete(t.entries, e.registration.Server.Name)
+// expire drops the entries that have not come back in time, and forgets incarnations that left
+// long ago.
+func (t *Table) expire(now time.Time) {
+	for name := range t.missing {
+		if !now.Before(t.entries[name].missingUntil) {
+			t.drop(name)
+		}
+	}
+	if now.Sub(t.sweptAt) < sweepInterval {
+		return
+	}
+	t.sweptAt = now
+	for key, at := range t.leftAt {
+		if now.Sub(at) > leftRetention {
+			delete(t.leftAt, key)
+		}
+	}
+}
+
+// TakeChanges drops the entries that have not come back in time, and returns the servers whose
+// entry has changed or been dropped since the last call.
+func (t *Table) TakeChanges(now time.Time) []ident.ServerName {
+	t.expire(now)
+	if len(t.changed) == 0 {
+		return nil
+	}
+	names := slices.Collect(maps.Keys(t.changed))
+	clear(t.changed)
+	return names
+}
+
+// Len returns the number of entries.
+func (t *Table) Len() int {
+	return len(t.entries)
+}
+
+// Incarnation returns the incarnation that a server's entry names.
+func (t *Table) Incarnation(name ident.ServerName) (ident.Incarnation, bool) {
+	if e, known := t.entries[name]; known {
+		return e.registration.Report.Incarnation, true
+	}
+	return "", false
 }
 
 // Get returns a server's entry as it was last written.
@@ -125,16 +186,7 @@
 // Servers drops the entries that have not come back in time, and returns the others, sorted by
 // name.
 func (t *Table) Servers(now time.Time) []backend.Registration {
-	for _, e := range t.entries {
-		if !e.missingUntil.IsZero() && !now.Before(e.missingUntil) {
-			t.drop(e)
-		}
-	}
-	for key, at := range t.leftAt {
-		if now.Sub(at) > leftRetention {
-			delete(t.leftAt, key)
-		}
-	}
+	t.expire(now)
 	servers := make([]backend.Registration, 0, len(t.entries))
 	for _, e := range t.entries {
 		servers = append(servers, e.registration)
--- a/internal/control/registry/registry_test.go
+++ b/internal/control/registry/registry_test.go
@@ -73,3 +73,24 @@
 	table.Put(start.Add(4*time.Second), newRegistration("a", "2", false))
 	require.False(t, table.Servers(start.Add(4 * time.Second))[0].Report.Leaving)
 }
+
+// Guards against a reader of changes that misses a server whose entry came, changed, expired or
+// went.
+func TestChangesNameEachServerOnce(t *testing.T) {
+	var table Table
+	require.Empty(t, table.TakeChanges(start))
+	table.Put(start, newRegistration("a", "1", false))
+	table.Put(start, newRegistration("a", "2", false))
+	table.Put(start, newRegistration("b", "1", false))
+	require.ElementsMatch(t, []ident.ServerName{"a", "b"}, table.TakeChanges(start))
+	require.Empty(t, table.TakeChanges(start))
+
+	table.Remove(start.Add(time.Minute), "b")
+	require.Equal(t, []ident.ServerName{"b"}, table.TakeChanges(start.Add(time.Minute)))
+
+	table.RecordFailure(start.Add(2 * time.Minute))
+	table.Remove(start.Add(2*time.Minute), "a")
+	require.Empty(t, table.TakeChanges(start.Add(2*time.Minute)))
+	require.Equal(t, []ident.ServerName{"a"}, table.TakeChanges(start.Add(2*time.Minute+returnTimeout)))
+	require.Zero(t, table.Len())
+}
