entries: Find changes without a search of all entries

Cause: each reply of a watcher went through all entries and deletions, so that its work grew with hosts times servers: some 100 replies a second of 5,000 entries at 985 hosts.

Change: a log of changes by revision, compacted once two thirds of it are outdated. All returns all entries, for hosts that have none.

Test: allocations of a reply with one change at 500 and 1,000 entries differ by one at most, and so does what the log returns; its length is bounded.

--- a/internal/control/entries/entries.go
+++ b/internal/control/entries/entries.go
@@ -6,6 +6,9 @@
 // after the newest revision that it knows, and ignores any that is older than what it has for
 // the key. A watcher that is behind returns less, but never anything that undoes a change.
 //
+// What Since costs goes by the changes that it returns, not by the entries: a watcher answers
+// hundreds of hosts a second.
+//
 // Watchers call Replace and Apply with what they read from the service, and Since for the hosts
 // that ask them; those call ApplyUpdate with the result. A Cache has no lock: one goroutine
 // owns it.
@@ -41,6 +44,7 @@
 	deletions    map[string]ident.Revision
 	completeFrom ident.Revision
 	gaps         []gap
+	log          changeLog
 }
 
 // gap is a span of changes that were not watched, between the end of a watch and the listing
@@ -157,6 +161,9 @@
 		c.completeFrom = c.revision
 		clear(c.deletions)
 	}
+	c.log.compact(len(c.entries)+len(c.deletions), func(change keyChange) bool {
+		return c.entries[change.key].Revision != change.revision && c.deletions[change.key] != change.revision
+	})
 	return applied
 }
 
@@ -165,6 +172,10 @@
 	if entry.Revision <= c.entries[entry.Key].Revision || entry.Revision <= c.deletions[entry.Key] {
 		return false
 	}
+	c.log.add(keyChange{
+		revision: entry.Revision,
+		key:      entry.Key,
+	})
 	if event.Deleted {
 		_, known := c.entries[entry.Key]
 		delete(c.entries, entry.Key)
@@ -176,30 +187,50 @@
 	return true
 }
 
+// NeedsAll returns whether a host that knows all changes up to a revision, 0 for none, has to get
+// all entries.
+func (c *Cache) NeedsAll(known ident.Revision) bool {
+	return known == 0 || c.needsAll(known)
+}
+
+// All returns all entries.
+func (c *Cache) All() Update {
+	update := Update{
+		Revision: c.revision,
+		Complete: true,
+	}
+	for _, change := range c.log.since(0) {
+		if entry := c.entries[change.key]; entry.Revision == change.revision {
+			update.Events = append(update.Events, store.Event{
+				Entry: entry,
+			})
+		}
+	}
+	return update
+}
+
 // Since returns the changes after a revision, in the order of their revisions.
 func (c *Cache) Since(known ident.Revision) Update {
+	if c.needsAll(known) {
+		return c.All()
+	}
 	update := Update{
 		Revision: c.revision,
-		Complete: c.needsAll(known),
 	}
 	if known >= c.revision {
 		return update
 	}
-	for _, entry := range c.entries {
-		if update.Complete || entry.Revision > known {
+	for _, change := range c.log.since(known) {
+		entry := c.entries[change.key]
+		switch {
+		case entry.Revision == change.revision:
 			update.Events = append(update.Events, store.Event{
 				Entry: entry,
 			})
+		case c.deletions[change.key] == change.revision:
+			update.Events = append(update.Events, newDeletion(change.key, change.revision))
 		}
 	}
-	for key, at := range c.deletions {
-		if !update.Complete && at > known {
-			update.Events = append(update.Events, newDeletion(key, at))
-		}
-	}
-	slices.SortFunc(update.Events, func(a, b store.Event) int {
-		return cmp.Or(cmp.Compare(a.Entry.Revision, b.Entry.Revision), cmp.Compare(a.Entry.Key, b.Entry.Key))
-	})
 	return update
 }
 
--- a/internal/control/entries/entries_test.go
+++ b/internal/control/entries/entries_test.go
@@ -155,3 +155,32 @@
 	host.ApplyUpdate(&update)
 	require.Empty(t, host.entries)
 }
+
+// Guards against a watcher whose replies cost as much as there are entries, and against a log
+// that grows with each change.
+func TestReplyCostDoesNotGrowWithEntries(t *testing.T) {
+	measure := func(n int) float64 {
+		s := &fakeService{
+			entries: make(map[string]store.Entry),
+		}
+		for i := range n {
+			s.write("k"+strconv.Itoa(i), false)
+		}
+		var cache Cache
+		cache.Replace(s.list())
+		for range 5 * n {
+			known := cache.Revision()
+			s.write("k7", false)
+			cache.Apply(store.Batch{
+				Events:   s.events[len(s.events)-1:],
+				Revision: s.revision,
+			})
+			require.LessOrEqual(t, len(cache.log.changes), (1+maxOutdatedChanges)*n)
+			require.Len(t, cache.log.since(known), 1)
+		}
+		return testing.AllocsPerRun(20, func() {
+			require.Len(t, cache.Since(cache.Revision()-1).Events, 1)
+		})
+	}
+	require.InDelta(t, measure(500), measure(1000), 1)
+}
