retries: Let hosts lend where each has one or two tokens

Cause: each host keeps two tokens for itself. At 985 hosts with five requests in a window none has more than 1.4, so that nothing is lent: the second failed request of a host in ten seconds is not sent again, while 1,300 tokens are left in the fleet.

Change: a host keeps half of what it has, two at most.

Test: 20 failed requests at one host of 75, 300 and 985 are all sent again; before, at 985 hosts, one was.

--- a/internal/control/retries/lend.go
+++ b/internal/control/retries/lend.go
@@ -15,9 +15,10 @@
 // lends no more tokens in any window than it has received in it. So the sum over all hosts
 // stays the same, and a transfer or loan that is lost only reduces it.
 
-// ownReserve is the number of tokens that a host keeps for itself, because a loan takes a
-// message to the lender and back.
-const ownReserve = 2
+// maxOwnReserve is the number of tokens, at most, that a host keeps for itself, because a loan
+// takes a message to the lender and back. A host with few tokens keeps no more than half: in a
+// large fleet none has more than one or two, and nothing would be lent.
+const maxOwnReserve = 2
 
 // Transfer is a number of tokens that a host transfers to the lender.
 type Transfer struct {
@@ -33,7 +34,8 @@
 	var transfers []Transfer
 	for service := range b.services {
 		c := b.countsAt(now, service)
-		surplus := int(b.remaining(now, c)) - ownReserve
+		remaining := b.remaining(now, c)
+		surplus := int(remaining) - min(int(remaining/2), maxOwnReserve)
 		if surplus <= 0 {
 			continue
 		}
--- a/internal/control/retries/lend_test.go
+++ b/internal/control/retries/lend_test.go
@@ -76,3 +76,36 @@
 	require.Equal(t, failed, allRetries)
 	require.True(t, budgets[2].Take(now, "notes"), "a host keeps some for itself")
 }
+
+// Guards against a large fleet in which no host has a token to spare: a host with two failed
+// requests in a window would refuse the second one while all others have theirs left.
+func TestHostBorrowsInFleetOfAnySize(t *testing.T) {
+	options := Options{
+		Ratio:  0.2,
+		Window: 10 * time.Second,
+		Slack:  1040,
+	}
+	const near, requests, failed = 60, 5, 20
+	for _, fleet := range []int{75, 300, 985} {
+		var budgets []*Budget
+		now := start
+		for range near {
+			budget := New(options)
+			budget.SetHosts(fleet)
+			for range requests {
+				budget.CountRequest(now, "notes")
+			}
+			budgets = append(budgets, budget)
+		}
+		for _, budget := range budgets[2:] {
+			budgets[0].Receive(now, budget.TakeSurplus(now))
+		}
+		retried := 0
+		for range failed {
+			if budgets[1].Take(now, "notes") || budgets[0].Lend(now, "notes") {
+				retried++
+			}
+		}
+		require.Equal(t, failed, retried, "%d hosts", fleet)
+	}
+}
