--- a/internal/control/holdings/holdings.go
+++ b/internal/control/holdings/holdings.go
@@ -7,17 +7,18 @@
 // leader's own numbers, so a host may ask any other for the next update: changes older than
 // those it knows are ignored.
 //
-// The leader's host calls Replace with what its planner returns. Watchers and other hosts call
-// Apply with the updates that they receive, and Since for the hosts that ask them. A Table has
-// no lock: one goroutine owns it.
+// The leader's host calls Record with the changes that its planner returns. Watchers and other
+// hosts call Apply with the updates that they receive, and Since for the hosts that ask them. A
+// Table has no lock: one goroutine owns it. An update costs as much as there are changes, not
+// as there are engines.
 //
 // # Usage
 //
 //	var table holdings.Table
-//	table.Replace(now, fencingNumber, planner.Inventories(now)) // at the leader
-//	update := table.Since(cursor)                               // for a host that knows all changes up to cursor
+//	table.Record(now, fencingNumber, changed, removed) // at the leader
+//	update := table.Since(cursor)                      // for a host that knows all changes up to cursor
 //	...
-//	changed := table.Apply(now, &update)                        // at the host that asked
+//	applied := table.Apply(now, &update)               // at the host that asked
 //	if table.IsFresh(now) {
 //		inventory, known := table.Get("i-7f3a91c2")
 //	}
@@ -69,13 +70,19 @@
 	cursor     Cursor
 	reportedAt time.Time
 	engines    map[ident.ServerName]*entry
+	log        changeLog
 	loads      loadHistory
 }
 
-// entry is an engine and when it was last reported.
+// entry is an engine and when it last changed.
 type entry struct {
 	Engine
-	seenAt time.Time
+	changedAt time.Time
+}
+
+// lastChange returns the number of the engine's last change of any kind.
+func (e *Engine) lastChange() int64 {
+	return max(e.InventoryChange, e.LoadChange)
 }
 
 // Cursor returns the point up to which all changes are known.
@@ -107,21 +114,22 @@
 		FencingNumber: fencingNumber,
 	}
 	t.engines = make(map[ident.ServerName]*entry)
+	t.log = nil
 }
 
-// Replace replaces the table by what the leader itself knows now.
-func (t *Table) Replace(now time.Time, fencingNumber ident.FencingNumber, inventories []loading.Inventory) {
+// Record records what the leader itself knows now: the inventories that may have changed since
+// the last call, and the engines that it knows nothing of any more. One that comes back is sent
+// in full.
+func (t *Table) Record(now time.Time, fencingNumber ident.FencingNumber, changed []loading.Inventory, removed []ident.ServerName) {
 	if t.cursor.FencingNumber != fencingNumber || t.engines == nil {
 		t.reset(fencingNumber)
 	}
 	t.reportedAt = now
-	for i := range inventories {
-		t.set(now, &inventories[i])
+	for i := range changed {
+		t.set(now, &changed[i])
 	}
-	for name, e := range t.engines {
-		if e.seenAt.Before(now) {
-			delete(t.engines, name) // an engine that comes back is sent in full
-		}
+	for _, name := range removed {
+		delete(t.engines, name)
 	}
 	t.loads.endBatch(now)
 }
@@ -132,7 +140,7 @@
 		known = &entry{}
 		t.engines[reported.Server] = known
 	}
-	known.seenAt = now
+	before := t.cursor.LastChange
 	if !found || !sameInventory(&known.Inventory, reported) {
 		t.cursor.LastChange++
 		known.InventoryChange = t.cursor.LastChange
@@ -143,6 +151,10 @@
 		known.LoadChange = t.cursor.LastChange
 	}
 	known.Inventory = *reported
+	if t.cursor.LastChange > before {
+		known.changedAt = now
+		t.logChange(known)
+	}
 }
 
 // sameInventory returns whether two reports of an engine differ in its load at most. Weights
@@ -173,16 +185,16 @@
 		Cursor:     t.cursor,
 		ReportedAt: t.reportedAt,
 	}
-	for _, e := range t.engines {
+	for _, change := range t.log.since(after) {
+		e, known := t.engines[change.server]
+		if !known || e.lastChange() != change.number {
+			continue // it has changed again
+		}
 		changed := e.Engine
-		switch {
-		case e.InventoryChange > after:
-		case e.LoadChange > after:
+		if e.InventoryChange <= after {
 			changed.LoadOnly = true
 			changed.Weights = nil
 			changed.Retiring = nil
-		default:
-			continue
 		}
 		update.Engines = append(update.Engines, changed)
 	}
@@ -221,8 +233,7 @@
 		known = &entry{}
 		t.engines[reported.Server] = known
 	}
-	lastChange := max(known.InventoryChange, known.LoadChange)
-	known.seenAt = now
+	lastChange := known.lastChange()
 	if !reported.LoadOnly && reported.InventoryChange > known.InventoryChange {
 		known.InventoryChange = reported.InventoryChange
 		known.Server = reported.Server
@@ -236,7 +247,12 @@
 		known.Running = reported.Running
 		known.Waiting = reported.Waiting
 	}
-	return max(known.InventoryChange, known.LoadChange) > lastChange
+	if known.lastChange() == lastChange {
+		return false
+	}
+	known.changedAt = now
+	t.logChange(known)
+	return true
 }
 
 // missingRetention is how long an engine is kept that is not reported and has no entry of its
@@ -246,7 +262,7 @@
 // Forget drops the engines that no longer exist.
 func (t *Table) Forget(now time.Time, exists func(ident.ServerName) bool) {
 	for name, e := range t.engines {
-		if now.Sub(e.seenAt) > missingRetention && !exists(name) {
+		if now.Sub(e.changedAt) > missingRetention && !exists(name) {
 			delete(t.engines, name)
 		}
 	}
--- a/internal/control/holdings/holdings_test.go
+++ b/internal/control/holdings/holdings_test.go
@@ -1,6 +1,7 @@
 package holdings
 
 import (
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -29,6 +30,17 @@
 	return h
 }
 
+// replace makes a table know just some inventories, as a planner that has no others.
+func replace(t *Table, now time.Time, fencingNumber ident.FencingNumber, inventories []loading.Inventory) {
+	var removed []ident.ServerName
+	for name := range t.engines {
+		if !slices.ContainsFunc(inventories, func(i loading.Inventory) bool { return i.Server == name }) {
+			removed = append(removed, name)
+		}
+	}
+	t.Record(now, fencingNumber, inventories, removed)
+}
+
 // The leader's knowledge reaches a host through two watchers, each behind the leader by a
 // different time, and the leader changes. What the host knows of an engine never goes back:
 // otherwise it would send requests for a model to an engine that has just unloaded it. Once
@@ -45,7 +57,7 @@
 			for _, inventory := range inventories {
 				all = append(all, inventory)
 			}
-			leader.Replace(now, fencingNumber, all)
+			replace(&leader, now, fencingNumber, all)
 		}
 		relay := func(from, to *Table) {
 			update := from.Since(to.Cursor())
@@ -104,20 +116,20 @@
 func TestSinceReturnsOnlyChanges(t *testing.T) {
 	var table Table
 	inventories := []loading.Inventory{newInventory(0, 1, "m"), newInventory(1, 2, "m", "n"), newInventory(2, 0)}
-	table.Replace(start, 7, inventories)
+	replace(&table, start, 7, inventories)
 	known := table.Cursor()
 	require.Len(t, table.Since(Cursor{}).Engines, 3)
-	table.Replace(start, 7, inventories)
+	replace(&table, start, 7, inventories)
 	require.Empty(t, table.Since(known).Engines)
 	inventories[1].Running = 3
 	inventories[1].Weights[0], inventories[1].Weights[1] = inventories[1].Weights[1], inventories[1].Weights[0]
-	table.Replace(start, 7, inventories)
+	replace(&table, start, 7, inventories)
 	update := table.Since(known)
 	require.Len(t, update.Engines, 1)
 	require.True(t, update.Engines[0].LoadOnly)
 	require.Empty(t, update.Engines[0].Weights)
-	table.Replace(start.Add(1), 7, inventories[:2])
-	table.Replace(start.Add(2), 7, inventories)
+	replace(&table, start.Add(1), 7, inventories[:2])
+	replace(&table, start.Add(2), 7, inventories)
 	update = table.Since(known)
 	require.Len(t, update.Engines, 2, "the update has everything of an engine that comes back")
 }
@@ -125,8 +137,8 @@
 // An earlier leader's update arrives after a later leader's. It must not change anything.
 func TestUpdateOfEarlierLeaderIsIgnored(t *testing.T) {
 	var early, late, host Table
-	early.Replace(start, 3, []loading.Inventory{newInventory(0, 1, "m")})
-	late.Replace(start, 4, []loading.Inventory{newInventory(0, 1, "n")})
+	replace(&early, start, 3, []loading.Inventory{newInventory(0, 1, "m")})
+	replace(&late, start, 4, []loading.Inventory{newInventory(0, 1, "n")})
 	update := late.Since(Cursor{})
 	host.Apply(start, &update)
 	update = early.Since(host.Cursor())
@@ -139,10 +151,35 @@
 // before their entry.
 func TestForgetDropsMissingEngines(t *testing.T) {
 	var table Table
-	table.Replace(start, 1, []loading.Inventory{newInventory(0, 0), newInventory(1, 0)})
+	replace(&table, start, 1, []loading.Inventory{newInventory(0, 0), newInventory(1, 0)})
 	exists := func(name ident.ServerName) bool { return name == "e1" }
 	table.Forget(start.Add(missingRetention), exists)
 	require.Len(t, table.engines, 2)
 	table.Forget(start.Add(missingRetention+1), exists)
 	require.Len(t, table.engines, 1)
 }
+
+// Guards against updates that cost as much as the fleet has engines, and against a log that grows
+// with each change.
+func TestUpdateCostDoesNotGrowWithFleet(t *testing.T) {
+	measure := func(n int) float64 {
+		var table Table
+		for i := range n {
+			table.Record(start, 1, []loading.Inventory{newInventory(i, 0, "m")}, nil)
+		}
+		changed := []loading.Inventory{newInventory(1, 0, "m")}
+		for i := range 5 * n {
+			changed[0].Running = i
+			table.Record(start, 1, changed, nil)
+			require.LessOrEqual(t, len(table.log), (1+maxStaleChanges)*n)
+		}
+		return testing.AllocsPerRun(20, func() {
+			known := table.Cursor()
+			changed[0].Running++
+			table.Record(start, 1, changed, nil)
+			require.Len(t, table.Since(known).Engines, 1)
+			require.Len(t, table.log.since(known.LastChange), 1)
+		})
+	}
+	require.InDelta(t, measure(1000), measure(2000), 1)
+}
--- a/internal/control/holdings/loads_test.go
+++ b/internal/control/holdings/loads_test.go
@@ -19,7 +19,7 @@
 	require.Zero(t, host.LoadHistory().CompleteSince)
 	report := func(fencingNumber ident.FencingNumber, inventories ...loading.Inventory) {
 		now = now.Add(time.Second)
-		leader.Replace(now, fencingNumber, inventories)
+		replace(&leader, now, fencingNumber, inventories)
 		update := leader.Since(host.Cursor())
 		host.Apply(now, &update)
 	}
--- a/internal/control/loading/adapters.go
+++ b/internal/control/loading/adapters.go
@@ -66,7 +66,7 @@
 	var best *engine
 	var lowest float64
 	for _, e := range p.enginesWith(weights.Model) {
-		if !e.canTakeOrder(now) || !e.serves(weights.Model) || e.possibleAdapters()[weights] {
+		if !p.canTakeOrder(now, e) || !e.serves(weights.Model) || e.possibleAdapters()[weights] {
 			continue
 		}
 		cost := float64(len(e.possibleAdapters())) + busyPenaltySeconds(e)*10
@@ -91,7 +91,7 @@
 	var oldest request.Weights
 	var oldestAt time.Time
 	for _, e := range p.enginesWith(model) {
-		if !e.canTakeOrder(now) || !e.serves(model) {
+		if !p.canTakeOrder(now, e) || !e.serves(model) {
 			continue
 		}
 		for weights := range e.possibleAdapters() {
--- a/internal/control/loading/bench_test.go
+++ b/internal/control/loading/bench_test.go
@@ -19,7 +19,7 @@
 // costs 2.4 ms instead of 0.45 ms for 90 engines, 12.1 ms instead of 1.2 ms for 240, and
 // 152 ms instead of 7.1 ms for 850.
 func BenchmarkStep(b *testing.B) {
-	for _, size := range []struct{ engines, models int }{{90, 107}, {240, 291}, {850, 1400}} {
+	for _, size := range []struct{ engines, models int }{{90, 107}, {240, 291}, {850, 1400}, {3900, 291}, {7800, 1400}} {
 		b.Run(strconv.Itoa(size.engines), func(b *testing.B) { benchmarkStep(b, size.engines, size.models) })
 	}
 }
@@ -50,7 +50,7 @@
 			Incarnation: "1",
 		})
 	}
-	planner.SetServers(servers)
+	planner.SetServers(start, servers)
 	now := start
 	report := func() {
 		for i := range engines {
--- a/internal/control/loading/distribution.go
+++ b/internal/control/loading/distribution.go
@@ -18,9 +18,10 @@
 // that share an engine look well served because of their other replicas, while prompts
 // queue on the shared engine and other engines are idle.
 type workDistribution struct {
-	utilization map[*engine]float64
+	// utilization is that of each engine, by its index.
+	utilization []float64
 	shares      map[ident.ModelName]*modelShare
-	// byWork has the shares in the order of distribution, the most work first.
+	// byWork has the shares with work in the order of distribution, the most work first.
 	byWork []*modelShare
 }
 
@@ -33,10 +34,12 @@
 	assignments []assignment
 }
 
-// assignment is the work that one engine does for a model.
+// assignment is the work that one engine does for a model. others is the engine's utilization
+// by other models when the work was last distributed.
 type assignment struct {
 	engine *engine
 	work   float64
+	others float64
 }
 
 // distributionRounds is how often the work is distributed; each round starts from the
@@ -56,20 +59,20 @@
 
 func (p *Planner) distributeWork(now time.Time) *workDistribution {
 	d := &workDistribution{
-		utilization: make(map[*engine]float64, len(p.sortedEngines)),
+		utilization: make([]float64, len(p.sortedEngines)),
 		shares:      make(map[ident.ModelName]*modelShare, len(p.models)),
 	}
-	for name := range p.models {
-		d.shares[name] = &modelShare{
-			work: p.expectedWork(now, name),
-		}
-	}
 	for name, m := range p.models {
+		share := &modelShare{
+			work:        p.expectedWork(now, name),
+			assignments: make([]assignment, 0, len(m.engines)),
+		}
 		for _, e := range m.engines {
-			d.shares[name].assignments = append(d.shares[name].assignments, assignment{
+			share.assignments = append(share.assignments, assignment{
 				engine: e,
 			})
 		}
+		d.shares[name] = share
 	}
 	for range distributionRounds {
 		d.distributeAll()
@@ -87,14 +90,17 @@
 	}
 }
 
-// sharesByWork returns the shares sorted by descending work.
+// sharesByWork returns the shares with work, sorted by descending work. In a large fleet most
+// models have none.
 func (d *workDistribution) sharesByWork() []*modelShare {
 	names := slices.SortedFunc(maps.Keys(d.shares), func(a, b ident.ModelName) int {
 		return cmp.Or(cmp.Compare(d.shares[b].work, d.shares[a].work), cmp.Compare(a, b))
 	})
 	order := make([]*modelShare, 0, len(names))
 	for _, name := range names {
-		order = append(order, d.shares[name])
+		if share := d.shares[name]; share.work > 0 {
+			order = append(order, share)
+		}
 	}
 	return order
 }
@@ -106,27 +112,28 @@
 		return
 	}
 	for i := range share.assignments {
-		d.utilization[share.assignments[i].engine] -= share.assignments[i].work
+		a := &share.assignments[i]
+		a.others = d.utilization[a.engine.index] - a.work
 	}
 	slices.SortFunc(share.assignments, func(a, b assignment) int {
-		return cmp.Or(cmp.Compare(d.utilization[a.engine], d.utilization[b.engine]), cmp.Compare(a.engine.Name, b.engine.Name))
+		return cmp.Or(cmp.Compare(a.others, b.others), cmp.Compare(a.engine.index, b.engine.index))
 	})
-	share.level = d.fillLevel(share)
+	share.level = share.fillLevel()
 	for i := range share.assignments {
-		e := share.assignments[i].engine
-		share.assignments[i].work = max(share.level-d.utilization[e], 0)
-		d.utilization[e] += share.assignments[i].work
+		a := &share.assignments[i]
+		a.work = max(share.level-a.others, 0)
+		d.utilization[a.engine.index] = a.others + a.work
 	}
 }
 
 // fillLevel returns the utilization up to which a model's work fills its engines. The
 // assignments must be sorted by the engines' utilization by other models.
-func (d *workDistribution) fillLevel(share *modelShare) float64 {
+func (s *modelShare) fillLevel() float64 {
 	below := 0.0
-	for i := range share.assignments {
-		below += d.utilization[share.assignments[i].engine]
-		level := (below + share.work) / float64(i+1)
-		if i+1 == len(share.assignments) || level <= d.utilization[share.assignments[i+1].engine] {
+	for i := range s.assignments {
+		below += s.assignments[i].others
+		level := (below + s.work) / float64(i+1)
+		if i+1 == len(s.assignments) || level <= s.assignments[i+1].others {
 			return level
 		}
 	}
--- a/internal/control/loading/engine.go
+++ b/internal/control/loading/engine.go
@@ -13,8 +13,12 @@
 // engine is the planner's state of one backend server.
 type engine struct {
 	Server
+	// index is the engine's position in the order of names.
+	index    int
 	report   backend.Report
 	reported bool
+	// listedAt is when the engine was first listed.
+	listedAt time.Time
 	// acceptedOrders is the number of orders that the engine has accepted, from its reports
 	// and its answers. The last answer of that kind came at acceptedAt.
 	acceptedOrders int64
@@ -51,9 +55,14 @@
 	isFromStore bool
 }
 
-// reportTimeout is how long an engine may go without a report before its models count as
-// lost and are loaded elsewhere.
-const reportTimeout = 2 * time.Second
+const (
+	// reportTimeout is how long, at least, an engine may go without a report before its models
+	// count as lost and are loaded elsewhere.
+	reportTimeout = 2 * time.Second
+	// lostReportTime is how long a report may be overdue: it may have been lost, and is then
+	// requested again.
+	lostReportTime = time.Second
+)
 
 // HasPendingOrder reports whether an engine has an unsettled order.
 func (p *Planner) HasPendingOrder(server ident.ServerName) bool {
@@ -64,9 +73,9 @@
 // canTakeOrder reports whether the engine's state is known exactly enough to decide an
 // order for it: its report is recent and counts all accepted orders, and none is in
 // progress.
-func (e *engine) canTakeOrder(now time.Time) bool {
+func (p *Planner) canTakeOrder(now time.Time, e *engine) bool {
 	return e.reported && !e.Leaving && e.pending == nil && !e.report.OrderInProgress && !now.Before(e.pausedUntil) &&
-		now.Sub(e.report.ReportedAt) < maxReportAge && e.report.OrdersAccepted == e.acceptedOrders
+		now.Sub(e.report.ReportedAt) < p.maxReportAge() && e.report.OrdersAccepted == e.acceptedOrders
 }
 
 // serves reports whether the engine has a model that is neither retiring nor being
@@ -97,10 +106,11 @@
 	}
 }
 
-// invalidateCaches drops the values that are derived from the engine's state.
-func (e *engine) invalidateCaches() {
+// markChanged drops the values that are derived from an engine's state.
+func (p *Planner) markChanged(e *engine) {
 	e.cachedAdapters = nil
 	e.isFreeMemoryCached = false
+	p.changedEngines[e.Name] = struct{}{}
 }
 
 func (e *engine) isLoading(name ident.ModelName) bool {
--- a/internal/control/loading/fake_fleet_test.go
+++ b/internal/control/loading/fake_fleet_test.go
@@ -241,7 +241,7 @@
 // most three rounds.
 func (fleet *fakeFleet) runRound(p *Planner, token ident.FencingNumber) []backend.CountedOrder {
 	fleet.advance(100 * time.Millisecond)
-	p.SetServers(fleet.servers())
+	p.SetServers(fleet.now, fleet.servers())
 	for _, e := range fleet.engines {
 		p.ApplyReport(&e.reports[0])
 	}
--- a/internal/control/loading/free_memory.go
+++ b/internal/control/loading/free_memory.go
@@ -22,7 +22,7 @@
 	}
 	var cheapest cheapestReplica
 	for _, e := range p.sortedEngines {
-		if !e.canTakeOrder(now) || len(e.retiring) > 0 || p.hasRoom(now, e, needed) {
+		if !p.canTakeOrder(now, e) || len(e.retiring) > 0 || p.hasRoom(now, e, needed) {
 			continue
 		}
 		for _, v := range p.servedModels(e) {
@@ -133,7 +133,7 @@
 func (p *Planner) maxFreeMemory(now time.Time) unit.Bytes {
 	maxFree := unit.Bytes(0)
 	for _, e := range p.sortedEngines {
-		if e.canTakeOrder(now) && len(e.retiring) == 0 {
+		if p.canTakeOrder(now, e) && len(e.retiring) == 0 {
 			maxFree = max(maxFree, p.freeMemory(e))
 		}
 	}
@@ -160,6 +160,7 @@
 // retire marks a replica for unloading in favour of a model, or of none in particular if
 // forModel is empty.
 func (p *Planner) retire(now time.Time, e *engine, v *model, forModel ident.ModelName, score float64) {
+	p.markChanged(e)
 	e.retiring[v.spec.Name] = now
 	e.retiringLast[v.spec.Name] = v.ready == 1
 	v.removeReplica(e)
--- a/internal/control/loading/inventory.go
+++ b/internal/control/loading/inventory.go
@@ -19,15 +19,32 @@
 	Waiting     int
 }
 
-// Inventories returns what is loaded on each engine that has reported.
-func (p *Planner) Inventories(now time.Time) []Inventory {
-	inventories := make([]Inventory, 0, len(p.sortedEngines))
-	for _, e := range p.sortedEngines {
-		if e.reported {
-			inventories = append(inventories, e.inventory(now))
+// TakeInventoryChanges returns the inventories that may have changed since the last call, and
+// the engines that have gone or not reported yet in their present incarnation.
+func (p *Planner) TakeInventoryChanges(now time.Time) (changed []Inventory, removed []ident.ServerName) {
+	for name := range p.changedEngines {
+		e, known := p.engines[name]
+		if !known || !e.reported {
+			removed = append(removed, name)
+			delete(p.changedEngines, name)
+			continue
+		}
+		changed = append(changed, e.inventory(now))
+		if !e.awaitsAdapter(now) {
+			delete(p.changedEngines, name)
+		}
+	}
+	return changed, removed
+}
+
+// awaitsAdapter reports whether an adapter that the engine has accepted to load can't be used yet.
+func (e *engine) awaitsAdapter(now time.Time) bool {
+	for _, readyAt := range e.confirmedAdapters {
+		if now.Before(readyAt) {
+			return true
 		}
 	}
-	return inventories
+	return false
 }
 
 func (e *engine) inventory(now time.Time) Inventory {
--- a/internal/control/loading/loaded_models.go
+++ b/internal/control/loading/loaded_models.go
@@ -45,13 +45,19 @@
 
 // modelsInReport returns the models of a report, without adapters.
 func modelsInReport(report *backend.Report) LoadedModels {
-	loaded := LoadedModels{
+	return LoadedModels{
 		Incarnation: report.Incarnation,
+		Models:      modelsOf(report.Residents),
 	}
-	for i := range report.Residents {
-		if report.Residents[i].Adapter == "" {
-			loaded.Models = append(loaded.Models, report.Residents[i].Model)
+}
+
+// modelsOf returns the models among some weights.
+func modelsOf(residents []backend.Resident) []ident.ModelName {
+	var models []ident.ModelName
+	for i := range residents {
+		if residents[i].Adapter == "" {
+			models = append(models, residents[i].Model)
 		}
 	}
-	return loaded
+	return models
 }
--- a/internal/control/loading/loading.go
+++ b/internal/control/loading/loading.go
@@ -77,8 +77,11 @@
 	// resendAfter is when an unanswered order is sent again. It names the same count, so at
 	// most one of the two takes effect.
 	resendAfter = 700 * time.Millisecond
-	// maxReportAge is the age above which a report is not used for decisions.
-	maxReportAge = 1500 * time.Millisecond
+	// minMaxReportAge and reportDelay give the age above which a report is not used for
+	// decisions: reportDelay more than the time between two reports, and minMaxReportAge at
+	// least.
+	minMaxReportAge = 1500 * time.Millisecond
+	reportDelay     = 500 * time.Millisecond
 	// orderStartTimeout is how long reports may show no sign of an accepted order before it
 	// counts as lost. Reports lag by some hundred milliseconds.
 	orderStartTimeout = 2 * time.Second
@@ -97,6 +100,9 @@
 	backend.Server
 	Incarnation ident.Incarnation
 	Leaving     bool
+	// Residents are the weights that the engine's entry names. They count until the first
+	// report.
+	Residents []backend.Resident
 }
 
 // Planner plans the loads and unloads on the engines of one service. It must be used from
@@ -104,8 +110,10 @@
 type Planner struct {
 	options    Options
 	engineSpec *route.Engine
-	models     map[ident.ModelName]*model
-	engines    map[ident.ServerName]*engine
+	// reportInterval is the time between two reports of an engine.
+	reportInterval time.Duration
+	models         map[ident.ModelName]*model
+	engines        map[ident.ServerName]*engine
 	// sortedEngines has the engines sorted by name.
 	sortedEngines []*engine
 	demand        map[request.Weights]*smoothedDemand
@@ -133,6 +141,9 @@
 	// startedAt is when the planner took its first step.
 	startedAt   time.Time
 	retirements []Retirement
+	// changedEngines are the engines whose inventory may have changed since
+	// TakeInventoryChanges, and those that have gone.
+	changedEngines map[ident.ServerName]struct{}
 }
 
 // Retirement is the decision to unload one replica, and its reason.
@@ -213,7 +224,8 @@
 		engines: make(map[ident.ServerName]*engine),
 		demand:  make(map[request.Weights]*smoothedDemand),
 
-		missingSince: make(map[ident.ModelName]time.Time),
+		missingSince:   make(map[ident.ModelName]time.Time),
+		changedEngines: make(map[ident.ServerName]struct{}),
 	}
 }
 
@@ -231,12 +243,24 @@
 		}
 	}
 	for _, e := range p.engines {
-		e.invalidateCaches()
+		p.markChanged(e)
 	}
 }
 
-// SetServers sets the list of engines.
-func (p *Planner) SetServers(servers []Server) {
+// SetReportInterval sets the time between two reports of an engine: in a large fleet each
+// engine reports less often, and counts as lost later.
+func (p *Planner) SetReportInterval(interval time.Duration) {
+	p.reportInterval = interval
+}
+
+// maxReportAge is the age above which a report is not used for decisions. An order that was
+// decided on an older report still takes effect only in the state for which it was decided.
+func (p *Planner) maxReportAge() time.Duration {
+	return max(minMaxReportAge, p.reportInterval+reportDelay)
+}
+
+// SetServers sets the list of engines, at an instant.
+func (p *Planner) SetServers(now time.Time, servers []Server) {
 	seen := make(map[ident.ServerName]bool, len(servers))
 	for _, server := range servers {
 		seen[server.Name] = true
@@ -250,14 +274,20 @@
 				retiring:          make(map[ident.ModelName]time.Time),
 				retiringLast:      make(map[ident.ModelName]bool),
 				loadedSince:       make(map[ident.ModelName]time.Time),
+				listedAt:          now,
 			}
 			p.engines[server.Name] = e
+			p.changedEngines[server.Name] = struct{}{}
 		}
 		e.Server = server
+		if !e.reported {
+			e.setModels(now, modelsOf(server.Residents))
+		}
 	}
 	for name := range p.engines {
 		if !seen[name] {
 			delete(p.engines, name)
+			p.changedEngines[name] = struct{}{}
 		}
 	}
 	p.sortedEngines = p.sortedEngines[:0]
@@ -265,6 +295,10 @@
 		p.sortedEngines = append(p.sortedEngines, e)
 	}
 	slices.SortFunc(p.sortedEngines, func(a, b *engine) int { return cmp.Compare(a.Name, b.Name) })
+	for i, e := range p.sortedEngines {
+		e.index = i
+	}
+	p.distribution = nil
 }
 
 // ApplyReport applies an engine's report. Reports of another incarnation are ignored, and
@@ -285,7 +319,7 @@
 	e.report = *report
 	e.reported = true
 	e.setModels(report.ReportedAt, loaded.Models)
-	e.invalidateCaches()
+	p.markChanged(e)
 	e.acceptedOrders = report.OrdersAccepted
 	for weights := range e.confirmedAdapters {
 		if !e.hasModel(weights.Model) {
@@ -306,7 +340,7 @@
 		return
 	}
 	e.pending.unanswered = false
-	e.invalidateCaches()
+	p.markChanged(e)
 	switch answer {
 	case backend.OrderAccepted, backend.OrderNotNeeded:
 		p.handleAccepted(now, e, answer)
@@ -359,10 +393,10 @@
 		switch {
 		case isAccepted && !e.report.OrderInProgress:
 			e.pending = nil
-			e.invalidateCaches()
+			p.markChanged(e)
 		case !isAccepted && !pending.acceptedAt.IsZero() && now.Sub(pending.acceptedAt) > orderStartTimeout:
 			e.pending = nil // the engine has lost the order
-			e.invalidateCaches()
+			p.markChanged(e)
 			e.acceptedOrders = e.report.OrdersAccepted
 		}
 	}
@@ -402,9 +436,15 @@
 	return orders
 }
 
-// isAvailable reports whether the engine's models can serve requests.
+// isAvailable reports whether the engine's models can serve requests. Until its first report
+// those of its entry count: a new leader would otherwise load again what the engines have that
+// it has not asked yet.
 func (p *Planner) isAvailable(now time.Time, e *engine) bool {
-	return !e.Leaving && e.reported && now.Sub(e.report.ReportedAt) <= reportTimeout
+	seenAt := e.report.ReportedAt
+	if !e.reported {
+		seenAt = e.listedAt
+	}
+	return !e.Leaving && now.Sub(seenAt) <= max(reportTimeout, p.reportInterval+lostReportTime)
 }
 
 // countReplicas counts the replicas of each model.
@@ -457,7 +497,7 @@
 		Server:      e.Name,
 		AfterOrders: e.acceptedOrders,
 	}
-	e.invalidateCaches()
+	p.markChanged(e)
 	e.pending = &pendingOrder{
 		order:  order,
 		sentAt: now,
--- a/internal/control/loading/loading_test.go
+++ b/internal/control/loading/loading_test.go
@@ -33,7 +33,7 @@
 			if rapid.IntRange(0, 80).Draw(t, "crash") == 0 {
 				fleet.engines[rapid.IntRange(0, 3).Draw(t, "crashed")].restart()
 			}
-			planner.SetServers(fleet.servers())
+			planner.SetServers(fleet.now, fleet.servers())
 			for _, e := range fleet.engines {
 				if len(e.reports) > 0 {
 					report := e.reports[rapid.IntRange(0, len(e.reports)-1).Draw(t, "report")]
--- a/internal/control/loading/placement.go
+++ b/internal/control/loading/placement.go
@@ -172,7 +172,7 @@
 	var best *engine
 	var lowest float64
 	for _, e := range p.sortedEngines {
-		if !e.canTakeOrder(now) || e.hasModel(m.spec.Name) || p.freeMemory(e) < m.spec.Memory || len(e.retiring) > 0 {
+		if !p.canTakeOrder(now, e) || e.hasModel(m.spec.Name) || p.freeMemory(e) < m.spec.Memory || len(e.retiring) > 0 {
 			continue
 		}
 		duration, isAllowed := p.estimateLoad(now, e, m)
@@ -285,12 +285,13 @@
 			if p.isIdle(now, name) {
 				notice = 0
 			}
-			if !e.canTakeOrder(now) || now.Sub(since) < notice {
+			if !p.canTakeOrder(now, e) || now.Sub(since) < notice {
 				continue
 			}
 			mayBeLast := e.retiringLast[name] && p.isIdle(now, name)
 			if p.countReadyElsewhere(now, e, name) == 0 && !mayBeLast {
 				delete(e.retiring, name) // it has become the last replica and has requests
+				p.markChanged(e)
 				continue
 			}
 			orders = append(orders, p.createOrder(now, e, backend.UnloadModel, request.Weights{
@@ -306,7 +307,7 @@
 func (p *Planner) countReadyElsewhere(now time.Time, except *engine, name ident.ModelName) int {
 	count := 0
 	for _, e := range p.enginesWith(name) {
-		if e != except && !e.Leaving && e.serves(name) && now.Sub(e.report.ReportedAt) < maxReportAge {
+		if e != except && !e.Leaving && e.serves(name) && now.Sub(e.report.ReportedAt) < p.maxReportAge() {
 			count++
 		}
 	}
--- a/internal/control/loading/rebalance.go
+++ b/internal/control/loading/rebalance.go
@@ -96,12 +96,12 @@
 		value: minGain,
 	}
 	for _, e := range p.sortedEngines {
-		if highestLevel-distribution.utilization[e] < minUtilizationGap || !e.canTakeOrder(now) || len(e.retiring) > 0 || !p.canTakeAnyModel(distribution, requested, e) {
+		if highestLevel-distribution.utilization[e.index] < minUtilizationGap || !p.canTakeOrder(now, e) || len(e.retiring) > 0 || !p.canTakeAnyModel(distribution, requested, e) {
 			continue
 		}
 		target := moveTarget{
 			engine:      e,
-			utilization: distribution.utilization[e],
+			utilization: distribution.utilization[e.index],
 			freeMemory:  p.freeMemory(e),
 		}
 		if mayRetire {
@@ -142,7 +142,7 @@
 // the engines that have it.
 func (p *Planner) canTakeAnyModel(distribution *workDistribution, requested []*model, e *engine) bool {
 	return slices.ContainsFunc(requested, func(m *model) bool {
-		return e.canTake(m, distribution.shares[m.spec.Name], distribution.utilization[e])
+		return e.canTake(m, distribution.shares[m.spec.Name], distribution.utilization[e.index])
 	})
 }
 
--- a/internal/control/loading/rebalance_test.go
+++ b/internal/control/loading/rebalance_test.go
@@ -56,12 +56,14 @@
 // prompt schedulers distribute prompts, and no engine does more than it has time for.
 func (fleet *fakeFleet) servedWork(demand workByModel, round float64) float64 {
 	d := &workDistribution{
-		utilization: make(map[*engine]float64),
+		utilization: make([]float64, len(fleet.engines)),
 		shares:      make(map[ident.ModelName]*modelShare),
 	}
 	plannerEngines := make(map[string]*engine, len(fleet.engines))
-	for _, e := range fleet.engines {
-		plannerEngines[string(e.name)] = &engine{}
+	for i, e := range fleet.engines {
+		plannerEngines[string(e.name)] = &engine{
+			index: i,
+		}
 		plannerEngines[string(e.name)].Name = e.name
 	}
 	for name, work := range demand {
@@ -243,7 +245,7 @@
 	both := [2]*workDistribution{}
 	for i := range both {
 		both[i] = &workDistribution{
-			utilization: make(map[*engine]float64),
+			utilization: make([]float64, 18),
 			shares:      make(map[ident.ModelName]*modelShare),
 		}
 	}
@@ -256,7 +258,9 @@
 		}
 	}
 	for i := range 18 {
-		e := &engine{}
+		e := &engine{
+			index: i,
+		}
 		e.Name = ident.ServerName(strconv.Itoa(i))
 		for range 3 {
 			name := ident.ModelName(strconv.Itoa(random.IntN(12)))
@@ -284,7 +288,7 @@
 // Moves are compared by gain and loss. They must equal the changes of the sum of the
 // squares of the utilizations, computed from two distributions.
 func TestGainAndLossMatchSumOfSquares(t *testing.T) {
-	engines := []*engine{{}, {}, {}}
+	engines := []*engine{{index: 0}, {index: 1}, {index: 2}}
 	share := &modelShare{
 		work: 1.8,
 		assignments: []assignment{
@@ -293,13 +297,13 @@
 		},
 	}
 	d := &workDistribution{
-		utilization: make(map[*engine]float64),
+		utilization: make([]float64, len(engines)),
 		shares:      map[ident.ModelName]*modelShare{"m": share},
 	}
 	d.distribute(share)
 	before := d.sumOfSquares()
 	gain, loss := share.gain(0.3), share.loss(share.workOn(engines[0]))
-	d.utilization[engines[2]] = 0.3
+	d.utilization[2] = 0.3
 	share.assignments = append(share.assignments, assignment{
 		engine: engines[2],
 	})
--- a/internal/control/loading/replacement.go
+++ b/internal/control/loading/replacement.go
@@ -66,7 +66,7 @@
 }
 
 func (p *Planner) evaluateReplacement(now time.Time, e *engine, m *model) (replacement, bool) {
-	if !e.canTakeOrder(now) || e.hasModel(m.spec.Name) || len(e.retiring) > 0 {
+	if !p.canTakeOrder(now, e) || e.hasModel(m.spec.Name) || len(e.retiring) > 0 {
 		return replacement{}, false
 	}
 	duration, isAllowed := p.estimateLoad(now, e, m)
--- a/internal/host/gateway/control.go
+++ b/internal/host/gateway/control.go
@@ -46,12 +46,10 @@
 	hosts               map[ident.HostID]*hostInfo
 	leader              ident.HostID
 	// term is set while this host is the leader, and planners with it: one per engine
-	// service. reportAskedAt is when each engine was last asked for a report.
-	term          *leaderTerm
-	planners      map[ident.ServiceName]*loading.Planner
-	reportAskedAt map[ident.ServerName]time.Time
-	// silentEngines has the engines that returned no report when last asked.
-	silentEngines map[ident.ServerName]bool
+	// service.
+	term     *leaderTerm
+	planners map[ident.ServiceName]*loading.Planner
+	engines  engineList
 	// inventory is what the engines have in memory, as the leader reported it; fleetEntries
 	// are the entries of servers and hosts.
 	inventory    holdings.Table
@@ -65,13 +63,14 @@
 	pendingDemand map[demandKey]loading.Demand
 	pools         map[ident.ServiceName]*balance.Pool
 	suspects      suspects.Machine
-	poolsOutdated bool
-	// loadsOutdated tells that engines' loads have changed since poolsPublishedAt, when the
-	// pools were last updated.
-	loadsOutdated    bool
-	poolsPublishedAt time.Time
+	// outdatedServers are the servers that have changed since the pools were updated;
+	// poolsOutdated tells that all may have.
+	outdatedServers map[ident.ServerName]struct{}
+	poolsOutdated   bool
 	// hostsChanged tells that the set of reachable hosts has changed since it was published.
 	hostsChanged bool
+	// forgotAt is when servers that are gone were last forgotten.
+	forgotAt time.Time
 	// lastTickAt is when the last tick came, lateTicks how many in a row came late.
 	lastTickAt time.Time
 	lateTicks  int
@@ -105,17 +104,18 @@
 	tickInterval = 100 * time.Millisecond
 	// missingHostTTL is how long a host without an entry still counts.
 	missingHostTTL = 20 * time.Second
+	// forgetInterval is how often all servers are searched for those that are gone.
+	forgetInterval = 10 * time.Second
 )
 
 func newControl(g *Gateway) *control {
 	return &control{
-		Gateway:       g,
-		hosts:         make(map[ident.HostID]*hostInfo),
-		reportAskedAt: make(map[ident.ServerName]time.Time),
-		silentEngines: make(map[ident.ServerName]bool),
-		pendingDemand: make(map[demandKey]loading.Demand),
-		pools:         make(map[ident.ServiceName]*balance.Pool),
-		gauges:        newGauges(g.options.Metrics),
+		Gateway:         g,
+		hosts:           make(map[ident.HostID]*hostInfo),
+		pendingDemand:   make(map[demandKey]loading.Demand),
+		pools:           make(map[ident.ServiceName]*balance.Pool),
+		outdatedServers: make(map[ident.ServerName]struct{}),
+		gauges:          newGauges(g.options.Metrics),
 	}
 }
 
@@ -148,18 +148,23 @@
 	}
 	c.updateInventoryFreshness(now)
 	if now.Sub(c.gauges.updatedAt) > time.Second {
-		c.poolsOutdated = true // a missing entry may have expired
-		c.inventory.Forget(now, func(name ident.ServerName) bool { _, known := c.registry.Get(name); return known })
-		c.backpressure.Sweep(now, c.isListed)
+		for _, pool := range c.pools {
+			pool.RevertCorrections()
+		}
 		c.gauges.update(now, c)
 	}
+	if now.Sub(c.forgotAt) > forgetInterval {
+		c.forgotAt = now
+		c.inventory.Forget(now, func(name ident.ServerName) bool { _, known := c.registry.Incarnation(name); return known })
+		c.backpressure.Sweep(now, c.isListed)
+	}
 	c.plan(now)
 }
 
 // isListed reports whether an incarnation of a server has an entry.
 func (c *control) isListed(name ident.ServerName, incarnation ident.Incarnation) bool {
-	registration, known := c.registry.Get(name)
-	return known && registration.Report.Incarnation == incarnation
+	listed, known := c.registry.Incarnation(name)
+	return known && listed == incarnation
 }
 
 // updateInventoryFreshness republishes the pools when the leader's inventory becomes
@@ -197,22 +202,36 @@
 	}
 }
 
-// loadPublishInterval is the time between two updates of the pools for changes of load alone,
-// for each engine: with thousands of engines most of a host's processor time would go there.
-// What engines have in memory is updated at once.
-const loadPublishInterval = time.Millisecond
-
-// publish updates the pools from the registered servers.
+// publish updates what requests see of hosts and servers.
 func (c *control) publish(now time.Time) {
 	if c.hostsChanged {
 		c.publishHosts()
 	}
-	areLoadsDue := c.loadsOutdated && now.Sub(c.poolsPublishedAt) >= loadPublishInterval*time.Duration(c.inventory.Len())
-	if !c.poolsOutdated && !areLoadsDue || c.configuration == nil {
+	if c.configuration == nil {
 		return
 	}
-	c.poolsOutdated, c.loadsOutdated = false, false
-	c.poolsPublishedAt = now
+	c.collectServerChanges(now)
+	switch {
+	case c.poolsOutdated:
+		c.replaceServers(now)
+	case len(c.outdatedServers) > 0:
+		c.updateServers()
+	}
+	c.poolsOutdated = false
+	clear(c.outdatedServers)
+}
+
+// collectServerChanges marks the servers whose entries have changed.
+func (c *control) collectServerChanges(now time.Time) {
+	changed := c.registry.TakeChanges(now)
+	for _, name := range changed {
+		c.outdatedServers[name] = struct{}{}
+	}
+	c.engines.isOutdated = c.engines.isOutdated || len(changed) > 0
+}
+
+// replaceServers updates the pools from all registered servers.
+func (c *control) replaceServers(now time.Time) {
 	byService := make(map[ident.ServiceName][]balance.ServerInfo, len(c.pools))
 	for _, registration := range c.registry.Servers(now) {
 		service := registration.Server.Service
@@ -221,10 +240,38 @@
 		}
 		byService[service] = append(byService[service], c.describeServer(&registration))
 	}
+	for service, pool := range c.pools {
+		pool.SetServers(byService[service])
+	}
+	c.publishHostCount()
+}
+
+// updateServers updates the pools from the servers that have changed.
+func (c *control) updateServers() {
+	changed := make(map[ident.ServiceName][]balance.ServerInfo)
+	removed := make(map[ident.ServiceName][]ident.ServerName)
+	for name := range c.outdatedServers {
+		registration, known := c.registry.Get(name)
+		for service := range c.pools {
+			if known && registration.Server.Service == service {
+				changed[service] = append(changed[service], c.describeServer(&registration))
+			} else {
+				removed[service] = append(removed[service], name)
+			}
+		}
+	}
+	for service, pool := range c.pools {
+		if len(changed[service]) > 0 || len(removed[service]) > 0 {
+			pool.UpdateServers(changed[service], removed[service])
+		}
+	}
+}
+
+// publishHostCount updates this host's shares of what all hosts use together.
+func (c *control) publishHostCount() {
 	hosts := len(c.hosts)
 	c.knownHostCount.Store(int64(hosts))
 	for service, pool := range c.pools {
-		pool.SetServers(byService[service])
 		if declared, known := c.configuration.Services[service]; known && declared.MaxConnections > 0 {
 			pool.SetServerLimit(connectionLimit(declared.MaxConnections, hosts))
 		}
@@ -252,6 +299,9 @@
 		isYoungest = isYoungest && (!host.missingSince.IsZero() || !host.startedAt.After(processStart))
 	}
 	c.isYoungest.Store(isYoungest)
+	if c.configuration != nil {
+		c.publishHostCount()
+	}
 }
 
 // openConnections connects to the hosts that this one will soon call, and to no others:
@@ -357,6 +407,7 @@
 	}
 	c.pools = pools
 	c.poolsOutdated = true
+	c.engines.isOutdated = true
 	c.publish(now)
 	c.Gateway.pools.Store(&pools)
 	c.quota.pool.SetAccounts(bootTime(), decoded.Accounts)
--- a/internal/host/gateway/events.go
+++ b/internal/host/gateway/events.go
@@ -53,6 +53,7 @@
 func (e fleetListed) apply(now time.Time, c *control) {
 	c.applyEvents(now, c.fleetEntries.Replace(e.listing))
 	if !c.serversKnown.Swap(true) {
+		c.hostsChanged = true
 		c.log.Info("server and host entries read", zap.Int("Entries", len(e.listing.Entries)), zap.Int64("Revision", int64(e.listing.Revision)))
 	}
 }
@@ -110,7 +111,6 @@
 		}
 	}
 	c.leaderless.Store(c.leader == "")
-	c.poolsOutdated = true
 }
 
 func (c *control) applyServerEvent(now time.Time, event *store.Event) {
--- a/internal/host/gateway/exchange.go
+++ b/internal/host/gateway/exchange.go
@@ -351,10 +351,13 @@
 			c.noteStoreFailure(message.StoreFailedAt) // before the removals around it are applied
 		}
 		c.applyEvents(now, c.fleetEntries.ApplyUpdate(message.Fleet))
-		c.serversKnown.Store(c.fleetEntries.Revision() > 0)
+		if c.fleetEntries.Revision() > 0 && !c.serversKnown.Swap(true) {
+			c.hostsChanged = true
+		}
 	}
 	if message.Inventory != nil && c.term == nil {
-		c.applyEngineUpdates(now, c.inventory.Apply(now, message.Inventory))
+		before := c.inventory.Cursor()
+		c.applyEngineUpdates(now, before, c.inventory.Apply(now, message.Inventory))
 	}
 }
 
--- a/internal/host/gateway/gateway_test.go
+++ b/internal/host/gateway/gateway_test.go
@@ -266,10 +266,12 @@
 	}
 	c.term.extendLease(steadyNanos(), bootNanos(), time.Minute)
 	term := c.term
-	c.sendOrder("models", &loading.Server{
-		Server: backend.Server{
-			Name:    "one",
-			Address: "one:1",
+	c.sendOrder("models", &listedEngine{
+		Server: loading.Server{
+			Server: backend.Server{
+				Name:    "one",
+				Address: "one:1",
+			},
 		},
 	}, backend.CountedOrder{
 		Server: "one",
--- a/internal/host/gateway/metrics.go
+++ b/internal/host/gateway/metrics.go
@@ -37,7 +37,7 @@
 		g.configuration.Set(float64(c.configuration.Version))
 	}
 	g.hosts.Set(float64(len(c.hosts)))
-	g.servers.Set(float64(len(c.registry.Servers(now))))
+	g.servers.Set(float64(c.registry.Len()))
 	leading := 0.0
 	if c.term != nil {
 		leading = 1
--- a/internal/host/gateway/plan.go
+++ b/internal/host/gateway/plan.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,16 +13,6 @@
 )
 
 const (
-	// reportInterval is between two report requests to one engine, where there are no more
-	// than reportEngines engines: above that it grows in proportion, up to slowReportInterval,
-	// so that the leader requests 64 reports a second at most up to 64 engines. From
-	// reportsPerSecond engines on it grows again: with more reports the leader, and the
-	// watchers that pass on what has changed, would use up their processors.
-	reportInterval     = 250 * time.Millisecond
-	reportEngines      = 16
-	slowReportInterval = time.Second
-	reportsPerSecond   = 800
-	reportTimeout      = 600 * time.Millisecond
 	// planInterval is between two plans, urgentPlanInterval where a request waits for one.
 	// maxPlanShare is the fraction of the time that plans may take, so that reports and hosts'
 	// messages never wait for long. A plan that took long because its machine was suspended
@@ -44,7 +33,9 @@
 func (e termStarted) apply(now time.Time, c *control) {
 	c.term = e.term
 	c.planners = make(map[ident.ServiceName]*loading.Planner)
-	c.reportAskedAt = make(map[ident.ServerName]time.Time)
+	c.engines = engineList{
+		isOutdated: true,
+	}
 	c.isPlanUrgent = true
 }
 
@@ -79,55 +70,39 @@
 }
 
 func (c *control) planAll(now time.Time) {
-	byService := make(map[ident.ServiceName][]loading.Server)
-	registrations := c.registry.Servers(now)
-	interval := reportIntervalFor(len(registrations))
-	for _, registration := range registrations {
-		service := c.configuration.Services[registration.Server.Service]
-		if service.Engine == nil {
-			continue
-		}
-		byService[service.Name] = append(byService[service.Name], loading.Server{
-			Server:      registration.Server,
-			Incarnation: registration.Report.Incarnation,
-			Leaving:     registration.Report.Leaving || c.saysItLeaves(&registration),
-		})
-		c.requestReport(now, interval, service.Name, &registration)
+	c.updateEngineList(now)
+	for name := range c.engines.byService {
+		c.preparePlanner(now, name)
 	}
-	for name, servers := range byService {
-		c.planService(now, name, servers)
+	c.requestReports(now)
+	for name := range c.engines.byService {
+		c.planService(now, name)
 	}
 	if c.term.mayStart() {
 		c.updateInventory(now)
 	}
 }
 
-// saysItLeaves reports whether a server has said in its answers to this host that it is leaving.
-func (c *control) saysItLeaves(registration *backend.Registration) bool {
-	return c.backpressure.Server(registration.Server.Name, registration.Report.Incarnation).State().IsLeaving
-}
-
-// reportIntervalFor returns the time between two report requests to one of so many servers.
-func reportIntervalFor(servers int) time.Duration {
-	interval := reportInterval * time.Duration(servers) / reportEngines
-	interval = min(max(interval, reportInterval), slowReportInterval)
-	return max(interval, time.Second*time.Duration(servers)/reportsPerSecond)
-}
-
-// updateInventory replaces the inventory, which hosts are sent, by what the leader's planners
+// updateInventory updates the inventory, which hosts are sent, by what the leader's planners
 // know of the engines.
 func (c *control) updateInventory(now time.Time) {
-	var engines []loading.Inventory
+	var changed []loading.Inventory
+	var removed []ident.ServerName
 	for _, planner := range c.planners {
-		engines = append(engines, planner.Inventories(now)...)
+		plannerChanged, plannerRemoved := planner.TakeInventoryChanges(now)
+		changed = append(changed, plannerChanged...)
+		removed = append(removed, plannerRemoved...)
 	}
 	before := c.inventory.Cursor()
-	c.inventory.Replace(now, c.term.token, engines)
-	c.applyEngineUpdates(now, c.inventory.Since(before).Engines)
+	c.inventory.Record(now, c.term.token, changed, removed)
+	c.applyEngineUpdates(now, before, c.inventory.Since(before).Engines)
+	for _, name := range removed {
+		c.outdatedServers[name] = struct{}{}
+	}
 }
 
-func (c *control) planService(now time.Time, name ident.ServiceName, servers []loading.Server) {
-	engine := c.configuration.Services[name].Engine
+// preparePlanner passes the configuration and the list of engines on to a service's planner.
+func (c *control) preparePlanner(now time.Time, name ident.ServiceName) {
 	planner, known := c.planners[name]
 	if !known {
 		bounds := &c.options.Settings.Bounds
@@ -136,15 +111,23 @@
 			Overshoot: bounds.LoadOvershoot,
 		})
 		c.planners[name] = planner
-		planner.Configure(engine)
+		planner.Configure(c.configuration.Services[name].Engine)
 		if !c.term.isFirst {
 			past := c.inventory.LoadHistory()
 			planner.ResumeRateLimit(now, past)
 			c.log.Info("load rate limit resumes from the inventory", zap.String("Service", string(name)), zap.Time("KnownFrom", past.CompleteSince), zap.Int("Loads", len(past.StartTimes)))
 		}
 	}
-	planner.Configure(engine)
-	planner.SetServers(servers)
+	planner.Configure(c.configuration.Services[name].Engine)
+	planner.SetReportInterval(c.engines.schedule.Interval())
+	if !c.engines.isPassed[name] {
+		c.engines.isPassed[name] = true
+		planner.SetServers(now, c.engines.servers(name))
+	}
+}
+
+func (c *control) planService(now time.Time, name ident.ServiceName) {
+	planner := c.planners[name]
 	for weights, demand := range c.pools[name].TakeDemand() {
 		planner.AddDemand(now, c.options.Settings.Host.Region, weights, loading.Demand(demand))
 	}
@@ -152,8 +135,7 @@
 		return
 	}
 	for _, order := range planner.Step(now) {
-		at := slices.IndexFunc(servers, func(s loading.Server) bool { return s.Name == order.Server })
-		c.sendOrder(name, &servers[at], order)
+		c.sendOrder(name, c.engines.byName[order.Server], order)
 	}
 	for _, decision := range planner.TakeRetirements() {
 		c.log.Info("replica is retired", zap.String("Server", string(decision.Server)), zap.String("Model", string(decision.Model)),
@@ -162,16 +144,18 @@
 	}
 }
 
-// applyEngineUpdates applies changes of the leader's inventory of some engines.
-func (c *control) applyEngineUpdates(now time.Time, engines []holdings.Engine) {
+// applyEngineUpdates applies changes of the leader's inventory of some engines since a cursor.
+func (c *control) applyEngineUpdates(now time.Time, before holdings.Cursor, engines []holdings.Engine) {
 	c.updateInventoryFreshness(now)
+	if c.inventory.Cursor().FencingNumber != before.FencingNumber {
+		c.poolsOutdated = true // what an earlier leader knew is gone
+	}
 	if len(engines) == 0 {
 		return
 	}
-	c.loadsOutdated = true
-	c.poolsOutdated = c.poolsOutdated || slices.ContainsFunc(engines, func(e holdings.Engine) bool { return !e.LoadOnly })
 	loads := make([]pacing.ServerLoad, 0, len(engines))
 	for i := range engines {
+		c.outdatedServers[engines[i].Server] = struct{}{}
 		loads = append(loads, pacing.ServerLoad{
 			Server:  engines[i].Server,
 			Prompts: engines[i].Running + engines[i].Waiting,
@@ -180,69 +164,11 @@
 	c.schedulers.queue.UpdateLoads(now, loads)
 }
 
-// requestReport requests an engine's report, if it is time to.
-func (c *control) requestReport(now time.Time, interval time.Duration, service ident.ServiceName, registration *backend.Registration) {
-	server, incarnation := registration.Server, registration.Report.Incarnation
-	if planner, known := c.planners[service]; known && planner.HasPendingOrder(server.Name) {
-		interval = reportInterval // so that the end of the order is seen soon
-	}
-	pressure := c.backpressure.Server(server.Name, incarnation)
-	if state := pressure.State(); now.Sub(c.reportAskedAt[server.Name]) < interval || state.IsResting(now) {
-		return
-	}
-	c.reportAskedAt[server.Name] = now
-	c.tomb.Go(func() error {
-		report, err := c.options.Engines.FetchReport(c.context(), &server, incarnation, now.Add(reportTimeout))
-		if err != nil {
-			c.post(reportFailed{
-				server: server.Name,
-				err:    err,
-			})
-			return nil
-		}
-		c.post(reportReceived{
-			service: service,
-			report:  report,
-		})
-		return nil
-	})
-}
-
-// reportReceived is an engine's report.
-type reportReceived struct {
-	service ident.ServiceName
-	report  backend.Report
-}
-
-func (e reportReceived) apply(_ time.Time, c *control) {
-	if c.silentEngines[e.report.Server] {
-		delete(c.silentEngines, e.report.Server)
-		c.log.Info("engine reports again", zap.String("Server", string(e.report.Server)), zap.Int64("OrdersAccepted", e.report.OrdersAccepted))
-	}
-	if planner, known := c.planners[e.service]; known {
-		planner.ApplyReport(&e.report)
-	}
-}
-
-// reportFailed is a failure to get an engine's report.
-type reportFailed struct {
-	server ident.ServerName
-	err    error
-}
-
-func (e reportFailed) apply(_ time.Time, c *control) {
-	if !c.silentEngines[e.server] {
-		c.silentEngines[e.server] = true
-		c.log.Info("no report from engine", zap.String("Server", string(e.server)), zap.Error(e.err))
-	}
-}
-
 // sendOrder sends an order, unless this host may send none at that very instant, or none to this
 // server.
-func (c *control) sendOrder(service ident.ServiceName, server *loading.Server, order backend.CountedOrder) {
+func (c *control) sendOrder(service ident.ServiceName, e *listedEngine, order backend.CountedOrder) {
 	term := c.term
-	address := server.Address
-	pressure := c.backpressure.Server(server.Name, server.Incarnation)
+	address, pressure := e.Address, e.pressure
 	order.Leader = c.options.Settings.Host.Name
 	order.Fencing = term.token
 	c.tomb.Go(func() error {
