gateway: Send a starting host all entries packed

Cause: where a large fleet starts at once, a watcher encodes and sends all 5,000 entries to each of some 80 hosts: its work and its bytes grow with the square of the fleet.

Change: the entries are encoded and compressed once for all hosts that have none, and sent with the changes since. The asker says that it reads them, so that hosts of an earlier version get what they did.

Tests: the entries are packed once, a host misses no change between them and the reply, an older host gets all in full, and packed entries that can't be read are refused.

--- a/internal/host/gateway/control.go
+++ b/internal/host/gateway/control.go
@@ -42,6 +42,7 @@
 	// packedConfiguration is the configuration as the operator wrote it, but with digests
 	// for keys, compressed, for peers that have an older one.
 	packedConfiguration []byte
+	packedFleet         packedFleet
 	registry            registry.Table
 	hosts               map[ident.HostID]*hostInfo
 	leader              ident.HostID
@@ -475,7 +476,11 @@
 		reply.PackedConfiguration = c.packedConfiguration
 	}
 	if received.WantsFleet {
-		update := c.fleetEntries.Since(received.KnownFleetRevision)
+		known := received.KnownFleetRevision
+		if received.TakesPackedFleet && c.fleetEntries.NeedsAll(known) {
+			reply.PackedFleet, known = c.packFleet(now)
+		}
+		update := c.fleetEntries.Since(known)
 		reply.Fleet = &update
 	}
 	if received.WantsInventory && c.inventory.IsFresh(now) {
--- a/internal/host/gateway/exchange.go
+++ b/internal/host/gateway/exchange.go
@@ -237,6 +237,7 @@
 		}
 		if e.to.returnsFleet {
 			out.message.WantsFleet = true
+			out.message.TakesPackedFleet = true
 			out.message.KnownFleetRevision = c.fleetEntries.Revision()
 			out.message.TokenTransfers = c.budget.TakeSurplus(now)
 		}
@@ -334,7 +335,7 @@
 func (c *control) receive(now time.Time, message *gatewaypeer.Message) {
 	c.endOutdatedTerm(message.LeaderToken)
 	if len(message.PackedConfiguration) > 0 && (c.configuration == nil || message.ConfigurationVersion > c.configuration.Version) {
-		if text, err := decompress(message.PackedConfiguration); err != nil {
+		if text, err := decompress(message.PackedConfiguration, maxConfigurationBytes); err != nil {
 			c.log.Warn("configuration refused", zap.String("From", string(message.Host)), zap.Error(err))
 		} else {
 			c.installConfiguration(now, text, "peer "+string(message.Host))
@@ -350,6 +351,9 @@
 		if message.StoreAnsweredAt.After(message.StoreFailedAt) {
 			c.noteStoreFailure(message.StoreFailedAt) // before the removals around it are applied
 		}
+		if len(message.PackedFleet) > 0 && !c.applyPackedFleet(now, message) {
+			return
+		}
 		c.applyEvents(now, c.fleetEntries.ApplyUpdate(message.Fleet))
 		if c.fleetEntries.Revision() > 0 && !c.serversKnown.Swap(true) {
 			c.hostsChanged = true
--- a/internal/host/gateway/scale_test.go
+++ b/internal/host/gateway/scale_test.go
@@ -10,9 +10,12 @@
 	"go.uber.org/zap"
 
 	"cicadaloom/internal/control/balance"
+	"cicadaloom/internal/control/entries"
 	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/domain/route"
+	"cicadaloom/internal/domain/store"
+	"cicadaloom/internal/peer/gatewaypeer"
 )
 
 // newControlWithEngines returns the state of a host that knows n engines of one service.
@@ -93,6 +96,67 @@
 	require.InDelta(t, measure(1000), measure(2000), 1)
 }
 
+// Guards against watchers that encode all entries for each host that starts, and against a host
+// that misses a change between the packed entries and the reply.
+func TestPackedEntriesAreMadeOnce(t *testing.T) {
+	watcher, host := newControlWithEngines(0), newControlWithEngines(0)
+	write := func(key string, revision ident.Revision) {
+		watcher.fleetEntries.Apply(store.Batch{
+			Events: []store.Event{{
+				Entry: store.Entry{
+					Key:      key,
+					Value:    []byte("value of " + key),
+					Revision: revision,
+				},
+			}},
+			Revision: revision,
+		})
+	}
+	for i := range 500 {
+		write("key"+strconv.Itoa(i), ident.Revision(i+1))
+	}
+	now := time.Now()
+	first, firstRevision := watcher.packFleet(now)
+	write("later", 501)
+	again, revision := watcher.packFleet(now.Add(packedFleetTTL / 2))
+	require.Same(t, &first[0], &again[0])
+	require.Equal(t, firstRevision, revision)
+
+	ask := gatewaypeer.Message{
+		WantsFleet:       true,
+		TakesPackedFleet: true,
+	}
+	reply := watcher.buildReply(now, &ask)
+	host.receive(now, &reply)
+	require.Equal(t, watcher.fleetEntries.All(), host.fleetEntries.All())
+
+	ask.KnownFleetRevision = host.fleetEntries.Revision()
+	write("last", 502)
+	reply = watcher.buildReply(now, &ask)
+	require.Empty(t, reply.PackedFleet, "the host has nearly all")
+	require.Len(t, reply.Fleet.Events, 1)
+	ask.KnownFleetRevision, ask.TakesPackedFleet = 0, false
+	reply = watcher.buildReply(now, &ask)
+	require.Empty(t, reply.PackedFleet, "an older host does not read it")
+	require.Len(t, reply.Fleet.Events, 502)
+}
+
+// Guards against packed entries that can't be read, and a host that then believes that it knows
+// the fleet.
+func TestBrokenPackedEntriesAreRefused(t *testing.T) {
+	host := newControlWithEngines(0)
+	for _, packed := range [][]byte{[]byte("no gzip"), compress([]byte("no entries")), compress(make([]byte, maxFleetBytes+1))} {
+		host.receive(time.Now(), &gatewaypeer.Message{
+			PackedFleet: packed,
+			Fleet: &entries.Update{
+				Revision: 7,
+			},
+		})
+		require.Zero(t, host.fleetEntries.Revision())
+		require.False(t, host.serversKnown.Load())
+	}
+}
+
 // Guards against hosts that start together and give up all exchanges just before the busy
 // watcher answers; and against one that waits long for a silent watcher later on.
 func TestExchangeTimeoutGrowsOnlyWithoutAView(t *testing.T) {
--- a/internal/host/gateway/watchers.go
+++ b/internal/host/gateway/watchers.go
@@ -1,15 +1,11 @@
 package gateway
 
 import (
-	"bytes"
-	"compress/gzip"
 	"context"
-	"io"
 	"math/rand/v2"
 	"slices"
 	"time"
 
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"cicadaloom/internal/control/pacing"
@@ -262,39 +258,3 @@
 	}
 	return isFreshView(viewNanos)
 }
-
-// compress packs a configuration for peers, to a tenth of its length. This is done once
-// for all of them.
-func compress(text []byte) []byte {
-	var packed bytes.Buffer
-	writer, err := gzip.NewWriterLevel(&packed, gzip.BestSpeed)
-	if err == nil {
-		_, err = writer.Write(text)
-	}
-	if err == nil {
-		err = writer.Close()
-	}
-	if err != nil {
-		return nil // writing to a buffer can't fail; if it did, hosts would follow the service
-	}
-	return packed.Bytes()
-}
-
-// maxConfigurationBytes bounds the size of a peer's configuration when decompressed: as
-// much as the service accepts as one value, and a margin.
-const maxConfigurationBytes = 4 << 20
-
-func decompress(packed []byte) ([]byte, error) {
-	reader, err := gzip.NewReader(bytes.NewReader(packed))
-	if err != nil {
-		return nil, errors.Wrap(err, "decompress configuration")
-	}
-	text, err := io.ReadAll(io.LimitReader(reader, maxConfigurationBytes+1))
-	if err != nil {
-		return nil, errors.Wrap(err, "decompress configuration")
-	}
-	if len(text) > maxConfigurationBytes {
-		return nil, errors.Errorf("decompressed configuration of over %d bytes", maxConfigurationBytes)
-	}
-	return text, nil
-}
--- a/internal/peer/gatewaypeer/codec.go
+++ b/internal/peer/gatewaypeer/codec.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"cicadaloom/internal/control/entries"
 	"cicadaloom/internal/control/holdings"
@@ -33,6 +34,8 @@
 		HoldingsKnown:        encodeCursor(message.KnownInventory),
 		StoreHeard:           ago(message.StoreAnsweredAt),
 		StoreFailed:          ago(message.StoreFailedAt),
+		TakesPacked:          message.TakesPackedFleet,
+		PackedFleet:          message.PackedFleet,
 	}
 	for i := range message.Demand {
 		wire.Demand = append(wire.Demand, encodeDemand(&message.Demand[i]))
@@ -72,6 +75,8 @@
 		KnownInventory:     decodeCursor(wire.GetHoldingsKnown()),
 		StoreAnsweredAt:    instant(now, wire.GetStoreHeard()),
 		StoreFailedAt:      instant(now, wire.GetStoreFailed()),
+		TakesPackedFleet:   wire.GetTakesPacked(),
+		PackedFleet:        wire.GetPackedFleet(),
 	}
 	for _, item := range wire.GetDemand() {
 		message.Demand = append(message.Demand, decodeDemand(item))
@@ -153,6 +158,21 @@
 	}
 }
 
+// MarshalFleet encodes all entries, so that they are encoded once for many peers.
+func MarshalFleet(all *entries.Update) ([]byte, error) {
+	text, err := proto.Marshal(encodeFleet(all))
+	return text, errors.Wrap(err, "encode entries")
+}
+
+// UnmarshalFleet decodes what MarshalFleet returned.
+func UnmarshalFleet(text []byte) (*entries.Update, error) {
+	var wire gatewaypeerpb.Fleet
+	if err := proto.Unmarshal(text, &wire); err != nil {
+		return nil, errors.Wrap(err, "decode entries")
+	}
+	return decodeFleet(&wire), nil
+}
+
 func encodeFleet(u *entries.Update) *gatewaypeerpb.Fleet {
 	wire := &gatewaypeerpb.Fleet{
 		Revision: int64(u.Revision),
--- a/internal/peer/gatewaypeer/gatewaypeer.go
+++ b/internal/peer/gatewaypeer/gatewaypeer.go
@@ -78,6 +78,10 @@
 	KnownInventory     holdings.Cursor
 	Fleet              *entries.Update
 	Inventory          *holdings.Update
+	// TakesPackedFleet is whether the sender reads PackedFleet: all entries, as MarshalFleet
+	// returns them, in gzip. Fleet then has the changes after them.
+	TakesPackedFleet bool
+	PackedFleet      []byte
 	// TokenTransfers are retry tokens that the sender gives up: the receiver may lend them.
 	TokenTransfers []retries.Transfer
 	// StoreAnsweredAt is when the key-value service last answered the sender, or the peer whose
