gateway: Find the watchers by entries of their own

Cause: a host that starts read the entries of all hosts of its data centre to find the watchers among them: 48 kB at 985 hosts, 24 MB over the link between the regions where all start at once, which takes twice as long as the read may. A host whose read fails reads the whole fleet in place of it, 2 MB.

Change: watchers list themselves, with the lease of their host; a starting host reads these entries, and those of the hosts only where there are none. The read may take 2 s.

Ruled out: a longer time alone, since the bytes grow with the square of the fleet.

Tests: the test of a fleet that lost power demands that nobody reads the hosts' entries and all read the watchers' (before: all read the hosts' entries); an entry of a former watcher goes. The fake service of the tests deletes keys in a swap.

--- a/internal/host/gateway/control.go
+++ b/internal/host/gateway/control.go
@@ -294,6 +294,7 @@
 	watchers := c.selectWatchers(hosts)
 	c.watchers.Store(&watchers)
 	c.leaderPeerCount.Store(int64(countLeaderPeers(hosts)))
+	c.nearHostCount.Store(int64(len(pacing.InDataCentre(hosts, c.options.Settings.Host.DataCentre))))
 	c.openConnections(schedulerHosts, &watchers)
 	isYoungest := true
 	for _, host := range c.hosts {
--- a/internal/host/gateway/events.go
+++ b/internal/host/gateway/events.go
@@ -84,7 +84,6 @@
 		Events: entries.WriteEvents(e.entries),
 	}))
 	c.leaderless.Store(false)
-	c.nearHostCount.Store(int64(len(e.entries)))
 	c.publishHosts()
 	close(e.done)
 }
--- a/internal/host/gateway/fleet_test.go
+++ b/internal/host/gateway/fleet_test.go
@@ -258,6 +258,9 @@
 	for _, put := range swap.Puts {
 		c.put(put.Key, put.Value, put.Lease)
 	}
+	for _, key := range swap.Deletes {
+		c.remove(key)
+	}
 	return store.SwapResult{
 		Swapped:  true,
 		Revision: c.revision,
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -172,8 +172,8 @@
 	stopping    atomic.Bool
 	stopStarted chan struct{}
 	startedAt   time.Time
-	// hostListDone is closed once the entries of this data centre's hosts are applied, or
-	// could not be read.
+	// hostListDone is closed once the entries of this data centre's watchers or hosts are
+	// applied, or could not be read.
 	hostListDone chan struct{}
 	// routesKnown is closed once there is a first route table.
 	routesKnown chan struct{}
@@ -193,7 +193,7 @@
 	configurationReadNanos atomic.Int64
 	// exchangeTimeout is the timeout of the next exchange, in nanoseconds; see there.
 	exchangeTimeout atomic.Int64
-	// nearHostCount is the number of hosts of this data centre, as first read.
+	// nearHostCount is the number of hosts of this data centre.
 	nearHostCount atomic.Int64
 	// cancelRequests makes every request in progress answer at once. exchangeWanted wakes
 	// the exchange with the leader, since a request waits for weights or a configuration.
@@ -274,9 +274,9 @@
 	return g, nil
 }
 
-// unknownHostCount is how many hosts are assumed to share the retry budget before any
-// read says how many there are: more than a fleet has.
-const unknownHostCount = 128
+// unknownHostCount is how many hosts are assumed to share the retry budget before any read
+// says how many there are: so many that no share is left.
+const unknownHostCount = 1 << 16
 
 func (g *Gateway) listen() error {
 	listen := g.options.Settings.Listen
--- a/internal/host/gateway/register.go
+++ b/internal/host/gateway/register.go
@@ -15,8 +15,11 @@
 
 // Keys of this project's hosts, below Layout.HostPrefix.
 const (
-	hostsPath  = "hosts/"
-	leaderPath = "holder"
+	hostsPath = "hosts/"
+	// watchersPath has the watchers of each data centre again. There are few of them, and
+	// hosts that start read them in place of all hosts.
+	watchersPath = "watchers/"
+	leaderPath   = "holder"
 	// termPath is written by each new leader and never deleted: it shows that there has been
 	// a leader.
 	termPath = "term"
@@ -31,6 +34,15 @@
 	return l.hostsPrefix(dataCentre) + string(name)
 }
 
+// watchersPrefix is the prefix of the entries of a data centre's watchers.
+func (l *Layout) watchersPrefix(dataCentre ident.DataCentre) string {
+	return l.HostPrefix + watchersPath + string(dataCentre) + "/"
+}
+
+func (l *Layout) watcherKey(dataCentre ident.DataCentre, name ident.HostID) string {
+	return l.watchersPrefix(dataCentre) + string(name)
+}
+
 func (l *Layout) leaderKey() string {
 	return l.HostPrefix + leaderPath
 }
@@ -67,6 +79,13 @@
 	Power float64
 }
 
+// watcherEntry is a watcher's entry in the key-value service. NearHosts is how many hosts its
+// data centre has.
+type watcherEntry struct {
+	Peers     string
+	NearHosts int64
+}
+
 // register writes this host's entry and renews its lease.
 func (g *Gateway) register() error {
 	for g.tomb.Alive() {
@@ -111,6 +130,7 @@
 // keepEntry renews the lease until the service has ended it. Other failures leave
 // the entry as it is: the service may be unavailable, and no lease expires then.
 func (g *Gateway) keepEntry(ctx context.Context, lease store.LeaseID) {
+	isListed := false
 	for {
 		g.sleep(hostRenewInterval)
 		if !g.tomb.Alive() {
@@ -122,8 +142,43 @@
 		}
 		if err != nil {
 			g.post(storeCallFailed{})
+			continue
+		}
+		if watchers := g.watchers.Load(); isListed != watchers.isOwn() {
+			if err := g.listAsWatcher(ctx, lease, !isListed); err != nil {
+				g.log.Debug("watcher entry not changed", zap.Error(err))
+				continue
+			}
+			isListed = !isListed
+		}
+	}
+}
+
+// listAsWatcher writes or deletes this host's entry as a watcher.
+func (g *Gateway) listAsWatcher(ctx context.Context, lease store.LeaseID, isWatcher bool) error {
+	host := &g.options.Settings.Host
+	key := g.options.Layout.watcherKey(host.DataCentre, host.Name)
+	swap := store.Swap{
+		Deletes: []string{key},
+	}
+	if isWatcher {
+		value, err := json.Marshal(watcherEntry{
+			Peers:     g.options.Settings.Listen.Peers,
+			NearHosts: g.nearHostCount.Load(),
+		})
+		if err != nil {
+			return errors.Wrap(err, "encode watcher entry")
+		}
+		swap = store.Swap{
+			Puts: []store.Put{{
+				Key:   key,
+				Value: value,
+				Lease: lease,
+			}},
 		}
 	}
+	_, err := g.options.KeyValue.Swap(ctx, swap)
+	return err
 }
 
 // decodeHost decodes a host's entry.
--- a/internal/host/gateway/watch.go
+++ b/internal/host/gateway/watch.go
@@ -80,7 +80,7 @@
 	if g.options.Settings.FirstStart {
 		g.sleep(firstStartDelay/2 + rand.N(firstStartDelay))
 	}
-	g.listHosts()
+	g.findWatchers()
 	return g.watch(&prefixWatch{
 		prefix:       g.options.Layout.FleetPrefix,
 		readNanos:    &g.fleetReadNanos,
@@ -187,7 +187,7 @@
 	if w.isLatestOnly {
 		return changeDelay // in a large fleet few hosts follow it, and the others wait for them
 	}
-	if watchers := g.watchers.Load(); watchers.isLargeRegion && watchers.isEmpty() {
+	if g.watchers.Load().isOwn() {
 		return watcherChangeDelay
 	}
 	delay := g.stretchByFleet(changeDelay)
--- a/internal/host/gateway/watchers.go
+++ b/internal/host/gateway/watchers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -10,6 +11,7 @@
 
 	"cicadaloom/internal/control/pacing"
 	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/domain/store"
 )
 
 // In a large region a few hosts of each data centre, the watchers, follow the key-value
@@ -53,6 +55,11 @@
 	return len(w.near) == 0
 }
 
+// isOwn tells that the host is a watcher itself.
+func (w *watcherSet) isOwn() bool {
+	return w.isLargeRegion && w.isEmpty()
+}
+
 func (w *watcherSet) addresses() []string {
 	return slices.Concat(w.near, w.far)
 }
@@ -214,17 +221,30 @@
 	firstReplyWait = 2 * time.Second
 	firstReplyTime = 120 * time.Millisecond
 	firstReplyPoll = 20 * time.Millisecond
-	// hostListTimeout is how long reading the host entries may take.
-	hostListTimeout = 700 * time.Millisecond
+	// hostListTimeout is how long reading the entries of watchers or hosts may take.
+	hostListTimeout = firstReplyWait
 )
 
-// listHosts reads the entries of this data centre's hosts before all else: from them a
-// host knows whether there are watchers to ask. Where a large fleet starts at once, as
-// after a loss of power, the entries of all servers would fill the link to the service's
-// region for seconds, and those of all hosts for most of a second; watchers are near.
-func (g *Gateway) listHosts() {
+// findWatchers reads the watchers of this data centre before all else. Where none are listed, as
+// in a small region or when a fleet starts for the first time, it reads the hosts and finds them
+// by these. Where a large fleet starts at once, as after a loss of power, the entries of all
+// servers would fill the link to the service's region for half a minute, and those of all hosts
+// for seconds; watchers are few and near.
+func (g *Gateway) findWatchers() {
 	ctx, cancel := context.WithTimeout(g.context(), hostListTimeout)
 	defer cancel()
+	if !g.options.Settings.FirstStart {
+		listing, err := g.options.KeyValue.List(ctx, g.options.Layout.watchersPrefix(g.options.Settings.Host.DataCentre))
+		if err == nil && len(listing.Entries) > 0 {
+			g.post(watchersListed{
+				entries: listing.Entries,
+			})
+			return
+		}
+		if err != nil {
+			g.log.Info("watcher entries not read", zap.Error(err))
+		}
+	}
 	listing, err := g.options.KeyValue.List(ctx, g.options.Layout.hostsPrefix(g.options.Settings.Host.DataCentre))
 	if err != nil {
 		g.log.Info("host entries not read", zap.Error(err))
@@ -237,6 +257,35 @@
 	})
 }
 
+// watchersListed has the entries of this data centre's watchers.
+type watchersListed struct {
+	entries []store.Entry
+}
+
+func (e watchersListed) apply(_ time.Time, c *control) {
+	own := &c.options.Settings.Host
+	set := watcherSet{
+		isLargeRegion: true,
+	}
+	for i := range e.entries {
+		var watcher watcherEntry
+		if err := json.Unmarshal(e.entries[i].Value, &watcher); err != nil {
+			c.log.Warn("watcher's entry can't be decoded", zap.String("Key", e.entries[i].Key), zap.Error(err))
+			continue
+		}
+		c.nearHostCount.Store(watcher.NearHosts)
+		set.near = append(set.near, watcher.Peers)
+	}
+	if slices.ContainsFunc(e.entries, func(w store.Entry) bool { return w.Key == c.options.Layout.watcherKey(own.DataCentre, own.Name) }) {
+		set.near = nil // this host was a watcher before it was restarted
+	}
+	if len(c.hosts) == 0 {
+		c.watchers.Store(&set)
+		c.openConnections(nil, &set)
+	}
+	close(c.hostListDone)
+}
+
 // waitForFirstReply waits for the first reply of a watcher, if there are any to ask.
 func (g *Gateway) waitForFirstReply() {
 	g.sleepUnless(firstReplyWait, g.hostListDone)
--- a/internal/host/gateway/watchers_test.go
+++ b/internal/host/gateway/watchers_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -212,11 +213,10 @@
 	}, "it is loaded, and all know")
 }
 
-// If 300 hosts each read all entries and the configuration at once after a power loss, the
-// link to the service's region is full for seconds. Hosts read only the host entries of
-// their data centre and call the watchers among them, whose entries still exist. The
-// watchers are the last to start: the others must not give up on them, and must serve at
-// once when they are ready.
+// Guards against a fleet that loses power at once and fills the link to the service's region for
+// seconds, since each host reads all entries, or those of all hosts: hosts read the entries of the
+// watchers, which still exist, and call these. The watchers are the last to start: the others must
+// not give up on them, and must serve at once when they are ready.
 func TestRestartedFleetReadsThroughWatchers(t *testing.T) {
 	const startSpread = 600 * time.Millisecond
 	const serveDeadline = time.Second
@@ -228,6 +228,9 @@
 		} else {
 			others = append(others, name)
 		}
+	}
+	f.eventually(func() bool { return f.countWatcherEntries() == watchersPerDataCentre }, "the watchers are listed")
+	for _, name := range names {
 		f.kill(name)
 	}
 	f.keyValue.forgetLists()
@@ -241,5 +244,29 @@
 	require.Eventually(t, func() bool { return f.haveState(names, 4, 2) }, serveDeadline, 10*time.Millisecond)
 	require.LessOrEqual(t, f.keyValue.countListedBy("servers"), watchersPerDataCentre+1)
 	require.LessOrEqual(t, f.keyValue.countListedBy("configuration"), watchersPerDataCentre+1)
-	require.Equal(t, len(names), f.keyValue.countListedBy("servers-ours/hosts/north-1/"))
+	require.Equal(t, len(names), f.keyValue.countListedBy("servers-ours/watchers/north-1/"))
+	require.Zero(t, f.keyValue.countListedBy("servers-ours/hosts/north-1/"))
+}
+
+// countWatcherEntries counts the entries of watchers.
+func (f *fleet) countWatcherEntries() int {
+	f.keyValue.mu.Lock()
+	defer f.keyValue.mu.Unlock()
+	count := 0
+	for key := range f.keyValue.entries {
+		if strings.HasPrefix(key, "servers-ours/watchers/north-1/") {
+			count++
+		}
+	}
+	return count
+}
+
+// Guards against the entry of a watcher that is none any more, which starting hosts would ask.
+func TestFormerWatcherIsNotListed(t *testing.T) {
+	f, names := startLargeRegion(t)
+	f.eventually(func() bool { return f.countWatcherEntries() == watchersPerDataCentre }, "the watchers are listed")
+	for _, name := range names[smallRegionHosts:] {
+		f.stop(name)
+	}
+	require.Eventually(t, func() bool { return f.countWatcherEntries() == 0 }, 2*hostLeaseDuration, 10*time.Millisecond, "a small region has no watchers")
 }
