gateway: Wake idle hosts less often

Cause: a host without requests woke 44 times a second to look whether something had to be done, went through all hosts at ten of these, and logged each change of a server's entry: each is little, and there are a thousand hosts.

Change: a host that follows watchers sleeps until its view gets old or it becomes a watcher itself; it looks for a missing leader twice a second, since it waits 1.5 s more than others before it takes over; the control goroutine of all but the leader ticks twice a second, missing hosts are searched once a second, and where no account has a limit the quota membership looks once a second. Followers log changes of entries at the debug level.

Tests: a follower waits, and follows the service at once when it becomes a watcher.

--- a/internal/host/gateway/control.go
+++ b/internal/host/gateway/control.go
@@ -101,8 +101,10 @@
 }
 
 const (
-	// tickInterval is how often the control goroutine checks for work that is due.
-	tickInterval = 100 * time.Millisecond
+	// tickInterval is how often the leader's control goroutine checks for work that is due,
+	// idleTickInterval how often others do: there are many, and they are woken by events.
+	tickInterval     = 100 * time.Millisecond
+	idleTickInterval = 500 * time.Millisecond
 	// missingHostTTL is how long a host without an entry still counts.
 	missingHostTTL = 20 * time.Second
 	// forgetInterval is how often all servers are searched for those that are gone.
@@ -121,7 +123,8 @@
 }
 
 func (c *control) run() error {
-	ticker := time.NewTicker(tickInterval)
+	interval := idleTickInterval
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -136,19 +139,25 @@
 			c.plan(time.Now())
 		}
 		c.publish(time.Now())
+		if current := c.currentTickInterval(); current != interval {
+			interval = current
+			ticker.Reset(interval)
+		}
+	}
+}
+
+func (c *control) currentTickInterval() time.Duration {
+	if c.term != nil {
+		return tickInterval
 	}
+	return idleTickInterval
 }
 
 func (c *control) handleTick(now time.Time) {
 	c.checkTickDelay(now)
-	for name, host := range c.hosts {
-		if !host.missingSince.IsZero() && now.Sub(host.missingSince) > missingHostTTL {
-			delete(c.hosts, name)
-			c.hostsChanged = true
-		}
-	}
 	c.updateInventoryFreshness(now)
 	if now.Sub(c.gauges.updatedAt) > time.Second {
+		c.forgetMissingHosts(now)
 		for _, pool := range c.pools {
 			pool.RevertCorrections()
 		}
@@ -162,6 +171,15 @@
 	c.plan(now)
 }
 
+func (c *control) forgetMissingHosts(now time.Time) {
+	for name, host := range c.hosts {
+		if !host.missingSince.IsZero() && now.Sub(host.missingSince) > missingHostTTL {
+			delete(c.hosts, name)
+			c.hostsChanged = true
+		}
+	}
+}
+
 // isListed reports whether an incarnation of a server has an entry.
 func (c *control) isListed(name ident.ServerName, incarnation ident.Incarnation) bool {
 	listed, known := c.registry.Incarnation(name)
@@ -190,6 +208,10 @@
 // are too old: models with rising demand get no replicas meanwhile, and no other host may
 // send any orders.
 func (c *control) checkTickDelay(now time.Time) {
+	if c.term == nil {
+		c.lastTickAt, c.lateTicks = time.Time{}, 0
+		return
+	}
 	isLate := !c.lastTickAt.IsZero() && now.Sub(c.lastTickAt) > lateTickThreshold
 	c.lastTickAt = now
 	if !isLate {
@@ -198,7 +220,7 @@
 	}
 	c.lateTicks++
 	c.log.Info("control goroutine is late", zap.Int("Times", c.lateTicks))
-	if c.lateTicks >= maxLateTicks && c.term != nil {
+	if c.lateTicks >= maxLateTicks {
 		c.term.ended.Store(true)
 	}
 }
@@ -292,7 +314,7 @@
 	c.limiter.SetHosts(hosts)
 	c.quota.setHosts(hosts, c.options.Settings.Host.Region)
 	watchers := c.selectWatchers(hosts)
-	c.watchers.Store(&watchers)
+	c.setWatchers(&watchers)
 	c.leaderPeerCount.Store(int64(countLeaderPeers(hosts)))
 	c.nearHostCount.Store(int64(len(pacing.InDataCentre(hosts, c.options.Settings.Host.DataCentre))))
 	c.openConnections(schedulerHosts, &watchers)
--- a/internal/host/gateway/events.go
+++ b/internal/host/gateway/events.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"cicadaloom/internal/control/entries"
 	"cicadaloom/internal/domain/backend"
@@ -112,11 +113,20 @@
 	c.leaderless.Store(c.leader == "")
 }
 
+// entryLogLevel is the level at which changes of entries are logged. Hosts that follow watchers
+// leave it to these: otherwise each change would be logged a thousand times in a large fleet.
+func (c *control) entryLogLevel() zapcore.Level {
+	if c.watchers.Load().isEmpty() {
+		return zapcore.InfoLevel
+	}
+	return zapcore.DebugLevel
+}
+
 func (c *control) applyServerEvent(now time.Time, event *store.Event) {
 	entry := &event.Entry
 	name := ident.ServerName(strings.TrimPrefix(entry.Key, c.options.Layout.RegistrationPrefix))
 	if event.Deleted {
-		c.log.Info("server's entry removed", zap.String("Server", string(name)), zap.Int64("Revision", int64(entry.Revision)))
+		c.log.Log(c.entryLogLevel(), "server's entry removed", zap.String("Server", string(name)), zap.Int64("Revision", int64(entry.Revision)))
 		c.registry.Remove(now, name)
 		return
 	}
@@ -129,7 +139,7 @@
 	// the leader logs.
 	before, known := c.registry.Get(name)
 	if c.serversKnown.Load() && (!known || before.Report.Incarnation != registration.Report.Incarnation || before.Server.State != registration.Server.State) {
-		c.log.Info("server's entry changed", zap.String("Server", string(name)), zap.String("State", string(registration.Server.State)),
+		c.log.Log(c.entryLogLevel(), "server's entry changed", zap.String("Server", string(name)), zap.String("State", string(registration.Server.State)),
 			zap.String("Incarnation", string(registration.Report.Incarnation)), zap.Int64("OrdersAccepted", registration.Report.OrdersAccepted),
 			zap.Int64("Revision", int64(entry.Revision)))
 	}
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -185,6 +185,8 @@
 	// leaderPeerCount is how many hosts exchange messages with the leader directly.
 	watchers        atomic.Pointer[watcherSet]
 	leaderPeerCount atomic.Int64
+	// watchersChanged is closed when watchers becomes empty, or is empty no longer.
+	watchersChanged atomic.Pointer[chan struct{}]
 	// Instants by steadyNanos, 0 for never: peerViewNanos is when the service last answered
 	// the peer whose view of the fleet this host received; fleetReadNanos and
 	// configurationReadNanos are when it last answered this host itself.
@@ -247,6 +249,8 @@
 	})
 	g.SetSeeds(options.Settings.Seeds)
 	g.watchers.Store(&watcherSet{})
+	watchersChanged := make(chan struct{})
+	g.watchersChanged.Store(&watchersChanged)
 	g.lastLeader.Store(new(ident.HostID))
 	g.pools.Store(&map[ident.ServiceName]*balance.Pool{})
 	dialed := options.Metrics.NewCounter("cicadaloom_connections_opened_total")
--- a/internal/host/gateway/leader.go
+++ b/internal/host/gateway/leader.go
@@ -19,8 +19,11 @@
 	// another host takes over. The service grants leases of a second and more.
 	leaderLeaseDuration = 1600 * time.Millisecond
 	leaderRenewInterval = 400 * time.Millisecond
-	// leaderPollInterval is how often a host checks whether there is a leader.
-	leaderPollInterval = 100 * time.Millisecond
+	// leaderPollInterval is how often a host checks whether there is a leader, and
+	// followerPollInterval how often one that follows watchers does, which waits longer before
+	// it takes over anyway.
+	leaderPollInterval   = 100 * time.Millisecond
+	followerPollInterval = 500 * time.Millisecond
 	// acquireJitter keeps the hosts from writing the leader key all at the same instant, and
 	// olderHostDelay lets a host go first that started later than others: where hosts are
 	// restarted one after the other, it isn't the next to be restarted.
@@ -105,7 +108,7 @@
 // runLeadership acquires the leader key whenever it is absent, and renews its lease.
 func (g *Gateway) runLeadership() error {
 	for g.tomb.Alive() {
-		g.sleep(leaderPollInterval)
+		g.sleep(g.currentLeaderPoll())
 		if g.stopping.Load() || !g.leaderless.Load() || g.routes.Load() == nil {
 			continue
 		}
@@ -125,6 +128,13 @@
 	return nil
 }
 
+func (g *Gateway) currentLeaderPoll() time.Duration {
+	if g.watchers.Load().isEmpty() {
+		return leaderPollInterval
+	}
+	return followerPollInterval
+}
+
 // acquireDelay is how long this host lets others go first. Where all hosts restart at
 // once, the last leader goes first: it takes over from itself and need not wait, while
 // under any other host no orders would be sent for 3 s and more.
--- a/internal/host/gateway/quota.go
+++ b/internal/host/gateway/quota.go
@@ -26,6 +26,8 @@
 	lendTimeout = 150 * time.Millisecond
 	// membershipInterval is how often a host asks its pool at least, to remain a member.
 	membershipInterval = 300 * time.Millisecond
+	// noLimitPoll is how often a host checks whether there are accounts with limits.
+	noLimitPoll = time.Second
 	// maxAdmitWait is how long a request may wait for its account to gain what it needs.
 	maxAdmitWait = 100 * time.Millisecond
 	// undecidedWait is how long a request waits while no pool can decide on it, undecidedPoll
@@ -213,11 +215,16 @@
 // runQuotaMembership keeps this host a member of its pool while no requests do, and finds out
 // when a pool that did not answer is back.
 func (g *Gateway) runQuotaMembership() error {
+	select {
+	case <-g.routesKnown:
+	case <-g.tomb.Dying():
+	}
 	for g.tomb.Alive() {
-		g.sleep(membershipInterval)
 		if !g.quota.pool.HasLimits() {
+			g.sleep(noLimitPoll)
 			continue
 		}
+		g.sleep(membershipInterval)
 		now := bootTime()
 		g.retryPools(now)
 		if steadyNanos()-g.quota.askedNanos.Load() < int64(membershipInterval) {
--- a/internal/host/gateway/scale_test.go
+++ b/internal/host/gateway/scale_test.go
@@ -30,6 +30,7 @@
 		},
 		log: zap.NewNop(),
 	}
+	g.watchers.Store(&watcherSet{})
 	c := newControl(g)
 	c.configuration = &route.Configuration{
 		Services: map[ident.ServiceName]route.Service{
@@ -157,6 +158,44 @@
 	}
 }
 
+// Guards against idle hosts that are woken many times a second, which a machine with a fifth of a
+// core pays for, and a fleet with a thousand of them.
+func TestFollowerSleepsUntilItsViewIsOld(t *testing.T) {
+	g := &Gateway{
+		startedAt:    time.Now(),
+		hostListDone: make(chan struct{}),
+	}
+	close(g.hostListDone)
+	g.watchers.Store(&watcherSet{})
+	changed := make(chan struct{})
+	g.watchersChanged.Store(&changed)
+	g.setWatchers(&watcherSet{
+		near:          []string{"watcher:1"},
+		isLargeRegion: true,
+	})
+	select {
+	case <-changed:
+	default:
+		t.Fatal("what waits is not woken")
+	}
+	g.notePeerView(time.Now())
+	returned := make(chan time.Time, 1)
+	go func() {
+		g.waitUntilWatchNeeded()
+		returned <- time.Now()
+	}()
+	time.Sleep(minWatchNeedPoll)
+	require.Empty(t, returned)
+	g.setWatchers(&watcherSet{
+		isLargeRegion: true,
+	})
+	select {
+	case <-returned:
+	case <-time.After(maxViewAge / 2):
+		t.Fatal("a host that has become a watcher does not follow the service")
+	}
+}
+
 // Guards against hosts that start together and give up all exchanges just before the busy
 // watcher answers; and against one that waits long for a silent watcher later on.
 func TestExchangeTimeoutGrowsOnlyWithoutAView(t *testing.T) {
--- a/internal/host/gateway/watchers.go
+++ b/internal/host/gateway/watchers.go
@@ -31,8 +31,9 @@
 	// poll of its watch, the pause after it and a margin. It is a part of the 4 s in which a
 	// change must be known.
 	maxViewAge = 2800 * time.Millisecond
-	// watchNeedPoll is how often a host checks whether it has to follow the service itself.
-	watchNeedPoll = 100 * time.Millisecond
+	// minWatchNeedPoll is how often, at most, a host checks whether it has to follow the service
+	// itself.
+	minWatchNeedPoll = 100 * time.Millisecond
 	// watcherBackoff is how long a watcher that didn't answer, or whose own view is out of
 	// date, isn't asked; startupWatcherBackoff applies to a host that has no view yet: a
 	// watcher may start at the same time, and be ready in a moment.
@@ -197,9 +198,25 @@
 // start for their first reply.
 func (g *Gateway) waitUntilWatchNeeded() {
 	g.waitForFirstReply()
-	for g.tomb.Alive() && g.hasFreshWatcher() {
-		g.sleep(watchNeedPoll)
+	for g.tomb.Alive() {
+		changed := *g.watchersChanged.Load()
+		if !g.hasFreshWatcher() {
+			return
+		}
+		staleAt := time.Duration(g.peerViewNanos.Load()) + maxViewAge
+		g.sleepUnless(max(staleAt-time.Duration(steadyNanos()), minWatchNeedPoll), changed)
+	}
+}
+
+// setWatchers replaces the watchers that this host asks, and wakes what waits for it to become a
+// watcher itself or none any more.
+func (g *Gateway) setWatchers(set *watcherSet) {
+	before := g.watchers.Swap(set)
+	if before.isEmpty() == set.isEmpty() {
+		return
 	}
+	next := make(chan struct{})
+	close(*g.watchersChanged.Swap(&next))
 }
 
 // storeAnsweredAt is when the service last answered this host, or the peer whose view it
@@ -280,7 +297,7 @@
 		set.near = nil // this host was a watcher before it was restarted
 	}
 	if len(c.hosts) == 0 {
-		c.watchers.Store(&set)
+		c.setWatchers(&set)
 		c.openConnections(nil, &set)
 	}
 	close(c.hostListDone)
