--- a/internal/control/balance/server.go
+++ b/internal/control/balance/server.go
@@ -18,7 +18,7 @@
 	// They may be shared with other owners, and are replaced, not changed.
 	holds    []request.Weights
 	retiring []ident.ModelName
-	// isIndexed is whether the pool's index has the server under its weights.
+	// isIndexed is whether the server is in the pool's index.
 	isIndexed bool
 	// ownInFlight counts this host's requests there, ownUnstarted those of them whose
 	// answer has not started.
--- a/internal/control/entries/log.go
+++ b/internal/control/entries/log.go
@@ -13,8 +13,7 @@
 	key      string
 }
 
-// changeLog has the changes in the order of their revisions, then of their keys. Only the last
-// change of a key counts.
+// changeLog lists the changes by revision, then by key. Only the last change of a key counts.
 type changeLog struct {
 	changes []keyChange
 	// isUnsorted is set once a change was added out of order, as all those of a listing are.
--- a/internal/control/holdings/log.go
+++ b/internal/control/holdings/log.go
@@ -13,8 +13,8 @@
 	server ident.ServerName
 }
 
-// changeLog has the changes in the order of their numbers, so that those after a cursor are
-// found without a search of all engines. Only the last change of an engine counts.
+// changeLog lists the changes by number, so that those after a cursor are found without a search
+// of all engines. Only the last change of an engine counts.
 type changeLog []change
 
 // since returns the changes after a number.
--- a/internal/control/loading/distribution.go
+++ b/internal/control/loading/distribution.go
@@ -21,7 +21,7 @@
 	// utilization is that of each engine, by its index.
 	utilization []float64
 	shares      map[ident.ModelName]*modelShare
-	// byWork has the shares with work in the order of distribution, the most work first.
+	// byWork lists the shares with work in the order of distribution, the most work first.
 	byWork []*modelShare
 }
 
--- a/internal/control/loading/loading.go
+++ b/internal/control/loading/loading.go
@@ -77,9 +77,8 @@
 	// resendAfter is when an unanswered order is sent again. It names the same count, so at
 	// most one of the two takes effect.
 	resendAfter = 700 * time.Millisecond
-	// minMaxReportAge and reportDelay give the age above which a report is not used for
-	// decisions: reportDelay more than the time between two reports, and minMaxReportAge at
-	// least.
+	// A report is not used for decisions once it is older than the time between two reports
+	// plus reportDelay, and than minMaxReportAge.
 	minMaxReportAge = 1500 * time.Millisecond
 	reportDelay     = 500 * time.Millisecond
 	// orderStartTimeout is how long reports may show no sign of an accepted order before it
--- a/internal/control/polling/polling.go
+++ b/internal/control/polling/polling.go
@@ -43,7 +43,7 @@
 	return max(interval, time.Second*time.Duration(engines)/callsPerSecond)
 }
 
-// Schedule has the engines and when each was last asked. The zero value has no engines.
+// Schedule records when each engine was last asked. The zero value is without engines.
 type Schedule struct {
 	engines []*engine
 	byName  map[ident.ServerName]*engine
--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -50,7 +50,7 @@
 	leftAt map[serverIncarnation]time.Time
 	// failedAt is when the service last failed a call of this host.
 	failedAt time.Time
-	// missing has the servers whose entry is missing, changed those whose entry has changed or
+	// missing lists the servers whose entry is missing, changed those whose entry has changed or
 	// been dropped since TakeChanges.
 	missing map[ident.ServerName]struct{}
 	changed map[ident.ServerName]struct{}
--- a/internal/host/gateway/engines.go
+++ b/internal/host/gateway/engines.go
@@ -16,13 +16,13 @@
 // reportTimeout is how long an engine may take to report.
 const reportTimeout = 600 * time.Millisecond
 
-// engineList has the engines that the leader plans for. It is built anew only when their
+// engineList lists the engines that the leader plans for. It is built anew only when their
 // entries, the configuration or an engine's own word that it leaves have changed it.
 type engineList struct {
 	isOutdated bool
 	byName     map[ident.ServerName]*listedEngine
 	byService  map[ident.ServiceName][]*listedEngine
-	// isPassed has the services whose planner has got this list.
+	// isPassed lists the services whose planner has received this list.
 	isPassed map[ident.ServiceName]bool
 	schedule polling.Schedule
 }
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -185,7 +185,7 @@
 	// leaderPeerCount is how many hosts exchange messages with the leader directly.
 	watchers        atomic.Pointer[watcherSet]
 	leaderPeerCount atomic.Int64
-	// watchersChanged is closed when watchers becomes empty, or is empty no longer.
+	// watchersChanged is closed when watchers becomes empty, and when it stops being so.
 	watchersChanged atomic.Pointer[chan struct{}]
 	// Instants by steadyNanos, 0 for never: peerViewNanos is when the service last answered
 	// the peer whose view of the fleet this host received; fleetReadNanos and
--- a/internal/host/gateway/register.go
+++ b/internal/host/gateway/register.go
@@ -16,8 +16,8 @@
 // Keys of this project's hosts, below Layout.HostPrefix.
 const (
 	hostsPath = "hosts/"
-	// watchersPath has the watchers of each data centre again. There are few of them, and
-	// hosts that start read them in place of all hosts.
+	// watchersPath lists the watchers of each data centre. There are few of them: hosts that
+	// start read them in place of all hosts.
 	watchersPath = "watchers/"
 	leaderPath   = "holder"
 	// termPath is written by each new leader and never deleted: it shows that there has been
--- a/internal/host/gateway/watchers.go
+++ b/internal/host/gateway/watchers.go
@@ -56,7 +56,7 @@
 	return len(w.near) == 0
 }
 
-// isOwn tells that the host is a watcher itself.
+// isOwn reports whether the host is a watcher itself.
 func (w *watcherSet) isOwn() bool {
 	return w.isLargeRegion && w.isEmpty()
 }
@@ -274,7 +274,7 @@
 	})
 }
 
-// watchersListed has the entries of this data centre's watchers.
+// watchersListed is the listing of this data centre's watchers.
 type watchersListed struct {
 	entries []store.Entry
 }
