gateway, platform: Let starting hosts read entries that may be stale

The hosts' entries are read again if the stale ones lack this host's own, which it has written before.

Tests: only ListStale allows stale pages; the tests of starts as before.

--- a/internal/host/gateway/fleet_test.go
+++ b/internal/host/gateway/fleet_test.go
@@ -206,6 +206,10 @@
 	return listing, nil
 }
 
+func (c *client) ListStale(ctx context.Context, prefix string) (store.Listing, error) {
+	return c.List(ctx, prefix)
+}
+
 // Watch keeps a long poll without changes open for pollDuration, and expires leases
 // meanwhile.
 func (c *client) Watch(ctx context.Context, prefix string, after ident.Revision, pollDuration func() time.Duration, deliver func(store.Batch) error) error {
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -89,6 +89,8 @@
 // goroutines.
 type KeyValue interface {
 	List(ctx context.Context, prefix string) (store.Listing, error)
+	// ListStale is a cheaper List whose result may be some seconds old.
+	ListStale(ctx context.Context, prefix string) (store.Listing, error)
 	// Watch passes the changes after a revision to deliver until deliver or the service
 	// fails. Before each long poll it calls pollDuration for how long that may stay open
 	// without changes; deliver gets an empty batch when it ends so.
--- a/internal/host/gateway/watchers.go
+++ b/internal/host/gateway/watchers.go
@@ -251,7 +251,7 @@
 	ctx, cancel := context.WithTimeout(g.context(), hostListTimeout)
 	defer cancel()
 	if !g.options.Settings.FirstStart {
-		listing, err := g.options.KeyValue.List(ctx, g.options.Layout.watchersPrefix(g.options.Settings.Host.DataCentre))
+		listing, err := g.options.KeyValue.ListStale(ctx, g.options.Layout.watchersPrefix(g.options.Settings.Host.DataCentre))
 		if err == nil && len(listing.Entries) > 0 {
 			g.post(watchersListed{
 				entries: listing.Entries,
@@ -262,7 +262,7 @@
 			g.log.Info("watcher entries not read", zap.Error(err))
 		}
 	}
-	listing, err := g.options.KeyValue.List(ctx, g.options.Layout.hostsPrefix(g.options.Settings.Host.DataCentre))
+	listing, err := g.listNearHosts(ctx)
 	if err != nil {
 		g.log.Info("host entries not read", zap.Error(err))
 		close(g.hostListDone)
@@ -274,6 +274,19 @@
 	})
 }
 
+// listNearHosts reads the entries of this data centre's hosts. A stale read is enough if it has
+// this host's own entry: most hosts that start with it have written theirs by then.
+func (g *Gateway) listNearHosts(ctx context.Context) (store.Listing, error) {
+	host := &g.options.Settings.Host
+	prefix := g.options.Layout.hostsPrefix(host.DataCentre)
+	own := g.options.Layout.hostKey(host.DataCentre, host.Name)
+	listing, err := g.options.KeyValue.ListStale(ctx, prefix)
+	if err != nil || slices.ContainsFunc(listing.Entries, func(e store.Entry) bool { return e.Key == own }) {
+		return listing, err
+	}
+	return g.options.KeyValue.List(ctx, prefix)
+}
+
 // watchersListed is the listing of this data centre's watchers.
 type watchersListed struct {
 	entries []store.Entry
