gateway: Renew hosts' entries less often, and ask a silent scheduler less and less

Change: entries last 20 s, and are renewed every 6 s. The entry of a host that is gone misleads others for longer: a prompt scheduler that does not answer is asked again after 1.5, 3 and then 6 s, so that a dead one delays no more prompts than before (five of a host in 20 s; with 1.5 s and an entry of 8 s it was up to six). Renewals for each request do not depend on the size of the fleet.

Tests: attempts at a scheduler that is gone during the life of its entry; the tests of hosts that are killed as before.

--- a/internal/host/gateway/register.go
+++ b/internal/host/gateway/register.go
@@ -63,9 +63,9 @@
 
 const (
 	// hostLeaseDuration is how long a host's entry outlives it. The entry only says which
-	// hosts to ask: no guarantee depends on it.
-	hostLeaseDuration = 8 * time.Second
-	hostRenewInterval = 2500 * time.Millisecond
+	// hosts to ask: no guarantee depends on it. Each renewal is a call.
+	hostLeaseDuration = 20 * time.Second
+	hostRenewInterval = 6 * time.Second
 )
 
 // hostEntry is a host's entry in the key-value service.
--- a/internal/host/gateway/schedulers.go
+++ b/internal/host/gateway/schedulers.go
@@ -19,8 +19,11 @@
 	// scheduler takes. After it this host chooses an engine by its own data, which may be full.
 	reserveTimeout = 200 * time.Millisecond
 	// schedulerBackoff is how long a scheduler that did not answer isn't asked: the next one
-	// in rank is, and after that none.
-	schedulerBackoff = 1500 * time.Millisecond
+	// in rank is, and after that none. It doubles with each further failure, up to
+	// maxSchedulerBackoff: each attempt delays a prompt, and the entry of a host that is gone
+	// stays for hostLeaseDuration.
+	schedulerBackoff    = 1500 * time.Millisecond
+	maxSchedulerBackoff = 4 * schedulerBackoff
 	// maxQueueWait is how long a prompt waits in a scheduler's queue during one call. The
 	// calling host then asks again, with the engines that have been added meanwhile; a scheduler
 	// with hundreds of waiting prompts answers a thousand such calls a second.
@@ -41,6 +44,8 @@
 	mu               sync.Mutex
 	hosts            []pacing.Host
 	unavailableUntil map[ident.HostID]time.Time
+	// backoffs are the last back-offs of schedulers that have not answered since.
+	backoffs map[ident.HostID]time.Duration
 	// ranked are the schedulers that follow from hosts, for the keys used so far.
 	ranked map[schedulerKey][]pacing.Host
 }
@@ -94,8 +99,20 @@
 	defer s.mu.Unlock()
 	if s.unavailableUntil == nil {
 		s.unavailableUntil = make(map[ident.HostID]time.Time)
+		s.backoffs = make(map[ident.HostID]time.Duration)
 	}
-	s.unavailableUntil[host] = now.Add(schedulerBackoff)
+	if now.Before(s.unavailableUntil[host]) {
+		return // a call that started before the failure
+	}
+	backoff := min(max(2*s.backoffs[host], schedulerBackoff), maxSchedulerBackoff)
+	s.backoffs[host] = backoff
+	s.unavailableUntil[host] = now.Add(backoff)
+}
+
+func (s *promptSchedulers) markAvailable(host ident.HostID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.backoffs, host)
 }
 
 // Schedule implements gatewaypeer.Handler.
@@ -215,6 +232,7 @@
 	defer cancel()
 	reservation, err := g.peers.Reserve(limitedCtx, scheduler.Address, &prompt)
 	if err == nil {
+		g.schedulers.markAvailable(scheduler.Name)
 		return reservation, func() { g.releaseRemote(scheduler, reservation.Server, prompt.Ticket) }
 	}
 	if ctx.Err() == nil {
--- a/internal/host/gateway/schedulers_test.go
+++ b/internal/host/gateway/schedulers_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"cicadaloom/internal/control/pacing"
 	"cicadaloom/internal/domain/ident"
 )
@@ -29,3 +31,27 @@
 		}
 	}
 }
+
+// Guards against a host that is gone, whose entry stays for a while, and that delays a prompt of
+// each host every second and a half.
+func TestSilentSchedulerIsAskedLessAndLess(t *testing.T) {
+	var schedulers promptSchedulers
+	schedulers.setHosts([]pacing.Host{{
+		Name:   "gone",
+		Region: "north",
+	}})
+	now := time.Now()
+	asked := 0
+	for end := now.Add(hostLeaseDuration); now.Before(end); now = now.Add(100 * time.Millisecond) {
+		if scheduler, found := schedulers.find(now, "m", "north"); found {
+			asked++
+			schedulers.markUnavailable(now, scheduler.Name)
+			schedulers.markUnavailable(now, scheduler.Name) // another prompt that asked it meanwhile
+		}
+	}
+	require.LessOrEqual(t, asked, 5)
+	schedulers.markAvailable("gone")
+	schedulers.markUnavailable(now.Add(maxSchedulerBackoff), "gone")
+	_, found := schedulers.find(now.Add(maxSchedulerBackoff+schedulerBackoff), "m", "north")
+	require.True(t, found, "it begins anew once it has answered")
+}
