--- a/internal/control/loading/inventory.go
+++ b/internal/control/loading/inventory.go
@@ -21,7 +21,9 @@
 
 // TakeInventoryChanges returns the inventories that may have changed since the last call, and
 // the engines that have gone or not reported yet in their present incarnation.
-func (p *Planner) TakeInventoryChanges(now time.Time) (changed []Inventory, removed []ident.ServerName) {
+func (p *Planner) TakeInventoryChanges(now time.Time) ([]Inventory, []ident.ServerName) {
+	var changed []Inventory
+	var removed []ident.ServerName
 	for name := range p.changedEngines {
 		e, known := p.engines[name]
 		if !known || !e.reported {
