--- a/internal/control/retries/lend_test.go
+++ b/internal/control/retries/lend_test.go
@@ -51,16 +51,8 @@
 		Slack:  630,
 	}
 	const hosts, fleet, requests, failed = 50, 295, 34, 60
-	var budgets []*Budget
 	now := start
-	for range hosts {
-		budget := New(options)
-		budget.SetHosts(fleet)
-		for range requests {
-			budget.CountRequest(now, "notes")
-		}
-		budgets = append(budgets, budget)
-	}
+	budgets := newUsedBudgets(options, hosts, fleet, requests)
 	ownRetries, allRetries := 0, 0
 	for range failed {
 		if budgets[1].Take(now, "notes") {
@@ -77,6 +69,21 @@
 	require.True(t, budgets[2].Take(now, "notes"), "a host keeps some for itself")
 }
 
+// newUsedBudgets returns the budgets of some hosts of a fleet, each of which has just received so
+// many requests.
+func newUsedBudgets(options Options, hosts, fleet, requests int) []*Budget {
+	var budgets []*Budget
+	for range hosts {
+		budget := New(options)
+		budget.SetHosts(fleet)
+		for range requests {
+			budget.CountRequest(start, "notes")
+		}
+		budgets = append(budgets, budget)
+	}
+	return budgets
+}
+
 // Guards against a large fleet in which no host has a token to spare: a host with two failed
 // requests in a window would refuse the second one while all others have theirs left.
 func TestHostBorrowsInFleetOfAnySize(t *testing.T) {
@@ -87,16 +94,8 @@
 	}
 	const near, requests, failed = 60, 5, 20
 	for _, fleet := range []int{75, 300, 985} {
-		var budgets []*Budget
 		now := start
-		for range near {
-			budget := New(options)
-			budget.SetHosts(fleet)
-			for range requests {
-				budget.CountRequest(now, "notes")
-			}
-			budgets = append(budgets, budget)
-		}
+		budgets := newUsedBudgets(options, near, fleet, requests)
 		for _, budget := range budgets[2:] {
 			budgets[0].Receive(now, budget.TakeSurplus(now))
 		}
--- a/internal/host/gateway/schedulers.go
+++ b/internal/host/gateway/schedulers.go
@@ -23,7 +23,8 @@
 	// maxSchedulerBackoff: each attempt delays a prompt, and the entry of a host that is gone
 	// stays for hostLeaseDuration.
 	schedulerBackoff    = 1500 * time.Millisecond
-	maxSchedulerBackoff = 4 * schedulerBackoff
+	maxBackoffDoublings = 2
+	maxSchedulerBackoff = schedulerBackoff << maxBackoffDoublings
 	// maxQueueWait is how long a prompt waits in a scheduler's queue during one call. The
 	// calling host then asks again, with the engines that have been added meanwhile; a scheduler
 	// with hundreds of waiting prompts answers a thousand such calls a second.
@@ -44,8 +45,8 @@
 	mu               sync.Mutex
 	hosts            []pacing.Host
 	unavailableUntil map[ident.HostID]time.Time
-	// backoffs are the last back-offs of schedulers that have not answered since.
-	backoffs map[ident.HostID]time.Duration
+	// failures counts the failed calls of schedulers that have not answered since.
+	failures map[ident.HostID]int
 	// ranked are the schedulers that follow from hosts, for the keys used so far.
 	ranked map[schedulerKey][]pacing.Host
 }
@@ -99,20 +100,19 @@
 	defer s.mu.Unlock()
 	if s.unavailableUntil == nil {
 		s.unavailableUntil = make(map[ident.HostID]time.Time)
-		s.backoffs = make(map[ident.HostID]time.Duration)
+		s.failures = make(map[ident.HostID]int)
 	}
 	if now.Before(s.unavailableUntil[host]) {
 		return // a call that started before the failure
 	}
-	backoff := min(max(2*s.backoffs[host], schedulerBackoff), maxSchedulerBackoff)
-	s.backoffs[host] = backoff
-	s.unavailableUntil[host] = now.Add(backoff)
+	s.unavailableUntil[host] = now.Add(schedulerBackoff << min(s.failures[host], maxBackoffDoublings))
+	s.failures[host]++
 }
 
 func (s *promptSchedulers) markAvailable(host ident.HostID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.backoffs, host)
+	delete(s.failures, host)
 }
 
 // Schedule implements gatewaypeer.Handler.
