balance: Index a server anew when its service gets or loses models

A server whose kind changes while its weights stay the same kept its place in the index: requests for models went to servers that have none. A configuration can cause that.

Test: a service that gets models and loses them again, in balance itself.

--- a/internal/control/balance/balance.go
+++ b/internal/control/balance/balance.go
@@ -270,6 +270,9 @@
 		s = &server{}
 		p.servers[info.Name] = s
 	}
+	if known && s.info.Kind != info.Kind {
+		p.index.remove(s) // a configuration may give a service models, or take them away
+	}
 	s.pressure = p.pressures.Server(info.Name, info.Incarnation)
 	s.update(info)
 	p.setWeights(s)
--- a/internal/control/balance/scale_test.go
+++ b/internal/control/balance/scale_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/domain/request"
 )
@@ -59,6 +60,25 @@
 	require.InDelta(t, measure(1000), measure(2000), 1)
 }
 
+// Guards against a service that gets models by a configuration, and whose servers still answer
+// requests for any, or loses them, and whose servers answer none.
+func TestServersOfServiceThatGetsModels(t *testing.T) {
+	info := engine("a", "n1", "north")
+	info.Holds = nil
+	pool := newPool(info)
+	for _, kind := range []backend.Kind{backend.KindService, backend.KindEngine, backend.KindService} {
+		info.Kind = kind
+		pool.SetServers([]ServerInfo{info})
+		ticket, verdict := pool.Take(start, newCriteria(1))
+		if kind == backend.KindEngine {
+			require.Equal(t, NoneHolds, verdict)
+			continue
+		}
+		require.Equal(t, Found, verdict)
+		ticket.Done(start, Answered)
+	}
+}
+
 // Guards against single updates that leave a pool in another state than a whole list does.
 func TestUpdatesEqualWholeList(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
