--- a/internal/host/gateway/engines.go
+++ b/internal/host/gateway/engines.go
@@ -27,7 +27,7 @@
 	schedule polling.Schedule
 }
 
-// listedEngine is an engine of the list. Its server's state says whether it leaves.
+// listedEngine is an engine of the list. Leaving is set if its entry or its answers say so.
 type listedEngine struct {
 	loading.Server
 	service  ident.ServiceName
