registry: Keep the instants of missing entries in one place

Found in reading the whole change: when a missing entry is dropped stood in the entry, and that it is missing again in a set beside it. The set has the instant now. Behaviour and tests stay.

--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -45,14 +45,14 @@
 
 // Table has the entries. The zero value is empty and ready to use; it belongs to one goroutine.
 type Table struct {
-	entries map[ident.ServerName]*entry
+	entries map[ident.ServerName]*backend.Registration
 	// leftAt has the incarnations that have announced that they leave, and when they last did.
 	leftAt map[serverIncarnation]time.Time
 	// failedAt is when the service last failed a call of this host.
 	failedAt time.Time
-	// missing lists the servers whose entry is missing, changed those whose entry has changed or
-	// been dropped since TakeChanges.
-	missing map[ident.ServerName]struct{}
+	// missing has the servers whose entry is missing, and when it is dropped unless it has come
+	// back; changed lists those whose entry has changed or been dropped since TakeChanges.
+	missing map[ident.ServerName]time.Time
 	changed map[ident.ServerName]struct{}
 	sweptAt time.Time
 }
@@ -62,19 +62,12 @@
 	incarnation ident.Incarnation
 }
 
-type entry struct {
-	registration backend.Registration
-	// missingUntil is when a missing entry is dropped unless it has come back; zero if the
-	// entry isn't missing.
-	missingUntil time.Time
-}
-
 // RecordFailure records that the service has failed a call, and extends the time in which
 // missing entries may come back.
 func (t *Table) RecordFailure(now time.Time) {
 	t.failedAt = now
 	for name := range t.missing {
-		t.entries[name].missingUntil = now.Add(returnTimeout)
+		t.missing[name] = now.Add(returnTimeout)
 	}
 }
 
@@ -82,9 +75,9 @@
 // leaving.
 func (t *Table) Put(now time.Time, registration backend.Registration) {
 	if t.entries == nil {
-		t.entries = make(map[ident.ServerName]*entry)
+		t.entries = make(map[ident.ServerName]*backend.Registration)
 		t.leftAt = make(map[serverIncarnation]time.Time)
-		t.missing = make(map[ident.ServerName]struct{})
+		t.missing = make(map[ident.ServerName]time.Time)
 		t.changed = make(map[ident.ServerName]struct{})
 	}
 	key := incarnationOf(&registration)
@@ -96,9 +89,7 @@
 		registration.Server.State = backend.StateLeaving
 	}
 	name := registration.Server.Name
-	t.entries[name] = &entry{
-		registration: registration,
-	}
+	t.entries[name] = &registration
 	delete(t.missing, name)
 	t.changed[name] = struct{}{}
 }
@@ -113,13 +104,12 @@
 // Remove drops an entry that is missing or, around an outage of the service, keeps it for a
 // while.
 func (t *Table) Remove(now time.Time, name ident.ServerName) {
-	e, known := t.entries[name]
-	if !known || !e.missingUntil.IsZero() {
+	registration, known := t.entries[name]
+	if _, isMissing := t.missing[name]; !known || isMissing {
 		return
 	}
-	if !e.registration.Report.Leaving && now.Sub(t.failedAt) < returnTimeout {
-		e.missingUntil = t.failedAt.Add(returnTimeout)
-		t.missing[name] = struct{}{}
+	if !registration.Report.Leaving && now.Sub(t.failedAt) < returnTimeout {
+		t.missing[name] = t.failedAt.Add(returnTimeout)
 		return
 	}
 	t.drop(name)
@@ -134,8 +124,8 @@
 // expire drops the entries that have not come back in time, and forgets incarnations that left
 // long ago.
 func (t *Table) expire(now time.Time) {
-	for name := range t.missing {
-		if !now.Before(t.entries[name].missingUntil) {
+	for name, until := range t.missing {
+		if !now.Before(until) {
 			t.drop(name)
 		}
 	}
@@ -169,16 +159,16 @@
 
 // Incarnation returns the incarnation that a server's entry names.
 func (t *Table) Incarnation(name ident.ServerName) (ident.Incarnation, bool) {
-	if e, known := t.entries[name]; known {
-		return e.registration.Report.Incarnation, true
+	if registration, known := t.entries[name]; known {
+		return registration.Report.Incarnation, true
 	}
 	return "", false
 }
 
 // Get returns a server's entry as it was last written.
 func (t *Table) Get(name ident.ServerName) (backend.Registration, bool) {
-	if e, known := t.entries[name]; known {
-		return e.registration, true
+	if registration, known := t.entries[name]; known {
+		return *registration, true
 	}
 	return backend.Registration{}, false
 }
@@ -188,8 +178,8 @@
 func (t *Table) Servers(now time.Time) []backend.Registration {
 	t.expire(now)
 	servers := make([]backend.Registration, 0, len(t.entries))
-	for _, e := range t.entries {
-		servers = append(servers, e.registration)
+	for _, registration := range t.entries {
+		servers = append(servers, *registration)
 	}
 	sort.Slice(servers, func(i, j int) bool { return servers[i].Server.Name < servers[j].Server.Name })
 	return servers
