--- a/internal/domain/request/request.go
+++ b/internal/domain/request/request.go
@@ -28,6 +28,8 @@
 	Target string
 	Path   string
 	Host   string
+	// Caller is the address from which the client's connection comes, without its port.
+	Caller string
 	// Header has the headers that may be forwarded: no hop-by-hop headers, and none
 	// that only the entry host may set.
 	Header http.Header
--- a/internal/traffic/relay/ending.go
+++ b/internal/traffic/relay/ending.go
@@ -184,6 +184,10 @@
 		zap.Duration("Rest", max(sent.restUntil.Sub(now), 0)),
 		zap.Duration("Expected", ticket.ExpectedFirstByte),
 		zap.Duration("After", now.Sub(s.arrived)),
+		zap.String("Caller", s.request.Caller),
+		zap.String("Path", s.request.Path),
+		zap.Uint64("Fingerprint", uint64(s.request.Fingerprint())),
+		zap.Int("BodySize", len(s.request.Body)),
 		zap.String("Why", sent.reason),
 	)
 }
