relay, gateway: Add failing tests of requests without a body that crash servers

Three hosts, three servers that crash under one caller's GET: 26 sends later than 4 s after the third crash where three are allowed, 61 crashes in all. At one host five repeats reach servers ten times.

--- /dev/null
+++ b/internal/host/gateway/suspects_test.go
@@ -0,0 +1,138 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	tomb "gopkg.in/tomb.v2"
+
+	"cicadaloom/internal/standin/server"
+)
+
+const (
+	crashingCaller = "crashing"
+	// crashRestartDelay is how long a crashed server is down.
+	crashRestartDelay = 300 * time.Millisecond
+	// contactTime is the time within which all hosts that reach each other must know of a
+	// crash.
+	contactTime = 4 * time.Second
+)
+
+// crashLog records the crashes and the arrivals of one request at all crashing servers.
+type crashLog struct {
+	mu      sync.Mutex
+	crashes []time.Time
+	arrived []time.Time
+}
+
+// countLate counts the arrivals later than contactTime after the third crash.
+func (l *crashLog) countLate() (late, crashes int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.crashes) < 3 {
+		return 0, len(l.crashes)
+	}
+	for _, at := range l.arrived {
+		if at.Sub(l.crashes[2]) > contactTime {
+			late++
+		}
+	}
+	return late, len(l.crashes)
+}
+
+func (l *crashLog) record(crashed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.arrived = append(l.arrived, time.Now())
+	if crashed {
+		l.crashes = append(l.crashes, time.Now())
+	}
+}
+
+// crashingServer crashes when it runs a request of crashingCaller.
+type crashingServer struct {
+	server.Server
+	fleet       *fleet
+	name        string
+	address     string
+	incarnation int
+	log         *crashLog
+}
+
+func (f *fleet) serveCrashing(name string, log *crashLog) {
+	s := &crashingServer{
+		fleet: f,
+		name:  name,
+		log:   log,
+	}
+	address, err := s.Start("127.0.0.1:0", s)
+	require.NoError(f.t, err)
+	f.t.Cleanup(func() { require.NoError(f.t, s.Stop()) })
+	s.address = address
+	s.register()
+}
+
+// register enters the next incarnation.
+func (s *crashingServer) register() {
+	s.incarnation++
+	s.fleet.keyValue.write("servers/"+s.name, entry{
+		Service: "old",
+		Address: s.address,
+		Life:    strconv.Itoa(s.incarnation),
+	})
+}
+
+func (s *crashingServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get("Caller") == crashingCaller {
+		s.log.record(true)
+		s.Crash(crashRestartDelay, s.register)
+		server.CutConnection()
+	}
+	w.Header().Set("Id", r.Header.Get("Id"))
+	_, _ = io.WriteString(w, s.name)
+}
+
+// repeat sends the same request through one host until the tomb dies.
+func (f *fleet) repeat(clients *tomb.Tomb, host, caller string) {
+	clients.Go(func() error {
+		for clients.Alive() {
+			f.requestOf(host, caller)
+			time.Sleep(100 * time.Millisecond)
+		}
+		return nil
+	})
+}
+
+// Guards against a request without a body that crashes servers for as long as it is repeated, at
+// several hosts at once.
+func TestRepeatsOfCrashingRequestWithoutBodyEnd(t *testing.T) {
+	f := newFleet(t)
+	f.keyValue.write("configuration", configuration(1, "old"))
+	log := &crashLog{}
+	for _, name := range []string{"one", "two", "three"} {
+		f.serveCrashing(name, log)
+	}
+	names := []string{"a", "b", "c"}
+	for _, name := range names {
+		f.start(name)
+	}
+	for _, name := range names {
+		f.eventually(func() bool { status, _ := f.request(name); return status == http.StatusOK }, name)
+	}
+	var clients tomb.Tomb
+	for _, name := range names {
+		f.repeat(&clients, name, crashingCaller)
+	}
+	time.Sleep(contactTime + 3*time.Second)
+	clients.Kill(nil)
+	require.NoError(t, clients.Wait())
+
+	late, crashes := log.countLate()
+	require.LessOrEqual(t, late, 3, "of %d crashes in all", crashes)
+	f.eventually(func() bool { status, _ := f.request("a"); return status == http.StatusOK }, "others are served")
+}
--- /dev/null
+++ b/internal/traffic/relay/suspect_test.go
@@ -0,0 +1,71 @@
+package relay
+
+import (
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cicadaloom/internal/domain/ident"
+)
+
+// crashOnCaller breaks off each request of one caller, and answers all others.
+func crashOnCaller(caller string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Caller") == caller {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(w, "answer")
+	}
+}
+
+func fromCaller(caller string) http.Header {
+	return http.Header{
+		"Caller": {caller},
+	}
+}
+
+// Guards against a request without a body that crashes servers for as long as its caller repeats it.
+func TestRequestWithoutBodyThatCrashesServersIsRefused(t *testing.T) {
+	w := newTestEnv(t, safeRoute())
+	for _, name := range []ident.ServerName{"a", "b", "c"} {
+		w.serve(name, crashOnCaller("crashing"))
+	}
+	for _, id := range []string{"r1", "r2", "r3", "r4", "r5"} {
+		require.Equal(t, http.StatusBadGateway, w.ask(http.MethodGet, id, fromCaller("crashing")).status)
+	}
+	require.LessOrEqual(t, len(w.arrivals()), 3)
+}
+
+// Guards against callers who are refused because another caller's request to the same path crashes
+// servers.
+func TestSameRequestOfAnotherCallerIsServed(t *testing.T) {
+	w := newTestEnv(t, safeRoute())
+	for _, name := range []ident.ServerName{"a", "b", "c"} {
+		w.serve(name, crashOnCaller("crashing"))
+	}
+	for _, id := range []string{"r1", "r2", "r3"} {
+		w.ask(http.MethodGet, id, fromCaller("crashing"))
+	}
+	require.Equal(t, http.StatusOK, w.ask(http.MethodGet, "r4", fromCaller("other")).status)
+}
+
+// Guards against a request that is sent after it has become known, while it waited for a server,
+// that servers crash under it.
+func TestRequestIsRefusedIfServersCrashUnderItWhileItWaits(t *testing.T) {
+	w := newTestEnv(t, safeRoute())
+	w.serve("a", answerWith(http.StatusOK, "answer"))
+	servers := w.servers
+	w.pool.SetServers(nil)
+	answered := make(chan reply, 1)
+	header := fromCaller("crashing")
+	header.Set("Text", "poison")
+	go func() { answered <- w.ask(http.MethodPost, "r1", header) }()
+	require.Eventually(t, func() bool { return w.fingerprintAsked() != 0 }, 5*time.Second, time.Millisecond)
+	w.recordCrashes(w.fingerprintAsked(), "b", "c")
+	w.pool.SetServers(servers)
+	require.Equal(t, http.StatusBadGateway, (<-answered).status)
+	require.Empty(t, w.arrivals())
+}
--- a/internal/traffic/relay/testenv_test.go
+++ b/internal/traffic/relay/testenv_test.go
@@ -43,6 +43,7 @@
 		Target:      r.RequestURI,
 		Path:        r.URL.Path,
 		Host:        r.Host,
+		Caller:      r.Header.Get("Caller"),
 		Header:      r.Header,
 		Model:       ident.ModelName(r.Header.Get("Weights")),
 		Key:         r.Header.Get("Key"),
@@ -108,6 +109,8 @@
 	shutdown     context.CancelFunc
 	// suspected is what the fleet knows of requests that crash servers.
 	suspected suspects.Machine
+	// lastFingerprint is that of the last request whose verdict was asked for.
+	lastFingerprint ident.Fingerprint
 	// newerRoutes has routes that come into force while requests wait for them; isOutOfTouch
 	// means that the host can't tell whether there are any.
 	newerRoutes  chan *routetable.Table
@@ -214,9 +217,30 @@
 func (w *testEnv) Verdict(fingerprint ident.Fingerprint) suspects.Verdict {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.lastFingerprint = fingerprint
 	return w.suspected.View().Verdict(fingerprint)
 }
 
+func (w *testEnv) fingerprintAsked() ident.Fingerprint {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lastFingerprint
+}
+
+// recordCrashes makes it known that servers have crashed under a request.
+func (w *testEnv) recordCrashes(fingerprint ident.Fingerprint, servers ...ident.ServerName) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, server := range servers {
+		w.suspected.Step(time.Now(), suspects.Crash{
+			Fingerprint: fingerprint,
+			ServerIncarnation: suspects.ServerIncarnation{
+				Server: server,
+			},
+		})
+	}
+}
+
 // ReportLostAttempt counts every server that breaks off as crashed.
 func (w *testEnv) ReportLostAttempt(loss suspects.LostAttempt) {
 	w.mu.Lock()
