relay: Recognise requests without a body that crash servers

The class of fault: a request is identified by a part of what identifies it. What tells apart requests that are alike is who sends them.

A report of a crash after the host has stopped panicked; it has no effect now.

TestRequestAnsweredBeforeServiceWentDownIsServedAfter guards the callers who are merely alike.

--- a/internal/host/gateway/suspects.go
+++ b/internal/host/gateway/suspects.go
@@ -31,6 +31,9 @@
 // ReportLostAttempt implements relay.ControlPlane: it finds out whether the server crashed
 // while it served the request.
 func (g *Gateway) ReportLostAttempt(loss suspects.LostAttempt) {
+	if !g.tomb.Alive() {
+		return // the host has stopped, and starts no goroutine any more
+	}
 	g.tomb.Go(func() error {
 		for _, delay := range crashProbeDelays {
 			g.sleep(delay)
--- a/internal/traffic/relay/ending.go
+++ b/internal/traffic/relay/ending.go
@@ -186,7 +186,7 @@
 		zap.Duration("After", now.Sub(s.arrived)),
 		zap.String("Caller", s.request.Caller),
 		zap.String("Path", s.request.Path),
-		zap.Uint64("Fingerprint", uint64(s.request.Fingerprint())),
+		zap.Uint64("Fingerprint", uint64(s.fingerprint)),
 		zap.Int("BodySize", len(s.request.Body)),
 		zap.String("Why", sent.reason),
 	)
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -148,8 +148,8 @@
 	Refund(grant quota.Grant)
 	// Borrow asks other hosts for an unused retry token, after this host has spent its own.
 	Borrow(ctx context.Context, service ident.ServiceName) bool
-	// Verdict reports whether servers have crashed while they ran requests of the same
-	// content.
+	// Verdict reports whether servers have crashed while they ran a request that its caller
+	// has sent before.
 	Verdict(fingerprint ident.Fingerprint) suspects.Verdict
 	// ReportLostAttempt reports a server whose connection broke during a request.
 	// ReportCleared reports that a suspect request was answered.
@@ -172,6 +172,7 @@
 	// final answer at once.
 	Shutdown context.Context
 
+	answered    suspects.Answered
 	plannedStop atomic.Pointer[plannedStop]
 	inFlight    atomic.Int64
 }
--- a/internal/traffic/relay/serving.go
+++ b/internal/traffic/relay/serving.go
@@ -187,7 +187,7 @@
 		s.runs++
 	}
 	s.logSend(ticket, &sent, now)
-	s.reportSuspect(ticket, &sent)
+	s.reportSuspect(ticket, &sent, now)
 	if sent.finished {
 		s.recordStreamGap()
 		s.logDone(sent.status, sent.reason)
--- a/internal/traffic/relay/suspect.go
+++ b/internal/traffic/relay/suspect.go
@@ -2,20 +2,16 @@
 
 import (
 	"net/http"
+	"time"
 
 	"cicadaloom/internal/control/balance"
 	"cicadaloom/internal/control/suspects"
 )
 
-// allowedBySuspects refuses a request with the same content as requests under which servers
-// have crashed. Some requests crash each server that runs them, and are sent again with the
-// same content; each time all other requests in flight at that server are lost too.
-// Requests without a body can't be told apart by content, since many are alike, and are
-// never suspected.
+// allowedBySuspects refuses a request that its caller has sent before, if servers have
+// crashed under it. Some requests crash each server that runs them, and are sent again; each
+// time all other requests in flight at that server are lost too.
 func (s *requestState) allowedBySuspects() bool {
-	if len(s.request.Body) == 0 {
-		return true
-	}
 	s.fingerprint = s.request.Fingerprint()
 	s.verdict = s.handler.ControlPlane.Verdict(s.fingerprint)
 	if s.verdict == suspects.Refuse {
@@ -25,13 +21,11 @@
 	return true
 }
 
-// reportSuspect reports what a send's result says about the request's content.
-func (s *requestState) reportSuspect(ticket *balance.Ticket, sent *sendResult) {
-	if len(s.request.Body) == 0 {
-		return
-	}
+// reportSuspect reports what a send's result says about the request.
+func (s *requestState) reportSuspect(ticket *balance.Ticket, sent *sendResult, now time.Time) {
+	answered := &s.handler.answered
 	switch {
-	case sent.result == balance.Broken && !sent.provedNotRun:
+	case sent.result == balance.Broken && !sent.provedNotRun && !answered.Has(now, s.fingerprint):
 		s.handler.ControlPlane.ReportLostAttempt(suspects.LostAttempt{
 			Fingerprint: s.fingerprint,
 			Request:     s.request.ID,
@@ -41,7 +35,10 @@
 				Incarnation: ticket.Incarnation,
 			},
 		})
-	case sent.result == balance.Answered && s.verdict == suspects.ServeAlone:
-		s.handler.ControlPlane.ReportCleared(s.fingerprint)
+	case sent.result == balance.Answered:
+		answered.Add(now, s.fingerprint)
+		if s.verdict == suspects.ServeAlone {
+			s.handler.ControlPlane.ReportCleared(s.fingerprint)
+		}
 	}
 }
--- a/internal/traffic/relay/suspect_test.go
+++ b/internal/traffic/relay/suspect_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -69,3 +70,25 @@
 	require.Equal(t, http.StatusBadGateway, (<-answered).status)
 	require.Empty(t, w.arrivals())
 }
+
+// Guards against callers of a service that goes down as a whole who are refused later because they
+// all send the same request.
+func TestRequestAnsweredBeforeServiceWentDownIsServedAfter(t *testing.T) {
+	w := newTestEnv(t, safeRoute())
+	var isDown atomic.Bool
+	for _, name := range []ident.ServerName{"a", "b", "c"} {
+		w.serve(name, func(w http.ResponseWriter, _ *http.Request) {
+			if isDown.Load() {
+				panic(http.ErrAbortHandler)
+			}
+			_, _ = io.WriteString(w, "answer")
+		})
+	}
+	require.Equal(t, http.StatusOK, w.ask(http.MethodGet, "r1", fromCaller("proxy")).status)
+	isDown.Store(true)
+	for _, id := range []string{"r2", "r3", "r4"} {
+		require.Equal(t, http.StatusBadGateway, w.ask(http.MethodGet, id, fromCaller("proxy")).status)
+	}
+	isDown.Store(false)
+	require.Eventually(t, func() bool { return w.ask(http.MethodGet, "r5", fromCaller("proxy")).status == http.StatusOK }, 5*time.Second, 100*time.Millisecond)
+}
