suspects: Keep and send refused requests before mere suspects

Looked for while asking how hosts learn of a request that crashes servers: a message has 32 suspects at most, those with the latest crashes, and one crash of an engine makes up to 64. A request that is refused could be crowded out of the messages, so that a restarted host never learned of it, and out of memory.

Change: refused requests come first in both. Before: TestManySuspectsDoNotDisplaceRefusedOnes failed, Serve in place of Refuse; after: passes.

--- a/internal/control/loop/peers.go
+++ b/internal/control/loop/peers.go
@@ -128,7 +128,7 @@
 		SentAfter:       state.acknowledged,
 		ReceivedThrough: state.received,
 		Documents:       c.documents.MessageSince(peer.DocumentsRevision),
-		Suspects:        c.suspectMachine.Latest(maxSuspects),
+		Suspects:        c.suspectMachine.MostUrgent(maxSuspects),
 		LeavingServers:  c.leavingToSend(),
 		WantsReports:    !c.pollsEveryServer,
 		WantsAllRegions: !c.pollsEveryServer && c.orders.IsLeading(),
--- a/internal/control/suspects/suspects.go
+++ b/internal/control/suspects/suspects.go
@@ -42,7 +42,7 @@
 const retention = time.Hour
 
 // maxSuspects bounds memory and the messages between hosts. One crash makes as many
-// suspects as a server has slots. Beyond the bound, those that expire first are dropped.
+// suspects as a server has slots. Beyond the bound the least urgent are dropped.
 const maxSuspects = 1024
 
 // Verdict is how to handle a request.
@@ -156,7 +156,7 @@
 			return false
 		}
 	}
-	if len(suspect.Crashes) >= CrashesToRefuse {
+	if suspect.isRefused() {
 		return false
 	}
 	suspect.Crashes = append(suspect.Crashes, server)
@@ -167,7 +167,7 @@
 // answer that was in flight elsewhere is no evidence against two crashes.
 func (m *Machine) clear(fingerprint ident.Fingerprint) bool {
 	suspect, known := m.suspects[fingerprint]
-	if !known || len(suspect.Crashes) >= CrashesToRefuse {
+	if !known || suspect.isRefused() {
 		return false
 	}
 	delete(m.suspects, fingerprint)
@@ -189,10 +189,10 @@
 	if len(m.suspects) <= maxSuspects {
 		return
 	}
-	all := m.All()
-	sort.Slice(all, func(i, j int) bool { return all[i].KeepUntil.Before(all[j].KeepUntil) })
-	for i := range len(all) - maxSuspects {
-		delete(m.suspects, all[i].Fingerprint)
+	kept := m.MostUrgent(maxSuspects)
+	clear(m.suspects)
+	for i := range kept {
+		m.suspects[kept[i].Fingerprint] = &kept[i]
 	}
 }
 
@@ -210,17 +210,26 @@
 	return all
 }
 
-// Latest returns at most limit suspects, to be sent to peers: those with the latest
-// crashes.
-func (m *Machine) Latest(limit int) []Suspect {
+// MostUrgent returns at most limit suspects, to be sent to peers: those that are refused,
+// then those with the latest crashes.
+func (m *Machine) MostUrgent(limit int) []Suspect {
 	all := m.All()
 	if len(all) <= limit {
 		return all
 	}
-	sort.SliceStable(all, func(i, j int) bool { return all[i].KeepUntil.After(all[j].KeepUntil) })
+	sort.SliceStable(all, func(i, j int) bool {
+		if all[i].isRefused() != all[j].isRefused() {
+			return all[i].isRefused()
+		}
+		return all[i].KeepUntil.After(all[j].KeepUntil)
+	})
 	return all[:limit]
 }
 
+func (s *Suspect) isRefused() bool {
+	return len(s.Crashes) >= CrashesToRefuse
+}
+
 // View is an immutable set of verdicts. A nil View serves every request.
 type View struct {
 	verdicts map[ident.Fingerprint]Verdict
@@ -233,7 +242,7 @@
 	}
 	for fingerprint, suspect := range m.suspects {
 		view.verdicts[fingerprint] = ServeAlone
-		if len(suspect.Crashes) >= CrashesToRefuse {
+		if suspect.isRefused() {
 			view.verdicts[fingerprint] = Refuse
 		}
 	}
--- a/internal/control/suspects/suspects_test.go
+++ b/internal/control/suspects/suspects_test.go
@@ -107,3 +107,22 @@
 	}))
 	require.Equal(t, Serve, here.View().Verdict(7))
 }
+
+// Guards against a refused request that other hosts do not learn of, and that is forgotten, because
+// a crash of large servers has made many suspects since.
+func TestManySuspectsDoNotDisplaceRefusedOnes(t *testing.T) {
+	var machine Machine
+	machine.Step(start, newCrash(7, "gpu-1", "a"))
+	machine.Step(start, newCrash(7, "gpu-2", "b"))
+	for i := range 2 * maxSuspects {
+		machine.Step(start.Add(time.Second), newCrash(ident.Fingerprint(100+i), fmt.Sprint("gpu-", i), "a"))
+	}
+	require.Equal(t, Refuse, machine.View().Verdict(7))
+	sent := machine.MostUrgent(32)
+	require.Len(t, sent, 32)
+	var peer Machine
+	peer.Step(start.Add(time.Second), Received{
+		Suspects: sent,
+	})
+	require.Equal(t, Refuse, peer.View().Verdict(7))
+}
--- a/internal/host/gateway/control.go
+++ b/internal/host/gateway/control.go
@@ -453,7 +453,7 @@
 		Host:        host.Name,
 		DataCentre:  host.DataCentre,
 		Region:      host.Region,
-		Suspects:    c.suspects.Latest(maxMessageSuspects),
+		Suspects:    c.suspects.MostUrgent(maxMessageSuspects),
 		LastOrderAt: c.latestOrderTime(now),
 
 		StoreAnsweredAt: c.storeAnsweredAt(),
