--- a/internal/control/suspects/suspects.go
+++ b/internal/control/suspects/suspects.go
@@ -8,8 +8,8 @@
 // harmless, its answer clears it, and if it is not, no other request is lost with it. A
 // suspect of two crashes is refused. Hosts exchange the crashes they know; a crash is named
 // by the server's name and incarnation, so it counts once however often it is reported.
-// A request without a body may be common: of its crashes, all that no host knew how to
-// foresee count as one.
+// A request without a body may be common: of its crashes, all that are unforeseen count as
+// one.
 //
 // The entry host's control goroutine owns a Machine, which needs no locking: it passes each
 // event to Step and publishes a new View when Step reports a change. Traffic goroutines
@@ -81,8 +81,8 @@
 	Attempt           ident.AttemptID
 	ServerIncarnation ServerIncarnation
 	Address           string
-	// Unforeseen is set if the request says little about itself, so that many callers may
-	// send the same, and no crash under it was known when it was sent.
+	// Unforeseen is set if the request has no body, so that many callers may send the same,
+	// and its host knew of no server lost under it when it was sent.
 	Unforeseen bool
 }
 
--- a/internal/traffic/relay/suspect.go
+++ b/internal/traffic/relay/suspect.go
@@ -37,7 +37,7 @@
 				Server:      ticket.Server,
 				Incarnation: ticket.Incarnation,
 			},
-			Unforeseen: len(s.request.Body) == 0 && s.verdict == suspects.Serve,
+			Unforeseen: len(s.request.Body) == 0 && s.verdict == suspects.Serve && s.runs <= 1,
 		})
 	case sent.result == balance.Answered:
 		answered.Add(now, s.fingerprint)
--- a/internal/traffic/relay/suspect_test.go
+++ b/internal/traffic/relay/suspect_test.go
@@ -69,6 +69,19 @@
 	require.LessOrEqual(t, len(w.arrivals()), 3)
 }
 
+// Guards against a request without a body that takes a second round of servers before it is
+// refused, although it was lost at two of them in the first.
+func TestRequestLostAtTwoServersInARowIsRefused(t *testing.T) {
+	w := newTestEnv(t, safeRoute())
+	for _, name := range []ident.ServerName{"a", "b", "c"} {
+		w.serve(name, breakOff)
+	}
+	for _, id := range []string{"r1", "r2", "r3"} {
+		require.Equal(t, http.StatusBadGateway, w.ask(http.MethodGet, id, nil).status)
+	}
+	require.Len(t, w.arrivals(), 2)
+}
+
 // Guards against accounts that are refused because another account's request to the same path
 // crashes servers.
 func TestSameRequestOfAnotherAccountIsServed(t *testing.T) {
