--- a/internal/traffic/relay/suspect_test.go
+++ b/internal/traffic/relay/suspect_test.go
@@ -76,8 +76,10 @@
 	for _, name := range []ident.ServerName{"a", "b", "c"} {
 		w.serve(name, breakOff)
 	}
+	w.delaysCrashes = true
 	for _, id := range []string{"r1", "r2", "r3"} {
 		require.Equal(t, http.StatusBadGateway, w.ask(http.MethodGet, id, nil).status)
+		w.confirmCrashes()
 	}
 	require.Len(t, w.arrivals(), 2)
 }
--- a/internal/traffic/relay/testenv_test.go
+++ b/internal/traffic/relay/testenv_test.go
@@ -109,6 +109,10 @@
 	shutdown     context.CancelFunc
 	// suspected is what the fleet knows of requests that crash servers.
 	suspected suspects.Machine
+	// unconfirmed are the losses whose servers are not known to have crashed yet, collected
+	// while delaysCrashes is set.
+	unconfirmed   []suspects.LostAttempt
+	delaysCrashes bool
 	// lastFingerprint is that of the last request whose verdict was asked for.
 	lastFingerprint ident.Fingerprint
 	// newerRoutes has routes that come into force while requests wait for them; isOutOfTouch
@@ -245,9 +249,23 @@
 func (w *testEnv) ReportLostAttempt(loss suspects.LostAttempt) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.delaysCrashes {
+		w.unconfirmed = append(w.unconfirmed, loss)
+		return
+	}
 	w.suspected.Step(time.Now(), loss.Crash())
 }
 
+// confirmCrashes makes it known that the servers of all losses so far have crashed.
+func (w *testEnv) confirmCrashes() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i := range w.unconfirmed {
+		w.suspected.Step(time.Now(), w.unconfirmed[i].Crash())
+	}
+	w.unconfirmed = nil
+}
+
 func (w *testEnv) ReportCleared(fingerprint ident.Fingerprint) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
