suspects, gatewaypeer: Let suspects expire though hosts repeat them

What callers saw: nothing reported. Found while asking what becomes of an innocent request that is refused: hosts told each other of a suspect without saying for how long it counts, each took ten minutes from the arrival of every message, and so no suspect ever expired where two hosts run.

Change: a message has the time that is left, and only a new crash extends it. An earlier host's message, without it, counts for ten minutes as before.

Before: TestSuspectExpiresThoughPeersRepeatIt, refused after the hour; after: served.

--- a/internal/control/suspects/suspects.go
+++ b/internal/control/suspects/suspects.go
@@ -31,6 +31,7 @@
 package suspects
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -172,18 +173,15 @@
 		}
 		m.suspects[fingerprint] = suspect
 	}
-	if keepUntil.After(suspect.KeepUntil) {
-		suspect.KeepUntil = keepUntil
-	}
-	for _, crash := range suspect.Crashes {
-		if crash == server {
-			return false
-		}
-	}
-	if suspect.isRefused() {
+	if suspect.isRefused() || slices.Contains(suspect.Crashes, server) {
 		return false
 	}
 	suspect.Crashes = append(suspect.Crashes, server)
+	// Only news extends the time: hosts that tell each other the same crash again and again
+	// would never forget it.
+	if keepUntil.After(suspect.KeepUntil) {
+		suspect.KeepUntil = keepUntil
+	}
 	return true
 }
 
--- a/internal/control/suspects/suspects_test.go
+++ b/internal/control/suspects/suspects_test.go
@@ -126,3 +126,27 @@
 	})
 	require.Equal(t, Refuse, peer.View().Verdict(7))
 }
+
+// Guards against a request that is refused for ever because hosts go on telling each other of it.
+func TestSuspectExpiresThoughPeersRepeatIt(t *testing.T) {
+	var here, peer Machine
+	peer.Step(start, newCrash(7, "gpu-1", "a"))
+	peer.Step(start, newCrash(7, "gpu-2", "b"))
+	const transit = 30 * time.Millisecond
+	tell := func(to, from *Machine, now time.Time) {
+		told := from.All()
+		for i := range told {
+			told[i].KeepUntil = told[i].KeepUntil.Add(transit) // as decoded from the time that is left
+		}
+		to.Step(now, Received{
+			Suspects: told,
+		})
+	}
+	end := start.Add(retention + time.Minute)
+	for now := start; now.Before(end); now = now.Add(100 * time.Millisecond) {
+		tell(&here, &peer, now)
+		tell(&peer, &here, now)
+	}
+	require.Equal(t, Serve, here.View().Verdict(7))
+	require.Equal(t, Serve, peer.View().Verdict(7))
+}
--- a/internal/peer/gatewaypeer/codec.go
+++ b/internal/peer/gatewaypeer/codec.go
@@ -303,6 +303,7 @@
 func encodeSuspect(s *suspects.Suspect) *gatewaypeerpb.Suspect {
 	wire := &gatewaypeerpb.Suspect{
 		Fingerprint: uint64(s.Fingerprint),
+		Left:        int64(time.Until(s.KeepUntil)),
 	}
 	for _, crash := range s.Crashes {
 		wire.Deaths = append(wire.Deaths, &gatewaypeerpb.Death{
@@ -313,13 +314,17 @@
 	return wire
 }
 
-// suspectTTL is how long a peer's report of a suspect counts from its arrival.
+// suspectTTL is how long a suspect counts from its arrival if the peer does not say.
 const suspectTTL = 10 * time.Minute
 
 func decodeSuspect(wire *gatewaypeerpb.Suspect) suspects.Suspect {
+	left := time.Duration(wire.GetLeft())
+	if left == 0 {
+		left = suspectTTL
+	}
 	suspect := suspects.Suspect{
 		Fingerprint: ident.Fingerprint(wire.GetFingerprint()),
-		KeepUntil:   time.Now().Add(suspectTTL),
+		KeepUntil:   time.Now().Add(left),
 	}
 	for _, crash := range wire.GetDeaths() {
 		suspect.Crashes = append(suspect.Crashes, suspects.ServerIncarnation{
