--- a/internal/host/gateway/fleet_test.go
+++ b/internal/host/gateway/fleet_test.go
@@ -436,6 +436,7 @@
 	// unfenced makes engines accept the orders of earlier leaders: the orders of two leaders
 	// must be apart then.
 	unfenced bool
+	links    *serverLinks
 }
 
 // leaderSeparation is the minimum time between the orders of two leaders where engines are
@@ -453,6 +454,7 @@
 		},
 		hosts:  make(map[string]*Gateway),
 		listen: make(map[string]settings.Listen),
+		links:  &serverLinks{},
 	}
 }
 
@@ -497,6 +499,8 @@
 	loaded.Bounds.Grace = 1500 * time.Millisecond
 	f.listen[name] = loaded.Listen
 	host, err := Start(Options{
+		DialServer: f.links.dialer(name),
+
 		Settings: loaded,
 		KeyValue: &client{
 			keyValue: f.keyValue,
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -57,6 +57,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -125,8 +126,11 @@
 	DecodeRegistration  func(entry store.Entry, regions map[ident.DataCentre]ident.Region, now time.Time) (backend.Registration, error)
 }
 
-// Options configures a host. All fields must be set.
+// Options configures a host. All fields must be set but DialServer.
 type Options struct {
+	// DialServer opens a connection to a backend server; nil for a plain TCP connection.
+	DialServer func(ctx context.Context, address string) (net.Conn, error)
+
 	Settings settings.Settings
 	KeyValue KeyValue
 	Engines  Engines
@@ -257,6 +261,7 @@
 	g.pools.Store(&map[ident.ServiceName]*balance.Pool{})
 	dialed := options.Metrics.NewCounter("cicadaloom_connections_opened_total")
 	g.upstreamClient = &upstream.Client{
+		Dial:   options.DialServer,
 		OnDial: dialed.Inc,
 	}
 	requestsCtx, cancelRequests := context.WithCancel(context.Background())
--- a/internal/peer/upstream/pool.go
+++ b/internal/peer/upstream/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -24,8 +25,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	var dialer net.Dialer
-	opened, err := dialer.DialContext(ctx, "tcp", request.Address)
+	dial := c.Dial
+	if dial == nil {
+		dial = dialTCP
+	}
+	opened, err := dial(ctx, request.Address)
 	if err != nil {
 		return nil, errors.Wrap(err, "connect")
 	}
@@ -40,10 +44,19 @@
 	}, nil
 }
 
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 // setUserTimeout makes the kernel end a connection whose peer no longer acknowledges sent
 // bytes. If the option can't be set, the deadline of the exchange still applies.
 func setUserTimeout(conn net.Conn) {
-	raw, err := conn.(*net.TCPConn).SyscallConn()
+	socket, isSocket := conn.(syscall.Conn)
+	if !isSocket {
+		return
+	}
+	raw, err := socket.SyscallConn()
 	if err != nil {
 		return
 	}
@@ -132,7 +145,11 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	socket, isSocket := c.Conn.(syscall.Conn)
+	if !isSocket {
+		return false
+	}
+	raw, err := socket.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/internal/peer/upstream/upstream.go
+++ b/internal/peer/upstream/upstream.go
@@ -77,6 +77,8 @@
 // Client keeps connections to backend servers. The zero value is ready for use; it is safe
 // for use by many goroutines.
 type Client struct {
+	// Dial opens a connection to a server; nil for a plain TCP connection.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// OnDial is called for each connection opened; nil for no call.
 	OnDial    func()
 	mu        sync.Mutex
