gateway, paths: Connect through a peer where a host is cut off from servers

What callers saw: at hosts that were partitioned from all servers, while clients, the store and the other hosts reached them, 36 of 157 first tries were served, 355 of 369 at the others (25 of 144 and 360 of 368 in the second cut).

A host had one path to a server, its own connection. The class of fault: a failure between this host and a server is taken for a failure of the server. So it tried one server after the other, 400 ms each, and ejected them all.

Ruled out: reporting the host as not ready. Where most hosts of a data centre are cut off the platform uses all of them, and kept connections stay.

Change: package control/paths keeps, for each host, the servers that it fails to connect to. Such a server gets a detour: its connections are opened through a peer, which dials and passes bytes on (package peer/tunnelpeer, a gRPC stream). After three servers in a row the host takes itself for cut off from all. Probes, four a second at most, end the detour.

Asked of it: deadlines, retries, tokens, resumption, keys and at most once stay with the host that has the client, which still decides on each send; not one byte has left before the peer says that the server accepted. A client that leaves ends the stream and the peer closes its connection. A peer dials only directly, only servers that it knows and uses, 256 at most, and none while it is cut off or stops; its planned stop waits for them. Each direction holds one window. A host uses four peers of its region at most, ranked by a hash of both names, so that 300 cut hosts of 985 spread; the choice takes 32 us at 985 hosts, 77 us at 1,970 (benchmark). A detour's connection carries one request.

--- a/internal/control/balance/balance.go
+++ b/internal/control/balance/balance.go
@@ -106,6 +106,8 @@
 	NotHeld Result = "NotHeld"
 	// Unreached: no connection could be opened.
 	Unreached Result = "Unreached"
+	// Detoured: this host could not open a connection, and another host is to open one.
+	Detoured Result = "Detoured"
 	// Broken: the connection ended early, or what arrived is not a valid answer.
 	Broken Result = "Broken"
 	// Silent: no answer arrived within the expected time.
@@ -311,6 +313,18 @@
 	return p.changed
 }
 
+// AddressOf returns the address of an incarnation of a server, if the pool has it and it accepts
+// new requests.
+func (p *Pool) AddressOf(name ident.ServerName, incarnation ident.Incarnation) (string, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, known := p.servers[name]
+	if !known || s.info.Incarnation != incarnation || s.isLeaving() {
+		return "", false
+	}
+	return s.info.Address, true
+}
+
 // SetServerLimit bounds this host's requests in flight at one server: its share of the
 // connections that the server accepts.
 func (p *Pool) SetServerLimit(limit int) {
--- a/internal/control/balance/choose.go
+++ b/internal/control/balance/choose.go
@@ -392,7 +392,7 @@
 	case Broken, Silent:
 		p.raiseErrorShare(s)
 		s.recordFailure(now)
-	case Left:
+	case Left, Detoured:
 		s.probing = false
 	}
 	p.notifyChanged()
--- a/internal/host/gateway/cut_test.go
+++ b/internal/host/gateway/cut_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -10,6 +11,9 @@
 
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sys/unix"
+
+	"cicadaloom/internal/control/paths"
+	"cicadaloom/internal/peer/tunnelpeer"
 )
 
 // cut is how a host is cut off from all servers.
@@ -139,3 +143,131 @@
 		})
 	}
 }
+
+// cutOff starts hosts of which the first is cut off from all servers, and knows it.
+func cutOff(t *testing.T, handler http.Handler, names ...string) *fleet {
+	f := newFleet(t)
+	f.keyValue.write("configuration", configuration(1, "old"))
+	for _, server := range []string{"one", "two", "three"} {
+		f.serveHandler("old", server, handler)
+	}
+	for _, name := range names {
+		f.start(name)
+	}
+	for _, name := range names {
+		f.eventually(func() bool { status, _ := f.request(name); return status == http.StatusOK }, name)
+	}
+	f.links.set(names[0], resets)
+	f.eventually(func() bool { f.request(names[0]); return f.hosts[names[0]].tunnels.paths.IsCutOff() }, "knows that it is cut off")
+	return f
+}
+
+// slowServer answers after a time, at once for the path /x, and counts the clients that have left.
+type slowServer struct {
+	delay   time.Duration
+	started chan struct{}
+	left    chan struct{}
+}
+
+func (s *slowServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/x" {
+		s.started <- struct{}{}
+		select {
+		case <-time.After(s.delay):
+		case <-r.Context().Done():
+			s.left <- struct{}{}
+		}
+	}
+	w.Header().Set("Id", r.Header.Get("Id"))
+	_, _ = io.WriteString(w, "answer")
+}
+
+func newSlowServer(delay time.Duration) *slowServer {
+	return &slowServer{
+		delay:   delay,
+		started: make(chan struct{}, 1),
+		left:    make(chan struct{}, 1),
+	}
+}
+
+// Guards against requests that go on through peers after the host reaches the servers again.
+func TestDetourEndsWithTheCut(t *testing.T) {
+	f := cutOff(t, newSlowServer(0), "a", "b")
+	f.links.set("a", notCut)
+	f.eventually(func() bool { f.request("a"); return !f.hosts["a"].tunnels.paths.IsCutOff() }, "direct path")
+	f.eventually(func() bool { return f.hosts["b"].tunnels.count() == 0 }, "no connection is left at the peer")
+	f.eventually(func() bool {
+		before := f.hosts["a"].tunnels.openedAt.Load()
+		for range 10 {
+			f.request("a")
+		}
+		return f.hosts["a"].tunnels.openedAt.Load() == before
+	}, "no request takes a detour")
+}
+
+// Guards against a planned stop of a peer that cuts the requests of a host that is cut off.
+func TestPlannedStopOfPeerCutsNoDetour(t *testing.T) {
+	slow := newSlowServer(300 * time.Millisecond)
+	f := cutOff(t, slow, "a", "b")
+	answered := make(chan int, 1)
+	go func() {
+		status, _ := f.requestPath("a", "/slow", "")
+		answered <- status
+	}()
+	<-slow.started
+	require.Equal(t, int64(1), f.hosts["b"].tunnels.count())
+	f.stop("b")
+	require.Equal(t, http.StatusOK, <-answered)
+}
+
+// Guards against a server that works on for a client that has left, since a peer keeps the
+// connection open.
+func TestClientThatLeavesEndsItsRequestThroughPeer(t *testing.T) {
+	slow := newSlowServer(10 * time.Second)
+	f := cutOff(t, slow, "a", "b")
+	ctx, leave := context.WithCancel(context.Background())
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.listen["a"].Callers+"/slow", nil)
+	require.NoError(t, err)
+	r.Host = "desk.example"
+	r.Header.Set("Id", "r1")
+	go func() {
+		<-slow.started
+		leave()
+	}()
+	response, err := http.DefaultClient.Do(r)
+	if err == nil {
+		_ = response.Body.Close()
+	}
+	require.Error(t, err)
+	select {
+	case <-slow.left:
+	case <-time.After(time.Second):
+		t.Fatal("the server works on")
+	}
+	f.eventually(func() bool { return f.hosts["b"].tunnels.count() == 0 }, "no connection is left at the peer")
+}
+
+// Guards against a host that opens connections to any address for whoever asks.
+func TestPeerConnectsToKnownServersOnly(t *testing.T) {
+	f := startServedFleet(t, "a")
+	_, err := f.hosts["a"].OpenForPeer(context.Background(), paths.Server{
+		Name:        "unknown",
+		Incarnation: "1",
+	})
+	require.ErrorIs(t, err, tunnelpeer.ErrUnreachable)
+	_, err = f.hosts["a"].OpenForPeer(context.Background(), paths.Server{
+		Name:        "one",
+		Incarnation: "an earlier one",
+	})
+	require.ErrorIs(t, err, tunnelpeer.ErrUnreachable)
+}
+
+// Guards against a host that is cut off itself and passes connections on, in a circle or to no end.
+func TestHostCutOffOpensNoConnectionsForPeers(t *testing.T) {
+	f := cutOff(t, newSlowServer(0), "a", "b")
+	_, err := f.hosts["a"].OpenForPeer(context.Background(), paths.Server{
+		Name:        "one",
+		Incarnation: "1",
+	})
+	require.ErrorIs(t, err, tunnelpeer.ErrUnable)
+}
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -150,6 +150,7 @@
 	peerServer      gatewaypeer.Server
 	handler         *relay.Handler
 	upstreamClient  *upstream.Client
+	tunnels         tunnels
 	budget          *retries.Budget
 	backpressure    backpressure.Table
 	limiter         *limiter.Limiter
@@ -253,6 +254,9 @@
 		IsInTouch: g.isInTouch,
 		Log:       options.Log,
 	})
+	if g.options.DialServer == nil {
+		g.options.DialServer = dialServer
+	}
 	g.SetSeeds(options.Settings.Seeds)
 	g.watchers.Store(&watcherSet{})
 	watchersChanged := make(chan struct{})
@@ -261,7 +265,6 @@
 	g.pools.Store(&map[ident.ServiceName]*balance.Pool{})
 	dialed := options.Metrics.NewCounter("cicadaloom_connections_opened_total")
 	g.upstreamClient = &upstream.Client{
-		Dial:   options.DialServer,
 		OnDial: dialed.Inc,
 	}
 	requestsCtx, cancelRequests := context.WithCancel(context.Background())
--- a/internal/host/gateway/stop.go
+++ b/internal/host/gateway/stop.go
@@ -61,6 +61,7 @@
 		}
 	}
 	g.peers.Close()
+	g.tunnels.connections.Close()
 	g.upstreamClient.Close()
 }
 
@@ -74,7 +75,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			if now.After(latest) || now.After(earliest) && g.handler.InFlight() == 0 {
+			if now.After(latest) || now.After(earliest) && g.handler.InFlight() == 0 && g.tunnels.count() == 0 {
 				return
 			}
 		}
--- /dev/null
+++ b/internal/host/gateway/tunnels.go
@@ -0,0 +1,234 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"cicadaloom/internal/control/pacing"
+	"cicadaloom/internal/control/paths"
+	"cicadaloom/internal/peer/grpcpeer"
+	"cicadaloom/internal/peer/tunnelpeer"
+	"cicadaloom/internal/peer/upstream"
+)
+
+const (
+	// serverDialTimeout is how long a probe or a connection for a peer may take to open.
+	serverDialTimeout = 300 * time.Millisecond
+	// minDialEvidence is how long a connection must have been opening for the end of its time to
+	// say anything about the server.
+	minDialEvidence = 250 * time.Millisecond
+	// maxTunnels bounds the connections that this host has open for peers, and with them the
+	// memory and processor time that it gives them.
+	maxTunnels = 256
+)
+
+// tunnels are the connections between this host and servers that lead through a peer, and
+// those that it opens for peers. It is safe for many goroutines.
+type tunnels struct {
+	paths paths.Table
+	// connections are to the peers. They are apart from those for messages, which are closed
+	// when a message gets no answer.
+	connections grpcpeer.Pool
+	hosts       atomic.Pointer[[]pacing.Host]
+	// forPeers counts the connections that this host has open for peers.
+	forPeers atomic.Int64
+	// openedAt is when a peer last opened a connection for this host, by steadyNanos; 0 for
+	// never.
+	openedAt atomic.Int64
+	// isProbing is set while a probe is under way.
+	isProbing atomic.Bool
+}
+
+func (t *tunnels) setHosts(hosts []pacing.Host) {
+	t.hosts.Store(&hosts)
+	addresses := make(map[string]bool, len(hosts))
+	for i := range hosts {
+		addresses[hosts[i].Address] = true
+	}
+	t.connections.CloseOthers(addresses)
+}
+
+// hasPeers reports whether there are other hosts.
+func (t *tunnels) hasPeers() bool {
+	hosts := t.hosts.Load()
+	return hosts != nil && len(*hosts) > 1
+}
+
+// count returns how many connections this host has open for peers.
+func (t *tunnels) count() int64 {
+	return t.forPeers.Load()
+}
+
+func dialServer(ctx context.Context, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
+// PathTo implements relay.ControlPlane.
+func (g *Gateway) PathTo(server paths.Server, address string) upstream.Path {
+	choice := g.tunnels.paths.Choose(time.Now(), server)
+	if choice.Probe {
+		g.probe(server, address)
+	}
+	if !choice.Detour || !g.tunnels.hasPeers() {
+		return upstream.Path{
+			Dial: func(ctx context.Context) (net.Conn, error) { return g.dialDirectly(ctx, server, address) },
+		}
+	}
+	return upstream.Path{
+		IsDetour: true,
+		Dial:     func(ctx context.Context) (net.Conn, error) { return g.dialThroughPeer(ctx, server) },
+	}
+}
+
+// tunnelPeers returns the peers to connect through, in the order in which to try them.
+func (g *Gateway) tunnelPeers() []pacing.Host {
+	hosts := g.tunnels.hosts.Load()
+	if hosts == nil {
+		return nil
+	}
+	own := paths.Location{
+		Host:   g.options.Settings.Host.Name,
+		Region: g.options.Settings.Host.Region,
+	}
+	return g.tunnels.paths.Peers(time.Now(), own, *hosts, rand.Uint64())
+}
+
+// dialDirectly connects to a server, and records whether that works.
+func (g *Gateway) dialDirectly(ctx context.Context, server paths.Server, address string) (net.Conn, error) {
+	started := time.Now()
+	conn, err := g.options.DialServer(ctx, address)
+	if err != nil && ctx.Err() != nil && time.Since(started) < minDialEvidence {
+		return nil, err // the client has left, or its deadline was near
+	}
+	change := g.tunnels.paths.RecordDirect(server, err == nil)
+	g.logPathChange(change)
+	if err == nil {
+		return conn, nil
+	}
+	if change.DetourBegins {
+		g.upstreamClient.DropIdle(address)
+	}
+	if g.tunnels.hasPeers() {
+		return nil, errors.Wrap(upstream.ErrDetourOpen, err.Error())
+	}
+	return nil, err
+}
+
+func (g *Gateway) logPathChange(change paths.Change) {
+	switch {
+	case !change.Changed:
+	case change.IsCutOff:
+		g.log.Warn("this host is cut off from servers, and connects to them through peers")
+	default:
+		g.log.Info("this host connects to servers directly again")
+	}
+}
+
+// dialThroughPeer connects to a server through the first peer that can. The error is
+// tunnelpeer.ErrUnreachable if all peers that were asked reach servers, but not this one.
+func (g *Gateway) dialThroughPeer(ctx context.Context, server paths.Server) (net.Conn, error) {
+	client := tunnelpeer.Client{
+		Pool: &g.tunnels.connections,
+	}
+	lastErr := errors.New("no peer can connect to the server")
+	for _, peer := range g.tunnelPeers() {
+		conn, err := client.Dial(ctx, peer.Address, server)
+		switch {
+		case err == nil:
+			g.tunnels.openedAt.Store(steadyNanos())
+			return conn, nil
+		case ctx.Err() != nil:
+			return nil, err
+		case errors.Is(err, tunnelpeer.ErrUnreachable):
+			g.tunnels.paths.RecordUnreachable(server)
+		default:
+			g.tunnels.paths.RecordUnable(time.Now(), peer.Name)
+		}
+		g.log.Debug("peer can't connect to server", zap.String("Peer", string(peer.Name)),
+			zap.String("Server", string(server.Name)), zap.Error(err))
+		lastErr = err
+	}
+	return nil, lastErr
+}
+
+// probe finds out whether this host can connect to a server directly again. One probe is under
+// way at a time.
+func (g *Gateway) probe(server paths.Server, address string) {
+	if !g.tomb.Alive() || !g.tunnels.isProbing.CompareAndSwap(false, true) {
+		return
+	}
+	g.tomb.Go(func() error {
+		defer g.tunnels.isProbing.Store(false)
+		ctx, cancel := context.WithTimeout(g.context(), serverDialTimeout)
+		defer cancel()
+		conn, err := g.options.DialServer(ctx, address)
+		if err == nil {
+			_ = conn.Close() // only whether it opens matters
+		}
+		g.logPathChange(g.tunnels.paths.RecordDirect(server, err == nil))
+		return nil
+	})
+}
+
+// OpenForPeer implements gatewaypeer.Handler. It connects directly, so that a connection leads
+// through one peer at most, and only to servers that this host knows and uses itself.
+func (g *Gateway) OpenForPeer(ctx context.Context, server paths.Server) (net.Conn, error) {
+	if g.stopping.Load() || g.tunnels.paths.IsCutOff() {
+		return nil, tunnelpeer.ErrUnable
+	}
+	address := g.addressOf(server)
+	if address == "" || !g.tunnels.paths.Reaches(server) {
+		return nil, tunnelpeer.ErrUnreachable
+	}
+	if g.tunnels.forPeers.Add(1) > maxTunnels {
+		g.tunnels.forPeers.Add(-1)
+		return nil, tunnelpeer.ErrUnable
+	}
+	ctx, cancel := context.WithTimeout(ctx, serverDialTimeout)
+	defer cancel()
+	conn, err := g.dialDirectly(ctx, server, address)
+	if err != nil {
+		g.tunnels.forPeers.Add(-1)
+		if g.tunnels.paths.IsCutOff() {
+			return nil, tunnelpeer.ErrUnable
+		}
+		return nil, tunnelpeer.ErrUnreachable
+	}
+	return &countedConn{
+		Conn:  conn,
+		count: &g.tunnels.forPeers,
+	}, nil
+}
+
+// addressOf returns a server's address, empty if this host doesn't know the server or sends
+// it no new requests.
+func (g *Gateway) addressOf(server paths.Server) string {
+	for _, pool := range *g.pools.Load() {
+		if address, known := pool.AddressOf(server.Name, server.Incarnation); known {
+			return address
+		}
+	}
+	return ""
+}
+
+// countedConn counts as open until its first Close.
+type countedConn struct {
+	net.Conn
+	count    *atomic.Int64
+	isClosed atomic.Bool
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	if c.isClosed.CompareAndSwap(false, true) {
+		c.count.Add(-1)
+	}
+	return c.Conn.Close()
+}
--- a/internal/peer/gatewaypeer/gatewaypeer.go
+++ b/internal/peer/gatewaypeer/gatewaypeer.go
@@ -3,7 +3,7 @@
 // form, proto/gatewaypeer/gatewaypeer.proto; Server receives calls for a Handler, which the
 // package host/gateway implements, and Pool sends them.
 //
-// There are six calls, besides that of package permitpeer:
+// There are six calls, besides those of packages permitpeer and tunnelpeer:
 //
 //   - Exchange sends a message and returns the peer's. Both have the sender's configuration
 //     version and suspects. The caller adds its demand for models; the reply adds what has
@@ -50,6 +50,7 @@
 	"cicadaloom/internal/domain/route"
 	"cicadaloom/internal/peer/grpcpeer"
 	"cicadaloom/internal/peer/permitpeer"
+	"cicadaloom/internal/peer/tunnelpeer"
 	"cicadaloom/internal/wire/gatewaypeerpb"
 )
 
@@ -101,6 +102,7 @@
 // Handler answers peers. It must be safe for many goroutines.
 type Handler interface {
 	permitpeer.Handler
+	tunnelpeer.Handler
 	Exchange(ctx context.Context, received Message) (Message, error)
 	// Schedule finds an engine for a prompt, and the instant to send it. It may wait.
 	Schedule(ctx context.Context, prompt *pacing.Prompt) pacing.Reservation
@@ -128,6 +130,7 @@
 			handler: handler,
 		})
 		permitpeer.Register(registrar, handler)
+		tunnelpeer.Register(registrar, handler)
 	}, nil)
 }
 
--- a/internal/peer/upstream/pool.go
+++ b/internal/peer/upstream/pool.go
@@ -25,11 +25,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	dial := c.Dial
-	if dial == nil {
-		dial = dialTCP
-	}
-	opened, err := dial(ctx, request.Address)
+	opened, err := request.dial(ctx)
 	if err != nil {
 		return nil, errors.Wrap(err, "connect")
 	}
@@ -38,15 +34,30 @@
 	}
 	setUserTimeout(opened)
 	return &connection{
-		Conn:    opened,
-		reader:  bufio.NewReaderSize(opened, readBufferBytes),
-		address: request.Address,
+		Conn:     opened,
+		reader:   bufio.NewReaderSize(opened, readBufferBytes),
+		address:  request.Address,
+		isDetour: request.Path.IsDetour,
 	}, nil
 }
 
-func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+func (r *Request) dial(ctx context.Context) (net.Conn, error) {
+	if r.Path.Dial != nil {
+		return r.Path.Dial(ctx)
+	}
 	var dialer net.Dialer
-	return dialer.DialContext(ctx, "tcp", address)
+	return dialer.DialContext(ctx, "tcp", r.Address)
+}
+
+// DropIdle closes the idle connections to a server that this host is cut off from: they may look
+// open and be dead.
+func (c *Client) DropIdle(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, conn := range c.idle[address] {
+		_ = conn.Close()
+	}
+	delete(c.idle, address)
 }
 
 // setUserTimeout makes the kernel end a connection whose peer no longer acknowledges sent
@@ -70,6 +81,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
+	if request.Path.IsDetour {
+		return nil
+	}
 	idle := c.idle[request.Address]
 	for len(idle) > 0 {
 		conn := idle[len(idle)-1]
@@ -90,7 +104,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	if c.closed || idleTimeout <= 0 {
+	if c.closed || conn.isDetour || idleTimeout <= 0 {
 		_ = conn.Close()
 		return
 	}
--- a/internal/peer/upstream/upstream.go
+++ b/internal/peer/upstream/upstream.go
@@ -77,8 +77,6 @@
 // Client keeps connections to backend servers. The zero value is ready for use; it is safe
 // for use by many goroutines.
 type Client struct {
-	// Dial opens a connection to a server; nil for a plain TCP connection.
-	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// OnDial is called for each connection opened; nil for no call.
 	OnDial    func()
 	mu        sync.Mutex
@@ -87,9 +85,22 @@
 	lastSweep time.Time
 }
 
+// Path is how to connect to a server. The zero value opens a plain TCP connection.
+type Path struct {
+	// IsDetour is whether connections go through a peer. Each then carries one request, so that
+	// none is left when the direct path works again, or when the peer stops.
+	IsDetour bool
+	// Dial opens a connection to the server; nil for a plain TCP connection.
+	Dial func(ctx context.Context) (net.Conn, error)
+}
+
+// ErrDetourOpen is the cause of a failure to connect after which a detour can be tried.
+var ErrDetourOpen = errors.New("the server may be reached through a peer")
+
 // Request is one request to one server.
 type Request struct {
 	Address string
+	Path    Path
 	// Deadline is when the whole exchange is abandoned; zero for never.
 	Deadline time.Time
 	Method   string
@@ -136,11 +147,17 @@
 	return errors.As(err, &sendError) && sendError.Unreached
 }
 
+// HasDetour reports that no connection could be opened, and that a detour can be tried.
+func HasDetour(err error) bool {
+	return IsUnreached(err) && errors.Is(err, ErrDetourOpen)
+}
+
 // connection is a connection with its buffered reader.
 type connection struct {
 	net.Conn
 	reader    *bufio.Reader
 	address   string
+	isDetour  bool
 	idleSince time.Time
 	closeAt   time.Time
 }
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -54,6 +54,7 @@
 
 	"cicadaloom/internal/control/balance"
 	"cicadaloom/internal/control/pacing"
+	"cicadaloom/internal/control/paths"
 	"cicadaloom/internal/control/permits"
 	"cicadaloom/internal/control/quota"
 	"cicadaloom/internal/control/retries"
@@ -148,6 +149,8 @@
 	Refund(grant quota.Grant)
 	// Borrow asks other hosts for an unused retry token, after this host has spent its own.
 	Borrow(ctx context.Context, service ident.ServiceName) bool
+	// PathTo returns how to connect to a server.
+	PathTo(server paths.Server, address string) upstream.Path
 	// Verdict reports whether servers have crashed while they ran a request that its caller
 	// has sent before.
 	Verdict(fingerprint ident.Fingerprint) suspects.Verdict
--- a/internal/traffic/relay/send.go
+++ b/internal/traffic/relay/send.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cicadaloom/internal/control/balance"
+	"cicadaloom/internal/control/paths"
 	"cicadaloom/internal/domain/route"
 	"cicadaloom/internal/peer/httpsend"
 	"cicadaloom/internal/peer/upstream"
@@ -52,7 +53,11 @@
 	})
 	sentAt := h.Now()
 	exchange, err := h.Upstream.Send(ctx, upstream.Request{
-		Address:    ticket.Address,
+		Address: ticket.Address,
+		Path: h.ControlPlane.PathTo(paths.Server{
+			Name:        ticket.Server,
+			Incarnation: ticket.Incarnation,
+		}, ticket.Address),
 		Deadline:   s.deadline,
 		Method:     s.request.Method,
 		Target:     s.request.Target,
@@ -103,6 +108,8 @@
 		result.result = balance.Left
 	case ctx.Err() != nil || s.isPastDeadline():
 		result.result = balance.Silent
+	case upstream.HasDetour(err):
+		result.result = balance.Detoured
 	case upstream.IsUnreached(err):
 		result.result = balance.Unreached
 	}
--- a/internal/traffic/relay/serving.go
+++ b/internal/traffic/relay/serving.go
@@ -47,9 +47,10 @@
 	history  outcome.AttemptHistory
 	tried    []ident.ServerName
 	// sends counts all sends, arrivals the sends that may have reached a server, runs the
-	// sends that may have run.
+	// sends that may have run, and detours the sends that a detour replaces.
 	sends    int
 	arrivals int
+	detours  int
 	runs     int
 	// stream is the state of a streamed answer that has started.
 	stream stream
@@ -184,7 +185,11 @@
 	s.history.RecordSend(attempt)
 	sent := s.send(ctx, ticket)
 	now := h.Now()
-	if sent.result != balance.Unreached {
+	switch sent.result {
+	case balance.Unreached:
+	case balance.Detoured:
+		s.detours++
+	default:
 		s.arrivals++
 	}
 	s.endSend(ticket, now, sent.result)
@@ -285,7 +290,7 @@
 		s.timeOut()
 	case !sent.provedNotRun && !s.route.MayRepeat():
 		s.abandon(sent.reason)
-	case s.runs >= s.route.MaxAttempts || s.sends >= maxSends || s.verdict != suspects.Serve && s.runs > 0:
+	case s.runs >= s.route.MaxAttempts || s.hasSentEnough() || s.verdict != suspects.Serve && s.runs > 0:
 		s.abandon(sent.reason)
 	default:
 		return true
@@ -293,6 +298,11 @@
 	return false
 }
 
+// hasSentEnough reports whether the request has been sent as often as is allowed.
+func (s *requestState) hasSentEnough() bool {
+	return s.sends-min(s.detours, maxSends) >= maxSends
+}
+
 // isPastDeadline reports whether the deadline has passed. The connection's own deadline is
 // set to the same time as the context's and may fire first: the request must then be
 // neither sent again nor reported as a broken connection.
--- a/internal/traffic/relay/testenv_test.go
+++ b/internal/traffic/relay/testenv_test.go
@@ -20,6 +20,7 @@
 	"cicadaloom/internal/control/backpressure"
 	"cicadaloom/internal/control/balance"
 	"cicadaloom/internal/control/pacing"
+	"cicadaloom/internal/control/paths"
 	"cicadaloom/internal/control/permits"
 	"cicadaloom/internal/control/quota"
 	"cicadaloom/internal/control/retries"
@@ -205,6 +206,11 @@
 	return grant
 }
 
+// PathTo connects to servers directly.
+func (w *testEnv) PathTo(paths.Server, string) upstream.Path {
+	return upstream.Path{}
+}
+
 func (w *testEnv) Refund(grant quota.Grant) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
