gateway: Hand the leadership over where only the leader is cut off from engines

The leader has its lease from the store, which it reached all the while. Orders can't take the way through a peer: to engines those of two machines are those of two leaders.

Change: a leader that is cut off while a peer has opened a connection for it within 2 s ends its term, and a host in that state does not try to lead. Where servers have failed for all there is no such connection, and nothing changes.

Before: TestLeaderCutOffFromEnginesHandsOver failed; after: passes.

--- a/internal/host/gateway/control.go
+++ b/internal/host/gateway/control.go
@@ -155,6 +155,7 @@
 
 func (c *control) handleTick(now time.Time) {
 	c.checkTickDelay(now)
+	c.endTermIfCutOff()
 	c.updateInventoryFreshness(now)
 	if now.Sub(c.gauges.updatedAt) > time.Second {
 		c.forgetMissingHosts(now)
@@ -225,6 +226,13 @@
 	}
 }
 
+// endTermIfCutOff ends this host's term as leader while it reaches no engine and others do.
+func (c *control) endTermIfCutOff() {
+	if c.term != nil && c.tunnels.isCutOffAlone() {
+		c.term.ended.Store(true)
+	}
+}
+
 // publish updates what requests see of hosts and servers.
 func (c *control) publish(now time.Time) {
 	if c.hostsChanged {
--- a/internal/host/gateway/cut_test.go
+++ b/internal/host/gateway/cut_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -13,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"cicadaloom/internal/control/paths"
+	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/peer/tunnelpeer"
 )
 
@@ -271,3 +273,36 @@
 	})
 	require.ErrorIs(t, err, tunnelpeer.ErrUnable)
 }
+
+// markCutOff makes a host take itself for cut off from servers that a peer reaches.
+func (f *fleet) markCutOff(host string) {
+	t := &f.hosts[host].tunnels
+	for _, name := range []ident.ServerName{"x", "y", "z"} {
+		t.paths.RecordDirect(paths.Server{
+			Name: name,
+		}, false)
+	}
+	t.openedAt.Store(steadyNanos())
+}
+
+// Guards against a leader that keeps its office while it reaches no engine, so that no host gets
+// models loaded.
+func TestLeaderCutOffFromEnginesHandsOver(t *testing.T) {
+	f := newFleet(t)
+	f.keyValue.write("configuration", engineConfiguration())
+	f.start("a")
+	f.eventually(func() bool { return slices.Equal(f.leaders(), []string{"a"}) }, "first leader")
+	f.start("b")
+	f.eventually(func() bool { return f.isReady("b") }, "b")
+	f.eventually(func() bool { f.markCutOff("a"); return slices.Equal(f.leaders(), []string{"b"}) }, "second leader")
+}
+
+// Guards against a fleet without a leader while no host reaches a server, or none is used.
+func TestHostCutOffLeadsIfNoPeerReachesServers(t *testing.T) {
+	f := newFleet(t)
+	f.keyValue.write("configuration", engineConfiguration())
+	f.start("a")
+	f.markCutOff("a")
+	f.hosts["a"].tunnels.openedAt.Store(0)
+	f.eventually(func() bool { return slices.Equal(f.leaders(), []string{"a"}) }, "leader")
+}
--- a/internal/host/gateway/leader.go
+++ b/internal/host/gateway/leader.go
@@ -109,7 +109,7 @@
 func (g *Gateway) runLeadership() error {
 	for g.tomb.Alive() {
 		g.sleep(g.currentLeaderPoll())
-		if g.stopping.Load() || !g.leaderless.Load() || g.routes.Load() == nil {
+		if g.stopping.Load() || !g.leaderless.Load() || g.routes.Load() == nil || g.tunnels.isCutOffAlone() {
 			continue
 		}
 		g.sleep(g.acquireDelay())
@@ -247,7 +247,7 @@
 		}
 		if term.ended.Load() {
 			g.releaseKey(ctx, term)
-			return "an engine or a peer knows a later leader, or this machine is slow"
+			return "an engine or a peer knows a later leader, or this machine is slow or cut off from servers"
 		}
 		steadySent, bootSent := steadyNanos(), bootNanos()
 		err := g.options.KeyValue.RenewLease(ctx, term.lease)
--- a/internal/host/gateway/tunnels.go
+++ b/internal/host/gateway/tunnels.go
@@ -65,6 +65,16 @@
 	return t.forPeers.Load()
 }
 
+// detourValidity is how long a connection that a peer has opened shows that peers reach servers.
+const detourValidity = 2 * time.Second
+
+// isCutOffAlone reports whether this host is cut off from servers that a peer reaches. Where
+// servers have failed for all, no host would be better placed.
+func (t *tunnels) isCutOffAlone() bool {
+	openedAt := t.openedAt.Load()
+	return openedAt > 0 && steadyNanos()-openedAt < int64(detourValidity) && t.paths.IsCutOff()
+}
+
 func dialServer(ctx context.Context, address string) (net.Conn, error) {
 	var dialer net.Dialer
 	return dialer.DialContext(ctx, "tcp", address)
