gateway: Take no server for crashed that a peer reaches

What callers saw: nothing reported. Found while asking what the way round a cut means for the suspects: connections of a host that is cut off may be reset and new ones refused, which is how a host tells that a server has crashed. All requests that it had in flight became suspects, on all hosts.

Change: where a server refuses this host's connections, a peer is asked to connect. The server counts as crashed only if a peer that reaches others does not reach it, or if there is no other host.

Before: TestHostCutOffSuspectsNoRequests failed, one crash; after: passes. TestRepeatsOfCrashingRequestWithoutBodyEnd passes with the peers asked.

--- a/internal/host/gateway/cut_test.go
+++ b/internal/host/gateway/cut_test.go
@@ -14,7 +14,9 @@
 	"golang.org/x/sys/unix"
 
 	"cicadaloom/internal/control/paths"
+	"cicadaloom/internal/control/suspects"
 	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/domain/request"
 	"cicadaloom/internal/peer/tunnelpeer"
 )
 
@@ -306,3 +308,35 @@
 	f.hosts["a"].tunnels.openedAt.Store(0)
 	f.eventually(func() bool { return slices.Equal(f.leaders(), []string{"a"}) }, "leader")
 }
+
+// Guards against requests that are refused everywhere because the host that had sent them was cut
+// off from servers that went on running.
+func TestHostCutOffSuspectsNoRequests(t *testing.T) {
+	f := newFleet(t)
+	f.keyValue.write("configuration", configuration(1, "old"))
+	slow := newSlowServer(10 * time.Second)
+	f.serveHandler("old", "one", slow)
+	for _, name := range []string{"a", "b"} {
+		f.start(name)
+		f.eventually(func() bool { status, _ := f.request(name); return status == http.StatusOK }, name)
+	}
+	answered := make(chan struct{})
+	go func() {
+		f.requestPath("a", "/slow", "")
+		close(answered)
+	}()
+	<-slow.started
+	f.links.set("a", resets)
+	<-slow.left
+	time.Sleep(crashProbeDelays[0] + crashProbeDelays[1] + crashProbeDelays[2] + 2*crashProbeTimeout)
+	fingerprint := (&request.Request{
+		Host: "desk.example",
+		Path: "/slow",
+	}).Fingerprint("")
+	require.Equal(t, suspects.Serve, f.hosts["a"].Verdict(fingerprint))
+	select {
+	case <-slow.started: // the repeat through the peer
+		f.links.set("a", notCut)
+	case <-answered:
+	}
+}
--- a/internal/host/gateway/suspects.go
+++ b/internal/host/gateway/suspects.go
@@ -2,15 +2,16 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 
+	"cicadaloom/internal/control/paths"
 	"cicadaloom/internal/control/suspects"
 	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/peer/tunnelpeer"
 )
 
 // maxMessageSuspects is how many suspects a message has at most.
@@ -37,7 +38,7 @@
 	g.tomb.Go(func() error {
 		for _, delay := range crashProbeDelays {
 			g.sleep(delay)
-			if g.refusesConnections(loss.Address) {
+			if g.refusesConnections(loss.Address) && !g.isReachedByPeer(loss.ServerIncarnation) {
 				g.log.Info("server crashed while it served a request", zap.String("Request", string(loss.Request)),
 					zap.String("Server", string(loss.ServerIncarnation.Server)), zap.String("Incarnation", string(loss.ServerIncarnation.Incarnation)),
 					zap.Uint64("Fingerprint", uint64(loss.Fingerprint)), zap.Bool("Unforeseen", loss.Unforeseen))
@@ -59,8 +60,7 @@
 func (g *Gateway) refusesConnections(address string) bool {
 	ctx, cancel := context.WithTimeout(g.context(), crashProbeTimeout)
 	defer cancel()
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	conn, err := g.options.DialServer(ctx, address)
 	if err != nil {
 		return errors.Is(err, unix.ECONNREFUSED)
 	}
@@ -68,6 +68,24 @@
 	return false
 }
 
+// isReachedByPeer reports whether a peer may reach a server that refuses this host's
+// connections: this host may be cut off from a server that goes on running.
+func (g *Gateway) isReachedByPeer(server suspects.ServerIncarnation) bool {
+	if !g.tunnels.hasPeers() {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(g.context(), crashProbeTimeout)
+	defer cancel()
+	conn, err := g.dialThroughPeer(ctx, paths.Server{
+		Name:        server.Server,
+		Incarnation: server.Incarnation,
+	})
+	if err == nil {
+		_ = conn.Close() // only whether it opens matters
+	}
+	return !errors.Is(err, tunnelpeer.ErrUnreachable)
+}
+
 // suspectReported is an event for the suspects.
 type suspectReported struct {
 	event suspects.Event
--- a/internal/host/gateway/tunnels.go
+++ b/internal/host/gateway/tunnels.go
@@ -142,7 +142,7 @@
 }
 
 // dialThroughPeer connects to a server through the first peer that can. The error is
-// tunnelpeer.ErrUnreachable if all peers that were asked reach servers, but not this one.
+// tunnelpeer.ErrUnreachable if none can, and one reaches other servers.
 func (g *Gateway) dialThroughPeer(ctx context.Context, server paths.Server) (net.Conn, error) {
 	client := tunnelpeer.Client{
 		Pool: &g.tunnels.connections,
@@ -158,12 +158,12 @@
 			return nil, err
 		case errors.Is(err, tunnelpeer.ErrUnreachable):
 			g.tunnels.paths.RecordUnreachable(server)
+			lastErr = err
 		default:
 			g.tunnels.paths.RecordUnable(time.Now(), peer.Name)
 		}
 		g.log.Debug("peer can't connect to server", zap.String("Peer", string(peer.Name)),
 			zap.String("Server", string(server.Name)), zap.Error(err))
-		lastErr = err
 	}
 	return nil, lastErr
 }
