upstream: Send no keep-alive probes to servers

Connections to servers have a user timeout of 2 s and, by Go's default, a probe after 15 s: one that is lost in a short silence ended a request that was waiting in a queue.

Change: no probes. Deadlines end such waits, and idle connections are closed after seconds. The user timeout stays, for requests that a server that has lost power does not acknowledge. Read and left: connections between hosts (gRPC pings before any probe is due), to the store (own timeouts).

Before: TestConnectionsToServersSendNoKeepAliveProbes failed, option set; after: passes. Not shown: a silence itself; no stand-in of ours can lose packets.

--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -128,7 +128,7 @@
 
 // Options configures a host. All fields must be set but DialServer.
 type Options struct {
-	// DialServer opens a connection to a backend server; nil for a plain TCP connection.
+	// DialServer opens a connection to a backend server; nil for upstream.Dial.
 	DialServer func(ctx context.Context, address string) (net.Conn, error)
 
 	Settings settings.Settings
@@ -255,7 +255,7 @@
 		Log:       options.Log,
 	})
 	if g.options.DialServer == nil {
-		g.options.DialServer = dialServer
+		g.options.DialServer = upstream.Dial
 	}
 	g.SetSeeds(options.Settings.Seeds)
 	g.watchers.Store(&watcherSet{})
--- a/internal/host/gateway/tunnels.go
+++ b/internal/host/gateway/tunnels.go
@@ -75,11 +75,6 @@
 	return openedAt > 0 && steadyNanos()-openedAt < int64(detourValidity) && t.paths.IsCutOff()
 }
 
-func dialServer(ctx context.Context, address string) (net.Conn, error) {
-	var dialer net.Dialer
-	return dialer.DialContext(ctx, "tcp", address)
-}
-
 // PathTo implements relay.ControlPlane.
 func (g *Gateway) PathTo(server paths.Server, address string) upstream.Path {
 	choice := g.tunnels.paths.Choose(time.Now(), server)
--- a/internal/peer/upstream/pool.go
+++ b/internal/peer/upstream/pool.go
@@ -45,8 +45,17 @@
 	if r.Path.Dial != nil {
 		return r.Path.Dial(ctx)
 	}
-	var dialer net.Dialer
-	return dialer.DialContext(ctx, "tcp", r.Address)
+	return Dial(ctx, r.Address)
+}
+
+// Dial opens a TCP connection to a server ("ip:port"), without keep-alive probes. With
+// userTimeout the kernel would end a connection that waits for its answer after the first probe
+// that is lost, though the server may only be silent for a second. Deadlines end such waits.
+func Dial(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{
+		KeepAlive: -1,
+	}
+	return dialer.DialContext(ctx, "tcp", address)
 }
 
 // DropIdle closes the idle connections to a server that this host is cut off from: they may look
--- a/internal/peer/upstream/upstream_test.go
+++ b/internal/peer/upstream/upstream_test.go
@@ -7,10 +7,12 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 	tomb "gopkg.in/tomb.v2"
 )
 
@@ -256,3 +258,21 @@
 	require.NoError(t, err)
 	require.Equal(t, "1", got)
 }
+
+// Guards against a connection that the kernel ends, by its user timeout, because one keep-alive
+// probe was lost while a sound server was silent for a moment.
+func TestConnectionsToServersSendNoKeepAliveProbes(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	conn, err := Dial(context.Background(), listener.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	raw, err := conn.(syscall.Conn).SyscallConn()
+	require.NoError(t, err)
+	require.NoError(t, raw.Control(func(fd uintptr) {
+		value, err := unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_KEEPALIVE)
+		require.NoError(t, err)
+		require.Zero(t, value)
+	}))
+}
