--- a/internal/host/gateway/control.go
+++ b/internal/host/gateway/control.go
@@ -320,7 +320,7 @@
 	hosts := c.reachableHosts()
 	schedulerHosts := withoutWatchers(hosts)
 	c.schedulers.setHosts(schedulerHosts)
-	c.tunnels.setHosts(hosts)
+	c.tunnels.setHosts(hosts, c.hosts)
 	c.limiter.SetHosts(hosts)
 	c.quota.setHosts(hosts, c.options.Settings.Host.Region)
 	watchers := c.selectWatchers(hosts)
--- a/internal/host/gateway/metrics.go
+++ b/internal/host/gateway/metrics.go
@@ -15,6 +15,10 @@
 	leading       *metrics.Gauge
 	waiting       *metrics.Gauge
 	storeAge      *metrics.Gauge
+	// cutOff is 1 while this host takes itself for cut off from servers, tunnels how many
+	// connections to servers it has open for peers.
+	cutOff  *metrics.Gauge
+	tunnels *metrics.Gauge
 	// planSeconds is how long plans take.
 	planSeconds *metrics.Histogram
 }
@@ -27,6 +31,8 @@
 		leading:       set.NewGauge("cicadaloom_holds_orders", nil),
 		waiting:       set.NewGauge("cicadaloom_prompts_waiting", nil),
 		storeAge:      set.NewGauge("cicadaloom_store_age_seconds", nil),
+		cutOff:        set.NewGauge("cicadaloom_cut_off_from_servers", nil),
+		tunnels:       set.NewGauge("cicadaloom_tunnels_for_peers", nil),
 		planSeconds:   set.NewHistogram("cicadaloom_plan_seconds"),
 	}
 }
@@ -38,13 +44,19 @@
 	}
 	g.hosts.Set(float64(len(c.hosts)))
 	g.servers.Set(float64(c.registry.Len()))
-	leading := 0.0
-	if c.term != nil {
-		leading = 1
-	}
-	g.leading.Set(leading)
+	g.leading.Set(flag(c.term != nil))
+	g.cutOff.Set(flag(c.tunnels.paths.IsCutOff()))
+	g.tunnels.Set(float64(c.tunnels.count()))
 	g.waiting.Set(float64(c.schedulers.queue.Len()))
 	if answeredAt := c.storeAnsweredAt(); !answeredAt.IsZero() {
 		g.storeAge.Set(now.Sub(answeredAt).Seconds())
 	}
 }
+
+// flag returns 1 for true and 0 for false.
+func flag(isSet bool) float64 {
+	if isSet {
+		return 1
+	}
+	return 0
+}
--- a/internal/host/gateway/tunnels.go
+++ b/internal/host/gateway/tunnels.go
@@ -12,6 +12,7 @@
 
 	"cicadaloom/internal/control/pacing"
 	"cicadaloom/internal/control/paths"
+	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/peer/grpcpeer"
 	"cicadaloom/internal/peer/tunnelpeer"
 	"cicadaloom/internal/peer/upstream"
@@ -45,11 +46,13 @@
 	isProbing atomic.Bool
 }
 
-func (t *tunnels) setHosts(hosts []pacing.Host) {
+// setHosts replaces the hosts to connect through. Connections stay open to all known hosts: one
+// that has lost its entry may still run, and requests may be in progress through it.
+func (t *tunnels) setHosts(hosts []pacing.Host, known map[ident.HostID]*hostInfo) {
 	t.hosts.Store(&hosts)
-	addresses := make(map[string]bool, len(hosts))
-	for i := range hosts {
-		addresses[hosts[i].Address] = true
+	addresses := make(map[string]bool, len(known))
+	for _, host := range known {
+		addresses[host.address] = true
 	}
 	t.connections.CloseOthers(addresses)
 }
