gateway, upstream: Bound each step of a detour

Found by reading: a peer that is silent took the whole time of a connection and was asked again; a server that is silent took so long at the peer that the peer was held for unable, and lost to all detours for 2 s; and connections that a peer opens had no user timeout, so that a server without power was noticed only at the request's deadline.

Change: a peer has 250 ms, and tries a server for 150 ms. The user timeout is set where connections are opened.

Before (with the bounds far up): TestSilentServerDoesNotMakePeersUnable and TestDetourLeavesSilentPeerForAnother fail; after: both pass.

--- a/internal/host/gateway/cut_test.go
+++ b/internal/host/gateway/cut_test.go
@@ -340,3 +340,47 @@
 	case <-answered:
 	}
 }
+
+// Guards against a peer that is taken for unable, and so lost to all detours, because one server
+// does not answer it.
+func TestSilentServerDoesNotMakePeersUnable(t *testing.T) {
+	f := cutOff(t, newSlowServer(0), "a", "b")
+	f.links.set("b", hangs)
+	_, err := f.hosts["a"].dialThroughPeer(context.Background(), paths.Server{
+		Name:        "one",
+		Incarnation: "1",
+	})
+	require.ErrorIs(t, err, tunnelpeer.ErrUnreachable)
+	f.links.set("b", notCut)
+	conn, err := f.hosts["a"].dialThroughPeer(context.Background(), paths.Server{
+		Name:        "two",
+		Incarnation: "1",
+	})
+	require.NoError(t, err)
+	require.NoError(t, conn.Close())
+}
+
+// Guards against a detour that waits for a peer that is gone while another one could help.
+func TestDetourLeavesSilentPeerForAnother(t *testing.T) {
+	f := cutOff(t, newSlowServer(0), "a", "b", "c")
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, silent.Close()) }()
+	hosts := slices.Clone(*f.hosts["a"].tunnels.hosts.Load())
+	for i := range hosts {
+		if hosts[i].Name == "b" {
+			hosts[i].Address = silent.Addr().String()
+		}
+	}
+	f.hosts["a"].tunnels.hosts.Store(&hosts)
+	for range 20 {
+		ctx, cancel := context.WithTimeout(context.Background(), 400*time.Millisecond)
+		conn, err := f.hosts["a"].dialThroughPeer(ctx, paths.Server{
+			Name:        "one",
+			Incarnation: "1",
+		})
+		cancel()
+		require.NoError(t, err)
+		require.NoError(t, conn.Close())
+	}
+}
--- a/internal/host/gateway/tunnels.go
+++ b/internal/host/gateway/tunnels.go
@@ -19,11 +19,16 @@
 )
 
 const (
-	// serverDialTimeout is how long a probe or a connection for a peer may take to open.
-	serverDialTimeout = 300 * time.Millisecond
+	// probeTimeout is how long a probe may take.
+	probeTimeout = 300 * time.Millisecond
+	// tunnelTimeout is how long a peer may take to connect to a server, and forPeerTimeout how
+	// long this host tries for a peer: less, so that the peer learns that it is the server that
+	// does not answer. Between regions a round trip takes 60 ms.
+	tunnelTimeout  = 250 * time.Millisecond
+	forPeerTimeout = 150 * time.Millisecond
 	// minDialEvidence is how long a connection must have been opening for the end of its time to
 	// say anything about the server.
-	minDialEvidence = 250 * time.Millisecond
+	minDialEvidence = 120 * time.Millisecond
 	// maxTunnels bounds the connections that this host has open for peers, and with them the
 	// memory and processor time that it gives them.
 	maxTunnels = 256
@@ -147,7 +152,7 @@
 	}
 	lastErr := errors.New("no peer can connect to the server")
 	for _, peer := range g.tunnelPeers() {
-		conn, err := client.Dial(ctx, peer.Address, server)
+		conn, err := g.openTunnel(ctx, client, peer.Address, server)
 		switch {
 		case err == nil:
 			g.tunnels.openedAt.Store(steadyNanos())
@@ -166,6 +171,12 @@
 	return nil, lastErr
 }
 
+func (g *Gateway) openTunnel(ctx context.Context, client tunnelpeer.Client, address string, server paths.Server) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, tunnelTimeout)
+	defer cancel()
+	return client.Dial(ctx, address, server)
+}
+
 // probe finds out whether this host can connect to a server directly again. One probe is under
 // way at a time.
 func (g *Gateway) probe(server paths.Server, address string) {
@@ -174,7 +185,7 @@
 	}
 	g.tomb.Go(func() error {
 		defer g.tunnels.isProbing.Store(false)
-		ctx, cancel := context.WithTimeout(g.context(), serverDialTimeout)
+		ctx, cancel := context.WithTimeout(g.context(), probeTimeout)
 		defer cancel()
 		conn, err := g.options.DialServer(ctx, address)
 		if err == nil {
@@ -199,7 +210,7 @@
 		g.tunnels.forPeers.Add(-1)
 		return nil, tunnelpeer.ErrUnable
 	}
-	ctx, cancel := context.WithTimeout(ctx, serverDialTimeout)
+	ctx, cancel := context.WithTimeout(ctx, forPeerTimeout)
 	defer cancel()
 	conn, err := g.dialDirectly(ctx, server, address)
 	if err != nil {
--- a/internal/peer/upstream/pool.go
+++ b/internal/peer/upstream/pool.go
@@ -32,7 +32,6 @@
 	if c.OnDial != nil {
 		c.OnDial()
 	}
-	setUserTimeout(opened)
 	return &connection{
 		Conn:     opened,
 		reader:   bufio.NewReaderSize(opened, readBufferBytes),
@@ -48,14 +47,19 @@
 	return Dial(ctx, r.Address)
 }
 
-// Dial opens a TCP connection to a server ("ip:port"), without keep-alive probes. With
-// userTimeout the kernel would end a connection that waits for its answer after the first probe
-// that is lost, though the server may only be silent for a second. Deadlines end such waits.
+// Dial opens a TCP connection to a server ("ip:port") with userTimeout, and without keep-alive
+// probes. With both the kernel would end a connection that waits for its answer after the first
+// probe that is lost, though the server may only be silent for a second. Deadlines end such waits.
 func Dial(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{
 		KeepAlive: -1,
 	}
-	return dialer.DialContext(ctx, "tcp", address)
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	setUserTimeout(conn.(*net.TCPConn))
+	return conn, nil
 }
 
 // DropIdle closes the idle connections to a server that this host is cut off from: they may look
@@ -71,12 +75,8 @@
 
 // setUserTimeout makes the kernel end a connection whose peer no longer acknowledges sent
 // bytes. If the option can't be set, the deadline of the exchange still applies.
-func setUserTimeout(conn net.Conn) {
-	socket, isSocket := conn.(syscall.Conn)
-	if !isSocket {
-		return
-	}
-	raw, err := socket.SyscallConn()
+func setUserTimeout(conn *net.TCPConn) {
+	raw, err := conn.SyscallConn()
 	if err != nil {
 		return
 	}
--- a/internal/peer/upstream/upstream_test.go
+++ b/internal/peer/upstream/upstream_test.go
@@ -274,5 +274,8 @@
 		value, err := unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_KEEPALIVE)
 		require.NoError(t, err)
 		require.Zero(t, value)
+		value, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+		require.NoError(t, err)
+		require.Equal(t, int(userTimeout.Milliseconds()), value)
 	}))
 }
