--- a/internal/host/gateway/cut_soak_test.go
+++ b/internal/host/gateway/cut_soak_test.go
@@ -56,8 +56,8 @@
 	return c.runs[id]
 }
 
-// soakClient sends requests through one host, over connections that it keeps open until the
-// host's process is gone.
+// soakClient sends requests through one host, over connections of its own that it keeps open until
+// the host's process is gone.
 type soakClient struct {
 	name   string
 	host   string
@@ -155,9 +155,14 @@
 	var all []*soakClient
 	for _, name := range names {
 		for i := range 3 {
+			transport := &http.Transport{}
+			t.Cleanup(transport.CloseIdleConnections)
 			client := &soakClient{
 				name: name + strconv.Itoa(i),
 				host: f.listen[name].Callers,
+				client: http.Client{
+					Transport: transport,
+				},
 			}
 			all = append(all, client)
 			clients.Go(func() error { return client.run(&clients) })
