--- a/internal/host/gateway/cut_test.go
+++ b/internal/host/gateway/cut_test.go
@@ -131,6 +131,7 @@
 func TestHostCutOffFromServersServesItsCallers(t *testing.T) {
 	for name, state := range map[string]cut{"hangs": hangs, "resets": resets, "refuses new": refusesNew} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			f := startServedFleet(t, "a", "b", "c")
 			f.links.set("a", state)
 			f.links.set("b", state)
