--- a/internal/control/balance/choose.go
+++ b/internal/control/balance/choose.go
@@ -38,6 +38,7 @@
 	Server      ident.ServerName
 	Incarnation ident.Incarnation
 	Address     string
+	Build       ident.Build
 	// PrefillTime is the expected prefill of the prompt; zero for servers without models.
 	PrefillTime time.Duration
 	// ExpectedFirstByte is the expected time from SendAt to the first byte of the answer.
@@ -129,6 +130,7 @@
 		Server:            s.info.Name,
 		Incarnation:       s.info.Incarnation,
 		Address:           s.info.Address,
+		Build:             s.info.Build,
 		ExpectedFirstByte: p.expectedFirstByte(s, prefillSeconds) + p.networkCost(s),
 		pool:              p,
 		server:            s,
--- a/internal/domain/backend/backend.go
+++ b/internal/domain/backend/backend.go
@@ -57,6 +57,9 @@
 	Region     ident.Region
 	// Service is the plain service that runs there, for KindService.
 	Service ident.ServiceName
+	// Build is the software that the server runs. It is empty on platforms that don't say;
+	// streams may then go on at any server.
+	Build ident.Build
 }
 
 // Report is the status that an engine reports of itself.
--- a/internal/domain/ident/ident.go
+++ b/internal/domain/ident/ident.go
@@ -40,6 +40,10 @@
 // Version names one version of a model's or adapter's weights.
 type Version string
 
+// Build names the software that a backend server runs, not its weights. Parts of one
+// stream fit together only if servers of the same build wrote them.
+type Build string
+
 // ServiceName names a plain service as callers ask for it.
 type ServiceName string
 
--- a/internal/host/gateway/events.go
+++ b/internal/host/gateway/events.go
@@ -140,8 +140,8 @@
 	before, known := c.registry.Get(name)
 	if c.serversKnown.Load() && (!known || before.Report.Incarnation != registration.Report.Incarnation || before.Server.State != registration.Server.State) {
 		c.log.Log(c.entryLogLevel(), "server's entry changed", zap.String("Server", string(name)), zap.String("State", string(registration.Server.State)),
-			zap.String("Incarnation", string(registration.Report.Incarnation)), zap.Int64("OrdersAccepted", registration.Report.OrdersAccepted),
-			zap.Int64("Revision", int64(entry.Revision)))
+			zap.String("Incarnation", string(registration.Report.Incarnation)), zap.String("Build", string(registration.Server.Build)),
+			zap.Int64("OrdersAccepted", registration.Report.OrdersAccepted), zap.Int64("Revision", int64(entry.Revision)))
 	}
 	c.registry.Put(now, registration)
 }
--- a/internal/traffic/relay/stream.go
+++ b/internal/traffic/relay/stream.go
@@ -22,6 +22,8 @@
 	// lastEventID is the id of the last event passed on, as the server wrote it.
 	lastEventID string
 	version     ident.Version
+	// build is the software of the server that began the stream.
+	build ident.Build
 	// firstEventAfter is the time from the request's arrival to the first event, longestGap
 	// the longest pause between events after it, lastEventAt the time of the last event
 	// passed on.
@@ -56,7 +58,7 @@
 		}
 		now := s.handler.Now()
 		if !s.stream.started {
-			s.startStream(now, exchange.Response, answer)
+			s.startStream(now, exchange.Response, ticket, answer)
 		}
 		s.stream.longestGap = max(s.stream.longestGap, now.Sub(s.stream.lastEventAt))
 		s.stream.lastEventAt = now
@@ -97,10 +99,11 @@
 
 // startStream sends the first server's header to the client. A stream that another server
 // continues keeps this header.
-func (s *requestState) startStream(now time.Time, response *http.Response, answer *Answer) {
+func (s *requestState) startStream(now time.Time, response *http.Response, ticket *balance.Ticket, answer *Answer) {
 	s.stream.started = true
 	s.stream.lastEventAt = now
 	s.stream.version = answer.Version
+	s.stream.build = ticket.Build
 	s.stream.firstEventAfter = now.Sub(s.arrived)
 	s.handler.Metrics.recordFirstEvent(s.route, s.stream.firstEventAfter)
 	copyHeader(s.writer.Header(), response.Header)
