relay, gateway: Add failing tests of streams that mix software versions

Both ways are reproduced: an answer that a host continues after its server broke off (relay.TestAnswerIsNotContinuedByAnotherBuild, TestAnswerIsContinuedByTheSameBuild), and a stream that its client takes up (gateway.TestClientsStreamGoesOnAtItsBuild).

--- a/internal/host/gateway/fleet_test.go
+++ b/internal/host/gateway/fleet_test.go
@@ -372,11 +372,17 @@
 		Key:       r.Header.Get("Key"),
 		ArrivedAt: arrived,
 		Deadline:  arrived.Add(5 * time.Second),
+
+		ResumeAfter: r.Header.Get("After"),
+		Resumes:     ident.RequestID(r.Header.Get("Resumes")),
 	}, nil
 }
 
 func (codec) Encode(header http.Header, attempt *relay.Attempt) {
 	header.Set("To", string(attempt.Server))
+	if attempt.ResumeAfter != "" {
+		header.Set("After", attempt.ResumeAfter)
+	}
 }
 
 func (codec) DecodeAnswer(_ int, header http.Header) relay.Answer {
@@ -395,6 +401,7 @@
 	Address string
 	Life    string
 	Leaving bool
+	Build   ident.Build
 }
 
 func decodeEntry(e store.Entry, _ map[ident.DataCentre]ident.Region, _ time.Time) (backend.Registration, error) {
@@ -408,6 +415,7 @@
 			Name:    name,
 			Address: wire.Address,
 			Service: ident.ServiceName(wire.Service),
+			Build:   wire.Build,
 		},
 		Report: backend.Report{
 			Server:      name,
--- a/internal/traffic/relay/testenv_test.go
+++ b/internal/traffic/relay/testenv_test.go
@@ -49,6 +49,7 @@
 		Model:       ident.ModelName(r.Header.Get("Weights")),
 		Key:         r.Header.Get("Key"),
 		ResumeAfter: r.Header.Get("After"),
+		Resumes:     ident.RequestID(r.Header.Get("Resumes")),
 		ArrivedAt:   arrived,
 	}
 	if left, err := time.ParseDuration(r.Header.Get("Left")); err == nil {
@@ -338,6 +339,11 @@
 
 // serve adds a backend server.
 func (w *testEnv) serve(name ident.ServerName, answer http.HandlerFunc) *httptest.Server {
+	return w.serveBuild("", name, answer)
+}
+
+// serveBuild adds a backend server that runs some software.
+func (w *testEnv) serveBuild(build ident.Build, name ident.ServerName, answer http.HandlerFunc) *httptest.Server {
 	server := httptest.NewServer(http.HandlerFunc(func(to http.ResponseWriter, r *http.Request) {
 		w.mu.Lock()
 		w.arrived = append(w.arrived, string(name)+" "+r.Header.Get("Id"))
@@ -352,6 +358,7 @@
 			Name:    name,
 			Kind:    backend.KindService,
 			Address: server.Listener.Addr().String(),
+			Build:   build,
 		},
 		Incarnation: "1",
 		Slots:       4,
