balance, relay: Continue an answer at its build only

What callers saw: an answer whose server broke off went on with events of another version of the service's software. Cause: a stream was bound to the version of the weights, and to nothing that says which software wrote it; any server that held the weights could go on. Class: state that is valid for one build only, used at another.

A request that has passed events on is bound to the build of the server that began. A pool offers it servers of that build alone; where none of these holds the weights and accepts requests (new verdict NoneRuns) the answer ends at once: a model is loaded anew for demand, not for a build. A ticket whose server's entry has changed while the send waited for its turn is given back, and what was learnt of a server is dropped if its build changes.

Before: relay.TestAnswerIsNotContinuedByAnotherBuild and TestAnswerIsContinuedByTheSameBuild failed.

--- a/internal/control/balance/balance.go
+++ b/internal/control/balance/balance.go
@@ -69,6 +69,8 @@
 	Weights request.Weights
 	Parts   []request.PromptPart
 	Prompt  unit.Tokens
+	// Build is the only build of the software that may answer; empty if any may.
+	Build ident.Build
 	// Tried lists the servers that the request has been sent to before.
 	Tried []ident.ServerName
 	// AwaitsPermit is whether the request waits for a permit, if the server has a request limit.
@@ -87,6 +89,9 @@
 	NoneHolds Verdict = "NoneHolds"
 	// NoneTakes: servers hold the weights, but none accepts a request now.
 	NoneTakes Verdict = "NoneTakes"
+	// NoneRuns: no server of the build that the request needs holds the weights and accepts
+	// requests. Models are not loaded for the sake of one build, so waiting is no use.
+	NoneRuns Verdict = "NoneRuns"
 )
 
 // Result is the outcome of a send.
@@ -209,7 +214,7 @@
 }
 
 // SetServers replaces all servers. What was learnt about a server is dropped when its
-// incarnation or address changes.
+// incarnation, address or build changes.
 func (p *Pool) SetServers(servers []ServerInfo) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -264,7 +269,7 @@
 
 func (p *Pool) setServer(info *ServerInfo) {
 	s, known := p.servers[info.Name]
-	if known && (s.info.Incarnation != info.Incarnation || s.info.Address != info.Address) {
+	if known && (s.info.Incarnation != info.Incarnation || s.info.Address != info.Address || s.info.Build != info.Build) {
 		p.removeServer(s)
 		known = false
 	}
--- a/internal/control/balance/choose.go
+++ b/internal/control/balance/choose.go
@@ -153,13 +153,16 @@
 // if there are none.
 func (p *Pool) eachAvailable(now time.Time, criteria *Criteria, visit func(s *server, baseline float64)) Verdict {
 	verdict := NoneHolds
-	isKept := p.isModelKept(criteria.Weights.Model)
+	if criteria.Build != "" {
+		verdict = NoneRuns
+	}
+	isKept := p.isModelKept(criteria)
 	baseline := p.baselineErrorShare()
 	for s := range p.index.candidates(criteria.Weights) {
-		if isKept && s.isRetiring(criteria.Weights.Model) {
+		if !criteria.fits(s) || isKept && s.isRetiring(criteria.Weights.Model) {
 			continue
 		}
-		if verdict == NoneHolds && !s.isLeaving() {
+		if !s.isLeaving() {
 			verdict = NoneTakes
 		}
 		if !s.isAvailable(now, p.serverLimit) || !s.isOpen(now, criteria) || slices.Contains(criteria.Tried, s.info.Name) {
@@ -178,7 +181,7 @@
 	defer p.mu.Unlock()
 	var first time.Time
 	for s := range p.index.candidates(criteria.Weights) {
-		if s.isLeaving() || slices.Contains(criteria.Tried, s.info.Name) {
+		if !criteria.fits(s) || s.isLeaving() || slices.Contains(criteria.Tried, s.info.Name) {
 			continue
 		}
 		state := s.pressure.State()
@@ -194,16 +197,22 @@
 }
 
 func (p *Pool) canAnswer(s *server, criteria *Criteria) bool {
-	return s.info.Kind != backend.KindEngine || slices.Contains(s.holds, criteria.Weights)
+	return criteria.fits(s) && (s.info.Kind != backend.KindEngine || slices.Contains(s.holds, criteria.Weights))
+}
+
+// fits reports whether a server is of the build that a request needs.
+func (c *Criteria) fits(s *server) bool {
+	return c.Build == "" || c.Build == s.info.Build
 }
 
-// isModelKept reports whether some server holds a model and is not about to unload it.
+// isModelKept reports whether some server that fits holds the model and is not about to unload it.
 // Servers that are about to unload it then get no more requests for it or its adapters,
 // which they would refuse repeatedly. An adapter that no other server holds is loaded by
 // the server that keeps the model as soon as a request misses it.
-func (p *Pool) isModelKept(model ident.ModelName) bool {
+func (p *Pool) isModelKept(criteria *Criteria) bool {
+	model := criteria.Weights.Model
 	return slices.ContainsFunc(p.index.holders[request.Weights{Model: model}], func(s *server) bool {
-		return !s.isLeaving() && !s.isRetiring(model)
+		return criteria.fits(s) && !s.isLeaving() && !s.isRetiring(model)
 	})
 }
 
@@ -316,6 +325,13 @@
 	}
 }
 
+// IsCurrent reports whether the server's entry still names the incarnation that was chosen.
+func (t *Ticket) IsCurrent() bool {
+	t.pool.mu.Lock()
+	defer t.pool.mu.Unlock()
+	return t.pool.servers[t.Server] == t.server
+}
+
 // RecordFirstByte reports that the first bytes of the answer have arrived.
 func (t *Ticket) RecordFirstByte(now time.Time) {
 	t.pool.mu.Lock()
--- a/internal/traffic/relay/choose.go
+++ b/internal/traffic/relay/choose.go
@@ -16,6 +16,7 @@
 		Weights: s.request.Weights(),
 		Parts:   s.request.PromptParts,
 		Prompt:  s.request.PromptTokens,
+		Build:   s.build,
 		Tried:   s.tried,
 		Random:  h.Random(),
 	}
@@ -33,6 +34,10 @@
 // returns nil after it has ended the request.
 func (s *requestState) awaitServer(ctx context.Context, criteria balance.Criteria, verdict balance.Verdict) *balance.Ticket {
 	h := s.handler
+	if verdict == balance.NoneRuns {
+		s.refuseWithoutBuild()
+		return nil
+	}
 	if verdict == balance.NoneHolds {
 		s.pool.CountMissing(criteria.Weights)
 	}
@@ -54,6 +59,10 @@
 		if ticket, verdict = s.takeOpenTicket(ctx, criteria); ticket != nil || s.refuseIfOverloaded() || s.refuseIfClosed() {
 			return ticket
 		}
+		if verdict == balance.NoneRuns {
+			s.refuseWithoutBuild()
+			return nil
+		}
 		if !h.Now().Before(until) {
 			s.refuseUnserved(verdict)
 			return nil
--- a/internal/traffic/relay/ending.go
+++ b/internal/traffic/relay/ending.go
@@ -119,7 +119,7 @@
 		zap.String("Adapter", string(s.request.Adapter)),
 		zap.Int64("Prompt", int64(s.request.PromptTokens)),
 		zap.String("Server", string(s.lastServer())),
-		zap.String("Build", string(s.stream.build)),
+		zap.String("Build", string(s.build)),
 		zap.String("Resumes", string(s.request.Resumes)),
 		zap.String("ResumeAfter", s.request.ResumeAfter),
 		zap.Int("Status", status),
--- a/internal/traffic/relay/permit.go
+++ b/internal/traffic/relay/permit.go
@@ -83,11 +83,11 @@
 	return true
 }
 
-// mayStillSend reports whether what the server's answers have said meanwhile allows a send
-// whose time has come.
+// mayStillSend reports whether a send whose time has come still goes to the incarnation that was
+// chosen, and what the server's answers have said meanwhile allows it.
 func (s *requestState) mayStillSend(ticket *balance.Ticket) bool {
 	target := targetOf(ticket)
-	return target.Allows(s.permit, ticket.SendAt, s.handler.Now())
+	return ticket.IsCurrent() && target.Allows(s.permit, ticket.SendAt, s.handler.Now())
 }
 
 func targetOf(ticket *balance.Ticket) limiter.Target {
--- a/internal/traffic/relay/serving.go
+++ b/internal/traffic/relay/serving.go
@@ -54,6 +54,9 @@
 	runs     int
 	// stream is the state of a streamed answer that has started.
 	stream stream
+	// build is the only build of the software that may go on with the stream; empty if any may
+	// answer.
+	build ident.Build
 	// releaseReservation releases the engine's slot that is reserved for the current send;
 	// nil without a reservation.
 	releaseReservation func()
--- a/internal/traffic/relay/stream.go
+++ b/internal/traffic/relay/stream.go
@@ -22,8 +22,6 @@
 	// lastEventID is the id of the last event passed on, as the server wrote it.
 	lastEventID string
 	version     ident.Version
-	// build is the software of the server that began the stream.
-	build ident.Build
 	// firstEventAfter is the time from the request's arrival to the first event, longestGap
 	// the longest pause between events after it, lastEventAt the time of the last event
 	// passed on.
@@ -103,7 +101,7 @@
 	s.stream.started = true
 	s.stream.lastEventAt = now
 	s.stream.version = answer.Version
-	s.stream.build = ticket.Build
+	s.build = ticket.Build
 	s.stream.firstEventAfter = now.Sub(s.arrived)
 	s.handler.Metrics.recordFirstEvent(s.route, s.stream.firstEventAfter)
 	copyHeader(s.writer.Header(), response.Header)
