gateway: Let streams taken up wait until a started host knows servers

Now it waits for the first servers, until 2.5 s after its start as requests do that wait for routes.

--- a/internal/host/gateway/streams.go
+++ b/internal/host/gateway/streams.go
@@ -118,6 +118,7 @@
 // FindStream implements relay.ControlPlane: it asks the stream's keepers if this host can't tell.
 func (g *Gateway) FindStream(ctx context.Context, request ident.RequestID, service ident.ServiceName) (streams.Origin, bool) {
 	id := streams.IDOf(request)
+	g.awaitServers(ctx, service)
 	own := g.FindOrigin(id, service)
 	if own.Known {
 		return own.Origin, true
@@ -143,6 +144,23 @@
 	return origin, known
 }
 
+// awaitServers waits until a host that has just started knows servers of a service.
+func (g *Gateway) awaitServers(ctx context.Context, service ident.ServiceName) {
+	ctx, cancel := context.WithDeadline(ctx, g.startedAt.Add(routesWait))
+	defer cancel()
+	for pool := g.Pool(service); pool != nil; {
+		changed := pool.Changed()
+		if len(buildsOf(time.Now(), pool)) > 0 {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // askKeepers asks all keepers of a stream at once, and returns the answers so far as soon as one
 // of them knows it.
 func (g *Gateway) askKeepers(ctx context.Context, id streams.ID, service ident.ServiceName) []streams.Answer {
--- a/internal/host/gateway/streams_test.go
+++ b/internal/host/gateway/streams_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"io"
 	"maps"
 	"net/http"
@@ -233,6 +234,28 @@
 	f.requireGoesOn("b", begun)
 }
 
+// Guards against streams that a host refuses in the first moment after its start, when it knows its
+// routes and no servers yet.
+func TestStreamWaitsUntilStartedHostKnowsServers(t *testing.T) {
+	f := startStreamFleet(t, []ident.Build{"v1"}, "a")
+	begun := f.begin("a", 1)
+	f.kill("a")
+	entries := make(map[string]json.RawMessage)
+	for _, name := range []string{"servers/v1-one", "servers/v1-two"} {
+		entries[name] = json.RawMessage(f.keyValue.value(name))
+		f.keyValue.delete(name)
+	}
+	f.start("b")
+	f.eventually(func() bool { return f.hosts["b"].Routes() != nil }, "routes")
+	written := time.AfterFunc(200*time.Millisecond, func() {
+		for name, entry := range entries {
+			f.keyValue.write(name, entry)
+		}
+	})
+	defer written.Stop()
+	f.requireGoesOn("b", begun)
+}
+
 // Guards against a stream that goes on at a server that has come back under its id and address
 // with other software.
 func TestServerBackWithOtherSoftwareGetsNoOldStream(t *testing.T) {
