httpserve: End a stop without waiting for unused connections

What operators saw: a planned stop of a host lasted the whole grace period, and reported requests in flight, while a client had a connection open on which it never sent anything. Cause: net/http counts such a connection as in use for five seconds. It would not serve a request that came on it during a stop either: it closes the connection once the header is read (server.go, tried with a request on its way: closed without an answer). So it is closed at the start of the stop, with nothing read, which a client may repeat at once. Connections accepted meanwhile are closed too.

--- a/internal/peer/httpserve/httpserve.go
+++ b/internal/peer/httpserve/httpserve.go
@@ -21,6 +21,7 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -47,6 +48,11 @@
 type Server struct {
 	tomb tomb.Tomb
 	http *http.Server
+
+	mu sync.Mutex
+	// unused are the connections on which no whole request header has arrived yet.
+	unused   map[net.Conn]struct{}
+	stopping bool
 }
 
 // Start listens at an address ("ip:port"; port 0 takes any free one) and returns the
@@ -66,6 +72,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          zap.NewStdLog(options.Log),
+		ConnState:         s.recordState,
 	}
 	s.tomb.Go(func() error {
 		if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -76,14 +83,43 @@
 	return bound, nil
 }
 
-// Stop closes the listener and waits for the requests in flight. If the context ends
-// first, it closes their connections and returns an error that says so. Stopping a
-// server that was never started does nothing.
+// recordState keeps track of the connections that are unused, and closes those that come while the
+// server stops.
+func (s *Server) recordState(conn net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case state != http.StateNew:
+		delete(s.unused, conn)
+	case s.stopping:
+		_ = conn.Close() // nothing has been read
+	default:
+		if s.unused == nil {
+			s.unused = make(map[net.Conn]struct{})
+		}
+		s.unused[conn] = struct{}{}
+	}
+}
+
+// closeUnused closes the connections that are unused. net/http waits seconds for a request on
+// them, which it would not serve during a stop.
+func (s *Server) closeUnused() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopping = true
+	for conn := range s.unused {
+		_ = conn.Close() // nothing has been read
+	}
+}
+
+// Stop closes the listener and the connections without a request, and waits for the requests in
+// flight. If the context ends first, it closes their connections and returns an error that says so. Stopping a server that was never started does nothing.
 func (s *Server) Stop(ctx context.Context) error {
 	if s.http == nil {
 		return nil
 	}
 	s.tomb.Kill(nil)
+	s.closeUnused()
 	if err := s.http.Shutdown(ctx); err != nil {
 		_ = s.http.Close()
 		_ = s.tomb.Wait()
