gateway: Call a server unreachable only while another one is reached

Cause: a host that is refused by a server asks peers before it calls the server crashed; a peer that is cut off too, and does not know it yet, said "unreachable", which was meant for peers that reach others. Class: a failure between this host and a server taken for one of the server, one hop further. Now a peer that fails connects to another server, of any service, at the same time, and says that it is unable if it can't; a server that silently drops connections is still called unreachable, within 225 ms.

TestSilentServerDoesNotMakePeersUnable made one server silent by cutting its peer off from all, which is what a peer may not tell from being cut off: it makes that one server silent now, and requires the same.

--- a/internal/control/balance/balance.go
+++ b/internal/control/balance/balance.go
@@ -335,14 +335,14 @@
 	return s.info.Address, true
 }
 
-// AnyServer returns a server that accepts new requests, if there is one. random holds random
-// bits.
-func (p *Pool) AnyServer(random uint64) (ServerInfo, bool) {
+// AnyServer returns a server other than one that accepts new requests, if there is one. random
+// holds random bits.
+func (p *Pool) AnyServer(random uint64, except ident.ServerName) (ServerInfo, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var accepting []*server
 	for _, s := range p.servers {
-		if !s.isLeaving() {
+		if !s.isLeaving() && s.info.Name != except {
 			accepting = append(accepting, s)
 		}
 	}
--- a/internal/host/gateway/cut_test.go
+++ b/internal/host/gateway/cut_test.go
@@ -39,6 +39,15 @@
 	mu    sync.Mutex
 	cuts  map[string]cut
 	conns map[string][]*serverConn
+	// silent are the addresses at which new connections are not answered.
+	silent map[string]bool
+}
+
+// silence makes a server leave new connections unanswered, from whichever host.
+func (l *serverLinks) silence(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.silent = map[string]bool{address: true}
 }
 
 // serverConn is a connection from a host to a server.
@@ -65,6 +74,9 @@
 	return func(ctx context.Context, address string) (net.Conn, error) {
 		l.mu.Lock()
 		state := l.cuts[host]
+		if l.silent[address] {
+			state = hangs
+		}
 		l.mu.Unlock()
 		switch state {
 		case hangs:
@@ -344,17 +356,47 @@
 	}
 }
 
+// Guards against servers that count as crashed because the peers asked are cut off too and don't
+// know it yet.
+func TestHostsCutOffTogetherSuspectNoRequests(t *testing.T) {
+	f := newFleet(t)
+	f.keyValue.write("configuration", configuration(1, "old"))
+	slow := newSlowServer(10 * time.Second)
+	f.serveHandler("old", "one", slow)
+	f.serveHandler("old", "two", slow)
+	names := []string{"a", "b"}
+	for _, name := range names {
+		f.start(name)
+		f.eventually(func() bool { status, _ := f.request(name); return status == http.StatusOK }, name)
+	}
+	f.eventually(func() bool { return f.hosts["a"].tunnels.hasPeers() }, "a knows b")
+	go f.requestPath("a", "/slow", "")
+	<-slow.started
+	for _, name := range names {
+		f.links.set(name, resets)
+	}
+	<-slow.left
+	time.Sleep(crashProbeDelays[0] + crashProbeDelays[1] + crashProbeDelays[2] + 2*probeTimeout)
+	fingerprint := (&request.Request{
+		Host: "desk.example",
+		Path: "/slow",
+	}).Fingerprint("")
+	require.Equal(t, suspects.Serve, f.hosts["a"].Verdict(fingerprint))
+}
+
 // Guards against a peer that is taken for unable, and so lost to all detours, because one server
 // does not answer it.
 func TestSilentServerDoesNotMakePeersUnable(t *testing.T) {
 	f := cutOff(t, newSlowServer(0), "a", "b")
-	f.links.set("b", hangs)
+	f.links.silence(f.hosts["b"].addressOf(paths.Server{
+		Name:        "one",
+		Incarnation: "1",
+	}))
 	_, err := f.hosts["a"].dialThroughPeer(context.Background(), paths.Server{
 		Name:        "one",
 		Incarnation: "1",
 	})
 	require.ErrorIs(t, err, tunnelpeer.ErrUnreachable)
-	f.links.set("b", notCut)
 	conn, err := f.hosts["a"].dialThroughPeer(context.Background(), paths.Server{
 		Name:        "two",
 		Incarnation: "1",
@@ -369,6 +411,7 @@
 	silent, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer func() { require.NoError(t, silent.Close()) }()
+	f.eventually(func() bool { return len(*f.hosts["a"].tunnels.hosts.Load()) == 3 }, "a knows all hosts")
 	hosts := slices.Clone(*f.hosts["a"].tunnels.hosts.Load())
 	for i := range hosts {
 		if hosts[i].Name == "b" {
--- a/internal/host/gateway/tunnels.go
+++ b/internal/host/gateway/tunnels.go
@@ -26,6 +26,9 @@
 	// does not answer. Between regions a round trip takes 60 ms.
 	tunnelTimeout  = 250 * time.Millisecond
 	forPeerTimeout = 150 * time.Millisecond
+	// otherTimeout is how long a connection to another server may take, by which this host shows a
+	// peer that it is not cut off itself.
+	otherTimeout = 75 * time.Millisecond
 	// minDialEvidence is how long a connection must have been opening for the end of its time to
 	// say anything about the server.
 	minDialEvidence = 120 * time.Millisecond
@@ -201,7 +204,7 @@
 func (g *Gateway) proveCutOff() {
 	g.goProbe(func() paths.Change {
 		for _, pool := range *g.pools.Load() {
-			if server, found := pool.AnyServer(rand.Uint64()); found && g.tryConnecting(server.Address) == nil {
+			if server, found := pool.AnyServer(rand.Uint64(), ""); found && g.tryConnecting(server.Address) == nil {
 				return g.tunnels.paths.RecordProof(true)
 			}
 		}
@@ -240,22 +243,22 @@
 		return nil, tunnelpeer.ErrUnable
 	}
 	address := g.addressOf(server)
-	if address == "" || !g.tunnels.paths.Reaches(server) {
+	if address == "" {
 		return nil, tunnelpeer.ErrUnreachable
 	}
+	if !g.tunnels.paths.Reaches(server) {
+		return nil, g.whyUnreached(ctx, server)
+	}
 	if g.tunnels.forPeers.Add(1) > maxTunnels {
 		g.tunnels.forPeers.Add(-1)
 		return nil, tunnelpeer.ErrUnable
 	}
-	ctx, cancel := context.WithTimeout(ctx, forPeerTimeout)
+	dialCtx, cancel := context.WithTimeout(ctx, forPeerTimeout)
 	defer cancel()
-	conn, err := g.dialDirectly(ctx, server, address)
+	conn, err := g.dialDirectly(dialCtx, server, address)
 	if err != nil {
 		g.tunnels.forPeers.Add(-1)
-		if g.tunnels.paths.IsCutOff() {
-			return nil, tunnelpeer.ErrUnable
-		}
-		return nil, tunnelpeer.ErrUnreachable
+		return nil, g.whyUnreached(ctx, server)
 	}
 	return &countedConn{
 		Conn:  conn,
@@ -263,6 +266,26 @@
 	}, nil
 }
 
+// whyUnreached returns what a peer learns of a server that this host can't connect to. Only a host
+// that connects to another server at the same time says that this one is unreachable: otherwise it
+// may be cut off itself.
+func (g *Gateway) whyUnreached(ctx context.Context, server paths.Server) error {
+	ctx, cancel := context.WithTimeout(ctx, otherTimeout)
+	defer cancel()
+	for _, pool := range *g.pools.Load() {
+		other, found := pool.AnyServer(rand.Uint64(), server.Name)
+		if !found {
+			continue
+		}
+		conn, err := g.options.DialServer(ctx, other.Address)
+		if err == nil {
+			_ = conn.Close() // only whether it opens matters
+			return tunnelpeer.ErrUnreachable
+		}
+	}
+	return tunnelpeer.ErrUnable
+}
+
 // addressOf returns a server's address, empty if this host doesn't know the server or sends
 // it no new requests.
 func (g *Gateway) addressOf(server paths.Server) string {
