--- a/internal/host/gateway/stop.go
+++ b/internal/host/gateway/stop.go
@@ -14,6 +14,9 @@
 	// drainTime is how long new requests are served as usual, with a header that closes the
 	// connection: clients still arrive meanwhile.
 	drainTime = 3 * time.Second
+	// lastStreamMargin is how much sooner streams are refused: the signal may reach the process
+	// late, and a stream that begins at the end of drainTime may not end within the grace period.
+	lastStreamMargin = 200 * time.Millisecond
 	// processExitTime is what is reserved of the grace period for the end of the process
 	// itself, and finalAnswerTime for the answers to requests still in progress then.
 	processExitTime  = 500 * time.Millisecond
@@ -33,7 +36,7 @@
 	}
 	end := start.Add(g.options.Settings.Bounds.Grace - processExitTime)
 	answersEnd := end.Add(-finalAnswerTime)
-	g.handler.StopBy(start.Add(drainTime), answersEnd)
+	g.handler.StopBy(start.Add(drainTime-lastStreamMargin), answersEnd)
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	g.waitUntilIdle(ctx, start.Add(drainTime), answersEnd)
