streams, gateway: Doubt streams of a server that started again unnoticed

Traced: all tries of such a stream went to the same wrong build, since its record was wrong: its server had started again under its id with other software, and the host did not know the new entry yet (0.2 s and more behind, 0.3 s more while cut off from the store). When an entry arrives that names another incarnation with another build, own streams that began at that server within the last 2 s can't be told, and go on nowhere.

What is left: a stream that is taken up at such a server before its entry arrives.

--- a/internal/control/streams/streams.go
+++ b/internal/control/streams/streams.go
@@ -19,7 +19,7 @@
 //	}
 //	ledger.SetHosts(hosts)
 //	ledger.SetMixed("brief-models", true)
-//	ledger.Add(now, streams.IDOf(request.ID), streams.Origin{
+//	ledger.Add(now, streams.IDOf(request.ID), "i-7f3a91c2", streams.Origin{
 //		Service:   "brief-models",
 //		Build:     "v1.1",
 //		ExpiresAt: request.Deadline,
@@ -56,6 +56,8 @@
 	Retention = time.Minute
 	// maxStreams bounds the origins in a Ledger. If there are more, the oldest are dropped.
 	maxStreams = 1 << 16
+	// entryDelay is how long the change of a server's entry may take to reach this host.
+	entryDelay = 2 * time.Second
 )
 
 // ID identifies a stream by the request whose answer began it.
@@ -74,6 +76,9 @@
 	ExpiresAt time.Time
 }
 
+// UnknownBuild stands for the build of a stream of which it can't be known. No server runs it.
+const UnknownBuild ident.Build = "(unknown)"
+
 // Stream is a stream with its origin.
 type Stream struct {
 	ID ID
@@ -100,8 +105,11 @@
 // record is what a Ledger knows of a stream.
 type record struct {
 	origin Origin
-	// isOwn is whether this host has served the stream. keptBy has the keepers that have it.
+	// isOwn is whether this host has served the stream, server the one that wrote its events since
+	// an instant. keptBy has the keepers that have it.
 	isOwn  bool
+	server ident.ServerName
+	since  time.Time
 	keptBy []keeperKey
 }
 
@@ -149,17 +157,32 @@
 	}
 }
 
-// Add records the origin of a stream that this host serves. It reports whether the origin is to
-// be passed on.
-func (l *Ledger) Add(now time.Time, id ID, origin Origin) bool {
+// Add records the origin of a stream that this host serves from a server. It reports whether the
+// origin is to be passed on.
+func (l *Ledger) Add(now time.Time, id ID, server ident.ServerName, origin Origin) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.put(now, id, origin)
 	r.isOwn = true
+	r.server, r.since = server, now
 	l.queue(id, r)
 	return l.mixed[origin.Service]
 }
 
+// Doubt withdraws the builds of own streams from a server that turns out to have started again with
+// other software: those that began before its entry had reached this host may be of either.
+func (l *Ledger) Doubt(now time.Time, server ident.ServerName) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, r := range l.streams {
+		if r.isOwn && r.server == server && now.Sub(r.since) < entryDelay {
+			r.origin.Build = UnknownBuild
+			r.keptBy = nil
+			l.queue(id, r)
+		}
+	}
+}
+
 // Keep records the origins of other hosts' streams.
 func (l *Ledger) Keep(now time.Time, kept []Stream) {
 	l.mu.Lock()
--- a/internal/control/streams/streams_test.go
+++ b/internal/control/streams/streams_test.go
@@ -96,7 +96,7 @@
 func TestNothingIsPassedOnWhereOneBuildServes(t *testing.T) {
 	l := newTestLedger("host-0", hostsIn(7, 3), false)
 	for n := range ID(100) {
-		require.False(t, l.Add(start, n, origin("v1", start.Add(time.Minute))))
+		require.False(t, l.Add(start, n, "i-1", origin("v1", start.Add(time.Minute))))
 	}
 	require.False(t, l.HasPending())
 	require.Empty(t, l.Deliveries(start))
@@ -117,7 +117,7 @@
 	for _, keeper := range keepers[1:] {
 		to[keeper.Name] = ledgerOf(keeper.Name)
 	}
-	l.Add(start, id, origin("v1", start.Add(time.Minute)))
+	l.Add(start, id, "i-1", origin("v1", start.Add(time.Minute)))
 	require.Equal(t, 3, deliver(start, l, to))
 	require.Zero(t, deliver(start, l, to), "not while the one away is left alone")
 	require.True(t, l.HasPending())
@@ -147,7 +147,7 @@
 func TestOriginsAreBoundedAndExpire(t *testing.T) {
 	l := newTestLedger("host-0", hostsIn(7, 3), true)
 	for n := range ID(maxStreams + 1000) {
-		l.Add(start, n, origin("v1", start.Add(time.Second)))
+		l.Add(start, n, "i-1", origin("v1", start.Add(time.Second)))
 	}
 	require.Equal(t, maxStreams, l.Len())
 	_, known := l.Find(start, 0)
@@ -160,16 +160,41 @@
 	require.False(t, known)
 	require.Empty(t, l.Deliveries(late))
 	require.False(t, l.HasPending())
-	l.Add(late, maxStreams+5000, origin("v1", late))
+	l.Add(late, maxStreams+5000, "i-1", origin("v1", late))
 	require.Equal(t, 1, l.Len())
 }
 
+// Guards against a stream whose recorded build is that of its server's entry before the server
+// started again with other software.
+func TestStreamsOfServerThatStartedAgainAreDoubted(t *testing.T) {
+	l := newTestLedger("host-9", hostsIn(4, 4), true)
+	to := make(map[ident.HostID]*Ledger)
+	for _, host := range hostsIn(4, 4) {
+		to[host.Name] = ledgerOf(host.Name)
+	}
+	l.Add(start, 1, "i-1", origin("v1", start.Add(time.Minute)))
+	l.Add(start.Add(entryDelay), 2, "i-1", origin("v1", start.Add(time.Minute)))
+	l.Add(start.Add(entryDelay), 3, "i-2", origin("v1", start.Add(time.Minute)))
+	now := start.Add(entryDelay)
+	deliver(now, l, to)
+	l.Doubt(now, "i-1")
+	deliver(now, l, to)
+	for id, build := range map[ID]ident.Build{1: "v1", 2: UnknownBuild, 3: "v1"} {
+		found, _ := l.Find(now, id)
+		require.Equal(t, build, found.Build)
+		for _, keeper := range l.Keepers(id) {
+			found, _ = to[keeper.Name].Find(now, id)
+			require.Equal(t, build, found.Build)
+		}
+	}
+}
+
 // Guards against an origin that is forgotten while its client goes on with a later deadline.
 func TestStreamTakenUpIsKeptLonger(t *testing.T) {
 	l := newTestLedger("host-0", hostsIn(7, 3), true)
-	l.Add(start, 1, origin("v1", start))
-	l.Add(start, 1, origin("v1", start.Add(time.Minute)))
-	l.Add(start, 1, origin("v1", start.Add(time.Second)))
+	l.Add(start, 1, "i-1", origin("v1", start))
+	l.Add(start, 1, "i-1", origin("v1", start.Add(time.Minute)))
+	l.Add(start, 1, "i-1", origin("v1", start.Add(time.Second)))
 	_, known := l.Find(start.Add(Retention+30*time.Second), 1)
 	require.True(t, known)
 }
@@ -238,7 +263,7 @@
 				var id ID
 				for b.Loop() {
 					id++
-					l.Add(start, id, origin("v1", start.Add(time.Second)))
+					l.Add(start, id, "i-1", origin("v1", start.Add(time.Second)))
 					if id%8 == 0 {
 						deliveries := l.Deliveries(start)
 						for i := range deliveries {
--- a/internal/host/gateway/events.go
+++ b/internal/host/gateway/events.go
@@ -138,6 +138,9 @@
 	// A change of the models in memory alone is not logged: there are many, by orders that
 	// the leader logs.
 	before, known := c.registry.Get(name)
+	if known && before.Report.Incarnation != registration.Report.Incarnation && before.Server.Build != registration.Server.Build {
+		c.streams.ledger.Doubt(now, name)
+	}
 	if c.serversKnown.Load() && (!known || before.Report.Incarnation != registration.Report.Incarnation || before.Server.State != registration.Server.State) {
 		c.log.Log(c.entryLogLevel(), "server's entry changed", zap.String("Server", string(name)), zap.String("State", string(registration.Server.State)),
 			zap.String("Incarnation", string(registration.Report.Incarnation)), zap.String("Build", string(registration.Server.Build)),
--- a/internal/host/gateway/streams.go
+++ b/internal/host/gateway/streams.go
@@ -85,8 +85,8 @@
 }
 
 // RecordStream implements relay.ControlPlane.
-func (g *Gateway) RecordStream(id ident.RequestID, origin streams.Origin) {
-	if g.streams.ledger.Add(time.Now(), streams.IDOf(id), origin) {
+func (g *Gateway) RecordStream(began ident.RequestID, server ident.ServerName, origin streams.Origin) {
+	if g.streams.ledger.Add(time.Now(), streams.IDOf(began), server, origin) {
 		g.streams.wake()
 	}
 }
--- a/internal/host/gateway/streams_soak_test.go
+++ b/internal/host/gateway/streams_soak_test.go
@@ -45,6 +45,7 @@
 type streamSoak struct {
 	*fleet
 	names   []string
+	callers map[string]string // the hosts' addresses for clients
 	servers map[string]*buildServer
 	mu      sync.Mutex
 	// disturbedAt is when something last happened to a host or a build.
@@ -56,9 +57,11 @@
 
 // streamTally counts streams. Only those at calm hosts count but for mixed.
 type streamTally struct {
-	tried, begun   int
-	taken, goesOn  int
-	mixed, disordered []string
+	tried, begun  int
+	taken, goesOn int
+	disordered    []string
+	// mixed has the streams with events of two builds.
+	mixed map[string]string
 }
 
 func (s *streamSoak) addServer(name string, build ident.Build) {
@@ -192,7 +195,7 @@
 	goesOn := got.status == http.StatusOK
 	switch {
 	case taken && got.build != "" && got.build != build:
-		s.tally.mixed = append(s.tally.mixed, id+" began at "+string(build)+", goes on at "+string(got.build))
+		s.tally.mixed[id] = "began at " + string(build) + ", goes on at " + string(got.build)
 	case !answered || !calm:
 	case taken && counts:
 		s.tally.taken++
@@ -212,7 +215,7 @@
 	got := stream{
 		last: after,
 	}
-	r, err := http.NewRequest(http.MethodPost, "http://"+c.soak.listen[host].Callers+"/x", nil)
+	r, err := http.NewRequest(http.MethodPost, "http://"+c.soak.callers[host]+"/x", nil)
 	if err != nil {
 		return got, false
 	}
@@ -242,7 +245,7 @@
 		got.last++
 		if got.build != "" && got.build != ident.Build(text) {
 			c.soak.mu.Lock()
-			c.soak.tally.mixed = append(c.soak.tally.mixed, id+" has events of two builds in one answer")
+			c.soak.tally.mixed[id[:strings.LastIndex(id, "-")]] = "has events of two builds in one answer"
 			c.soak.mu.Unlock()
 		}
 		got.build = ident.Build(text)
@@ -272,6 +275,13 @@
 		servers:     make(map[string]*buildServer),
 		disturbedAt: make(map[string]time.Time),
 		serving:     make(map[ident.Build]int),
+		callers:     make(map[string]string),
+		tally: streamTally{
+			mixed: make(map[string]string),
+		},
+	}
+	for _, name := range s.names {
+		s.callers[name] = s.listen[name].Callers
 	}
 	for n := range 9 {
 		s.addServer("server-"+strconv.Itoa(n), []ident.Build{"v1", "v2", "v3"}[n%3])
--- a/internal/traffic/relay/build.go
+++ b/internal/traffic/relay/build.go
@@ -42,15 +42,12 @@
 	return slices.ContainsFunc(s.route.Targets, func(t route.Target) bool { return t.Service == service && t.Weight > 0 })
 }
 
-// unknownBuild is run by no server.
-const unknownBuild ident.Build = "(unknown)"
-
 // recordOrigin records which build began the stream, for the hosts at which the client may take
 // it up.
 func (s *requestState) recordOrigin(now time.Time, ticket *balance.Ticket) {
 	s.build = ticket.Build
 	if s.build != "" && !ticket.IsCurrent() {
-		s.build = unknownBuild // the server has started again since the send, maybe with other software
+		s.build = streams.UnknownBuild // the server has started again since the send, maybe with other software
 	}
 	if !s.route.Resumable {
 		return
@@ -63,7 +60,7 @@
 	if expiresAt.IsZero() {
 		expiresAt = now
 	}
-	s.handler.ControlPlane.RecordStream(began, streams.Origin{
+	s.handler.ControlPlane.RecordStream(began, ticket.Server, streams.Origin{
 		Service:   s.service,
 		Build:     s.build,
 		ExpiresAt: expiresAt,
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -154,8 +154,9 @@
 	// is the one that the route picks now. It may ask other hosts. The second result is false if
 	// that can't be found.
 	FindStream(ctx context.Context, began ident.RequestID, service ident.ServiceName) (streams.Origin, bool)
-	// RecordStream records where a stream began, for all hosts. It doesn't wait.
-	RecordStream(began ident.RequestID, origin streams.Origin)
+	// RecordStream records where a stream began, for all hosts, and which server writes it now. It
+	// doesn't wait.
+	RecordStream(began ident.RequestID, server ident.ServerName, origin streams.Origin)
 	// PathTo returns how to connect to a server.
 	PathTo(server paths.Server, address string) upstream.Path
 	// Verdict reports whether servers have crashed while they ran a request that its caller
--- a/internal/traffic/relay/testenv_test.go
+++ b/internal/traffic/relay/testenv_test.go
@@ -234,7 +234,7 @@
 	}, true
 }
 
-func (w *testEnv) RecordStream(began ident.RequestID, origin streams.Origin) {
+func (w *testEnv) RecordStream(began ident.RequestID, _ ident.ServerName, origin streams.Origin) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.origins[began] = origin
