--- a/internal/control/streams/streams_test.go
+++ b/internal/control/streams/streams_test.go
@@ -255,22 +255,27 @@
 	require.False(t, isOnly)
 }
 
+// BenchmarkStream has some 11 streams a second at each host, and the interval between deliveries of
+// a fleet of that size.
 func BenchmarkStream(b *testing.B) {
-	for _, count := range []int{7, 300, 985} {
+	for _, fleet := range []struct{ hosts, streamsPerDelivery int }{{7, 2}, {300, 13}, {985, 13}} {
 		for _, mixed := range []bool{false, true} {
-			b.Run(strconv.Itoa(count)+"/mixed="+strconv.FormatBool(mixed), func(b *testing.B) {
-				l := newTestLedger("host-0", hostsIn(count, 6), mixed)
-				var id ID
+			b.Run(strconv.Itoa(fleet.hosts)+"/mixed="+strconv.FormatBool(mixed), func(b *testing.B) {
+				l := newTestLedger("host-0", hostsIn(fleet.hosts, 6), mixed)
+				streams, messages := 0, 0
 				for b.Loop() {
-					id++
-					l.Add(start, id, "i-1", origin("v1", start.Add(time.Second)))
-					if id%8 == 0 {
-						deliveries := l.Deliveries(start)
-						for i := range deliveries {
-							l.RecordDelivered(&deliveries[i])
-						}
+					streams++
+					l.Add(start, IDOf(ident.RequestID(strconv.Itoa(streams))), "i-1", origin("v1", start.Add(time.Second)))
+					if streams%fleet.streamsPerDelivery != 0 {
+						continue
+					}
+					deliveries := l.Deliveries(start)
+					messages += len(deliveries)
+					for i := range deliveries {
+						l.RecordDelivered(&deliveries[i])
 					}
 				}
+				b.ReportMetric(float64(messages)/float64(streams), "messages/op")
 			})
 		}
 	}
