--- a/internal/control/balance/balance.go
+++ b/internal/control/balance/balance.go
@@ -129,7 +129,7 @@
 
 	mu      sync.Mutex
 	servers map[ident.ServerName]*server
-	// builds has the builds that servers run or have run.
+	// builds counts the servers of each build, also of those that no server runs any more.
 	builds map[ident.Build]*buildUse
 	index  index
 	// failing are the servers with an error share, corrected those whose weights or retiring
--- a/internal/control/streams/deliveries.go
+++ b/internal/control/streams/deliveries.go
@@ -10,7 +10,7 @@
 // keeperBackoff is how long a keeper that did not answer gets no deliveries.
 const keeperBackoff = time.Second
 
-// Delivery has the streams whose origins are to be passed on to one keeper.
+// Delivery lists the streams whose origins are to be sent to one keeper.
 type Delivery struct {
 	Keeper  Host
 	Streams []Stream
@@ -70,7 +70,7 @@
 	return len(l.pending) > 0
 }
 
-// RecordDelivered records that a keeper has the origins of a delivery.
+// RecordDelivered records that a keeper has received a delivery.
 func (l *Ledger) RecordDelivered(delivery *Delivery) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/control/streams/keepers.go
+++ b/internal/control/streams/keepers.go
@@ -47,7 +47,7 @@
 	own   ident.HostID
 	// hashes are those of the hosts' names.
 	hashes []uint64
-	// chosen has the keepers of the partitions that were asked for, without this host.
+	// chosen caches the keepers of partitions, without this host.
 	chosen map[uint64][]Host
 }
 
--- a/internal/control/streams/streams.go
+++ b/internal/control/streams/streams.go
@@ -8,8 +8,8 @@
 // are as many. The host that a client comes to asks the same three. While all servers run one
 // build nothing is passed on: the build follows from that.
 //
-// A Ledger has the origins that a host knows: of its own streams, and of those that it keeps for
-// others. It also lists what is yet to be passed on to whom. View and Conclude decide what
+// A Ledger stores the origins that a host knows: of its own streams, and of those that it keeps for
+// others. It also lists what is yet to be sent to which keeper. View and Conclude decide what
 // follows where a stream's origin is not known.
 //
 // # Usage
@@ -85,13 +85,14 @@
 	Origin
 }
 
-// Ledger has the origins of streams that a host knows. The zero value knows none, and no hosts.
+// Ledger stores the origins of streams that a host knows. The zero value is empty, and knows no
+// hosts.
 type Ledger struct {
 	// Own is the host itself, which is no keeper of its own streams.
 	Own     ident.HostID
 	mu      sync.Mutex
 	streams map[ID]*record
-	// order has the ids in the order in which they were added, for those that are dropped.
+	// order lists the ids, the oldest first.
 	order   []ID
 	keepers keeperChoice
 	// mixed are the services whose servers run, or lately ran, several builds.
@@ -102,11 +103,11 @@
 	blockedUntil map[ident.HostID]time.Time
 }
 
-// record is what a Ledger knows of a stream.
+// record is a stream in a Ledger.
 type record struct {
 	origin Origin
 	// isOwn is whether this host has served the stream, server the one that wrote its events since
-	// an instant. keptBy has the keepers that have it.
+	// an instant. keptBy lists the keepers that have received the origin.
 	isOwn  bool
 	server ident.ServerName
 	since  time.Time
@@ -119,6 +120,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.keepers.set(hosts, l.Own) {
+		l.pending = nil
 		l.queueOwn(func(ident.ServiceName) bool { return true })
 	}
 }
--- a/internal/host/gateway/control.go
+++ b/internal/host/gateway/control.go
@@ -327,7 +327,7 @@
 	c.schedulers.setHosts(schedulerHosts)
 	c.tunnels.setHosts(hosts, c.hosts)
 	c.limiter.SetHosts(hosts)
-	c.publishKeepers()
+	c.publishKeepers(hosts)
 	c.quota.setHosts(hosts, c.options.Settings.Host.Region)
 	watchers := c.selectWatchers(hosts)
 	c.setWatchers(&watchers)
--- a/internal/host/gateway/streams.go
+++ b/internal/host/gateway/streams.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"cicadaloom/internal/control/balance"
+	"cicadaloom/internal/control/pacing"
 	"cicadaloom/internal/control/streams"
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/peer/streampeer"
@@ -71,9 +72,9 @@
 }
 
 // publishKeepers updates the hosts among which streams' keepers are chosen.
-func (c *control) publishKeepers() {
-	var hosts []streams.Host
-	for _, host := range c.reachableHosts() {
+func (c *control) publishKeepers(reachable []pacing.Host) {
+	hosts := make([]streams.Host, 0, len(reachable))
+	for _, host := range reachable {
 		hosts = append(hosts, streams.Host{
 			Name:       host.Name,
 			Address:    host.Address,
@@ -116,8 +117,8 @@
 }
 
 // FindStream implements relay.ControlPlane: it asks the stream's keepers if this host can't tell.
-func (g *Gateway) FindStream(ctx context.Context, request ident.RequestID, service ident.ServiceName) (streams.Origin, bool) {
-	id := streams.IDOf(request)
+func (g *Gateway) FindStream(ctx context.Context, began ident.RequestID, service ident.ServiceName) (streams.Origin, bool) {
+	id := streams.IDOf(began)
 	g.awaitServers(ctx, service)
 	own := g.FindOrigin(id, service)
 	if own.Known {
@@ -138,7 +139,7 @@
 	}
 	origin, known := streams.Conclude(service, &view, g.askKeepers(ctx, id, service))
 	if !known {
-		g.log.Info("stream's build can't be found", zap.String("Resumes", string(request)), zap.String("Service", string(service)),
+		g.log.Info("stream's build can't be found", zap.String("Resumes", string(began)), zap.String("Service", string(service)),
 			zap.Int("Builds", len(view.Builds)), zap.Bool("Fresh", !view.FreshSince.IsZero()))
 	}
 	return origin, known
--- a/internal/host/gateway/streams_soak_test.go
+++ b/internal/host/gateway/streams_soak_test.go
@@ -60,7 +60,7 @@
 	tried, begun  int
 	taken, goesOn int
 	disordered    []string
-	// mixed has the streams with events of two builds.
+	// mixed describes the streams with events of two builds.
 	mixed map[string]string
 }
 
--- a/internal/host/gateway/suspects_soak_test.go
+++ b/internal/host/gateway/suspects_soak_test.go
@@ -29,10 +29,10 @@
 )
 
 // crashPlay follows which hosts send requests that crash servers. A host that has started within
-// contactTime may not know of earlier crashes.
+// contactTime may lack earlier crashes.
 type crashPlay struct {
 	mu sync.Mutex
-	// hosts has the host of each request that crashes servers, startedAt when a host was last
+	// hosts maps to the host of each request that crashes servers, startedAt when a host was last
 	// started.
 	hosts     map[string]string
 	startedAt map[string]time.Time
--- a/internal/peer/streampeer/streampeer.go
+++ b/internal/peer/streampeer/streampeer.go
@@ -1,5 +1,5 @@
-// Package streampeer has the calls by which entry hosts pass on which builds of the software
-// began streams, and ask for that (package control/streams). It translates between Go types and
+// Package streampeer sends the origins of streams to the entry hosts that keep them, and asks those
+// for them (package control/streams). It translates between Go types and
 // the wire form, proto/streams/streams.proto. On the wire instants are durations from the
 // message on: the clocks of hosts differ.
 //
