--- a/internal/host/gateway/cut_soak_test.go
+++ b/internal/host/gateway/cut_soak_test.go
@@ -119,10 +119,8 @@
 	return c
 }
 
-// Guards against requests that run twice, or run after "not run", or that get another's answer,
-// and against detours that never end, while hosts are cut off, stopped, killed and started in
-// overlapping series.
-func TestSoakOfHostsCutOffFromServers(t *testing.T) {
+// playSoak plays a soak with each of its seeds: one, or as many as soakSeedsVariable says.
+func playSoak(t *testing.T, play func(t *testing.T, seed uint64)) {
 	seeds := 1
 	if text := os.Getenv(soakSeedsVariable); text != "" {
 		number, err := strconv.Atoi(text)
@@ -130,10 +128,17 @@
 		seeds = number
 	}
 	for seed := range uint64(seeds) {
-		t.Run(strconv.FormatUint(firstSoakSeed+seed, 10), func(t *testing.T) { soakCutHosts(t, firstSoakSeed+seed) })
+		t.Run(strconv.FormatUint(firstSoakSeed+seed, 10), func(t *testing.T) { play(t, firstSoakSeed+seed) })
 	}
 }
 
+// Guards against requests that run twice, or run after "not run", or that get another's answer,
+// and against detours that never end, while hosts are cut off, stopped, killed and started in
+// overlapping series.
+func TestSoakOfHostsCutOffFromServers(t *testing.T) {
+	playSoak(t, soakCutHosts)
+}
+
 func soakCutHosts(t *testing.T, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 0))
 	f := newFleet(t)
--- a/internal/host/gateway/streams_soak_test.go
+++ b/internal/host/gateway/streams_soak_test.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -256,15 +255,7 @@
 // Guards against streams that mix builds or can't go on, while servers change their software and
 // hosts are killed, stopped, started and cut off from the store in overlapping series.
 func TestSoakOfStreamsOverBuilds(t *testing.T) {
-	seeds := 1
-	if text := os.Getenv(soakSeedsVariable); text != "" {
-		number, err := strconv.Atoi(text)
-		require.NoError(t, err, soakSeedsVariable)
-		seeds = number
-	}
-	for seed := range uint64(seeds) {
-		t.Run(strconv.FormatUint(firstSoakSeed+seed, 10), func(t *testing.T) { soakStreams(t, firstSoakSeed+seed) })
-	}
+	playSoak(t, soakStreams)
 }
 
 func soakStreams(t *testing.T, seed uint64) {
--- a/internal/host/gateway/suspects_soak_test.go
+++ b/internal/host/gateway/suspects_soak_test.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"sync"
 	"testing"
@@ -127,15 +126,7 @@
 // Guards against a request without a body that goes on crashing servers, while its copies come from
 // many addresses at hosts of all regions, servers come back under new ids, and hosts are restarted.
 func TestSoakOfRequestsThatCrashServers(t *testing.T) {
-	seeds := 1
-	if text := os.Getenv(soakSeedsVariable); text != "" {
-		number, err := strconv.Atoi(text)
-		require.NoError(t, err, soakSeedsVariable)
-		seeds = number
-	}
-	for seed := range uint64(seeds) {
-		t.Run(strconv.FormatUint(firstSoakSeed+seed, 10), func(t *testing.T) { soakCrashes(t, firstSoakSeed+seed) })
-	}
+	playSoak(t, soakCrashes)
 }
 
 func soakCrashes(t *testing.T, seed uint64) {
