--- a/internal/control/streams/deliveries.go
+++ b/internal/control/streams/deliveries.go
@@ -16,7 +16,7 @@
 	Streams []Stream
 }
 
-// Deliveries returns what is to be passed on now, at most one delivery for each keeper. What is
+// Deliveries returns what is to be sent now, at most one delivery for each keeper. What is
 // not recorded as delivered is returned again.
 func (l *Ledger) Deliveries(now time.Time) []Delivery {
 	l.mu.Lock()
@@ -63,7 +63,7 @@
 	return missing
 }
 
-// HasPending reports whether some origin may have to be passed on.
+// HasPending reports whether some origin may have to be sent.
 func (l *Ledger) HasPending() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/control/streams/keepers.go
+++ b/internal/control/streams/keepers.go
@@ -14,7 +14,7 @@
 	// keepersPerStream is how many hosts keep the origin of a stream.
 	keepersPerStream = 3
 	// partitions is into how many parts the streams are divided, each with its own keepers. It
-	// bounds the hosts that one host passes origins on to.
+	// bounds the hosts to which one host sends origins.
 	partitions = 64
 )
 
--- a/internal/control/streams/streams.go
+++ b/internal/control/streams/streams.go
@@ -1,12 +1,12 @@
 // Package streams finds the build of a service's software that began a stream, so that a client
-// may take its stream up at any entry host.
+// may resume its stream at any entry host.
 //
-// Parts of one stream fit together only if servers of one build wrote them. A client that takes
-// a stream up names the request whose answer began it, and nothing else about it. While servers
-// of several builds serve, each host therefore passes the origins of its streams on to their
+// Parts of one stream fit together only if servers of one build wrote them. A client that resumes
+// a stream names the request whose answer began it, and nothing else about it. While servers
+// of several builds serve, each host therefore sends the origins of its streams to their
 // keepers: three hosts that follow from the request's id, in different data centres if there
 // are as many. The host that a client comes to asks the same three. While all servers run one
-// build nothing is passed on: the build follows from that.
+// build nothing is sent: the build follows from that.
 //
 // A Ledger stores the origins that a host knows: of its own streams, and of those that it keeps for
 // others. It also lists what is yet to be sent to which keeper. View and Conclude decide what
@@ -34,7 +34,7 @@
 // # What is lost
 //
 // A stream's origin is forgotten if its host and all its keepers are lost before the client
-// takes it up, or its host within the time between two deliveries. While several builds serve,
+// resumes it, or its host within the time between two deliveries. While several builds serve,
 // such a stream can't go on.
 //
 // Nothing here starts goroutines. A Ledger is safe for concurrent use.
@@ -114,7 +114,7 @@
 	keptBy []keeperKey
 }
 
-// SetHosts replaces the known hosts. Own streams are passed on to keepers that are new or have
+// SetHosts replaces the known hosts. Own streams are sent to keepers that are new or have
 // started again.
 func (l *Ledger) SetHosts(hosts []Host) {
 	l.mu.Lock()
@@ -126,7 +126,7 @@
 }
 
 // SetMixed says whether a service's servers run, or lately ran, several builds: its streams are
-// passed on to their keepers then, those too that began before.
+// sent to their keepers then, those too that began before.
 func (l *Ledger) SetMixed(service ident.ServiceName, mixed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -160,7 +160,7 @@
 }
 
 // Add records the origin of a stream that this host serves from a server. It reports whether the
-// origin is to be passed on.
+// origin is to be sent to keepers.
 func (l *Ledger) Add(now time.Time, id ID, server ident.ServerName, origin Origin) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -171,9 +171,9 @@
 	return l.mixed[origin.Service]
 }
 
-// Doubt withdraws the builds of own streams from a server that turns out to have started again with
+// Invalidate withdraws the builds of own streams from a server that turns out to have started again with
 // other software: those that began before its entry had reached this host may be of either.
-func (l *Ledger) Doubt(now time.Time, server ident.ServerName) {
+func (l *Ledger) Invalidate(now time.Time, server ident.ServerName) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for id, r := range l.streams {
--- a/internal/control/streams/streams_test.go
+++ b/internal/control/streams/streams_test.go
@@ -48,7 +48,7 @@
 	return l
 }
 
-// deliver passes origins on to the keepers that have a ledger, and counts the deliveries.
+// deliver sends origins to the keepers that have a ledger, and counts the deliveries.
 func deliver(now time.Time, from *Ledger, to map[ident.HostID]*Ledger) int {
 	deliveries := from.Deliveries(now)
 	for i := range deliveries {
@@ -85,7 +85,7 @@
 			}
 			require.Len(t, centres, keepersPerStream)
 		}
-		require.LessOrEqual(t, len(used), keepersPerStream*partitions, "hosts that one host passes origins on to")
+		require.LessOrEqual(t, len(used), keepersPerStream*partitions, "hosts to which one host sends origins")
 	}
 	single := ledgerOf("host-0")
 	single.SetHosts(hostsIn(1, 1))
@@ -166,7 +166,7 @@
 
 // Guards against a stream whose recorded build is that of its server's entry before the server
 // started again with other software.
-func TestStreamsOfServerThatStartedAgainAreDoubted(t *testing.T) {
+func TestStreamsOfRestartedServerAreInvalidated(t *testing.T) {
 	l := newTestLedger("host-9", hostsIn(4, 4), true)
 	to := make(map[ident.HostID]*Ledger)
 	for _, host := range hostsIn(4, 4) {
@@ -177,7 +177,7 @@
 	l.Add(start.Add(entryDelay), 3, "i-2", origin("v1", start.Add(time.Minute)))
 	now := start.Add(entryDelay)
 	deliver(now, l, to)
-	l.Doubt(now, "i-1")
+	l.Invalidate(now, "i-1")
 	deliver(now, l, to)
 	for id, build := range map[ID]ident.Build{1: "v1", 2: UnknownBuild, 3: "v1"} {
 		found, _ := l.Find(now, id)
--- a/internal/control/streams/view.go
+++ b/internal/control/streams/view.go
@@ -16,7 +16,7 @@
 	FreshSince time.Time
 }
 
-// OnlyBuild returns the build that began any stream a client may still take up, if the host can
+// OnlyBuild returns the build that began any stream a client may still resume, if the host can
 // tell without asking others: it has known one build only for long enough.
 func (v *View) OnlyBuild(now time.Time) (ident.Build, bool) {
 	if len(v.Builds) != 1 || v.FreshSince.IsZero() || now.Sub(v.FreshSince) < Retention {
@@ -35,7 +35,7 @@
 
 // Conclude returns the origin of a stream of a service from a host's own view and the answers of
 // the stream's keepers. If none of them knows the stream it began at the only build that any of
-// them has seen, since the origins of other streams are passed on. The second result is false
+// them has seen, since the origins of other streams are sent to them. The second result is false
 // if that doesn't follow: several builds have served, or the host's view is outdated and no
 // keeper answers.
 func Conclude(service ident.ServiceName, view *View, answers []Answer) (Origin, bool) {
--- a/internal/host/gateway/events.go
+++ b/internal/host/gateway/events.go
@@ -139,7 +139,7 @@
 	// the leader logs.
 	before, known := c.registry.Get(name)
 	if known && before.Report.Incarnation != registration.Report.Incarnation && before.Server.Build != registration.Server.Build {
-		c.streams.ledger.Doubt(now, name)
+		c.streams.ledger.Invalidate(now, name)
 	}
 	if c.serversKnown.Load() && (!known || before.Report.Incarnation != registration.Report.Incarnation || before.Server.State != registration.Server.State) {
 		c.log.Log(c.entryLogLevel(), "server's entry changed", zap.String("Server", string(name)), zap.String("State", string(registration.Server.State)),
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -49,7 +49,7 @@
 // For each server that names a request limit one host of its region, the issuer, grants the
 // permits for the requests of all hosts: see package control/permits.
 //
-// # Streams that clients take up
+// # Streams that clients resume
 //
 // While servers of a service run several builds of its software, each stream has three hosts,
 // its keepers, that know which build began it: see package control/streams.
--- a/internal/host/gateway/streams.go
+++ b/internal/host/gateway/streams.go
@@ -17,18 +17,18 @@
 
 const (
 	// keepInterval is between two deliveries of streams' origins to their keepers, in a small
-	// fleet. A stream whose host is killed before it can't be taken up while several builds serve.
+	// fleet. A stream whose host is killed before it can't be resumed while several builds serve.
 	keepInterval = 200 * time.Millisecond
 	// keeperTimeout is how long a keeper may take to answer: a round trip between regions, and
 	// what a busy host adds.
 	keeperTimeout = 250 * time.Millisecond
 )
 
-// streamOrigins finds out which builds began the streams that clients take up again.
+// streamOrigins finds out which builds began the streams that clients resume.
 type streamOrigins struct {
 	ledger streams.Ledger
 	client streampeer.Client
-	// added wakes the goroutine that passes origins on.
+	// added wakes the goroutine that delivers origins.
 	added chan struct{}
 	// freshNanos is since when this host's view of the servers has been fresh, by steadyNanos; 0
 	// while it isn't.
@@ -61,7 +61,7 @@
 	}
 }
 
-// publishBuilds updates which services' streams have to be passed on to their keepers.
+// publishBuilds updates which services' streams have to be sent to their keepers.
 func (c *control) publishBuilds(now time.Time) {
 	for service, pool := range c.pools {
 		c.streams.ledger.SetMixed(service, len(pool.Builds(now, streams.Retention)) > 1)
@@ -194,7 +194,7 @@
 	return answers
 }
 
-// runDeliveries passes origins on to their keepers, while there are some to be passed on.
+// runDeliveries sends origins to their keepers while there are any to send.
 func (g *Gateway) runDeliveries() error {
 	for {
 		select {
@@ -217,7 +217,7 @@
 	for _, delivery := range g.streams.ledger.Deliveries(time.Now()) {
 		calls.Go(func() {
 			if err := g.streams.client.Keep(ctx, delivery.Keeper.Address, delivery.Streams); err != nil {
-				g.log.Debug("streams not passed on", zap.String("Keeper", string(delivery.Keeper.Name)), zap.Error(err))
+				g.log.Debug("origins not delivered", zap.String("Keeper", string(delivery.Keeper.Name)), zap.Error(err))
 				g.streams.ledger.RecordFailed(time.Now(), delivery.Keeper.Name)
 				return
 			}
--- a/internal/host/gateway/streams_soak_test.go
+++ b/internal/host/gateway/streams_soak_test.go
@@ -40,7 +40,7 @@
 	streamer(build)(w, r)
 }
 
-// streamSoak is a fleet whose hosts and servers are disturbed while clients take streams up.
+// streamSoak is a fleet whose hosts and servers are disturbed while clients resume streams.
 type streamSoak struct {
 	*fleet
 	names   []string
@@ -151,7 +151,7 @@
 	return s.serving[build] >= 2 && time.Since(s.disturbedAt[string(build)]) > calmTime
 }
 
-// streamClient begins streams and takes them up.
+// streamClient begins streams and resumes them.
 type streamClient struct {
 	soak   *streamSoak
 	name   string
@@ -166,7 +166,7 @@
 	return nil
 }
 
-// stream begins a stream, leaves it after some events and takes it up some times, at once or
+// stream begins a stream, leaves it after some events and resumes it some times, at once or
 // late.
 func (c *streamClient) stream(id string) {
 	last := 0
@@ -297,7 +297,7 @@
 	clients.Kill(nil)
 	require.NoError(t, clients.Wait())
 	tally := &s.tally
-	t.Logf("begun %d of %d, taken up %d of %d, mixed %d", tally.begun, tally.tried, tally.goesOn, tally.taken, len(tally.mixed))
+	t.Logf("begun %d of %d, resumed %d of %d, mixed %d", tally.begun, tally.tried, tally.goesOn, tally.taken, len(tally.mixed))
 	require.Empty(t, tally.disordered)
 	require.LessOrEqual(t, len(tally.mixed), mixedAllowed, tally.mixed)
 	require.NotZero(t, tally.taken)
--- a/internal/host/gateway/streams_test.go
+++ b/internal/host/gateway/streams_test.go
@@ -83,7 +83,7 @@
 	close func()
 }
 
-// take begins a stream, or takes one up, and reads the events up to a number.
+// take begins or resumes a stream, and reads the events up to a number.
 func (f *fleet) take(host, id, resumes string, after, until int) stream {
 	r, err := http.NewRequest(http.MethodPost, "http://"+f.listen[host].Callers+"/x", nil)
 	require.NoError(f.t, err)
@@ -153,7 +153,7 @@
 	}
 }
 
-// Guards against a stream that its client takes up at another host, and that goes on at another
+// Guards against a stream that its client resumes at another host, and that goes on at another
 // build of the software.
 func TestClientsStreamGoesOnAtItsBuild(t *testing.T) {
 	f := startStreamFleet(t, []ident.Build{"v1", "v2"}, "a", "b", "c")
@@ -175,7 +175,7 @@
 	f.requireGoesOn("a", begun)
 }
 
-// Guards against a stream that began while one build served and, taken up at another host, goes on
+// Guards against a stream that began while one build served and, resumed at another host, goes on
 // at a build that has appeared since.
 func TestStreamBegunBeforeSecondBuildGoesOnAtFirst(t *testing.T) {
 	f := startStreamFleet(t, []ident.Build{"v1"}, "a", "b", "c")
--- a/internal/peer/streampeer/streampeer.go
+++ b/internal/peer/streampeer/streampeer.go
@@ -95,7 +95,7 @@
 		})
 	}
 	_, err = streamspb.NewStreamsClient(connection).Keep(ctx, wire)
-	return errors.Wrapf(err, "pass streams on to %s", address)
+	return errors.Wrapf(err, "send origins of streams to %s", address)
 }
 
 // Find asks the host at an address for the origin of a stream that is now for a service.
--- a/internal/traffic/relay/build.go
+++ b/internal/traffic/relay/build.go
@@ -11,29 +11,29 @@
 	"cicadaloom/internal/domain/route"
 )
 
-// isTakenUp reports whether the client takes up a stream that an earlier request began.
-func (s *requestState) isTakenUp() bool {
+// isResumption reports whether the client resumes a stream that an earlier request began.
+func (s *requestState) isResumption() bool {
 	return s.route.Kind == route.Stream && (s.request.ResumeAfter != "" || s.request.Resumes != "")
 }
 
 // bindToOrigin binds the request to the service and build that began the stream that the client
-// takes up. It returns false after it has ended the request.
+// resumes. It returns false after it has ended the request.
 func (s *requestState) bindToOrigin(ctx context.Context) bool {
 	h := s.handler
 	origin, known := h.ControlPlane.FindStream(ctx, s.request.Resumes, s.service)
 	if !known {
-		h.Metrics.recordTakenUp("Unknown")
+		h.Metrics.recordResumption("Unknown")
 		s.refuse(loadRetryAfter, "the build that began the stream can't be found")
 		return false
 	}
 	if !s.leadsTo(origin.Service) {
-		h.Metrics.recordTakenUp("Moved")
+		h.Metrics.recordResumption("Moved")
 		s.refuse(loadRetryAfter, "the route no longer leads to the service that began the stream")
 		return false
 	}
 	s.service = origin.Service
 	s.build = origin.Build
-	h.Metrics.recordTakenUp("Bound")
+	h.Metrics.recordResumption("Bound")
 	return true
 }
 
--- a/internal/traffic/relay/metrics.go
+++ b/internal/traffic/relay/metrics.go
@@ -90,10 +90,10 @@
 	}
 }
 
-// recordTakenUp counts the streams that clients take up, by whether the build that began them was
+// recordResumption counts the streams that clients resume, by whether the build that began them was
 // found.
-func (m *Metrics) recordTakenUp(result string) {
-	m.set.GetOrCreateCounter(`cicadaloom_streams_taken_up_total{result="` + result + `"}`).Inc()
+func (m *Metrics) recordResumption(result string) {
+	m.set.GetOrCreateCounter(`cicadaloom_streams_resumed_total{result="` + result + `"}`).Inc()
 }
 
 func (m *Metrics) recordSend(service ident.ServiceName, result balance.Result) {
--- a/internal/traffic/relay/serving.go
+++ b/internal/traffic/relay/serving.go
@@ -117,7 +117,7 @@
 	s.service = routetable.PickService(s.route, h.Random())
 	ctx, cancel := s.withDeadline(s.deadline)
 	defer cancel()
-	if s.isTakenUp() && !s.bindToOrigin(ctx) {
+	if s.isResumption() && !s.bindToOrigin(ctx) {
 		return
 	}
 	s.engine = services[s.service].Engine
