--- a/internal/traffic/relay/build.go
+++ b/internal/traffic/relay/build.go
@@ -42,8 +42,8 @@
 	return slices.ContainsFunc(s.route.Targets, func(t route.Target) bool { return t.Service == service && t.Weight > 0 })
 }
 
-// recordOrigin records which build began the stream, for the hosts at which the client may take
-// it up.
+// recordOrigin records which build began the stream, for the hosts at which the client may resume
+// it.
 func (s *requestState) recordOrigin(now time.Time, ticket *balance.Ticket) {
 	s.build = ticket.Build
 	if s.build != "" && !ticket.IsCurrent() {
