--- a/internal/control/streams/streams.go
+++ b/internal/control/streams/streams.go
@@ -171,8 +171,8 @@
 	return l.mixed[origin.Service]
 }
 
-// Invalidate withdraws the builds of own streams from a server that turns out to have started again with
-// other software: those that began before its entry had reached this host may be of either.
+// Invalidate withdraws the builds of own streams from a server that turns out to have started again
+// with other software: those that began before its entry had reached this host may be of either.
 func (l *Ledger) Invalidate(now time.Time, server ident.ServerName) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/host/gateway/suspects.go
+++ b/internal/host/gateway/suspects.go
@@ -100,10 +100,7 @@
 
 // tryThroughPeer returns why a peer can't connect to a server, nil if it can.
 func (g *Gateway) tryThroughPeer(ctx context.Context, address string, server suspects.ServerIncarnation) error {
-	client := tunnelpeer.Client{
-		Pool: &g.tunnels.connections,
-	}
-	conn, err := g.openTunnel(ctx, client, address, paths.Server{
+	conn, err := g.openTunnel(ctx, address, paths.Server{
 		Name:        server.Server,
 		Incarnation: server.Incarnation,
 	})
--- a/internal/host/gateway/tunnels.go
+++ b/internal/host/gateway/tunnels.go
@@ -163,12 +163,9 @@
 // dialThroughPeer connects to a server through the first peer that can. The error is
 // tunnelpeer.ErrUnreachable if none can, and one reaches other servers.
 func (g *Gateway) dialThroughPeer(ctx context.Context, server paths.Server) (net.Conn, error) {
-	client := tunnelpeer.Client{
-		Pool: &g.tunnels.connections,
-	}
 	lastErr := errors.New("no peer can connect to the server")
 	for _, peer := range g.tunnelPeers() {
-		conn, err := g.openTunnel(ctx, client, peer.Address, server)
+		conn, err := g.openTunnel(ctx, peer.Address, server)
 		switch {
 		case err == nil:
 			g.tunnels.openedAt.Store(steadyNanos())
@@ -187,7 +184,10 @@
 	return nil, lastErr
 }
 
-func (g *Gateway) openTunnel(ctx context.Context, client tunnelpeer.Client, address string, server paths.Server) (net.Conn, error) {
+func (g *Gateway) openTunnel(ctx context.Context, address string, server paths.Server) (net.Conn, error) {
+	client := tunnelpeer.Client{
+		Pool: &g.tunnels.connections,
+	}
 	ctx, cancel := context.WithTimeout(ctx, tunnelTimeout)
 	defer cancel()
 	return client.Dial(ctx, address, server)
