--- a/internal/traffic/relay/ending.go
+++ b/internal/traffic/relay/ending.go
@@ -10,6 +10,7 @@
 
 	"cicadaloom/internal/control/balance"
 	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/domain/request"
 	"cicadaloom/internal/domain/route"
 	"cicadaloom/internal/peer/upstream"
 )
@@ -193,6 +194,16 @@
 		zap.String("Path", s.request.Path),
 		zap.Uint64("Fingerprint", uint64(s.fingerprint)),
 		zap.Int("BodySize", len(s.request.Body)),
+		zap.Uint64s("PromptParts", partIDs(s.request.PromptParts)),
 		zap.String("Why", sent.reason),
 	)
 }
+
+// partIDs returns the ids of a prompt's parts, in order.
+func partIDs(parts []request.PromptPart) []uint64 {
+	ids := make([]uint64, 0, len(parts))
+	for i := range parts {
+		ids = append(ids, parts[i].ID)
+	}
+	return ids
+}
