--- a/internal/host/gateway/fleet_test.go
+++ b/internal/host/gateway/fleet_test.go
@@ -361,6 +361,16 @@
 type codec struct{}
 
 func (codec) Decode(r *http.Request, arrived time.Time) (request.Request, error) {
+	var parts []request.PromptPart
+	for _, part := range strings.Fields(r.Header.Get("Parts")) {
+		id, err := strconv.ParseUint(part, 16, 64)
+		if err != nil {
+			return request.Request{}, err
+		}
+		parts = append(parts, request.PromptPart{
+			ID: id,
+		})
+	}
 	return request.Request{
 		ID:        ident.RequestID(r.Header.Get("Id")),
 		Method:    r.Method,
@@ -375,6 +385,7 @@
 
 		ResumeAfter:    r.Header.Get("After"),
 		ResumedRequest: ident.RequestID(r.Header.Get("Began")),
+		PromptParts:    parts,
 	}, nil
 }
 
--- /dev/null
+++ b/internal/host/gateway/parts_test.go
@@ -0,0 +1,210 @@
+package gateway
+
+import (
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	tomb "gopkg.in/tomb.v2"
+
+	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/domain/route"
+	"cicadaloom/internal/standin/server"
+)
+
+const (
+	// crashingPart is a part of a prompt under which servers crash, commonPart one that sound
+	// requests have too.
+	crashingPart = "dead"
+	commonPart   = "c"
+	// crashesToCount is after how many crashes under a part the users count the requests with it,
+	// lateSendsAllowed how many of those may reach servers later than contactTime after them.
+	crashesToCount   = 5
+	lateSendsAllowed = 3
+)
+
+// partCrashes records the crashes under parts of prompts.
+type partCrashes struct {
+	mu      sync.Mutex
+	crashes map[string][]time.Time
+	// inTouch reports whether the host that sent a request counts; nil if all do.
+	inTouch func(id string) bool
+	late    map[string]int
+}
+
+func newPartCrashes() *partCrashes {
+	return &partCrashes{
+		crashes: make(map[string][]time.Time),
+		late:    make(map[string]int),
+	}
+}
+
+func (c *partCrashes) record(part, id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	before := c.crashes[part]
+	isLate := len(before) >= crashesToCount && now.Sub(before[crashesToCount-1]) > contactTime
+	if isLate && (c.inTouch == nil || c.inTouch(id)) {
+		c.late[part]++
+	}
+	c.crashes[part] = append(before, now)
+}
+
+func (c *partCrashes) count(part string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.crashes[part])
+}
+
+// partServer crashes when it begins an answer to a request with one of the crashing parts, and comes
+// back under a new id.
+type partServer struct {
+	server.Server
+	fleet    *fleet
+	name     string
+	build    ident.Build
+	address  string
+	crashing []string
+	downTime time.Duration
+	log      *partCrashes
+
+	mu    sync.Mutex
+	names int
+}
+
+func (f *fleet) servePartServer(s *partServer) {
+	s.fleet = f
+	address, err := s.Start("127.0.0.1:0", s)
+	require.NoError(f.t, err)
+	f.t.Cleanup(func() { require.NoError(f.t, s.Stop()) })
+	s.address = address
+	s.rename()
+}
+
+func (s *partServer) rename() {
+	s.mu.Lock()
+	before := s.name + "-" + strconv.Itoa(s.names)
+	s.names++
+	after := s.name + "-" + strconv.Itoa(s.names)
+	s.mu.Unlock()
+	s.fleet.keyValue.delete("servers/" + before)
+	s.fleet.keyValue.write("servers/"+after, entry{
+		Service: "old",
+		Address: s.address,
+		Life:    "1",
+		Build:   s.build,
+	})
+}
+
+func (s *partServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	time.Sleep(20 * time.Millisecond) // the prefill
+	parts := strings.Fields(r.Header.Get("Parts"))
+	for _, part := range s.crashing {
+		if slices.Contains(parts[:max(len(parts)-1, 0)], part) {
+			s.log.record(part, r.Header.Get("Id"))
+			s.Crash(s.downTime, s.rename)
+			server.CutConnection()
+		}
+	}
+	w.Header().Set("Id", r.Header.Get("Id"))
+	w.Header().Set("Content-Type", "text/event-stream")
+	for n := 1; n <= 3; n++ {
+		_, _ = io.WriteString(w, "id: "+strconv.Itoa(n)+"\ndata: x\n\n")
+		w.(http.Flusher).Flush()
+	}
+}
+
+// newPartFleet returns a fleet whose route streams.
+func newPartFleet(t *testing.T) *fleet {
+	f := newFleet(t)
+	streams := configuration(1, "old")
+	streams.Routes[0].Kind = route.Stream
+	streams.Routes[0].Resumable = true
+	f.keyValue.write("configuration", streams)
+	return f
+}
+
+// askParts sends a request with a prompt of its own that has some parts, and returns its status, 0
+// for none.
+func (f *fleet) askParts(client *http.Client, callers, id string, parts ...string) int {
+	r, err := http.NewRequest(http.MethodPost, "http://"+callers+"/x", strings.NewReader(id))
+	require.NoError(f.t, err)
+	r.Host = "desk.example"
+	r.Header.Set("Id", id)
+	r.Header.Set("Parts", strings.Join(append(parts, strconv.FormatUint(rand.Uint64(), 16)), " "))
+	response, err := client.Do(r)
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return 0
+	}
+	return response.StatusCode
+}
+
+// Guards against a part of prompts that crashes servers for as long as requests with it come, at
+// several hosts and no two alike, and against refusing what sound requests share with them.
+func TestRequestsWithPartThatCrashesServersEndOnAllHosts(t *testing.T) {
+	f := newPartFleet(t)
+	log := newPartCrashes()
+	for _, name := range []string{"one", "two", "three", "four"} {
+		f.servePartServer(&partServer{
+			name:     name,
+			crashing: []string{crashingPart},
+			downTime: 600 * time.Millisecond,
+			log:      log,
+		})
+	}
+	names := []string{"a", "b", "c"}
+	for _, name := range names {
+		f.start(name)
+	}
+	for _, name := range names {
+		f.eventually(func() bool { return f.isReady(name) && f.hosts[name].knownHostCount.Load() == int64(len(names)) }, name)
+	}
+	var clients tomb.Tomb
+	var mu sync.Mutex
+	asked, served := 0, 0
+	begin := time.Now()
+	for _, name := range names {
+		callers := f.listen[name].Callers
+		clients.Go(func() error {
+			for n := 0; clients.Alive(); n++ {
+				f.askParts(http.DefaultClient, callers, "crashing-"+name+strconv.Itoa(n), commonPart, crashingPart)
+				time.Sleep(200 * time.Millisecond)
+			}
+			return nil
+		})
+		clients.Go(func() error {
+			for n := 0; clients.Alive(); n++ {
+				status := f.askParts(http.DefaultClient, callers, "sound-"+name+strconv.Itoa(n), commonPart, "d"+strconv.Itoa(n%5))
+				mu.Lock()
+				if time.Since(begin) > 2*contactTime {
+					asked++
+					if status == http.StatusOK {
+						served++
+					}
+				}
+				mu.Unlock()
+				time.Sleep(50 * time.Millisecond)
+			}
+			return nil
+		})
+	}
+	time.Sleep(2*contactTime + 4*time.Second)
+	clients.Kill(nil)
+	require.NoError(t, clients.Wait())
+	t.Logf("%d crashes, %d late; %d of %d sound requests served", log.count(crashingPart), log.late[crashingPart], served, asked)
+	require.GreaterOrEqual(t, log.count(crashingPart), 1)
+	require.LessOrEqual(t, log.late[crashingPart], lateSendsAllowed)
+	require.GreaterOrEqual(t, served, asked*9/10)
+}
--- a/internal/traffic/relay/testenv_test.go
+++ b/internal/traffic/relay/testenv_test.go
@@ -53,6 +53,15 @@
 		ResumedRequest: ident.RequestID(r.Header.Get("Began")),
 		ArrivedAt:      arrived,
 	}
+	for _, part := range strings.Fields(r.Header.Get("Parts")) {
+		id, err := strconv.ParseUint(part, 16, 64)
+		if err != nil {
+			return request.Request{}, err
+		}
+		decoded.PromptParts = append(decoded.PromptParts, request.PromptPart{
+			ID: id,
+		})
+	}
 	if left, err := time.ParseDuration(r.Header.Get("Left")); err == nil {
 		decoded.Deadline = arrived.Add(left)
 	}
