suspects, relay, gateway: Recognise prompt parts that crash servers

Callers saw 74 of 417 requests of the route answered while servers crashed one after the other under requests with one part in common.

Cause: a suspect was a whole request (account, host, path, body), and no two of these were alike. Ruled out by the logs: crashes that are not recognised (all 20 of the window are), news that spreads too late (it never existed).

The parts of the prompts in flight at a crash become suspects too, in the same machine and messages: by service and id, and by build besides, since one build may crash under what is harmless to another. What many sound requests share is in flight at each crash: an answer that has begun proves the parts of its prompt sound at that build, for this host for 30 s, and for all hosts once some host suspects it. A part is refused after its third crash, from builds under which it has crashed. Suspects with most crashes go first in messages; a crash makes its host exchange at once.

--- a/internal/control/balance/balance.go
+++ b/internal/control/balance/balance.go
@@ -71,6 +71,8 @@
 	Prompt  unit.Tokens
 	// Build is the only build of the software that may answer; empty if any may.
 	Build ident.Build
+	// Avoided lists the builds that may not answer.
+	Avoided []ident.Build
 	// Tried lists the servers that the request has been sent to before.
 	Tried []ident.ServerName
 	// AwaitsPermit is whether the request waits for a permit, if the server has a request limit.
--- a/internal/control/balance/builds.go
+++ b/internal/control/balance/builds.go
@@ -34,6 +34,20 @@
 	return builds
 }
 
+// RunningBuilds returns the builds that servers run, sorted.
+func (p *Pool) RunningBuilds() []ident.Build {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	builds := make([]ident.Build, 0, len(p.builds))
+	for build, use := range p.builds {
+		if use.servers > 0 {
+			builds = append(builds, build)
+		}
+	}
+	slices.Sort(builds)
+	return builds
+}
+
 func (p *Pool) addBuild(build ident.Build) {
 	use, known := p.builds[build]
 	if !known {
--- a/internal/control/balance/choose.go
+++ b/internal/control/balance/choose.go
@@ -200,9 +200,9 @@
 	return criteria.fits(s) && (s.info.Kind != backend.KindEngine || slices.Contains(s.holds, criteria.Weights))
 }
 
-// fits reports whether a server is of the build that a request needs.
+// fits reports whether a server is of a build that may answer a request.
 func (c *Criteria) fits(s *server) bool {
-	return c.Build == "" || c.Build == s.info.Build
+	return (c.Build == "" || c.Build == s.info.Build) && !slices.Contains(c.Avoided, s.info.Build)
 }
 
 // isModelKept reports whether some server that fits holds the model and is not about to unload it.
--- a/internal/control/suspects/answered_test.go
+++ b/internal/control/suspects/answered_test.go
@@ -12,8 +12,8 @@
 func TestAnswerCountsForALimitedTime(t *testing.T) {
 	var answered Answered
 	require.False(t, answered.Has(start, 7))
-	answered.Add(start, 7)
-	require.True(t, answered.Has(start.Add(answerValidity-time.Millisecond), 7))
+	answered.AddRequest(start, 7)
+	require.True(t, answered.Has(start.Add(requestAnswerValidity-time.Millisecond), 7))
 	require.False(t, answered.Has(start, 7+answeredCells), "another request of the same cell")
-	require.False(t, answered.Has(start.Add(answerValidity), 7))
+	require.False(t, answered.Has(start.Add(requestAnswerValidity), 7))
 }
--- a/internal/control/suspects/suspects.go
+++ b/internal/control/suspects/suspects.go
@@ -11,6 +11,12 @@
 // A request without a body may be common: of its crashes, all that are unforeseen count as
 // one.
 //
+// Requests that differ may crash servers because a part of their prompts is the same. So the
+// parts of the prompts in flight become suspects too, except for those to which a server of the
+// same build has lately begun an answer: sound requests have most parts in common with those
+// that crash servers, and are in flight beside them. A part is refused after more crashes than
+// a request, and cleared for all hosts as soon as any server begins an answer to it.
+//
 // The entry host's control goroutine owns a Machine, which needs no locking: it passes each
 // event to Step and publishes a new View when Step reports a change. Traffic goroutines
 // read the View.
@@ -28,6 +34,13 @@
 //	case suspects.Refuse:     // answer at once
 //	case suspects.ServeAlone: // choose a replica with no requests in flight
 //	}
+//	switch machine.View().PartVerdict(suspects.Part{
+//		Service: "brief-models",
+//		Build:   "v1",
+//		ID:      0x91bd3f06,
+//	}) {
+//	case suspects.Refuse: // choose a replica of another build, or answer at once
+//	}
 package suspects
 
 import (
@@ -38,11 +51,22 @@
 	"cicadaloom/internal/domain/ident"
 )
 
-// CrashesToRefuse is the number of crashes after which a request is refused.
-const CrashesToRefuse = 2
+const (
+	// CrashesToRefuse is the number of crashes after which a request is refused.
+	CrashesToRefuse = 2
+	// partCrashesToRefuse is that of a prompt part. It is higher, since many requests share a
+	// part, and all are refused with it.
+	partCrashesToRefuse = 3
+)
 
-// retention is how long a suspect is remembered after its last crash.
-const retention = time.Hour
+const (
+	// Retention is how long a suspect is remembered after its last crash.
+	Retention = time.Hour
+	// minRemaining is for how long a peer must still remember a suspect for it to be added. The
+	// time on the way counts twice: without a margin, hosts would go on telling each other of
+	// suspects that are about to expire.
+	minRemaining = time.Second
+)
 
 // maxSuspects bounds memory and the messages between hosts. One crash makes as many
 // suspects as a server has slots. Beyond the bound the least urgent are dropped.
@@ -64,11 +88,24 @@
 	Incarnation ident.Incarnation
 }
 
-// Suspect is a request and the crashes that happened while it ran.
+// Subject is what a fingerprint identifies.
+type Subject uint8
+
+// The subjects: a whole request, a part of prompts.
+const (
+	WholeRequest Subject = iota
+	PromptPart
+)
+
+// Suspect is a request, or a part of prompts, and the crashes that happened while it ran.
 type Suspect struct {
 	Fingerprint ident.Fingerprint
+	Subject     Subject
 	Crashes     []ServerIncarnation
-	KeepUntil   time.Time
+	// IsSound is set for a part to which a server has begun an answer after the crashes. It is
+	// remembered so that peers that know only of the crashes learn of it.
+	IsSound   bool
+	KeepUntil time.Time
 }
 
 // Event is an input of the machine.
@@ -82,6 +119,12 @@
 	Attempt           ident.AttemptID
 	ServerIncarnation ServerIncarnation
 	Address           string
+	// Parts are the parts of the prompt that other requests may share, if the server had not
+	// begun its answer.
+	Parts []Part
+	// WasAnswered is set if another server has lately answered the request: it is no suspect then,
+	// but a part of it may be.
+	WasAnswered bool
 	// Unforeseen is set if the request has no body, so that many callers may send the same,
 	// and its host knew of no server lost under it when it was sent.
 	Unforeseen bool
@@ -94,8 +137,25 @@
 	Incarnation: "unforeseen",
 }
 
-// Crash returns the event for a lost attempt whose server is known to have crashed.
-func (l *LostAttempt) Crash() Crash {
+// Crashes returns the events for a lost attempt whose server is known to have crashed.
+func (l *LostAttempt) Crashes() []Event {
+	var events []Event
+	if !l.WasAnswered {
+		events = append(events, l.requestCrash())
+	}
+	for _, part := range l.Parts {
+		for _, fingerprint := range part.fingerprints() {
+			events = append(events, Crash{
+				Fingerprint:       fingerprint,
+				Subject:           PromptPart,
+				ServerIncarnation: l.ServerIncarnation,
+			})
+		}
+	}
+	return events
+}
+
+func (l *LostAttempt) requestCrash() Crash {
 	crash := Crash{
 		Fingerprint:       l.Fingerprint,
 		ServerIncarnation: l.ServerIncarnation,
@@ -109,6 +169,7 @@
 // Crash reports that a backend server crashed while a request was in flight there.
 type Crash struct {
 	Fingerprint       ident.Fingerprint
+	Subject           Subject
 	ServerIncarnation ServerIncarnation
 }
 
@@ -117,19 +178,31 @@
 	Fingerprint ident.Fingerprint
 }
 
+// ClearedPart reports that a backend server of a part's build began an answer to it.
+type ClearedPart struct {
+	Part Part
+}
+
 // Received holds the suspects that a peer reported.
 type Received struct {
 	Suspects []Suspect
 }
 
-func (Crash) isEvent()    {}
-func (Cleared) isEvent()  {}
-func (Received) isEvent() {}
+func (Crash) isEvent()       {}
+func (Cleared) isEvent()     {}
+func (ClearedPart) isEvent() {}
+func (Received) isEvent()    {}
 
 // Machine keeps the suspects. The zero value is ready for use. It is not safe for
 // concurrent use.
 type Machine struct {
+	// Sound has the parts of prompts that servers have lately begun answers to, as this host has
+	// seen. It may be nil.
+	Sound    *Answered
 	suspects map[ident.Fingerprint]*Suspect
+	// byUrgency has the suspects in the order in which peers are told of them; nil if they have
+	// changed since.
+	byUrgency []Suspect
 }
 
 // Step applies one event and reports whether the view has changed.
@@ -140,40 +213,59 @@
 	changed := m.expire(now)
 	switch e := event.(type) {
 	case Crash:
-		changed = m.addCrash(e.Fingerprint, e.ServerIncarnation, now.Add(retention)) || changed
+		changed = m.addOwn(now, e) || changed
 	case Cleared:
 		changed = m.clear(e.Fingerprint) || changed
+	case ClearedPart:
+		changed = m.clearPart(now, e.Part) || changed
 	case Received:
 		for i := range e.Suspects {
 			changed = m.addReported(now, &e.Suspects[i]) || changed
 		}
 	}
-	m.dropExcess()
+	if changed {
+		m.byUrgency = nil
+		m.dropExcess()
+	}
 	return changed
 }
 
+// addOwn adds a crash that this host has found.
+func (m *Machine) addOwn(now time.Time, crash Crash) bool {
+	if crash.Subject == PromptPart && m.Sound.Has(now, crash.Fingerprint) {
+		return false
+	}
+	return m.addCrash(crash.Fingerprint, crash.Subject, crash.ServerIncarnation, now.Add(Retention))
+}
+
 // addReported adds a suspect that a peer reported. A peer that was suspended may report an
 // expired suspect: adding it would spread it to all hosts once more.
 func (m *Machine) addReported(now time.Time, suspect *Suspect) bool {
-	if now.After(suspect.KeepUntil) {
+	switch {
+	case now.Add(minRemaining).After(suspect.KeepUntil):
 		return false
+	case suspect.IsSound:
+		return m.markSound(suspect.Fingerprint, suspect.Crashes, suspect.KeepUntil)
+	case suspect.Subject == PromptPart && m.Sound.Has(now, suspect.Fingerprint):
+		return m.markSound(suspect.Fingerprint, suspect.Crashes, now.Add(partAnswerValidity))
 	}
 	changed := false
 	for _, server := range suspect.Crashes {
-		changed = m.addCrash(suspect.Fingerprint, server, suspect.KeepUntil) || changed
+		changed = m.addCrash(suspect.Fingerprint, suspect.Subject, server, suspect.KeepUntil) || changed
 	}
 	return changed
 }
 
-func (m *Machine) addCrash(fingerprint ident.Fingerprint, server ServerIncarnation, keepUntil time.Time) bool {
+func (m *Machine) addCrash(fingerprint ident.Fingerprint, subject Subject, server ServerIncarnation, keepUntil time.Time) bool {
 	suspect, known := m.suspects[fingerprint]
 	if !known {
 		suspect = &Suspect{
 			Fingerprint: fingerprint,
+			Subject:     subject,
 		}
 		m.suspects[fingerprint] = suspect
 	}
-	if suspect.isRefused() || slices.Contains(suspect.Crashes, server) {
+	if suspect.IsSound || suspect.isRefused() || slices.Contains(suspect.Crashes, server) {
 		return false
 	}
 	suspect.Crashes = append(suspect.Crashes, server)
@@ -185,17 +277,48 @@
 	return true
 }
 
-// clear drops a suspect of one crash that was answered. A refused suspect stays refused: an
+// markSound records that a part crashes no server. The crashes that it is cleared of are kept, so
+// that what peers may refuse is passed on first.
+func (m *Machine) markSound(fingerprint ident.Fingerprint, crashes []ServerIncarnation, keepUntil time.Time) bool {
+	suspect, known := m.suspects[fingerprint]
+	if known && suspect.IsSound {
+		return false // only news extends the time
+	}
+	if known && len(suspect.Crashes) > len(crashes) {
+		crashes = suspect.Crashes
+	}
+	m.suspects[fingerprint] = &Suspect{
+		Fingerprint: fingerprint,
+		Subject:     PromptPart,
+		Crashes:     crashes,
+		IsSound:     true,
+		KeepUntil:   keepUntil,
+	}
+	return true
+}
+
+// clear drops a suspect request of one crash that was answered. A refused one stays refused: an
 // answer that was in flight elsewhere is no evidence against two crashes.
 func (m *Machine) clear(fingerprint ident.Fingerprint) bool {
 	suspect, known := m.suspects[fingerprint]
-	if !known || suspect.isRefused() {
+	if !known || suspect.Subject != WholeRequest || suspect.isRefused() {
 		return false
 	}
 	delete(m.suspects, fingerprint)
 	return true
 }
 
+// clearPart marks a part as sound if it is a suspect.
+func (m *Machine) clearPart(now time.Time, part Part) bool {
+	changed := false
+	for _, fingerprint := range part.fingerprints() {
+		if _, known := m.suspects[fingerprint]; known {
+			changed = m.markSound(fingerprint, nil, now.Add(partAnswerValidity)) || changed
+		}
+	}
+	return changed
+}
+
 func (m *Machine) expire(now time.Time) bool {
 	changed := false
 	for fingerprint, suspect := range m.suspects {
@@ -211,50 +334,75 @@
 	if len(m.suspects) <= maxSuspects {
 		return
 	}
-	kept := m.MostUrgent(maxSuspects)
+	kept := slices.Clone(m.MostUrgent(maxSuspects))
 	clear(m.suspects)
 	for i := range kept {
 		m.suspects[kept[i].Fingerprint] = &kept[i]
 	}
+	m.byUrgency = nil
 }
 
 // All returns every suspect, to be sent to peers.
 func (m *Machine) All() []Suspect {
 	all := make([]Suspect, 0, len(m.suspects))
 	for _, suspect := range m.suspects {
-		all = append(all, Suspect{
-			Fingerprint: suspect.Fingerprint,
-			Crashes:     append([]ServerIncarnation(nil), suspect.Crashes...),
-			KeepUntil:   suspect.KeepUntil,
-		})
+		copied := *suspect
+		copied.Crashes = slices.Clone(suspect.Crashes)
+		all = append(all, copied)
 	}
 	sort.Slice(all, func(i, j int) bool { return all[i].Fingerprint < all[j].Fingerprint })
 	return all
 }
 
-// MostUrgent returns at most limit suspects, to be sent to peers: those that are refused,
-// then those with the latest crashes.
+// MostUrgent returns at most limit suspects, to be sent to peers: those that are refused, or that
+// peers may refuse though they are sound, then those with most crashes, then parts, which many
+// requests share, then those with the latest crashes. The result must not be changed.
 func (m *Machine) MostUrgent(limit int) []Suspect {
-	all := m.All()
-	if len(all) <= limit {
-		return all
+	if m.byUrgency == nil {
+		m.byUrgency = m.All()
+		sort.SliceStable(m.byUrgency, func(i, j int) bool { return m.byUrgency[i].isMoreUrgent(&m.byUrgency[j]) })
 	}
-	sort.SliceStable(all, func(i, j int) bool {
-		if all[i].isRefused() != all[j].isRefused() {
-			return all[i].isRefused()
-		}
-		return all[i].KeepUntil.After(all[j].KeepUntil)
-	})
-	return all[:limit]
+	return m.byUrgency[:min(limit, len(m.byUrgency))]
+}
+
+func (s *Suspect) isMoreUrgent(other *Suspect) bool {
+	switch {
+	case s.hasCrashesToRefuse() != other.hasCrashesToRefuse():
+		return s.hasCrashesToRefuse()
+	case len(s.Crashes) != len(other.Crashes):
+		return len(s.Crashes) > len(other.Crashes)
+	case s.Subject != other.Subject:
+		return s.Subject == PromptPart
+	}
+	return s.KeepUntil.After(other.KeepUntil)
+}
+
+// Refused returns at most limit suspects that are refused, the most urgent first.
+func (m *Machine) Refused(limit int) []Suspect {
+	refused := slices.DeleteFunc(slices.Clone(m.MostUrgent(maxSuspects)), func(s Suspect) bool { return !s.isRefused() })
+	return refused[:min(limit, len(refused))]
+}
+
+// CountRefused returns how many suspects are refused.
+func (m *Machine) CountRefused() int {
+	return len(m.Refused(maxSuspects))
 }
 
 func (s *Suspect) isRefused() bool {
+	return !s.IsSound && s.hasCrashesToRefuse()
+}
+
+func (s *Suspect) hasCrashesToRefuse() bool {
+	if s.Subject == PromptPart {
+		return len(s.Crashes) >= partCrashesToRefuse
+	}
 	return len(s.Crashes) >= CrashesToRefuse
 }
 
 // View is an immutable set of verdicts. A nil View serves every request.
 type View struct {
 	verdicts map[ident.Fingerprint]Verdict
+	hasParts bool
 }
 
 // View returns the current verdicts.
@@ -263,6 +411,10 @@
 		verdicts: make(map[ident.Fingerprint]Verdict, len(m.suspects)),
 	}
 	for fingerprint, suspect := range m.suspects {
+		if suspect.IsSound {
+			continue
+		}
+		view.hasParts = view.hasParts || suspect.Subject == PromptPart
 		view.verdicts[fingerprint] = ServeAlone
 		if suspect.isRefused() {
 			view.verdicts[fingerprint] = Refuse
--- a/internal/control/suspects/suspects_test.go
+++ b/internal/control/suspects/suspects_test.go
@@ -89,7 +89,7 @@
 	require.Equal(t, Serve, machine.View().Verdict(0))
 	require.Equal(t, ServeAlone, machine.View().Verdict(maxSuspects+9))
 
-	require.True(t, machine.Step(start.Add(2*retention), Cleared{
+	require.True(t, machine.Step(start.Add(2*Retention), Cleared{
 		Fingerprint: 1,
 	}))
 	require.Empty(t, machine.All())
@@ -101,7 +101,7 @@
 func TestExpiredSuspectFromPeerIsIgnored(t *testing.T) {
 	var peer, here Machine
 	peer.Step(start, newCrash(7, "gpu-1", "a"))
-	later := start.Add(retention + time.Second)
+	later := start.Add(Retention + time.Second)
 	require.False(t, here.Step(later, Received{
 		Suspects: peer.All(),
 	}))
@@ -142,7 +142,7 @@
 			Suspects: told,
 		})
 	}
-	end := start.Add(retention + time.Minute)
+	end := start.Add(Retention + time.Minute)
 	for now := start; now.Before(end); now = now.Add(100 * time.Millisecond) {
 		tell(&here, &peer, now)
 		tell(&peer, &here, now)
--- a/internal/host/gateway/control.go
+++ b/internal/host/gateway/control.go
@@ -119,6 +119,9 @@
 		pools:           make(map[ident.ServiceName]*balance.Pool),
 		outdatedServers: make(map[ident.ServerName]struct{}),
 		gauges:          newGauges(g.options.Metrics),
+		suspects: suspects.Machine{
+			Sound: &g.soundParts,
+		},
 	}
 }
 
--- a/internal/host/gateway/cut_test.go
+++ b/internal/host/gateway/cut_test.go
@@ -348,7 +348,7 @@
 		Host: "desk.example",
 		Path: "/slow",
 	}).Fingerprint("")
-	require.Equal(t, suspects.Serve, f.hosts["a"].Verdict(fingerprint))
+	require.Equal(t, suspects.Serve, f.hosts["a"].Suspects().Verdict(fingerprint))
 	select {
 	case <-slow.started: // the repeat through the peer
 		f.links.set("a", notCut)
@@ -387,7 +387,7 @@
 			Host: "desk.example",
 			Path: path,
 		}).Fingerprint("")
-		require.Equal(t, suspects.Serve, f.hosts["a"].Verdict(fingerprint), path)
+		require.Equal(t, suspects.Serve, f.hosts["a"].Suspects().Verdict(fingerprint), path)
 	}
 }
 
--- a/internal/host/gateway/exchange.go
+++ b/internal/host/gateway/exchange.go
@@ -342,9 +342,11 @@
 		}
 	}
 	if len(message.Suspects) > 0 {
-		suspectReported{event: suspects.Received{
-			Suspects: message.Suspects,
-		}}.apply(now, c)
+		suspectsReported{
+			events: []suspects.Event{suspects.Received{
+				Suspects: message.Suspects,
+			}},
+		}.apply(now, c)
 	}
 	if message.Fleet != nil {
 		c.peerStoreFailedAt = message.StoreFailedAt
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -191,6 +191,8 @@
 	// routesKnown is closed once there is a first route table.
 	routesKnown chan struct{}
 	suspectView atomic.Pointer[suspects.View]
+	// soundParts are the parts of prompts to which servers have lately begun answers to this host.
+	soundParts suspects.Answered
 	// knownHostCount is the number of hosts whose entry is known.
 	knownHostCount atomic.Int64
 	seeds          atomic.Pointer[[]string]
@@ -285,6 +287,7 @@
 		Budget:       g.budget,
 		Log:          options.Log,
 		Metrics:      relay.NewMetrics(options.Metrics),
+		SoundParts:   &g.soundParts,
 		Now:          time.Now,
 		Random:       rand.Uint64,
 		Shutdown:     requestsCtx,
--- a/internal/host/gateway/metrics.go
+++ b/internal/host/gateway/metrics.go
@@ -19,21 +19,25 @@
 	// connections to servers it has open for peers.
 	cutOff  *metrics.Gauge
 	tunnels *metrics.Gauge
+	// refusedSuspects is how many requests and parts of prompts are refused since servers crash
+	// under them.
+	refusedSuspects *metrics.Gauge
 	// planSeconds is how long plans take.
 	planSeconds *metrics.Histogram
 }
 
 func newGauges(set *metrics.Set) gauges {
 	return gauges{
-		configuration: set.NewGauge("cicadaloom_configuration_version", nil),
-		hosts:         set.NewGauge("cicadaloom_known_hosts", nil),
-		servers:       set.NewGauge("cicadaloom_backend_servers", nil),
-		leading:       set.NewGauge("cicadaloom_holds_orders", nil),
-		waiting:       set.NewGauge("cicadaloom_prompts_waiting", nil),
-		storeAge:      set.NewGauge("cicadaloom_store_age_seconds", nil),
-		cutOff:        set.NewGauge("cicadaloom_cut_off_from_servers", nil),
-		tunnels:       set.NewGauge("cicadaloom_tunnels_for_peers", nil),
-		planSeconds:   set.NewHistogram("cicadaloom_plan_seconds"),
+		configuration:   set.NewGauge("cicadaloom_configuration_version", nil),
+		hosts:           set.NewGauge("cicadaloom_known_hosts", nil),
+		servers:         set.NewGauge("cicadaloom_backend_servers", nil),
+		leading:         set.NewGauge("cicadaloom_holds_orders", nil),
+		waiting:         set.NewGauge("cicadaloom_prompts_waiting", nil),
+		storeAge:        set.NewGauge("cicadaloom_store_age_seconds", nil),
+		cutOff:          set.NewGauge("cicadaloom_cut_off_from_servers", nil),
+		tunnels:         set.NewGauge("cicadaloom_tunnels_for_peers", nil),
+		refusedSuspects: set.NewGauge("cicadaloom_refused_suspects", nil),
+		planSeconds:     set.NewHistogram("cicadaloom_plan_seconds"),
 	}
 }
 
@@ -47,6 +51,7 @@
 	g.leading.Set(flag(c.term != nil))
 	g.cutOff.Set(flag(c.tunnels.paths.IsCutOff()))
 	g.tunnels.Set(float64(c.tunnels.count()))
+	g.refusedSuspects.Set(float64(c.suspects.CountRefused()))
 	g.waiting.Set(float64(c.schedulers.queue.Len()))
 	if answeredAt := c.storeAnsweredAt(); !answeredAt.IsZero() {
 		g.storeAge.Set(now.Sub(answeredAt).Seconds())
--- a/internal/host/gateway/suspects.go
+++ b/internal/host/gateway/suspects.go
@@ -13,7 +13,6 @@
 	"cicadaloom/internal/control/pacing"
 	"cicadaloom/internal/control/paths"
 	"cicadaloom/internal/control/suspects"
-	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/peer/tunnelpeer"
 )
 
@@ -25,9 +24,9 @@
 // them.
 var crashProbeDelays = []time.Duration{80 * time.Millisecond, 400 * time.Millisecond, 1200 * time.Millisecond}
 
-// Verdict implements relay.ControlPlane.
-func (g *Gateway) Verdict(fingerprint ident.Fingerprint) suspects.Verdict {
-	return g.suspectView.Load().Verdict(fingerprint)
+// Suspects implements relay.ControlPlane.
+func (g *Gateway) Suspects() *suspects.View {
+	return g.suspectView.Load()
 }
 
 // ReportLostAttempt implements relay.ControlPlane: it finds out whether the server crashed
@@ -42,8 +41,11 @@
 			if errors.Is(g.tryConnecting(loss.Address), unix.ECONNREFUSED) && !g.mayStillRun(loss.ServerIncarnation) {
 				g.log.Info("server crashed while it served a request", zap.String("Request", string(loss.Request)),
 					zap.String("Server", string(loss.ServerIncarnation.Server)), zap.String("Incarnation", string(loss.ServerIncarnation.Incarnation)),
-					zap.Uint64("Fingerprint", uint64(loss.Fingerprint)), zap.Bool("Unforeseen", loss.Unforeseen))
-				g.post(suspectReported{event: loss.Crash()})
+					zap.Uint64("Fingerprint", uint64(loss.Fingerprint)), zap.Bool("WasAnswered", loss.WasAnswered), zap.Bool("Unforeseen", loss.Unforeseen),
+					zap.Uint64s("PromptParts", partIDs(loss.Parts)))
+				g.post(suspectsReported{
+					events: loss.Crashes(),
+				})
 				return nil
 			}
 		}
@@ -52,10 +54,19 @@
 }
 
 // ReportCleared implements relay.ControlPlane.
-func (g *Gateway) ReportCleared(fingerprint ident.Fingerprint) {
-	g.post(suspectReported{event: suspects.Cleared{
-		Fingerprint: fingerprint,
-	}})
+func (g *Gateway) ReportCleared(cleared suspects.Event) {
+	g.post(suspectsReported{
+		events: []suspects.Event{cleared},
+	})
+}
+
+// partIDs returns the ids of parts of prompts.
+func partIDs(parts []suspects.Part) []uint64 {
+	ids := make([]uint64, 0, len(parts))
+	for _, part := range parts {
+		ids = append(ids, part.ID)
+	}
+	return ids
 }
 
 // maxWitnesses is how many peers are asked whether a server runs. A peer may be cut off itself, so
@@ -111,18 +122,39 @@
 	return nil
 }
 
-// suspectReported is an event for the suspects.
-type suspectReported struct {
-	event suspects.Event
+// suspectsReported has events for the suspects.
+type suspectsReported struct {
+	events []suspects.Event
 }
 
-func (e suspectReported) apply(now time.Time, c *control) {
-	if !c.suspects.Step(now, e.event) {
+func (e suspectsReported) apply(now time.Time, c *control) {
+	changed, isCrash := false, false
+	for _, event := range e.events {
+		if !c.suspects.Step(now, event) {
+			continue
+		}
+		changed = true
+		if _, reportsCrash := event.(suspects.Crash); reportsCrash {
+			isCrash = true
+		}
+	}
+	if !changed {
 		return
 	}
-	view := c.suspects.View()
-	c.suspectView.Store(view)
-	if crash, isCrash := e.event.(suspects.Crash); isCrash && view.Verdict(crash.Fingerprint) == suspects.Refuse {
-		c.log.Warn("request is refused from now on: servers crash while they serve it", zap.Uint64("Fingerprint", uint64(crash.Fingerprint)))
+	before := c.suspectView.Swap(c.suspects.View())
+	for _, event := range e.events {
+		if crash, reportsCrash := event.(suspects.Crash); reportsCrash {
+			c.logIfRefused(crash, before)
+		}
+	}
+	if isCrash {
+		c.requestExchange() // other hosts may be about to send such a request
+	}
+}
+
+func (c *control) logIfRefused(crash suspects.Crash, before *suspects.View) {
+	if before.Verdict(crash.Fingerprint) != suspects.Refuse && c.suspectView.Load().Verdict(crash.Fingerprint) == suspects.Refuse {
+		c.log.Warn("requests are refused from now on: servers crash while they serve them",
+			zap.Uint64("Fingerprint", uint64(crash.Fingerprint)), zap.Bool("IsPromptPart", crash.Subject == suspects.PromptPart))
 	}
 }
--- a/internal/peer/gatewaypeer/codec.go
+++ b/internal/peer/gatewaypeer/codec.go
@@ -304,6 +304,8 @@
 	wire := &gatewaypeerpb.Suspect{
 		Fingerprint: uint64(s.Fingerprint),
 		Left:        int64(time.Until(s.KeepUntil)),
+		Part:        s.Subject == suspects.PromptPart,
+		Sound:       s.IsSound,
 	}
 	for _, crash := range s.Crashes {
 		wire.Deaths = append(wire.Deaths, &gatewaypeerpb.Death{
@@ -324,8 +326,12 @@
 	}
 	suspect := suspects.Suspect{
 		Fingerprint: ident.Fingerprint(wire.GetFingerprint()),
+		IsSound:     wire.GetSound(),
 		KeepUntil:   time.Now().Add(left),
 	}
+	if wire.GetPart() {
+		suspect.Subject = suspects.PromptPart
+	}
 	for _, crash := range wire.GetDeaths() {
 		suspect.Crashes = append(suspect.Crashes, suspects.ServerIncarnation{
 			Server:      ident.ServerName(crash.GetServer()),
--- a/internal/traffic/relay/choose.go
+++ b/internal/traffic/relay/choose.go
@@ -17,6 +17,7 @@
 		Parts:   s.request.PromptParts,
 		Prompt:  s.request.PromptTokens,
 		Build:   s.build,
+		Avoided: s.crashingBuilds,
 		Tried:   s.tried,
 		Random:  h.Random(),
 	}
@@ -54,6 +55,7 @@
 			s.endRefusedSuspect()
 			return nil
 		}
+		criteria.Avoided = s.crashingBuilds
 		changed := s.pool.Changed()
 		var ticket *balance.Ticket
 		if ticket, verdict = s.takeOpenTicket(ctx, criteria); ticket != nil || s.refuseIfOverloaded() || s.refuseIfClosed() {
@@ -79,10 +81,11 @@
 }
 
 // takeQueuedTicket takes a ticket, and asks the prompt scheduler again for as long as it
-// neither reserves a slot nor finds all engines overloaded.
+// neither reserves a slot nor finds all engines overloaded, and the request may be sent.
 func (s *requestState) takeQueuedTicket(ctx context.Context, criteria balance.Criteria) (*balance.Ticket, balance.Verdict) {
 	ticket, verdict := s.takeTicket(ctx, criteria)
-	for s.queued && ctx.Err() == nil {
+	for s.queued && ctx.Err() == nil && !s.isRefusedSuspect() {
+		criteria.Avoided = s.crashingBuilds
 		ticket, verdict = s.takeTicket(ctx, criteria)
 	}
 	return ticket, verdict
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -18,6 +18,7 @@
 //		Budget:       retries.New(options),
 //		Log:          log,
 //		Metrics:      relay.NewMetrics(set),
+//		SoundParts:   &soundParts,
 //		Now:          time.Now,
 //		Random:       rand.Uint64,
 //		Shutdown:     shutdown,
@@ -159,13 +160,13 @@
 	RecordStream(began ident.RequestID, server ident.ServerName, origin streams.Origin)
 	// PathTo returns how to connect to a server.
 	PathTo(server paths.Server, address string) upstream.Path
-	// Verdict reports whether servers have crashed while they ran a request that its caller
-	// has sent before.
-	Verdict(fingerprint ident.Fingerprint) suspects.Verdict
+	// Suspects returns the requests, and the parts of prompts, under which servers have crashed;
+	// it may be nil.
+	Suspects() *suspects.View
 	// ReportLostAttempt reports a server whose connection broke during a request.
-	// ReportCleared reports that a suspect request was answered.
+	// ReportCleared reports that a suspect was answered.
 	ReportLostAttempt(loss suspects.LostAttempt)
-	ReportCleared(fingerprint ident.Fingerprint)
+	ReportCleared(cleared suspects.Event)
 }
 
 // Handler serves clients' requests. All fields must be set. It is safe for use by many
@@ -177,8 +178,10 @@
 	Budget       *retries.Budget
 	Log          *zap.Logger
 	Metrics      *Metrics
-	Now          func() time.Time
-	Random       func() uint64
+	// SoundParts are the parts of prompts to which servers have lately begun answers.
+	SoundParts *suspects.Answered
+	Now        func() time.Time
+	Random     func() uint64
 	// Shutdown ends when the process is about to exit: every request must then get its
 	// final answer at once.
 	Shutdown context.Context
--- a/internal/traffic/relay/serving.go
+++ b/internal/traffic/relay/serving.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -79,6 +80,10 @@
 	prefillTime time.Duration
 	fingerprint ident.Fingerprint
 	verdict     suspects.Verdict
+	// crashingBuilds are the builds of the software that crash under a part of the prompt.
+	crashingBuilds []ident.Build
+	// answerBegun is whether the server of the current send has begun its answer.
+	answerBegun bool
 	// lastFailure is the last failure answer of a server, to be passed on if no later
 	// attempt succeeds.
 	lastFailure *bufferedAnswer
@@ -185,6 +190,11 @@
 		s.endRefusedSuspect()
 		return false
 	}
+	if slices.Contains(s.crashingBuilds, ticket.Build) {
+		s.endSend(ticket, h.Now(), balance.Left)
+		return true
+	}
+	s.answerBegun = false
 	attempt := ident.AttemptID(strconv.Itoa(s.sends))
 	s.sends++
 	s.tried = append(s.tried, ticket.Server)
--- a/internal/traffic/relay/stream.go
+++ b/internal/traffic/relay/stream.go
@@ -55,6 +55,7 @@
 			}
 		}
 		now := s.handler.Now()
+		s.recordAnswerBegun(ticket, now)
 		if !s.stream.started {
 			s.startStream(now, exchange.Response, ticket, answer)
 		}
--- a/internal/traffic/relay/suspect_test.go
+++ b/internal/traffic/relay/suspect_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/domain/request"
 )
 
 // crashOnCaller breaks off each request of one caller, and answers all others.
@@ -144,8 +145,13 @@
 	header := fromCaller("crashing")
 	header.Set("Text", "poison")
 	go func() { answered <- w.ask(http.MethodPost, "r1", header) }()
-	require.Eventually(t, func() bool { return w.fingerprintAsked() != 0 }, 5*time.Second, time.Millisecond)
-	w.recordCrashes(w.fingerprintAsked(), "b", "c")
+	require.Eventually(t, func() bool { return w.countSuspectsAsked() > 0 }, 5*time.Second, time.Millisecond)
+	waiting := request.Request{
+		Host: "desk.example",
+		Path: "/x",
+		Body: []byte("poison"),
+	}
+	w.recordCrashes(waiting.Fingerprint(""), "b", "c")
 	w.pool.SetServers(servers)
 	require.Equal(t, http.StatusBadGateway, (<-answered).status)
 	require.Empty(t, w.arrivals())
--- a/internal/traffic/relay/testenv_test.go
+++ b/internal/traffic/relay/testenv_test.go
@@ -129,8 +129,7 @@
 	// while delaysCrashes is set.
 	unconfirmed   []suspects.LostAttempt
 	delaysCrashes bool
-	// lastFingerprint is that of the last request whose verdict was asked for.
-	lastFingerprint ident.Fingerprint
+	suspectsAsked int
 	// newerRoutes has routes that come into force while requests wait for them; isOutOfTouch
 	// means that the host can't tell whether there are any.
 	newerRoutes  chan *routetable.Table
@@ -267,17 +266,18 @@
 	return w.lends >= 0
 }
 
-func (w *testEnv) Verdict(fingerprint ident.Fingerprint) suspects.Verdict {
+func (w *testEnv) Suspects() *suspects.View {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.lastFingerprint = fingerprint
-	return w.suspected.View().Verdict(fingerprint)
+	w.suspectsAsked++
+	return w.suspected.View()
 }
 
-func (w *testEnv) fingerprintAsked() ident.Fingerprint {
+// countSuspectsAsked counts how often it was asked for the suspects.
+func (w *testEnv) countSuspectsAsked() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.lastFingerprint
+	return w.suspectsAsked
 }
 
 // recordCrashes makes it known that servers have crashed under a request.
@@ -302,7 +302,13 @@
 		w.unconfirmed = append(w.unconfirmed, loss)
 		return
 	}
-	w.suspected.Step(time.Now(), loss.Crash())
+	w.recordLoss(&loss)
+}
+
+func (w *testEnv) recordLoss(loss *suspects.LostAttempt) {
+	for _, crash := range loss.Crashes() {
+		w.suspected.Step(time.Now(), crash)
+	}
 }
 
 // confirmCrashes makes it known that the servers of all losses so far have crashed.
@@ -310,17 +316,15 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for i := range w.unconfirmed {
-		w.suspected.Step(time.Now(), w.unconfirmed[i].Crash())
+		w.recordLoss(&w.unconfirmed[i])
 	}
 	w.unconfirmed = nil
 }
 
-func (w *testEnv) ReportCleared(fingerprint ident.Fingerprint) {
+func (w *testEnv) ReportCleared(cleared suspects.Event) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.suspected.Step(time.Now(), suspects.Cleared{
-		Fingerprint: fingerprint,
-	})
+	w.suspected.Step(time.Now(), cleared)
 }
 
 func newTestEnv(t *testing.T, r route.Route) *testEnv {
@@ -346,6 +350,7 @@
 	w.routesKnown = make(chan struct{})
 	w.newerRoutes = make(chan *routetable.Table, 1)
 	close(w.routesKnown)
+	w.suspected.Sound = &suspects.Answered{}
 	shutdownContext, shutdown := context.WithCancel(context.Background())
 	w.shutdown = shutdown
 	var counter atomic.Uint64
@@ -358,11 +363,12 @@
 			Window: time.Second,
 			Slack:  100,
 		}),
-		Log:      zap.NewNop(),
-		Metrics:  NewMetrics(metrics.NewSet()),
-		Now:      time.Now,
-		Random:   func() uint64 { return counter.Add(1) },
-		Shutdown: shutdownContext,
+		Log:        zap.NewNop(),
+		Metrics:    NewMetrics(metrics.NewSet()),
+		SoundParts: w.suspected.Sound,
+		Now:        time.Now,
+		Random:     func() uint64 { return counter.Add(1) },
+		Shutdown:   shutdownContext,
 	}
 	w.front = httptest.NewServer(w.handler)
 	t.Cleanup(func() {
