suspects: Refuse prompts only for parts that are needed to explain a crash

Now a prompt is refused if one of its parts is needed to explain a crash that no refused part outside the prompt explains. Two parts that always came together are refused together; one alone is served, and the first crash or answer tells which of them it is. Crashes beyond the third are remembered for that, eight at most.

--- a/internal/control/suspects/suspects.go
+++ b/internal/control/suspects/suspects.go
@@ -15,7 +15,8 @@
 // parts of the prompts in flight become suspects too, except for those to which a server of the
 // same build has lately begun an answer: sound requests have most parts in common with those
 // that crash servers, and are in flight beside them. A part is refused after more crashes than
-// a request, and cleared for all hosts as soon as any server begins an answer to it.
+// a request, and cleared for all hosts as soon as any server begins an answer to it. A prompt is
+// refused only if one of its parts is needed to explain a crash.
 //
 // The entry host's control goroutine owns a Machine, which needs no locking: it passes each
 // event to Step and publishes a new View when Step reports a change. Traffic goroutines
@@ -34,11 +35,7 @@
 //	case suspects.Refuse:     // answer at once
 //	case suspects.ServeAlone: // choose a replica with no requests in flight
 //	}
-//	switch machine.View().PartVerdict(suspects.Part{
-//		Service: "brief-models",
-//		Build:   "v1",
-//		ID:      0x91bd3f06,
-//	}) {
+//	switch machine.View().PartsVerdict(partsAtBuild) {
 //	case suspects.Refuse: // choose a replica of another build, or answer at once
 //	}
 package suspects
@@ -57,6 +54,9 @@
 	// partCrashesToRefuse is that of a prompt part. It is higher, since many requests share a
 	// part, and all are refused with it.
 	partCrashesToRefuse = 3
+	// maxPartCrashes is how many crashes of a part are remembered: those after the ones for which
+	// it is refused tell it from parts that came with it.
+	maxPartCrashes = 8
 )
 
 const (
@@ -91,10 +91,12 @@
 // Subject is what a fingerprint identifies.
 type Subject uint8
 
-// The subjects: a whole request, a part of prompts.
+// The subjects: a whole request, a part of prompts at any build of a service's software, a part
+// at one build.
 const (
 	WholeRequest Subject = iota
 	PromptPart
+	PromptPartAtBuild
 )
 
 // Suspect is a request, or a part of prompts, and the crashes that happened while it ran.
@@ -144,10 +146,10 @@
 		events = append(events, l.requestCrash())
 	}
 	for _, part := range l.Parts {
-		for _, fingerprint := range part.fingerprints() {
+		for i, fingerprint := range part.fingerprints() {
 			events = append(events, Crash{
 				Fingerprint:       fingerprint,
-				Subject:           PromptPart,
+				Subject:           partSubjects[i],
 				ServerIncarnation: l.ServerIncarnation,
 			})
 		}
@@ -232,7 +234,7 @@
 
 // addOwn adds a crash that this host has found.
 func (m *Machine) addOwn(now time.Time, crash Crash) bool {
-	if crash.Subject == PromptPart && m.Sound.Has(now, crash.Fingerprint) {
+	if crash.Subject != WholeRequest && m.Sound.Has(now, crash.Fingerprint) {
 		return false
 	}
 	return m.addCrash(crash.Fingerprint, crash.Subject, crash.ServerIncarnation, now.Add(Retention))
@@ -245,9 +247,9 @@
 	case now.Add(minRemaining).After(suspect.KeepUntil):
 		return false
 	case suspect.IsSound:
-		return m.markSound(suspect.Fingerprint, suspect.Crashes, suspect.KeepUntil)
-	case suspect.Subject == PromptPart && m.Sound.Has(now, suspect.Fingerprint):
-		return m.markSound(suspect.Fingerprint, suspect.Crashes, now.Add(partAnswerValidity))
+		return m.markSound(suspect, suspect.KeepUntil)
+	case suspect.Subject != WholeRequest && m.Sound.Has(now, suspect.Fingerprint):
+		return m.markSound(suspect, now.Add(partAnswerValidity))
 	}
 	changed := false
 	for _, server := range suspect.Crashes {
@@ -265,7 +267,7 @@
 		}
 		m.suspects[fingerprint] = suspect
 	}
-	if suspect.IsSound || suspect.isRefused() || slices.Contains(suspect.Crashes, server) {
+	if suspect.IsSound || len(suspect.Crashes) >= suspect.maxCrashes() || slices.Contains(suspect.Crashes, server) {
 		return false
 	}
 	suspect.Crashes = append(suspect.Crashes, server)
@@ -279,17 +281,19 @@
 
 // markSound records that a part crashes no server. The crashes that it is cleared of are kept, so
 // that what peers may refuse is passed on first.
-func (m *Machine) markSound(fingerprint ident.Fingerprint, crashes []ServerIncarnation, keepUntil time.Time) bool {
-	suspect, known := m.suspects[fingerprint]
-	if known && suspect.IsSound {
-		return false // only news extends the time
-	}
-	if known && len(suspect.Crashes) > len(crashes) {
-		crashes = suspect.Crashes
+func (m *Machine) markSound(part *Suspect, keepUntil time.Time) bool {
+	crashes := part.Crashes
+	if known := m.suspects[part.Fingerprint]; known != nil {
+		if known.IsSound {
+			return false // only news extends the time
+		}
+		if len(known.Crashes) > len(crashes) {
+			crashes = known.Crashes
+		}
 	}
-	m.suspects[fingerprint] = &Suspect{
-		Fingerprint: fingerprint,
-		Subject:     PromptPart,
+	m.suspects[part.Fingerprint] = &Suspect{
+		Fingerprint: part.Fingerprint,
+		Subject:     part.Subject,
 		Crashes:     crashes,
 		IsSound:     true,
 		KeepUntil:   keepUntil,
@@ -312,8 +316,8 @@
 func (m *Machine) clearPart(now time.Time, part Part) bool {
 	changed := false
 	for _, fingerprint := range part.fingerprints() {
-		if _, known := m.suspects[fingerprint]; known {
-			changed = m.markSound(fingerprint, nil, now.Add(partAnswerValidity)) || changed
+		if suspect, known := m.suspects[fingerprint]; known {
+			changed = m.markSound(suspect, now.Add(partAnswerValidity)) || changed
 		}
 	}
 	return changed
@@ -371,8 +375,8 @@
 		return s.hasCrashesToRefuse()
 	case len(s.Crashes) != len(other.Crashes):
 		return len(s.Crashes) > len(other.Crashes)
-	case s.Subject != other.Subject:
-		return s.Subject == PromptPart
+	case (s.Subject == WholeRequest) != (other.Subject == WholeRequest):
+		return other.Subject == WholeRequest
 	}
 	return s.KeepUntil.After(other.KeepUntil)
 }
@@ -393,28 +397,48 @@
 }
 
 func (s *Suspect) hasCrashesToRefuse() bool {
-	if s.Subject == PromptPart {
-		return len(s.Crashes) >= partCrashesToRefuse
+	if s.Subject == WholeRequest {
+		return len(s.Crashes) >= CrashesToRefuse
+	}
+	return len(s.Crashes) >= partCrashesToRefuse
+}
+
+// maxCrashes returns how many crashes are remembered.
+func (s *Suspect) maxCrashes() int {
+	if s.Subject == WholeRequest {
+		return CrashesToRefuse
 	}
-	return len(s.Crashes) >= CrashesToRefuse
+	return maxPartCrashes
+}
+
+// maxRefusedParts bounds the work that refused parts make for each request.
+const maxRefusedParts = 64
+
+// refusedParts returns the most urgent refused parts.
+func (m *Machine) refusedParts() []Suspect {
+	parts := slices.DeleteFunc(m.Refused(maxSuspects), func(s Suspect) bool { return s.Subject == WholeRequest })
+	return parts[:min(maxRefusedParts, len(parts))]
 }
 
 // View is an immutable set of verdicts. A nil View serves every request.
 type View struct {
 	verdicts map[ident.Fingerprint]Verdict
 	hasParts bool
+	// refusedParts are the most urgent of the parts that are refused.
+	refusedParts []Suspect
 }
 
 // View returns the current verdicts.
 func (m *Machine) View() *View {
 	view := &View{
-		verdicts: make(map[ident.Fingerprint]Verdict, len(m.suspects)),
+		verdicts:     make(map[ident.Fingerprint]Verdict, len(m.suspects)),
+		refusedParts: m.refusedParts(),
 	}
 	for fingerprint, suspect := range m.suspects {
 		if suspect.IsSound {
 			continue
 		}
-		view.hasParts = view.hasParts || suspect.Subject == PromptPart
+		view.hasParts = view.hasParts || suspect.Subject != WholeRequest
 		view.verdicts[fingerprint] = ServeAlone
 		if suspect.isRefused() {
 			view.verdicts[fingerprint] = Refuse
--- a/internal/peer/gatewaypeer/codec.go
+++ b/internal/peer/gatewaypeer/codec.go
@@ -304,7 +304,7 @@
 	wire := &gatewaypeerpb.Suspect{
 		Fingerprint: uint64(s.Fingerprint),
 		Left:        int64(time.Until(s.KeepUntil)),
-		Part:        s.Subject == suspects.PromptPart,
+		Subject:     gatewaypeerpb.Subject(s.Subject),
 		Sound:       s.IsSound,
 	}
 	for _, crash := range s.Crashes {
@@ -326,12 +326,10 @@
 	}
 	suspect := suspects.Suspect{
 		Fingerprint: ident.Fingerprint(wire.GetFingerprint()),
+		Subject:     suspects.Subject(wire.GetSubject()),
 		IsSound:     wire.GetSound(),
 		KeepUntil:   time.Now().Add(left),
 	}
-	if wire.GetPart() {
-		suspect.Subject = suspects.PromptPart
-	}
 	for _, crash := range wire.GetDeaths() {
 		suspect.Crashes = append(suspect.Crashes, suspects.ServerIncarnation{
 			Server:      ident.ServerName(crash.GetServer()),
--- a/internal/traffic/relay/suspect.go
+++ b/internal/traffic/relay/suspect.go
@@ -24,7 +24,7 @@
 	}
 	builds := s.usableBuilds()
 	for _, build := range builds {
-		switch s.partsVerdict(view, build) {
+		switch view.PartsVerdict(s.sharedParts(build)) {
 		case suspects.Refuse:
 			s.crashingBuilds = append(s.crashingBuilds, build)
 		case suspects.ServeAlone:
@@ -57,15 +57,6 @@
 	return parts
 }
 
-// partsVerdict returns the strictest verdict on the parts of the prompt at a build.
-func (s *requestState) partsVerdict(view *suspects.View, build ident.Build) suspects.Verdict {
-	strictest := suspects.Serve
-	for _, part := range s.sharedParts(build) {
-		strictest = max(strictest, view.PartVerdict(part))
-	}
-	return strictest
-}
-
 // endRefusedSuspect ends a request that is not sent, or not sent again, since servers crash under
 // it.
 func (s *requestState) endRefusedSuspect() {
@@ -124,7 +115,7 @@
 	view := h.ControlPlane.Suspects()
 	for _, part := range parts {
 		h.SoundParts.AddPart(now, part)
-		if view.PartVerdict(part) != suspects.Serve {
+		if view.IsSuspect(part) {
 			h.ControlPlane.ReportCleared(suspects.ClearedPart{
 				Part: part,
 			})
