gateway: Keep refused suspects in the key-value service

The leader writes the refused suspects, 32 at most, under one key when they change, at most once a second; hosts read it with the entries of servers and hosts, which they need before they are ready. Where the leader is lost it also is a second way of the news. Weighed: a lease (ten minutes at most, and a renewal is a call), an entry for each host (writes grow with hosts).

A watcher that gets news of suspects passes it on at once, as the host that saw the crash does.

gateway.TestRefusedPartsOutliveAllHosts: without the write it fails; passes 8 of 8.

--- a/internal/host/gateway/control.go
+++ b/internal/host/gateway/control.go
@@ -64,6 +64,7 @@
 	pendingDemand map[demandKey]loading.Demand
 	pools         map[ident.ServiceName]*balance.Pool
 	suspects      suspects.Machine
+	refused       refusedState
 	// outdatedServers are the servers that have changed since the pools were updated;
 	// poolsOutdated tells that all may have.
 	outdatedServers map[ident.ServerName]struct{}
@@ -174,6 +175,7 @@
 		c.inventory.Forget(now, func(name ident.ServerName) bool { _, known := c.registry.Incarnation(name); return known })
 		c.backpressure.Sweep(now, c.isListed)
 	}
+	c.storeRefused(now)
 	c.plan(now)
 }
 
--- a/internal/host/gateway/events.go
+++ b/internal/host/gateway/events.go
@@ -153,7 +153,7 @@
 	key := event.Entry.Key
 	switch {
 	case !event.Deleted:
-		c.applyHostEntry(&event.Entry)
+		c.applyHostEntry(now, &event.Entry)
 	case key == c.options.Layout.leaderKey():
 		c.leader = ""
 	default:
@@ -165,7 +165,7 @@
 }
 
 // applyHostEntry applies an entry below HostPrefix.
-func (c *control) applyHostEntry(entry *store.Entry) {
+func (c *control) applyHostEntry(now time.Time, entry *store.Entry) {
 	layout := &c.options.Layout
 	switch entry.Key {
 	case layout.leaderKey():
@@ -177,6 +177,9 @@
 		c.lastLeader.Store(&lastLeader)
 		c.lastTermRevision.Store(int64(entry.Revision))
 		return
+	case layout.refusedKey():
+		c.applyRefusedEntry(now, entry)
+		return
 	}
 	name := layout.hostIDOf(entry.Key)
 	if name == "" {
--- a/internal/host/gateway/parts_test.go
+++ b/internal/host/gateway/parts_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 	tomb "gopkg.in/tomb.v2"
 
+	"cicadaloom/internal/control/suspects"
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/domain/route"
 	"cicadaloom/internal/standin/server"
@@ -208,3 +209,68 @@
 	require.LessOrEqual(t, log.late[crashingPart], lateSendsAllowed)
 	require.GreaterOrEqual(t, served, asked*9/10)
 }
+
+// storesRefused reports whether the key-value service has a part as refused.
+func (f *fleet) storesRefused(part string) bool {
+	value := f.keyValue.value("servers-ours/" + refusedPath)
+	if value == "" {
+		return false
+	}
+	refused, err := decodeRefused([]byte(value))
+	require.NoError(f.t, err)
+	var stored suspects.Machine
+	stored.Step(time.Now(), suspects.Received{
+		Suspects: refused,
+	})
+	id, err := strconv.ParseUint(part, 16, 64)
+	require.NoError(f.t, err)
+	return stored.View().PartsVerdict([]suspects.Part{{
+		Service: "old",
+		ID:      id,
+	}}) != suspects.Serve
+}
+
+// Guards against parts of prompts that crash servers once more after all hosts were restarted at once.
+func TestRefusedPartsOutliveAllHosts(t *testing.T) {
+	f := newPartFleet(t)
+	log := newPartCrashes()
+	for _, name := range []string{"one", "two", "three", "four"} {
+		f.servePartServer(&partServer{
+			name:     name,
+			crashing: []string{crashingPart},
+			downTime: 300 * time.Millisecond,
+			log:      log,
+		})
+	}
+	names := []string{"a", "b", "c"}
+	startAll := func() {
+		for _, name := range names {
+			f.start(name)
+		}
+		for _, name := range names {
+			f.eventually(func() bool { return f.isReady(name) }, name)
+		}
+	}
+	startAll()
+	for n := 0; log.count(crashingPart) < crashesToCount && n < 50; n++ {
+		name := names[n%len(names)]
+		f.askParts(http.DefaultClient, f.listen[name].Callers, "before-"+strconv.Itoa(n), commonPart, crashingPart)
+		time.Sleep(100 * time.Millisecond)
+	}
+	f.eventually(func() bool { return f.storesRefused(crashingPart) }, "the refused parts are stored")
+	crashes := log.count(crashingPart)
+	for _, name := range names {
+		f.kill(name)
+	}
+	startAll()
+	for n, name := range names {
+		f.eventually(func() bool {
+			return f.askParts(http.DefaultClient, f.listen[name].Callers, "sound-"+strconv.Itoa(n), commonPart, "d") == http.StatusOK
+		}, "others are served at "+name)
+		for i := range 3 {
+			require.Equal(t, http.StatusServiceUnavailable,
+				f.askParts(http.DefaultClient, f.listen[name].Callers, "after-"+strconv.Itoa(n)+"-"+strconv.Itoa(i), commonPart, crashingPart))
+		}
+	}
+	require.Equal(t, crashes, log.count(crashingPart))
+}
--- a/internal/host/gateway/register.go
+++ b/internal/host/gateway/register.go
@@ -23,6 +23,9 @@
 	// termPath is written by each new leader and never deleted: it shows that there has been
 	// a leader.
 	termPath = "term"
+	// refusedPath has the requests and parts of prompts that are refused since servers crash under
+	// them.
+	refusedPath = "refused"
 )
 
 // hostsPrefix is the prefix of the entries of a data centre's hosts.
@@ -51,6 +54,10 @@
 	return l.HostPrefix + termPath
 }
 
+func (l *Layout) refusedKey() string {
+	return l.HostPrefix + refusedPath
+}
+
 // hostIDOf returns the host whose entry a key is, empty for all other keys.
 func (l *Layout) hostIDOf(key string) ident.HostID {
 	below, found := strings.CutPrefix(key, l.HostPrefix+hostsPath)
--- a/internal/host/gateway/suspects.go
+++ b/internal/host/gateway/suspects.go
@@ -147,7 +147,7 @@
 			c.logIfRefused(crash, before)
 		}
 	}
-	if isCrash {
+	if isCrash || c.watchers.Load().isOwn() {
 		c.requestExchange() // other hosts may be about to send such a request
 	}
 }
@@ -155,6 +155,6 @@
 func (c *control) logIfRefused(crash suspects.Crash, before *suspects.View) {
 	if before.Verdict(crash.Fingerprint) != suspects.Refuse && c.suspectView.Load().Verdict(crash.Fingerprint) == suspects.Refuse {
 		c.log.Warn("requests are refused from now on: servers crash while they serve them",
-			zap.Uint64("Fingerprint", uint64(crash.Fingerprint)), zap.Bool("IsPromptPart", crash.Subject == suspects.PromptPart))
+			zap.Uint64("Fingerprint", uint64(crash.Fingerprint)), zap.Bool("IsPromptPart", crash.Subject != suspects.WholeRequest))
 	}
 }
