suspects, gateway: Refuse a part in any prompt after five crashes

From the fifth crash on a part is refused whatever explains it; until then the crashes after the third tell the parts apart.

--- a/internal/control/suspects/parts.go
+++ b/internal/control/suspects/parts.go
@@ -83,13 +83,16 @@
 
 // isToBlame reports whether there was a crash under the refused parts of a prompt that no other
 // refused part explains. Parts that came with one that crashes servers, as most prompts begin with
-// the same few, may be harmless: they are refused together with it only.
+// the same few, may be harmless: they are refused together with it only. That ends with
+// maxPartCrashes, since two parts may each explain what the other did.
 func (v *View) isToBlame(subject Subject, prompt []ident.Fingerprint) bool {
 	var own, explained []ServerIncarnation
 	for i := range v.refusedParts {
 		part := &v.refusedParts[i]
 		switch {
 		case part.Subject != subject:
+		case slices.Contains(prompt, part.Fingerprint) && len(part.Crashes) >= maxPartCrashes:
+			return true
 		case slices.Contains(prompt, part.Fingerprint):
 			own = append(own, part.Crashes...)
 		default:
--- a/internal/control/suspects/parts_test.go
+++ b/internal/control/suspects/parts_test.go
@@ -157,18 +157,27 @@
 
 // Guards against one of two parts that hides the other.
 func TestTwoPartsThatCrashServersAreBothRefused(t *testing.T) {
-	var machine Machine
+	machine := Machine{
+		Sound: &Answered{},
+	}
+	machine.Sound.AddPart(start, newPart("v1", common))
 	for i := range 3 {
 		crash(&machine, start, fmt.Sprint("gpu-a-", i), "v1", common, crashing)
 		crash(&machine, start, fmt.Sprint("gpu-b-", i), "v1", common, other)
 	}
 	require.Equal(t, Refuse, machine.View().PartsVerdict(newParts("v1", common, crashing)))
 	require.Equal(t, Refuse, machine.View().PartsVerdict(newParts("v1", common, other)))
-	require.Equal(t, ServeAlone, machine.View().PartsVerdict(newParts("v1", common)))
-	for i, id := range []uint64{crashing, other} {
-		crash(&machine, start, fmt.Sprint("gpu-c-", i), "v1", 99, id)
-		require.Equal(t, Refuse, machine.View().PartsVerdict(newParts("v1", 98, id)))
+	require.Equal(t, Serve, machine.View().PartsVerdict(newParts("v1", common)))
+}
+
+// Guards against a part that goes on crashing servers because others, of which no answer shows that
+// they are sound, were in flight at each of its crashes.
+func TestPartIsRefusedThoughOthersExplainItsCrashes(t *testing.T) {
+	var machine Machine
+	for i := range maxPartCrashes {
+		crash(&machine, start, fmt.Sprint("gpu-", i), "v1", common, other, crashing)
 	}
+	require.Equal(t, Refuse, machine.View().PartsVerdict(newParts("v1", 99, crashing)))
 }
 
 // Guards against parts of which peers go on telling each other after they have expired.
--- a/internal/control/suspects/suspects.go
+++ b/internal/control/suspects/suspects.go
@@ -55,8 +55,8 @@
 	// part, and all are refused with it.
 	partCrashesToRefuse = 3
 	// maxPartCrashes is how many crashes of a part are remembered: those after the ones for which
-	// it is refused tell it from parts that came with it.
-	maxPartCrashes = 8
+	// it is refused tell it from parts that came with it. From then on it is refused in any prompt.
+	maxPartCrashes = 5
 )
 
 const (
--- a/internal/host/gateway/parts_test.go
+++ b/internal/host/gateway/parts_test.go
@@ -252,6 +252,9 @@
 		}
 	}
 	startAll()
+	f.eventually(func() bool {
+		return f.askParts(http.DefaultClient, f.listen["a"].Callers, "sound", commonPart, "d") == http.StatusOK
+	}, "an answer begins")
 	for n := 0; log.count(crashingPart) < crashesToCount && n < 50; n++ {
 		name := names[n%len(names)]
 		f.askParts(http.DefaultClient, f.listen[name].Callers, "before-"+strconv.Itoa(n), commonPart, crashingPart)
