balance, gateway: Let a host use the connections to servers that others leave

A host to which most of a zone's clients come would leave three quarters of each server unused and let them wait.

Cause: a limit divided by the number of hosts takes load for even. Now a host may go beyond its share of a server whose load is known while all hosts together use less than half of the connections.

Looked at for the same cause: permits are issued one by one; quotas are pooled over a region and borrowed; retries go by a host's own requests, and their slack is lent in large regions; refusals of servers that bear few (Server-Brittle) are divided evenly and stay so.

--- a/internal/control/balance/balance.go
+++ b/internal/control/balance/balance.go
@@ -140,8 +140,8 @@
 	corrected map[*server]struct{}
 	// engineSlots is the number of slots of the engine that was last reported, 0 if none was.
 	engineSlots int
-	// serverLimit bounds this host's requests in flight at one server.
-	serverLimit int
+	// serverLimit bounds the requests in flight at one server.
+	serverLimit ServerLimit
 	// secondsPerToken is the prefill time of an engine for one prompt token, by model:
 	// large models take up to ten times as long as small ones.
 	secondsPerToken map[ident.ModelName]float64
@@ -184,13 +184,15 @@
 // NewPool returns a pool without servers.
 func NewPool(location Location, pressures *backpressure.Table) *Pool {
 	return &Pool{
-		location:           location,
-		pressures:          pressures,
-		servers:            make(map[ident.ServerName]*server),
-		builds:             make(map[ident.Build]*buildUse),
-		failing:            make(map[*server]struct{}),
-		corrected:          make(map[*server]struct{}),
-		serverLimit:        1 << 20,
+		location:  location,
+		pressures: pressures,
+		servers:   make(map[ident.ServerName]*server),
+		builds:    make(map[ident.Build]*buildUse),
+		failing:   make(map[*server]struct{}),
+		corrected: make(map[*server]struct{}),
+		serverLimit: ServerLimit{
+			Own: 1 << 20,
+		},
 		secondsPerToken:    make(map[ident.ModelName]float64),
 		answerSeconds:      make(map[ident.ModelName]float64),
 		responseTime:       initialResponseTime,
@@ -354,12 +356,21 @@
 	return accepting[random%uint64(len(accepting))].info, true
 }
 
-// SetServerLimit bounds this host's requests in flight at one server: its share of the
-// connections that the server accepts.
-func (p *Pool) SetServerLimit(limit int) {
+// ServerLimit bounds the requests in flight at one server, each of which takes a connection.
+type ServerLimit struct {
+	// Own is how many this host may have there whatever others have.
+	Own int
+	// Total is how many all hosts may have there for this one to have more than Own, if the server's
+	// load is known. Clients may all come to one host, and leave the shares of others unused.
+	Total int
+}
+
+// SetServerLimit bounds the requests in flight at one server. Own is at least 1.
+func (p *Pool) SetServerLimit(limit ServerLimit) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.serverLimit = max(limit, 1)
+	limit.Own = max(limit.Own, 1)
+	p.serverLimit = limit
 }
 
 // CountArrival adds a request to the demand.
--- a/internal/control/balance/server.go
+++ b/internal/control/balance/server.go
@@ -28,6 +28,7 @@
 	// report.
 	otherInFlight int
 	otherWaiting  int
+	isLoadKnown   bool
 	// failures counts consecutive failed sends. The server gets no requests until
 	// ejectedUntil, and after it one at a time; probing reports that this one is in flight.
 	failures     int
@@ -77,6 +78,7 @@
 // host's own count; the current count is subtracted in place of the one at the time of the
 // report.
 func (s *server) updateLoad(running, waiting int) {
+	s.isLoadKnown = true
 	s.otherInFlight = max(running+waiting-s.ownInFlight, 0)
 	s.otherWaiting = min(waiting, s.otherInFlight)
 }
@@ -110,13 +112,18 @@
 }
 
 // isAvailable reports whether the server accepts one more request of this host.
-func (s *server) isAvailable(now time.Time, serverLimit int) bool {
-	if s.isLeaving() || s.ownInFlight >= serverLimit || now.Before(s.ejectedUntil) {
+func (s *server) isAvailable(now time.Time, limit ServerLimit) bool {
+	if s.isLeaving() || !s.hasRoom(limit) || now.Before(s.ejectedUntil) {
 		return false
 	}
 	return s.failures == 0 || !s.probing
 }
 
+// hasRoom reports whether this host may have one more request in flight at the server.
+func (s *server) hasRoom(limit ServerLimit) bool {
+	return s.ownInFlight < limit.Own || s.isLoadKnown && s.inFlight() < limit.Total
+}
+
 // isRetiring reports whether a model is about to be unloaded.
 func (s *server) isRetiring(model ident.ModelName) bool {
 	return slices.Contains(s.retiring, model)
--- a/internal/host/gateway/control.go
+++ b/internal/host/gateway/control.go
@@ -314,7 +314,7 @@
 	c.knownHostCount.Store(int64(hosts))
 	for service, pool := range c.pools {
 		if declared, known := c.configuration.Services[service]; known && declared.MaxConnections > 0 {
-			pool.SetServerLimit(connectionLimit(declared.MaxConnections, hosts))
+			pool.SetServerLimit(serverLimit(declared.MaxConnections, hosts))
 		}
 	}
 	c.budget.SetHosts(max(hosts, 1))
@@ -384,11 +384,15 @@
 	return hosts
 }
 
-// connectionLimit is how many connections this host may open to one server, given the
-// server's limit and the number of hosts. Clients spread unevenly over hosts, and seldom
-// use all hosts at full load at once: so it is twice an even share.
-func connectionLimit(connections, hosts int) int {
-	return max(2*connections/max(hosts, 1), 2)
+// serverLimit bounds the requests in flight at one server, given the connections that it accepts
+// and the number of hosts. Clients spread unevenly over hosts, and seldom use all hosts at full
+// load at once: so a host's own limit is twice an even share. Beyond it, half of the connections
+// are left for requests that other hosts are about to send, and for their idle connections.
+func serverLimit(connections, hosts int) balance.ServerLimit {
+	return balance.ServerLimit{
+		Own:   max(2*connections/max(hosts, 1), 2),
+		Total: connections / 2,
+	}
 }
 
 // describeServer combines a server's entry with the leader's newer report on it.
--- a/internal/traffic/relay/suspect_test.go
+++ b/internal/traffic/relay/suspect_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"cicadaloom/internal/control/balance"
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/domain/request"
 )
@@ -137,7 +138,9 @@
 			_, _ = io.WriteString(w, "answer")
 		})
 	}
-	w.pool.SetServerLimit(1)
+	w.pool.SetServerLimit(balance.ServerLimit{
+		Own: 1,
+	})
 	var clients sync.WaitGroup
 	for _, id := range []string{"r1", "r2"} {
 		clients.Go(func() { w.ask(http.MethodGet, id, nil) })
