overload, httpserve, gateway: Turn connections away unread while the processor is overloaded

A host to which most of a zone's clients come may have 0.192 of a core, about 190 requests a second as measured on a host of 0.012, and a zone of the large site sends 211. It read all of them, and each waited for the processor until its deadline.

Now a host on which a quarter of the goroutines wait for the processor for 50 ms and longer closes a part of the new connections, up to 0.6, before anything is read: any request may then be tried at another host. Ruled out: reporting not ready, which hands the whole crowd to the next host.

--- /dev/null
+++ b/internal/control/overload/overload.go
@@ -0,0 +1,86 @@
+// Package overload decides how many new connections a host turns away while its processor is
+// overloaded.
+//
+// Clients may all come to one host, which may have a small part of a core. If it accepted all of
+// their requests, each would wait for the processor until its deadline passed. A connection that
+// is closed before its request is read costs little, and its client can try another host at once,
+// with a request of any kind.
+//
+// A Detector is told how long goroutines had to wait for the processor. It raises the share of
+// connections to turn away step by step while many waited for long, and lowers it again more
+// slowly. It never turns all of them away: a host that takes no connection looks like one that is
+// down. It reads no clock and no random source and is safe for concurrent use.
+//
+// # Usage
+//
+//	var detector overload.Detector
+//	detector.Observe(overload.Sample{
+//		At:      time.Now(),
+//		Delayed: delayed,
+//		Total:   total,
+//	})
+//	if !detector.Admits(rand.Float64()) {
+//		// close the new connection
+//	}
+package overload
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// DelayThreshold is the wait for the processor from which on a goroutine counts as delayed.
+	DelayThreshold = 50 * time.Millisecond
+	// delayedShare is the share of delayed goroutines from which on the host is overloaded.
+	delayedShare = 0.25
+	// maxShare bounds the share of connections that are turned away.
+	maxShare = 0.6
+	// raise and lower are the steps of the share at each sample.
+	raise = 0.1
+	lower = 0.05
+	// SampleInterval is the least time between two samples.
+	SampleInterval = 100 * time.Millisecond
+	// minTotal is how many goroutines a sample must have: fewer say little.
+	minTotal = 10
+)
+
+// Sample counts the goroutines that have got the processor since the sample before.
+type Sample struct {
+	At time.Time
+	// Delayed counts those that waited for DelayThreshold or longer, Total all.
+	Delayed uint64
+	Total   uint64
+}
+
+// Detector decides which new connections are turned away. The zero value turns none away.
+type Detector struct {
+	mu        sync.Mutex
+	share     float64
+	sampledAt time.Time
+}
+
+// Observe takes a sample into account.
+func (d *Detector) Observe(sample Sample) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	intervals := float64(sample.At.Sub(d.sampledAt)) / float64(SampleInterval)
+	d.sampledAt = sample.At
+	if sample.Total >= minTotal && float64(sample.Delayed) >= delayedShare*float64(sample.Total) {
+		d.share = min(d.share+raise, maxShare)
+		return
+	}
+	d.share = max(d.share-lower*intervals, 0)
+}
+
+// Share returns the share of connections that are turned away.
+func (d *Detector) Share() float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.share
+}
+
+// Admits reports whether to accept a connection. random is at least 0 and less than 1.
+func (d *Detector) Admits(random float64) bool {
+	return random >= d.Share()
+}
--- /dev/null
+++ b/internal/control/overload/overload_test.go
@@ -0,0 +1,54 @@
+package overload
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// observe takes as many samples in a row, and returns the time of the next one.
+func observe(d *Detector, at time.Time, samples int, delayed uint64) time.Time {
+	for range samples {
+		d.Observe(Sample{
+			At:      at,
+			Delayed: delayed,
+			Total:   100,
+		})
+		at = at.Add(SampleInterval)
+	}
+	return at
+}
+
+// Guards against a host that lets all requests wait for its processor until their deadlines pass.
+func TestOverloadedHostTurnsConnectionsAway(t *testing.T) {
+	var d Detector
+	require.True(t, d.Admits(0))
+	observe(&d, start, 20, 60)
+	require.False(t, d.Admits(0.5))
+	require.True(t, d.Admits(maxShare), "a host that takes no connection looks like one that is down")
+}
+
+// Guards against a host that turns connections away because it was suspended once, or after its load
+// has fallen.
+func TestHostAdmitsAllAfterOverload(t *testing.T) {
+	var suspended Detector
+	next := observe(&suspended, start, 1, 100)
+	require.LessOrEqual(t, suspended.Share(), raise)
+	observe(&suspended, next, 2, 0)
+	require.True(t, suspended.Admits(0))
+
+	var idle Detector
+	observe(&idle, start, 20, 60)
+	observe(&idle, start.Add(10*time.Second), 1, 0)
+	require.True(t, idle.Admits(0), "without connections there are no samples")
+}
+
+// Guards against a busy host that turns connections away although its requests hardly wait.
+func TestBusyHostAdmitsAll(t *testing.T) {
+	var d Detector
+	observe(&d, start, 50, 20)
+	require.True(t, d.Admits(0))
+}
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -162,6 +162,7 @@
 	schedulers      promptSchedulers
 	quota           quotaPools
 	streams         streamOrigins
+	processor       processorLoad
 	callerServer    httpserve.Server
 	readinessServer httpserve.Server
 	metrics         httpserve.Server
@@ -218,6 +219,8 @@
 	exchangeWanted chan struct{}
 	// promptQueued tells that a prompt waits in this host's queue.
 	promptQueued chan struct{}
+	// turnedAway counts the connections that were closed unread since the host was overloaded.
+	turnedAway *metrics.Counter
 }
 
 // inboxSize lets bursts of events wait for the control goroutine without blocking
@@ -275,6 +278,7 @@
 	g.lastLeader.Store(new(ident.HostID))
 	g.pools.Store(&map[ident.ServiceName]*balance.Pool{})
 	dialed := options.Metrics.NewCounter("cicadaloom_connections_opened_total")
+	g.turnedAway = options.Metrics.NewCounter("cicadaloom_connections_turned_away_total")
 	g.upstreamClient = &upstream.Client{
 		OnDial: dialed.Inc,
 	}
@@ -309,20 +313,21 @@
 	if _, err := g.peerServer.Start(listen.Peers, g); err != nil {
 		return err
 	}
-	if err := g.serve(&g.readinessServer, listen.Ready, http.HandlerFunc(g.serveReady)); err != nil {
+	if err := g.serve(&g.readinessServer, listen.Ready, http.HandlerFunc(g.serveReady), nil); err != nil {
 		return err
 	}
 	if listen.Metrics != "" {
-		if err := g.serve(&g.metrics, listen.Metrics, http.HandlerFunc(g.serveMetrics)); err != nil {
+		if err := g.serve(&g.metrics, listen.Metrics, http.HandlerFunc(g.serveMetrics), nil); err != nil {
 			return err
 		}
 	}
-	return g.serve(&g.callerServer, listen.Callers, g.handler)
+	return g.serve(&g.callerServer, listen.Callers, g.handler, g.admitConnection)
 }
 
-func (g *Gateway) serve(server *httpserve.Server, address string, handler http.Handler) error {
+func (g *Gateway) serve(server *httpserve.Server, address string, handler http.Handler, admit func() bool) error {
 	_, err := server.Start(address, httpserve.Options{
 		Handler: handler,
+		Admit:   admit,
 		Log:     g.log,
 	})
 	return err
--- a/internal/peer/httpserve/httpserve.go
+++ b/internal/peer/httpserve/httpserve.go
@@ -41,7 +41,10 @@
 	Handler http.Handler
 	// TLS is nil for plain HTTP.
 	TLS *tls.Config
-	Log *zap.Logger
+	// Admit decides for each new connection whether to serve it; nil admits all. The others are
+	// closed before anything is read.
+	Admit func() bool
+	Log   *zap.Logger
 }
 
 // Server serves one listening address. The zero value is ready to start, once.
@@ -53,6 +56,7 @@
 	// unused are the connections on which no whole request header has arrived yet.
 	unused   map[net.Conn]struct{}
 	stopping bool
+	admit    func() bool
 }
 
 // Start listens at an address ("ip:port"; port 0 takes any free one) and returns the
@@ -66,6 +70,7 @@
 	if options.TLS != nil {
 		listener = tls.NewListener(listener, options.TLS)
 	}
+	s.admit = options.Admit
 	s.http = &http.Server{
 		Handler:           options.Handler,
 		ReadHeaderTimeout: headerTimeout,
@@ -83,15 +88,15 @@
 	return bound, nil
 }
 
-// recordState keeps track of the connections that are unused, and closes those that come while the
-// server stops.
+// recordState keeps track of the connections that are unused, and closes those that are not admitted
+// or that come while the server stops.
 func (s *Server) recordState(conn net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
 	case state != http.StateNew:
 		delete(s.unused, conn)
-	case s.stopping:
+	case s.stopping, s.admit != nil && !s.admit():
 		_ = conn.Close() // nothing has been read
 	default:
 		if s.unused == nil {
--- a/internal/peer/httpserve/httpserve_test.go
+++ b/internal/peer/httpserve/httpserve_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,3 +32,30 @@
 	defer cancel()
 	require.NoError(t, server.Stop(ctx))
 }
+
+// Guards against a connection that is closed for overload after its request has been read: a client
+// whose request may run once could not try it again.
+func TestConnectionThatIsNotAdmittedIsClosedUnread(t *testing.T) {
+	var admits, served atomic.Int64
+	var server Server
+	address, err := server.Start("127.0.0.1:0", Options{
+		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served.Add(1) }),
+		Admit:   func() bool { return admits.Add(1)%2 == 0 },
+		Log:     zap.NewNop(),
+	})
+	require.NoError(t, err)
+	defer func() { require.NoError(t, server.Stop(context.Background())) }()
+	client := http.Client{
+		Transport: &http.Transport{
+			DisableKeepAlives: true,
+		},
+	}
+	for n := range 6 {
+		response, err := client.Post("http://"+address+"/", "text/plain", strings.NewReader("x"))
+		require.Equal(t, n%2 == 1, err == nil, n)
+		if err == nil {
+			require.NoError(t, response.Body.Close())
+		}
+	}
+	require.Equal(t, int64(3), served.Load())
+}
