--- a/internal/host/gateway/overload.go
+++ b/internal/host/gateway/overload.go
@@ -16,12 +16,10 @@
 type processorLoad struct {
 	detector overload.Detector
 
-	mu        sync.Mutex
-	sampledAt time.Time
-	samples   []metrics.Sample
-	// delayed and total are the counts of the sample before.
-	delayed uint64
-	total   uint64
+	mu      sync.Mutex
+	metrics []metrics.Sample
+	// counted has the counts since the process started, at the last sample.
+	counted overload.Sample
 }
 
 // admitConnection reports whether to serve a new connection of a client.
@@ -37,41 +35,41 @@
 func (p *processorLoad) sampleIfDue(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if now.Sub(p.sampledAt) < overload.SampleInterval {
+	before := p.counted
+	if now.Sub(before.At) < overload.SampleInterval {
 		return
 	}
-	isFirst := p.sampledAt.IsZero()
-	p.sampledAt = now
-	delayed, total := p.count()
-	sample := overload.Sample{
-		At:      now,
-		Delayed: delayed - p.delayed,
-		Total:   total - p.total,
-	}
-	p.delayed, p.total = delayed, total
-	if !isFirst {
-		p.detector.Observe(sample)
+	p.counted = p.count(now)
+	if before.At.IsZero() {
+		return
 	}
+	p.detector.Observe(overload.Sample{
+		At:      now,
+		Delayed: p.counted.Delayed - before.Delayed,
+		Total:   p.counted.Total - before.Total,
+	})
 }
 
-// count returns how many goroutines have waited for the processor since the process started: for
-// overload.DelayThreshold or longer, and in all.
-func (p *processorLoad) count() (delayed, total uint64) {
-	if p.samples == nil {
-		p.samples = []metrics.Sample{{
+// count counts the goroutines that have got the processor since the process started.
+func (p *processorLoad) count(now time.Time) overload.Sample {
+	counted := overload.Sample{
+		At: now,
+	}
+	if p.metrics == nil {
+		p.metrics = []metrics.Sample{{
 			Name: schedulingLatencies,
 		}}
 	}
-	metrics.Read(p.samples)
-	if p.samples[0].Value.Kind() != metrics.KindFloat64Histogram {
-		return 0, 0 // this version of the runtime doesn't have it
+	metrics.Read(p.metrics)
+	if p.metrics[0].Value.Kind() != metrics.KindFloat64Histogram {
+		return counted // this version of the runtime doesn't have it
 	}
-	histogram := p.samples[0].Value.Float64Histogram()
+	histogram := p.metrics[0].Value.Float64Histogram()
 	for i, count := range histogram.Counts {
-		total += count
+		counted.Total += count
 		if histogram.Buckets[i] >= overload.DelayThreshold.Seconds() {
-			delayed += count
+			counted.Delayed += count
 		}
 	}
-	return delayed, total
+	return counted
 }
