relay: Let streams of suspect parts go on once they have begun

A sound request whose prompt has a part that is suspected is not repeated if its server is lost. That also held for its stream after it had begun, which proves its parts sound; now only the time before the first event counts. relay.TestStreamOfSuspectPartGoesOnOnceBegun failed before.

--- a/internal/traffic/relay/parts_test.go
+++ b/internal/traffic/relay/parts_test.go
@@ -134,3 +134,28 @@
 	require.Len(t, w.arrivals(), 4)
 	require.False(t, w.Suspects().HasParts())
 }
+
+// Guards against sound streams that don't go on after a crash since a part of their prompt was
+// suspected before they began.
+func TestStreamOfSuspectPartGoesOnOnceBegun(t *testing.T) {
+	w := newTestEnv(t, streamRoute(true))
+	w.serve("a", events(4, 2))
+	w.crashUnderParts("", 1, 2)
+	answered := make(chan reply, 1)
+	go func() { answered <- w.ask(http.MethodPost, "r1", withParts("1 2 11")) }()
+	require.Eventually(t, func() bool { return len(w.arrivals()) == 1 }, 5*time.Second, time.Millisecond)
+	w.serve("b", events(4, 0))
+	got := <-answered
+	require.NoError(t, got.err)
+	require.Equal(t, wholeStream(4), got.body)
+}
+
+// Guards against one request with a suspect part that crashes several servers.
+func TestRequestOfSuspectPartIsNotRepeated(t *testing.T) {
+	w := newTestEnv(t, streamRoute(true))
+	w.serve("a", crashOnPart("dead"))
+	w.serve("b", crashOnPart("dead"))
+	w.crashUnderParts("", 1, 0xdead)
+	require.Equal(t, http.StatusBadGateway, w.ask(http.MethodPost, "r1", withParts("1 dead 11")).status)
+	require.Len(t, w.arrivals(), 1)
+}
--- a/internal/traffic/relay/serving.go
+++ b/internal/traffic/relay/serving.go
@@ -80,8 +80,10 @@
 	prefillTime time.Duration
 	fingerprint ident.Fingerprint
 	verdict     suspects.Verdict
-	// crashingBuilds are the builds of the software that crash under a part of the prompt.
+	// crashingBuilds are the builds of the software that crash under a part of the prompt,
+	// hasSuspectPart is whether others may do so.
 	crashingBuilds []ident.Build
+	hasSuspectPart bool
 	// answerBegun is whether the server of the current send has begun its answer.
 	answerBegun bool
 	// lastFailure is the last failure answer of a server, to be passed on if no later
@@ -306,7 +308,7 @@
 		s.timeOut()
 	case !sent.provedNotRun && !s.route.MayRepeat():
 		s.abandon(sent.reason)
-	case s.runs >= s.route.MaxAttempts || s.hasSentEnough() || s.verdict != suspects.Serve && s.runs > 0:
+	case s.runs >= s.route.MaxAttempts || s.hasSentEnough() || s.runs > 0 && s.mayCrashAnother():
 		s.abandon(sent.reason)
 	default:
 		return true
--- a/internal/traffic/relay/suspect.go
+++ b/internal/traffic/relay/suspect.go
@@ -15,7 +15,7 @@
 func (s *requestState) isRefusedSuspect() bool {
 	view := s.handler.ControlPlane.Suspects()
 	s.verdict = view.Verdict(s.fingerprint)
-	s.crashingBuilds = nil
+	s.crashingBuilds, s.hasSuspectPart = nil, false
 	if s.verdict == suspects.Refuse {
 		return true
 	}
@@ -28,12 +28,18 @@
 		case suspects.Refuse:
 			s.crashingBuilds = append(s.crashingBuilds, build)
 		case suspects.ServeAlone:
-			s.verdict = suspects.ServeAlone
+			s.hasSuspectPart = true
 		}
 	}
 	return len(builds) > 0 && len(s.crashingBuilds) == len(builds)
 }
 
+// mayCrashAnother reports whether the request, after it was lost, may be the one that crashes
+// servers.
+func (s *requestState) mayCrashAnother() bool {
+	return s.verdict != suspects.Serve || s.hasSuspectPart && !s.answerBegun
+}
+
 // usableBuilds returns the builds of the software whose servers may run the request.
 func (s *requestState) usableBuilds() []ident.Build {
 	if s.build != "" {
