relay: Take only a success and an event with an id as an answer that has begun

A server's 404 or a comment at the head of a stream proved the parts of a prompt harmless, though no answer to it had begun.

--- a/internal/traffic/relay/send.go
+++ b/internal/traffic/relay/send.go
@@ -173,7 +173,9 @@
 			reason: "the stream was not resumed",
 		}
 	}
-	s.recordAnswerBegun(ticket, s.handler.Now())
+	if response.StatusCode < http.StatusMultipleChoices {
+		s.recordAnswerBegun(ticket, s.handler.Now())
+	}
 	s.writeAnswer(answer)
 	return sendResult{
 		result:   balance.Answered,
--- a/internal/traffic/relay/stream.go
+++ b/internal/traffic/relay/stream.go
@@ -55,7 +55,9 @@
 			}
 		}
 		now := s.handler.Now()
-		s.recordAnswerBegun(ticket, now)
+		if hasID {
+			s.recordAnswerBegun(ticket, now)
+		}
 		if !s.stream.started {
 			s.startStream(now, exchange.Response, ticket, answer)
 		}
