--- a/internal/control/suspects/suspects.go
+++ b/internal/control/suspects/suspects.go
@@ -41,8 +41,8 @@
 package suspects
 
 import (
+	"cmp"
 	"slices"
-	"sort"
 	"time"
 
 	"cicadaloom/internal/domain/ident"
@@ -202,8 +202,9 @@
 	// may be nil.
 	Harmless *Answered
 	suspects map[ident.Fingerprint]*Suspect
-	// byUrgency are the suspects in the order in which they are sent to peers; nil after a change.
-	byUrgency []Suspect
+	// urgent is the last result of MostUrgent, for urgentLimit; nil after a change.
+	urgent      []Suspect
+	urgentLimit int
 }
 
 // Step applies one event and reports whether the view has changed.
@@ -225,8 +226,8 @@
 		}
 	}
 	if changed {
-		m.byUrgency = nil
 		m.dropExcess()
+		m.urgent = nil
 	}
 	return changed
 }
@@ -337,58 +338,81 @@
 	if len(m.suspects) <= maxSuspects {
 		return
 	}
-	kept := slices.Clone(m.MostUrgent(maxSuspects))
+	kept := m.All()
 	clear(m.suspects)
 	for i := range kept {
 		m.suspects[kept[i].Fingerprint] = &kept[i]
 	}
-	m.byUrgency = nil
 }
 
-// All returns every suspect, to be sent to peers.
+// All returns every suspect, the most urgent first.
 func (m *Machine) All() []Suspect {
-	all := make([]Suspect, 0, len(m.suspects))
-	for _, suspect := range m.suspects {
-		copied := *suspect
-		copied.Crashes = slices.Clone(suspect.Crashes)
-		all = append(all, copied)
-	}
-	sort.Slice(all, func(i, j int) bool { return all[i].Fingerprint < all[j].Fingerprint })
-	return all
+	return m.mostUrgent(maxSuspects, func(*Suspect) bool { return true })
 }
 
 // MostUrgent returns at most limit suspects, to be sent to peers: those that are refused, or that
 // peers may refuse though they are harmless, then those with most crashes, then parts, which many
 // requests share, then those with the latest crashes. The result must not be changed.
 func (m *Machine) MostUrgent(limit int) []Suspect {
-	if m.byUrgency == nil {
-		m.byUrgency = m.All()
-		sort.SliceStable(m.byUrgency, func(i, j int) bool { return m.byUrgency[i].isMoreUrgent(&m.byUrgency[j]) })
-	}
-	return m.byUrgency[:min(limit, len(m.byUrgency))]
-}
-
-func (s *Suspect) isMoreUrgent(other *Suspect) bool {
-	switch {
-	case s.hasCrashesToRefuse() != other.hasCrashesToRefuse():
-		return s.hasCrashesToRefuse()
-	case len(s.Crashes) != len(other.Crashes):
-		return len(s.Crashes) > len(other.Crashes)
-	case (s.Subject == WholeRequest) != (other.Subject == WholeRequest):
-		return other.Subject == WholeRequest
+	if m.urgent == nil || m.urgentLimit != limit {
+		m.urgent = m.mostUrgent(limit, func(*Suspect) bool { return true })
+		m.urgentLimit = limit
 	}
-	return s.KeepUntil.After(other.KeepUntil)
+	return m.urgent
 }
 
 // Refused returns at most limit suspects that are refused, the most urgent first.
 func (m *Machine) Refused(limit int) []Suspect {
-	refused := slices.DeleteFunc(slices.Clone(m.MostUrgent(maxSuspects)), func(s Suspect) bool { return !s.isRefused() })
-	return refused[:min(limit, len(refused))]
+	return m.mostUrgent(limit, (*Suspect).isRefused)
 }
 
 // CountRefused returns how many suspects are refused.
 func (m *Machine) CountRefused() int {
-	return len(m.Refused(maxSuspects))
+	count := 0
+	for _, suspect := range m.suspects {
+		if suspect.isRefused() {
+			count++
+		}
+	}
+	return count
+}
+
+// mostUrgent returns copies of the most urgent suspects that match.
+func (m *Machine) mostUrgent(limit int, matches func(*Suspect) bool) []Suspect {
+	var matching []*Suspect
+	for _, suspect := range m.suspects {
+		if matches(suspect) {
+			matching = append(matching, suspect)
+		}
+	}
+	slices.SortFunc(matching, compareUrgency)
+	copies := make([]Suspect, 0, min(limit, len(matching)))
+	for _, suspect := range matching[:min(limit, len(matching))] {
+		copied := *suspect
+		copied.Crashes = slices.Clone(suspect.Crashes)
+		copies = append(copies, copied)
+	}
+	return copies
+}
+
+// compareUrgency orders the more urgent suspect first.
+func compareUrgency(a, b *Suspect) int {
+	switch {
+	case a.hasCrashesToRefuse() != b.hasCrashesToRefuse():
+		return firstIf(a.hasCrashesToRefuse())
+	case len(a.Crashes) != len(b.Crashes):
+		return cmp.Compare(len(b.Crashes), len(a.Crashes))
+	case (a.Subject == WholeRequest) != (b.Subject == WholeRequest):
+		return firstIf(b.Subject == WholeRequest)
+	}
+	return cmp.Or(b.KeepUntil.Compare(a.KeepUntil), cmp.Compare(a.Fingerprint, b.Fingerprint))
+}
+
+func firstIf(isFirst bool) int {
+	if isFirst {
+		return -1
+	}
+	return 1
 }
 
 func (s *Suspect) isRefused() bool {
@@ -415,8 +439,7 @@
 
 // refusedParts returns the most urgent refused parts.
 func (m *Machine) refusedParts() []Suspect {
-	parts := slices.DeleteFunc(m.Refused(maxSuspects), func(s Suspect) bool { return s.Subject == WholeRequest })
-	return parts[:min(maxRefusedParts, len(parts))]
+	return m.mostUrgent(maxRefusedParts, func(s *Suspect) bool { return s.Subject != WholeRequest && s.isRefused() })
 }
 
 // View is an immutable set of verdicts. A nil View serves every request.
