--- a/internal/control/suspects/parts_test.go
+++ b/internal/control/suspects/parts_test.go
@@ -107,7 +107,7 @@
 
 	var own Machine
 	crash(&own, start, "gpu-1", "v1", common)
-	require.True(t, own.Step(start, ClearedPart{
+	require.True(t, own.Step(start, HarmlessPart{
 		Part: newPart("v1", common),
 	}))
 	crash(&own, start, "gpu-2", "v1", common)
@@ -135,7 +135,7 @@
 	}
 	require.Equal(t, Refuse, machine.View().PartsVerdict(newParts("v2", common, crashing)))
 	require.Equal(t, ServeAlone, machine.View().PartsVerdict(newParts("v1", common, crashing)))
-	machine.Step(start, ClearedPart{
+	machine.Step(start, HarmlessPart{
 		Part: newPart("v1", crashing),
 	})
 	require.Equal(t, Refuse, machine.View().PartsVerdict(newParts("v2", common, crashing)), "an answer of another build proves nothing")
@@ -184,7 +184,7 @@
 func TestHarmlessPartExpiresThoughPeersRepeatIt(t *testing.T) {
 	var here, peer Machine
 	crash(&here, start, "gpu-1", "v1", common)
-	here.Step(start, ClearedPart{
+	here.Step(start, HarmlessPart{
 		Part: newPart("v1", common),
 	})
 	for now := start; now.Before(start.Add(partAnswerValidity + time.Second)); now = now.Add(100 * time.Millisecond) {
--- a/internal/control/suspects/suspects.go
+++ b/internal/control/suspects/suspects.go
@@ -180,8 +180,8 @@
 	Fingerprint ident.Fingerprint
 }
 
-// ClearedPart reports that a backend server of a part's build began an answer to it.
-type ClearedPart struct {
+// HarmlessPart reports that a backend server of a part's build began an answer to it.
+type HarmlessPart struct {
 	Part Part
 }
 
@@ -190,10 +190,10 @@
 	Suspects []Suspect
 }
 
-func (Crash) isEvent()       {}
-func (Cleared) isEvent()     {}
-func (ClearedPart) isEvent() {}
-func (Received) isEvent()    {}
+func (Crash) isEvent()        {}
+func (Cleared) isEvent()      {}
+func (HarmlessPart) isEvent() {}
+func (Received) isEvent()     {}
 
 // Machine keeps the suspects. The zero value is ready for use. It is not safe for
 // concurrent use.
@@ -218,7 +218,7 @@
 		changed = m.addOwn(now, e) || changed
 	case Cleared:
 		changed = m.clear(e.Fingerprint) || changed
-	case ClearedPart:
+	case HarmlessPart:
 		changed = m.clearPart(now, e.Part) || changed
 	case Received:
 		for i := range e.Suspects {
--- a/internal/host/gateway/suspects.go
+++ b/internal/host/gateway/suspects.go
@@ -13,6 +13,7 @@
 	"cicadaloom/internal/control/pacing"
 	"cicadaloom/internal/control/paths"
 	"cicadaloom/internal/control/suspects"
+	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/peer/tunnelpeer"
 )
 
@@ -54,9 +55,20 @@
 }
 
 // ReportCleared implements relay.ControlPlane.
-func (g *Gateway) ReportCleared(cleared suspects.Event) {
+func (g *Gateway) ReportCleared(fingerprint ident.Fingerprint) {
 	g.post(suspectsReported{
-		events: []suspects.Event{cleared},
+		events: []suspects.Event{suspects.Cleared{
+			Fingerprint: fingerprint,
+		}},
+	})
+}
+
+// ReportHarmless implements relay.ControlPlane.
+func (g *Gateway) ReportHarmless(part suspects.Part) {
+	g.post(suspectsReported{
+		events: []suspects.Event{suspects.HarmlessPart{
+			Part: part,
+		}},
 	})
 }
 
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -12,16 +12,16 @@
 // # Usage
 //
 //	handler := &relay.Handler{
-//		Codec:        platform.Ingress{},
-//		ControlPlane: control,
-//		Upstream:     &upstream.Client{},
-//		Budget:       retries.New(options),
-//		Log:          log,
-//		Metrics:      relay.NewMetrics(set),
-//		HarmlessParts:   &harmlessParts,
-//		Now:          time.Now,
-//		Random:       rand.Uint64,
-//		Shutdown:     shutdown,
+//		Codec:         platform.Ingress{},
+//		ControlPlane:  control,
+//		Upstream:      &upstream.Client{},
+//		Budget:        retries.New(options),
+//		Log:           log,
+//		Metrics:       relay.NewMetrics(set),
+//		HarmlessParts: &harmlessParts,
+//		Now:           time.Now,
+//		Random:        rand.Uint64,
+//		Shutdown:      shutdown,
 //	}
 //	server := http.Server{
 //		Handler: handler,
@@ -164,9 +164,11 @@
 	// it may be nil.
 	Suspects() *suspects.View
 	// ReportLostAttempt reports a server whose connection broke during a request.
-	// ReportCleared reports that a suspect was answered.
+	// ReportCleared reports that a suspect request was answered, ReportHarmless that an answer to a
+	// prompt with a suspect part has begun.
 	ReportLostAttempt(loss suspects.LostAttempt)
-	ReportCleared(cleared suspects.Event)
+	ReportCleared(fingerprint ident.Fingerprint)
+	ReportHarmless(part suspects.Part)
 }
 
 // Handler serves clients' requests. All fields must be set. It is safe for use by many
--- a/internal/traffic/relay/suspect.go
+++ b/internal/traffic/relay/suspect.go
@@ -78,9 +78,7 @@
 	case sent.result == balance.Answered:
 		h.answered.AddRequest(now, s.fingerprint)
 		if s.verdict == suspects.ServeAlone {
-			h.ControlPlane.ReportCleared(suspects.Cleared{
-				Fingerprint: s.fingerprint,
-			})
+			h.ControlPlane.ReportCleared(s.fingerprint)
 		}
 	}
 }
@@ -122,9 +120,7 @@
 	for _, part := range parts {
 		h.HarmlessParts.AddPart(now, part)
 		if view.IsSuspect(part) {
-			h.ControlPlane.ReportCleared(suspects.ClearedPart{
-				Part: part,
-			})
+			h.ControlPlane.ReportHarmless(part)
 		}
 	}
 }
--- a/internal/traffic/relay/testenv_test.go
+++ b/internal/traffic/relay/testenv_test.go
@@ -321,10 +321,20 @@
 	w.unconfirmed = nil
 }
 
-func (w *testEnv) ReportCleared(cleared suspects.Event) {
+func (w *testEnv) ReportCleared(fingerprint ident.Fingerprint) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.suspected.Step(time.Now(), cleared)
+	w.suspected.Step(time.Now(), suspects.Cleared{
+		Fingerprint: fingerprint,
+	})
+}
+
+func (w *testEnv) ReportHarmless(part suspects.Part) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.suspected.Step(time.Now(), suspects.HarmlessPart{
+		Part: part,
+	})
 }
 
 func newTestEnv(t *testing.T, r route.Route) *testEnv {
