upstream: Keep no connection after an answer without length or chunks

An answer of a status that allows no body (204, 304) counted as ended, and its connection was used again, though it may end with the answer: a request that may run once was then lost with 502.

--- a/internal/peer/upstream/upstream.go
+++ b/internal/peer/upstream/upstream.go
@@ -304,7 +304,7 @@
 // Release returns the connection to the pool. The response must have been read to its end
 // and checked to be the request's own.
 func (e *Exchange) Release() {
-	if e.released || !e.bodyWritten.Load() || e.Response.Close || e.conn.reader.Buffered() > 0 {
+	if e.released || !e.bodyWritten.Load() || e.Response.Close || !hasFraming(e.Response) || e.conn.reader.Buffered() > 0 {
 		return
 	}
 	if !e.detachContext() {
@@ -314,6 +314,12 @@
 	e.client.putIdle(e.conn, idleTimeout(e.Response.Header))
 }
 
+// hasFraming reports whether a response says where it ends. The connection of another may end with
+// it, also where its status allows no body.
+func hasFraming(response *http.Response) bool {
+	return response.Header.Get("Content-Length") != "" || len(response.TransferEncoding) > 0
+}
+
 // Close ends the exchange. A connection that was not released is closed, and with it the
 // server's work on the request ends.
 func (e *Exchange) Close() {
