gateway: Wait until the peer is known before a host is cut off in a test

The test cut the host off as soon as its peer served; where the host does not know the peer yet, nobody can say that the server runs, and a crash counts, as meant for a host that is alone. What is required of the host is as before.

--- a/internal/host/gateway/cut_test.go
+++ b/internal/host/gateway/cut_test.go
@@ -335,6 +335,7 @@
 		f.start(name)
 		f.eventually(func() bool { status, _ := f.request(name); return status == http.StatusOK }, name)
 	}
+	f.eventually(func() bool { return f.hosts["a"].knownHostCount.Load() == 2 }, "the peer is known")
 	answered := make(chan struct{})
 	go func() {
 		f.requestPath("a", "/slow", "")
