--- a/internal/control/overload/overload.go
+++ b/internal/control/overload/overload.go
@@ -8,7 +8,8 @@
 //
 // A Detector observes how long goroutines had to wait for the processor. It raises the share of
 // connections to shed step by step while many waited for long, and lowers it again more slowly.
-// It never sheds all of them: a host that accepts no connection looks like one that is down. It reads no clock and no random source and is safe for concurrent use.
+// It never sheds all of them: a host that accepts no connection looks like one that is down. It
+// reads no clock and no random source and is safe for concurrent use.
 //
 // # Usage
 //
