dispatch: Say no_replica where a suspect has no server at all

Cause: the request was in flight at the kill, so that it is a suspect, which waits for an idle server. When it finds none, the answer said that all are busy, whether there are any or not, for as long as it is a suspect (an hour). Change: without a server that would take the request if it needed none to itself, the answer is no_replica.

dispatch.TestSuspectWithoutReplicaIsToldSo: too_busy before, no_replica after.

--- a/internal/traffic/dispatch/route.go
+++ b/internal/traffic/dispatch/route.go
@@ -167,13 +167,21 @@
 		return h.failClosed(opensAt)
 	case h.routing.NumTried > 0:
 		return h.fail(CodeBackendFailed, "no backend server is left to try", now.Add(retryAfterFailure))
-	case h.verdict == suspects.ServeAlone:
+	case h.verdict == suspects.ServeAlone && h.hasBusyReplica():
 		return h.fail(CodeTooBusy, "a backend server died while this request was under way there; it needs one to itself and none is free", now.Add(retryAfterSuspect))
 	default:
 		return h.fail(CodeNoReplica, "no replica is ready", now.Add(retryAfterNoReplica))
 	}
 }
 
+// hasBusyReplica reports whether a replica would serve the request if it needed none to itself.
+func (h *requestHandler) hasBusyReplica() bool {
+	request := h.routing
+	request.IdleOnly = false
+	_, err := h.Policy.Choose(h.target, &request)
+	return err == nil
+}
+
 // startAttempt records an attempt before its first byte is sent.
 func (h *requestHandler) startAttempt(choice routing.Choice) {
 	h.attempt = ident.NewAttemptID()
