gateway, platform: Learn of changes in time while peers hang or a watch is silent

Cause: one goroutine asked the leader and then a random peer, and waited for each reply for up to 0.9 s: where several hang, a host that the key-value service does not answer learned of a change after 3 s and more. And a watch that had fallen silent was dropped after 2.4 + 1.3 s, so that what it did not bring was read too late.

Change: messages to random peers have a goroutine each, six at most; a peer that is waited for is not asked again, and one that has not replied is left out for 3 s while there are others. They are sent each 0.2 s while the leader, or the watcher that relays for it, does not reply. A long poll takes 1.6 s and is dropped after 0.9 s more. What the host takes for the age of its configuration is counted from the long poll's begin or end, not from when its answer was processed: on an overloaded host that may be seconds later.

Before: gateway.TestPeersThatHangDoNotDelayChanges failed 3 of 3 (5 of 6 other hosts hang).

--- a/internal/host/gateway/exchange.go
+++ b/internal/host/gateway/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sort"
 	"time"
 
 	"github.com/pkg/errors"
@@ -25,8 +24,12 @@
 	// Intervals while requests wait for weights.
 	urgentLeaderInterval  = 40 * time.Millisecond
 	urgentWatcherInterval = 100 * time.Millisecond
-	// gossipInterval is between two messages to a random peer.
-	gossipInterval = time.Second
+	// gossipInterval is between two messages to random peers, urgentGossipInterval while this host
+	// may be missing changes: several peers in a row may hang.
+	gossipInterval       = time.Second
+	urgentGossipInterval = 200 * time.Millisecond
+	// maxGossips is how many of these messages may wait for a reply.
+	maxGossips = 6
 	// exchangeTimeout leaves time for a configuration's text on a slow link. It is doubled
 	// after each exchange that took longer, up to maxExchangeTimeout: where a large fleet
 	// starts at once, all hosts of a data centre ask two watchers for all entries, and calls
@@ -35,11 +38,10 @@
 	maxExchangeTimeout = 4 * exchangeTimeout
 )
 
-// runExchanges sends this host's demand to the leader, or to a watcher that relays it. At
-// longer intervals it exchanges with a random peer the state that every host needs.
+// runExchanges sends this host's demand to the leader, or to a watcher that relays it.
 func (g *Gateway) runExchanges() error {
 	var picker watcherPicker
-	var lastExchange, lastGossip time.Time
+	var lastExchange time.Time
 	isFailing := false
 	for g.tomb.Alive() {
 		isUrgent := g.waitForExchange()
@@ -50,14 +52,9 @@
 		lastExchange = now
 		if err := g.exchangeOnce(now, &picker); (err != nil) != isFailing {
 			isFailing = err != nil
+			g.isExchangeFailing.Store(isFailing)
 			g.logExchangeState(err)
 		}
-		if now.Sub(lastGossip) > g.currentGossipInterval() && !g.hasFreshWatcher() {
-			lastGossip = now
-			if err := g.exchangeWith(g.gossipRecipient()); err != nil {
-				g.log.Debug("exchange with random peer failed", zap.Error(err))
-			}
-		}
 	}
 	return nil
 }
@@ -131,15 +128,10 @@
 	returnsFleet bool
 }
 
-var (
-	leaderRecipient = recipient{
-		address:     (*control).leaderAddress,
-		takesDemand: true,
-	}
-	randomPeer = recipient{
-		address: (*control).randomPeerAddress,
-	}
-)
+var leaderRecipient = recipient{
+	address:     (*control).leaderAddress,
+	takesDemand: true,
+}
 
 // isStoreUnavailable tells that the key-value service has not answered this host for
 // some time.
@@ -147,27 +139,17 @@
 	return !isFreshView(g.ownViewNanos())
 }
 
-// gossipRecipient is a random peer. A host that can't reach the key-value service asks it
-// for the fleet too: the service may answer the peer, and servers leave meanwhile.
-func (g *Gateway) gossipRecipient() recipient {
-	to := randomPeer
-	to.returnsFleet = g.isStoreUnavailable()
-	return to
-}
-
-func (g *Gateway) currentGossipInterval() time.Duration {
-	if g.isStoreUnavailable() {
-		return watcherExchangeInterval
-	}
-	return gossipInterval
-}
-
 // exchangeWith exchanges messages with another host, if the recipient has an address.
 func (g *Gateway) exchangeWith(to recipient) error {
 	out := g.buildMessage(to)
 	if out.address == "" {
 		return nil
 	}
+	return g.send(&out, to)
+}
+
+// send sends a message and applies the reply.
+func (g *Gateway) send(out *outgoingMessage, to recipient) error {
 	timeout := g.currentExchangeTimeout()
 	ctx, cancel := context.WithTimeout(g.context(), timeout)
 	defer cancel()
@@ -254,30 +236,6 @@
 	return c.hostAddress(c.leader)
 }
 
-// randomPeerAddress picks a peer, or a seed where none is known or this host has no
-// configuration yet.
-func (c *control) randomPeerAddress() string {
-	ownAddress := c.options.Settings.Listen.Peers
-	var addresses []string
-	for _, host := range c.hosts {
-		if host.address != ownAddress {
-			addresses = append(addresses, host.address)
-		}
-	}
-	if len(addresses) == 0 || c.configuration == nil {
-		for _, seed := range *c.seeds.Load() {
-			if seed != ownAddress {
-				addresses = append(addresses, seed)
-			}
-		}
-	}
-	if len(addresses) == 0 {
-		return ""
-	}
-	sort.Strings(addresses)
-	return addresses[rand.IntN(len(addresses))]
-}
-
 // SetSeeds replaces the peers that are asked where no other is known. It is safe for
 // many goroutines.
 func (g *Gateway) SetSeeds(seeds []string) {
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -211,6 +211,8 @@
 	configurationReadNanos atomic.Int64
 	// exchangeTimeout is the timeout of the next exchange, in nanoseconds; see there.
 	exchangeTimeout atomic.Int64
+	// isExchangeFailing tells that the leader, or the watcher that relays for it, does not answer.
+	isExchangeFailing atomic.Bool
 	// nearHostCount is the number of hosts of this data centre.
 	nearHostCount atomic.Int64
 	// cancelRequests makes every request in progress answer at once. exchangeWanted wakes
@@ -340,6 +342,7 @@
 	g.tomb.Go(g.register)
 	g.tomb.Go(g.runLeadership)
 	g.tomb.Go(g.runExchanges)
+	g.tomb.Go(g.runGossip)
 	g.tomb.Go(g.runGrants)
 	g.tomb.Go(g.runDeliveries)
 	g.tomb.Go(g.runQuotaMembership)
--- a/internal/host/gateway/watch.go
+++ b/internal/host/gateway/watch.go
@@ -124,20 +124,31 @@
 func (g *Gateway) watchOnce(w *prefixWatch, onListed func()) error {
 	ctx := g.context()
 	g.waitUntilWatchNeeded()
+	began := steadyNanos()
 	listing, err := g.options.KeyValue.List(ctx, w.prefix)
 	if err != nil {
 		return err
 	}
 	onListed()
 	w.applyListing(listing)
-	w.readNanos.Store(steadyNanos())
-	return g.options.KeyValue.Watch(ctx, w.prefix, listing.Revision, g.pollDuration, func(batch store.Batch) error {
-		if len(batch.Events) > 0 {
-			w.applyBatch(batch)
+	w.noteRead(began)
+	hasChanged := false
+	var wait time.Duration
+	pollDuration := func() time.Duration {
+		began, wait = steadyNanos(), g.pollDuration()
+		if w.isLatestOnly && hasChanged {
+			wait /= 2 // until it is over, the view is as old as the poll that brought the change
 		}
-		w.readNanos.Store(steadyNanos()) // after the change is posted to the control goroutine
-		if len(batch.Events) > 0 {
+		return wait
+	}
+	return g.options.KeyValue.Watch(ctx, w.prefix, listing.Revision, pollDuration, func(batch store.Batch) error {
+		hasChanged = len(batch.Events) > 0
+		if hasChanged {
+			w.applyBatch(batch)
+			w.noteRead(began)
 			g.sleep(g.changeDelayFor(w))
+		} else {
+			w.noteRead(began + int64(wait))
 		}
 		if g.hasFreshWatcher() || w.isLatestOnly && len(batch.Events) > 1 {
 			return errRestartWatch
@@ -146,6 +157,17 @@
 	})
 }
 
+// noteRead records, after what was read is posted to the control goroutine, that the service has
+// answered. asOf is the latest instant, by steadyNanos, before which the answer has all changes for
+// certain: on a host whose processor is overloaded, answers wait for a while.
+func (w *prefixWatch) noteRead(asOf int64) {
+	now := steadyNanos()
+	if !w.isLatestOnly {
+		asOf = now // entries change too often for each long poll to be known to be complete
+	}
+	w.readNanos.Store(min(asOf, now))
+}
+
 const (
 	// changeDelay is between a change and the next long poll of the watch, so that a burst
 	// of changes comes in few calls.
@@ -159,12 +181,12 @@
 )
 
 // How long the service may hold a long poll without changes. A connection that has gone
-// silent has to be detected within 4 s: a host's state may not be out of date for longer
-// because of it. Longer polls are fewer calls; but a host that the service rejects notices it
+// silent has to be detected, and what it did not bring read again, within 3 s: a configuration may
+// not be out of date for longer because of it. Longer polls are fewer calls; but a host that the service rejects notices it
 // only when its poll is over, and asks peers then. Watchers use shorter polls: the other
 // hosts judge by the age of a watcher's view whether the service still answers it.
 const (
-	longPollDuration    = 2400 * time.Millisecond
+	longPollDuration    = 1600 * time.Millisecond
 	watcherPollDuration = 1200 * time.Millisecond
 )
 
