overload, httpserve, gateway: Notice an overload that the runtime's histogram does not show

Cause, by a log twice a second and a dump of goroutines: 3,000 requests in progress and 4,400 goroutines, of which 900 wait for one lock of net/http's server, while the share of connections that are shed is 0. The detector sampled when a connection was accepted, and the goroutine that accepts waited too; and goroutines that wait for a lock do not count as waiting for the processor. Control work takes its turn among them.

Change: a goroutine of its own samples ten times a second, and yields first: how long that takes is the wait for the processor, whatever others wait for. A longer wait raises the share by more. Connections that are shed are closed in the listener, before the server has any work with them. The share may go up to 0.97. A configuration is put into force before it is packed for peers.

--- a/internal/control/overload/overload.go
+++ b/internal/control/overload/overload.go
@@ -6,8 +6,10 @@
 // is closed before its request is read costs little, and its client can try another host at once,
 // with a request of any kind.
 //
-// A Detector observes how long goroutines had to wait for the processor. It raises the share of
-// connections to shed step by step while many waited for long, and lowers it again more slowly.
+// A Detector observes how long goroutines had to wait for the processor: all of them, as the runtime
+// counts them, and one that asks for it at regular intervals. The first say little where most
+// goroutines wait for a lock, whose owner waits for the processor. It raises the share of connections
+// to shed step by step while many waited for long, and lowers it again more slowly.
 // It never sheds all of them: a host that accepts no connection looks like one that is down. It
 // reads no clock and no random source and is safe for concurrent use.
 //
@@ -18,6 +20,7 @@
 //		At:      time.Now(),
 //		Delayed: delayed,
 //		Total:   total,
+//		Wait:    wait,
 //	})
 //	if !detector.Admits(rand.Float64()) {
 //		// close the new connection
@@ -34,8 +37,12 @@
 	DelayThreshold = 50 * time.Millisecond
 	// delayedShare is the share of delayed goroutines from which on the host is overloaded.
 	delayedShare = 0.25
+	// maxWait is the wait of the regular goroutine from which on the host is overloaded, maxSteps
+	// the most steps that the share is raised at once for a longer one.
+	maxWait  = 100 * time.Millisecond
+	maxSteps = 4
 	// maxShare bounds the share of connections that are shed.
-	maxShare = 0.6
+	maxShare = 0.97
 	// raise and lower are the steps of the share at each sample.
 	raise = 0.1
 	lower = 0.05
@@ -51,6 +58,19 @@
 	// Delayed counts those that waited for DelayThreshold or longer, Total all.
 	Delayed uint64
 	Total   uint64
+	// Wait is how long the goroutine that takes the samples has waited.
+	Wait time.Duration
+}
+
+// steps returns by how many steps the sample raises the share, 0 if the host is not overloaded.
+func (s *Sample) steps() float64 {
+	switch {
+	case s.Wait >= maxWait:
+		return min(float64(s.Wait)/float64(maxWait), maxSteps)
+	case s.Total >= minTotal && float64(s.Delayed) >= delayedShare*float64(s.Total):
+		return 1
+	}
+	return 0
 }
 
 // Detector decides which new connections are shed. The zero value sheds none.
@@ -66,8 +86,8 @@
 	defer d.mu.Unlock()
 	intervals := float64(sample.At.Sub(d.sampledAt)) / float64(SampleInterval)
 	d.sampledAt = sample.At
-	if sample.Total >= minTotal && float64(sample.Delayed) >= delayedShare*float64(sample.Total) {
-		d.share = min(d.share+raise, maxShare)
+	if steps := sample.steps(); steps > 0 {
+		d.share = min(d.share+steps*raise, maxShare)
 		return
 	}
 	d.share = max(d.share-lower*intervals, 0)
--- a/internal/control/overload/overload_test.go
+++ b/internal/control/overload/overload_test.go
@@ -52,3 +52,29 @@
 	observe(&d, start, 50, 20)
 	require.True(t, d.Admits(0))
 }
+
+// Guards against a host that takes on more and more requests, since most of them wait for a lock and
+// not for the processor.
+func TestHostShedsConnectionsWhileItsOwnWorkWaits(t *testing.T) {
+	var d Detector
+	at := start
+	for range 5 {
+		d.Observe(Sample{
+			At:    at,
+			Total: 1000,
+			Wait:  3 * maxWait,
+		})
+		at = at.Add(SampleInterval)
+	}
+	require.False(t, d.Admits(maxShare-0.01))
+	require.True(t, d.Admits(maxShare), "a host that accepts no connection looks like one that is down")
+	for range 40 {
+		d.Observe(Sample{
+			At:    at,
+			Total: 1000,
+			Wait:  maxWait / 2,
+		})
+		at = at.Add(SampleInterval)
+	}
+	require.True(t, d.Admits(0))
+}
--- a/internal/host/gateway/control.go
+++ b/internal/host/gateway/control.go
@@ -439,7 +439,6 @@
 		}
 	}
 	c.configuration = decoded
-	c.packedConfiguration = compress(text)
 	location := balance.Location{
 		DataCentre: c.options.Settings.Host.DataCentre,
 		Region:     c.options.Settings.Host.Region,
@@ -463,6 +462,7 @@
 	if c.routes.Swap(table) == nil {
 		close(c.routesKnown)
 	}
+	c.packedConfiguration = compress(text)
 	for _, name := range table.Accounts().WithSharedKeys() {
 		c.log.Warn("a key of this account belongs to another account", zap.String("Account", string(name)))
 	}
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -343,6 +343,7 @@
 	g.tomb.Go(g.runLeadership)
 	g.tomb.Go(g.runExchanges)
 	g.tomb.Go(g.runGossip)
+	g.tomb.Go(g.runLoadSamples)
 	g.tomb.Go(g.runGrants)
 	g.tomb.Go(g.runDeliveries)
 	g.tomb.Go(g.runQuotaMembership)
--- a/internal/host/gateway/overload.go
+++ b/internal/host/gateway/overload.go
@@ -2,8 +2,8 @@
 
 import (
 	"math/rand/v2"
+	"runtime"
 	"runtime/metrics"
-	"sync"
 	"time"
 
 	"cicadaloom/internal/control/overload"
@@ -16,7 +16,7 @@
 type processorLoad struct {
 	detector overload.Detector
 
-	mu      sync.Mutex
+	// The other fields belong to the goroutine that takes the samples.
 	metrics []metrics.Sample
 	// counted has the counts since the process started, at the last sample.
 	counted overload.Sample
@@ -24,7 +24,6 @@
 
 // admitConnection reports whether to serve a new connection of a client.
 func (g *Gateway) admitConnection() bool {
-	g.processor.sampleIfDue(time.Now())
 	if g.processor.detector.Admits(rand.Float64()) {
 		return true
 	}
@@ -32,13 +31,20 @@
 	return false
 }
 
-func (p *processorLoad) sampleIfDue(now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	before := p.counted
-	if now.Sub(before.At) < overload.SampleInterval {
-		return
+// runLoadSamples samples the processor's load at regular intervals, whether connections come or not.
+func (g *Gateway) runLoadSamples() error {
+	for g.tomb.Alive() {
+		g.sleep(overload.SampleInterval)
+		asked := time.Now()
+		runtime.Gosched() // until all goroutines that are ready have had their turn
+		now := time.Now()
+		g.processor.sample(now, now.Sub(asked))
 	}
+	return nil
+}
+
+func (p *processorLoad) sample(now time.Time, wait time.Duration) {
+	before := p.counted
 	p.counted = p.count(now)
 	if before.At.IsZero() {
 		return
@@ -47,6 +53,7 @@
 		At:      now,
 		Delayed: p.counted.Delayed - before.Delayed,
 		Total:   p.counted.Total - before.Total,
+		Wait:    wait,
 	})
 }
 
--- a/internal/peer/httpserve/httpserve.go
+++ b/internal/peer/httpserve/httpserve.go
@@ -56,7 +56,6 @@
 	// unused are the connections on which no whole request header has arrived yet.
 	unused   map[net.Conn]struct{}
 	stopping bool
-	admit    func() bool
 }
 
 // Start listens at an address ("ip:port"; port 0 takes any free one) and returns the
@@ -67,10 +66,15 @@
 		return "", errors.Wrapf(err, "listen at %s", address)
 	}
 	bound := listener.Addr().String()
+	if options.Admit != nil {
+		listener = &admittingListener{
+			Listener: listener,
+			admit:    options.Admit,
+		}
+	}
 	if options.TLS != nil {
 		listener = tls.NewListener(listener, options.TLS)
 	}
-	s.admit = options.Admit
 	s.http = &http.Server{
 		Handler:           options.Handler,
 		ReadHeaderTimeout: headerTimeout,
@@ -88,15 +92,33 @@
 	return bound, nil
 }
 
-// recordState keeps track of the connections that are unused, and closes those that are not admitted
-// or that come while the server stops.
+// admittingListener closes the connections that are not admitted before the server has any work
+// with them.
+type admittingListener struct {
+	net.Listener
+	admit func() bool
+}
+
+// Accept implements net.Listener.
+func (l *admittingListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil || l.admit() {
+			return conn, err
+		}
+		_ = conn.Close() // nothing has been read
+	}
+}
+
+// recordState keeps track of the connections that are unused, and closes those that come while the
+// server stops.
 func (s *Server) recordState(conn net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
 	case state != http.StateNew:
 		delete(s.unused, conn)
-	case s.stopping, s.admit != nil && !s.admit():
+	case s.stopping:
 		_ = conn.Close() // nothing has been read
 	default:
 		if s.unused == nil {
