httpserve, gateway: Leave half of the descriptors to other connections than clients'

Without descriptors a host reaches neither the key-value service nor its peers.

Change: connections of clients take half of the descriptors at most; more are closed before anything is read. The setting Descriptors says how many there are, 4,096 by default.

--- a/internal/config/gateway/gateway.go
+++ b/internal/config/gateway/gateway.go
@@ -38,6 +38,8 @@
 	Seeds     []string
 	Memory    unit.Bytes
 	Processor Processor
+	// Descriptors is how many files and connections the process may have open.
+	Descriptors int
 	// FirstStart tells that the whole fleet starts for the first time, before any callers come.
 	FirstStart bool
 	Bounds     Bounds
@@ -96,6 +98,7 @@
 			Share: 1,
 			Speed: 1,
 		},
+		Descriptors: 4096,
 		Bounds: Bounds{
 			Grace:         8 * time.Second,
 			HolderLease:   3 * time.Second,
@@ -131,6 +134,12 @@
 			},
 			"What this process may use."),
 		jsonfile.Optional("Processor", func(s *Settings) *Processor { return &s.Processor }, processorTable, ""),
+		jsonfile.Optional("Descriptors", func(s *Settings) *int { return &s.Descriptors },
+			jsonfile.Integer[int]{
+				Min: 64,
+				Max: 1 << 20,
+			},
+			"How many files and connections this process may have open; connections of clients take half of them at most."),
 		jsonfile.Optional("FirstStart", func(s *Settings) *bool { return &s.FirstStart }, jsonfile.Boolean{},
 			"Whether the whole fleet starts for the first time: hosts take a second to learn of one another then, rather than each ask for everything at once."),
 		jsonfile.Optional("Bounds", func(s *Settings) *Bounds { return &s.Bounds }, boundsTable, ""),
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -315,23 +315,28 @@
 	if _, err := g.peerServer.Start(listen.Peers, g); err != nil {
 		return err
 	}
-	if err := g.serve(&g.readinessServer, listen.Ready, http.HandlerFunc(g.serveReady), nil); err != nil {
+	if err := g.serve(&g.readinessServer, listen.Ready, httpserve.Options{
+		Handler: http.HandlerFunc(g.serveReady),
+	}); err != nil {
 		return err
 	}
 	if listen.Metrics != "" {
-		if err := g.serve(&g.metrics, listen.Metrics, http.HandlerFunc(g.serveMetrics), nil); err != nil {
+		if err := g.serve(&g.metrics, listen.Metrics, httpserve.Options{
+			Handler: http.HandlerFunc(g.serveMetrics),
+		}); err != nil {
 			return err
 		}
 	}
-	return g.serve(&g.callerServer, listen.Callers, g.handler, g.admitConnection)
+	return g.serve(&g.callerServer, listen.Callers, httpserve.Options{
+		Handler:        g.handler,
+		Admit:          g.admitConnection,
+		MaxConnections: g.options.Settings.Descriptors / 2,
+	})
 }
 
-func (g *Gateway) serve(server *httpserve.Server, address string, handler http.Handler, admit func() bool) error {
-	_, err := server.Start(address, httpserve.Options{
-		Handler: handler,
-		Admit:   admit,
-		Log:     g.log,
-	})
+func (g *Gateway) serve(server *httpserve.Server, address string, options httpserve.Options) error {
+	options.Log = g.log
+	_, err := server.Start(address, options)
 	return err
 }
 
--- a/internal/peer/httpserve/httpserve.go
+++ b/internal/peer/httpserve/httpserve.go
@@ -44,7 +44,10 @@
 	// Admit decides for each new connection whether to serve it; nil admits all. The others are
 	// closed before anything is read.
 	Admit func() bool
-	Log   *zap.Logger
+	// MaxConnections is how many connections may be open, 0 for any number. More are closed
+	// before anything is read.
+	MaxConnections int
+	Log            *zap.Logger
 }
 
 // Server serves one listening address. The zero value is ready to start, once.
@@ -56,6 +59,8 @@
 	// unused are the connections on which no whole request header has arrived yet.
 	unused   map[net.Conn]struct{}
 	stopping bool
+	// open counts the connections.
+	open int
 }
 
 // Start listens at an address ("ip:port"; port 0 takes any free one) and returns the
@@ -66,11 +71,11 @@
 		return "", errors.Wrapf(err, "listen at %s", address)
 	}
 	bound := listener.Addr().String()
-	if options.Admit != nil {
-		listener = &admittingListener{
-			Listener: listener,
-			admit:    options.Admit,
-		}
+	listener = &admittingListener{
+		Listener: listener,
+		admit: func() bool {
+			return s.hasRoom(options.MaxConnections) && (options.Admit == nil || options.Admit())
+		},
 	}
 	if options.TLS != nil {
 		listener = tls.NewListener(listener, options.TLS)
@@ -115,6 +120,13 @@
 func (s *Server) recordState(conn net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		s.open++
+	case http.StateClosed, http.StateHijacked:
+		s.open--
+	case http.StateActive, http.StateIdle:
+	}
 	switch {
 	case state != http.StateNew:
 		delete(s.unused, conn)
@@ -128,6 +140,12 @@
 	}
 }
 
+func (s *Server) hasRoom(maxConnections int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maxConnections == 0 || s.open < maxConnections
+}
+
 // closeUnused closes the connections that are unused. net/http waits seconds for a request on
 // them, which it would not serve during a stop.
 func (s *Server) closeUnused() {
--- a/internal/peer/httpserve/httpserve_test.go
+++ b/internal/peer/httpserve/httpserve_test.go
@@ -59,3 +59,40 @@
 	}
 	require.Equal(t, int64(3), served.Load())
 }
+
+// Guards against connections of clients that take all of the process's descriptors: it could reach
+// neither its peers nor the key-value service.
+func TestConnectionsBeyondTheLimitAreClosedUnread(t *testing.T) {
+	const limit = 3
+	var server Server
+	address, err := server.Start("127.0.0.1:0", Options{
+		Handler:        http.NotFoundHandler(),
+		MaxConnections: limit,
+		Log:            zap.NewNop(),
+	})
+	require.NoError(t, err)
+	defer func() { require.NoError(t, server.Stop(context.Background())) }()
+	isServed := func(conn net.Conn) bool {
+		_, err := conn.Write([]byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"))
+		if err != nil {
+			return false
+		}
+		n, err := conn.Read(make([]byte, 1))
+		return n == 1 && err == nil
+	}
+	var open []net.Conn
+	for n := range 2 * limit {
+		conn, err := net.Dial("tcp", address)
+		require.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+		require.Equal(t, n < limit, isServed(conn), n)
+		open = append(open, conn)
+	}
+	require.NoError(t, open[0].Close())
+	require.Eventually(t, func() bool {
+		conn, err := net.Dial("tcp", address)
+		require.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+		return isServed(conn)
+	}, 5*time.Second, 5*time.Millisecond, "there is room again")
+}
