--- a/internal/control/orders/leader.go
+++ b/internal/control/orders/leader.go
@@ -199,6 +199,7 @@
 // only the term was unknown.
 func (m *Machine) onElectionLost(current []store.Entry) []Command {
 	keyTaken, termAdopted := false, false
+	compared := m.term
 	var leader store.Entry
 	for _, entry := range current {
 		switch entry.Key {
@@ -212,8 +213,8 @@
 	if keyTaken {
 		return m.onLeaderFound(leader)
 	}
-	if !termAdopted {
-		return nil
+	if !termAdopted || m.term == compared {
+		return nil // not the term, but the lease was in the way
 	}
 	return m.acquire()
 }
--- a/internal/control/orders/plan_test.go
+++ b/internal/control/orders/plan_test.go
@@ -9,6 +9,7 @@
 	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/document"
 	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/domain/store"
 	"cicadaloom/internal/domain/unit"
 
 	"github.com/stretchr/testify/require"
@@ -366,3 +367,29 @@
 	require.Empty(t, sim.leader().machine.State(sim.now).Doubts)
 	require.Len(t, sent, 40)
 }
+
+// Guards against a host that tries again and again to become the leader although its lease is gone.
+func TestElectionWithoutLeaseIsNotRepeatedAtOnce(t *testing.T) {
+	machine := Machine{
+		lease: 3,
+		term: term{
+			Fencing:  2,
+			Revision: 6,
+		},
+	}
+	lost := func(revision ident.Revision, fencing ident.FencingNumber) []Command {
+		return machine.onElectionLost([]store.Entry{
+			{
+				Key: LeaderKey,
+			},
+			{
+				Key:      TermKey,
+				Revision: revision,
+				Value:    encodeTerm(fencing),
+			},
+		})
+	}
+	require.Empty(t, lost(6, 2))
+	require.Len(t, lost(8, 3), 1, "the term was another one")
+	require.Empty(t, lost(8, 3))
+}
