gateway: Sample the load of hosts without requests once a second

Hosts of a large fleet are mostly idle, and ten wake-ups a second at each of them would cost as much as their other timers together.

--- a/internal/host/gateway/overload.go
+++ b/internal/host/gateway/overload.go
@@ -31,10 +31,17 @@
 	return false
 }
 
+// idleSampleInterval is between two samples while the host has no requests.
+const idleSampleInterval = time.Second
+
 // runLoadSamples samples the processor's load at regular intervals, whether connections come or not.
 func (g *Gateway) runLoadSamples() error {
 	for g.tomb.Alive() {
-		g.sleep(overload.SampleInterval)
+		interval := overload.SampleInterval
+		if g.handler.InFlight() == 0 {
+			interval = idleSampleInterval
+		}
+		g.sleep(interval)
 		asked := time.Now()
 		runtime.Gosched() // until all goroutines that are ready have had their turn
 		now := time.Now()
