--- a/internal/control/overload/overload.go
+++ b/internal/control/overload/overload.go
@@ -77,6 +77,7 @@
 type Detector struct {
 	mu        sync.Mutex
 	share     float64
+	wait      time.Duration
 	sampledAt time.Time
 }
 
@@ -85,7 +86,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	intervals := float64(sample.At.Sub(d.sampledAt)) / float64(SampleInterval)
-	d.sampledAt = sample.At
+	d.sampledAt, d.wait = sample.At, sample.Wait
 	if steps := sample.steps(); steps > 0 {
 		d.share = min(d.share+steps*raise, maxShare)
 		return
@@ -100,6 +101,13 @@
 	return d.share
 }
 
+// Wait returns the wait for the processor at the last sample.
+func (d *Detector) Wait() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.wait
+}
+
 // Admits reports whether to accept a connection. random is at least 0 and less than 1.
 func (d *Detector) Admits(random float64) bool {
 	return random >= d.Share()
--- a/internal/host/gateway/metrics.go
+++ b/internal/host/gateway/metrics.go
@@ -15,6 +15,10 @@
 	leading       *metrics.Gauge
 	waiting       *metrics.Gauge
 	storeAge      *metrics.Gauge
+	// shedShare is the share of new connections that are shed, processorWait how long a goroutine
+	// last waited for the processor.
+	shedShare     *metrics.Gauge
+	processorWait *metrics.Gauge
 	// cutOff is 1 while this host takes itself for cut off from servers, tunnels how many
 	// connections to servers it has open for peers.
 	cutOff  *metrics.Gauge
@@ -34,6 +38,8 @@
 		leading:         set.NewGauge("cicadaloom_holds_orders", nil),
 		waiting:         set.NewGauge("cicadaloom_prompts_waiting", nil),
 		storeAge:        set.NewGauge("cicadaloom_store_age_seconds", nil),
+		shedShare:       set.NewGauge("cicadaloom_connections_shed_share", nil),
+		processorWait:   set.NewGauge("cicadaloom_processor_wait_seconds", nil),
 		cutOff:          set.NewGauge("cicadaloom_cut_off_from_servers", nil),
 		tunnels:         set.NewGauge("cicadaloom_tunnels_for_peers", nil),
 		refusedSuspects: set.NewGauge("cicadaloom_refused_suspects", nil),
@@ -53,6 +59,8 @@
 	g.tunnels.Set(float64(c.tunnels.count()))
 	g.refusedSuspects.Set(float64(c.suspects.CountRefused()))
 	g.waiting.Set(float64(c.schedulers.queue.Len()))
+	g.shedShare.Set(c.processor.detector.Share())
+	g.processorWait.Set(c.processor.detector.Wait().Seconds())
 	if answeredAt := c.storeAnsweredAt(); !answeredAt.IsZero() {
 		g.storeAge.Set(now.Sub(answeredAt).Seconds())
 	}
