permits: Bound the slots of a server that says that it bears any number of refusals

Found in reading the change: a server that names 1e300 refusals a second would have as many slots at its issuers. 1,024 are enough for any. permits.TestIssuersShareTheRefusalsOfBrittleServer has the case.

--- a/internal/control/orders/leader.go
+++ b/internal/control/orders/leader.go
@@ -214,7 +214,7 @@
 		return m.onLeaderFound(leader)
 	}
 	if !termAdopted || m.term == compared {
-		return nil // not the term, but the lease was in the way
+		return nil // the lease has ended, and is granted anew before the next poll
 	}
 	return m.acquire()
 }
--- a/internal/control/permits/refusals.go
+++ b/internal/control/permits/refusals.go
@@ -24,6 +24,9 @@
 	// aloneShare is the part of the refusals that hosts without an issuer use: they don't begin at
 	// the same moment, and some hosts may still reach one.
 	aloneShare = 0.5
+	// maxSlots bounds the memory for a server that bears more: so many refusals in a second are no
+	// concern of its issuers.
+	maxSlots = 1024
 )
 
 // refusals are the refusals that a brittle server bears, as far as this host issues permits for
@@ -48,7 +51,7 @@
 // resize sets how many refusals a second the server bears. isFirst is whether this host issues the
 // first host's part of them.
 func (r *refusals) resize(maxRefusals unit.Rate, isFirst bool) {
-	whole := max(int(maxRefusals), 1)
+	whole := int(min(max(maxRefusals, 1), maxSlots))
 	count := max(int(backupShare*float64(whole)), 1)
 	if isFirst {
 		count = max(whole-count, 1)
@@ -57,7 +60,7 @@
 	if count == len(r.slots) {
 		return
 	}
-	// Slots in use are kept first.
+	// Of fewer slots, those that are free the latest are kept.
 	slices.SortFunc(r.slots, func(a, b refusalSlot) int { return b.freeAt.Compare(a.freeAt) })
 	r.slots = r.slots[:min(len(r.slots), count)]
 	for len(r.slots) < count {
--- a/internal/control/permits/refusals_test.go
+++ b/internal/control/permits/refusals_test.go
@@ -60,6 +60,7 @@
 		{maxRefusals: 40, first: 30, second: 10},
 		{maxRefusals: 2.9, first: 1, second: 1},
 		{maxRefusals: 0.2, first: 1, second: 1},
+		{maxRefusals: 1e300, first: 768, second: 256},
 	} {
 		var first, second Issuer
 		require.Len(t, takeAll(t, &first, at(0), firstRank, brittleAsk(test.maxRefusals)), test.first)
