--- a/internal/traffic/limiter/target.go
+++ b/internal/traffic/limiter/target.go
@@ -114,14 +114,10 @@
 	switch {
 	case state.IsLeaving || state.IsResting(now):
 		return false
-	case state.HasLimit && (permit.SendAt.IsZero() || state.Limit < permit.limit):
-		return false
-	case t.Pressure.MaxRefusals(now) > 0 && permit.id == 0:
-		return false
 	case !permit.SendAt.IsZero():
-		return now.Sub(sendAt) < permitTTL
+		return now.Sub(sendAt) < permitTTL && (!state.HasLimit || state.Limit >= permit.limit)
 	}
-	return true
+	return !state.HasLimit && t.Pressure.MaxRefusals(now) == 0
 }
 
 // Record records and logs the signals of the server's answer to a request sent at sentAt. The
