--- a/internal/control/backpressure/backpressure.go
+++ b/internal/control/backpressure/backpressure.go
@@ -22,7 +22,7 @@
 // # Brittle servers
 //
 // All servers of a service are brittle at the same time, and a server that falls over returns as a
-// new incarnation. So what one of them says counts for each of whom nothing has been heard lately.
+// new incarnation. So what one of them says applies to those that have not answered lately.
 //
 // A Table and its Servers are safe for concurrent use and start no goroutines. A nil Server
 // accepts all requests.
--- a/internal/control/backpressure/brittle.go
+++ b/internal/control/backpressure/brittle.go
@@ -32,7 +32,7 @@
 	return s.statement.Load()
 }
 
-// statementTTL is how long a server's own statement goes before those of others of its service. It
+// statementTTL is how long a server's own statement takes precedence over that of its service. It
 // is shorter than the time from a server's first such statement until it may fall over.
 const statementTTL = 2 * time.Second
 
@@ -57,7 +57,7 @@
 }
 
 // recordStatement applies what an answer that arrived now, to a request sent at sentAt, says about
-// refusals: it doesn't if maxRefusals is 0. It reports whether the server turns out to be brittle.
+// refusals, nothing if maxRefusals is 0. It reports whether the server has become brittle.
 func (s *Server) recordStatement(sentAt, now time.Time, maxRefusals unit.Rate) bool {
 	service := s.service.Load()
 	if maxRefusals == 0 && !s.statement.Load().isEndedBy(sentAt) && !service.last().isEndedBy(sentAt) {
@@ -75,8 +75,8 @@
 	return maxRefusals > 0 && !wasBrittle
 }
 
-// accepts reports whether a statement of one server counts for the service. The end of brittleness
-// does once no server has said otherwise for a while.
+// accepts reports whether a server's statement applies to its service. The end of brittleness does
+// once no server has stated otherwise for statementTTL.
 func (s *brittleService) accepts(statement *brittleStatement) bool {
 	known := s.statement.Load()
 	return statement.maxRefusals > 0 || known != nil && statement.at.Sub(known.at) >= statementTTL
--- a/internal/control/permits/permits.go
+++ b/internal/control/permits/permits.go
@@ -9,11 +9,11 @@
 // the newest one counts: a host learns that a limit has changed or ended without an answer of its
 // own.
 //
-// A brittle server bears only so many refusals a second, but accepts any number of requests while
-// it has room. Its issuer has a slot for each refusal that it bears. A permit takes one, until the host
-// says that the server has taken the request, or for refusalWindow after it has turned it away. So no
-// more requests are turned away in any second than there are slots, whatever the number of hosts, and
-// the slots in use settle at what the server has room for.
+// A brittle server bears a number of refusals a second, but accepts any number of requests while it
+// has room. Its issuer has a slot for each refusal. A permit occupies a slot until the host reports that
+// the server has accepted the request, or for refusalWindow after the server has refused it. So there
+// are no more refusals in any second than slots, whatever the number of hosts, and the number of slots in
+// use converges to the server's capacity.
 //
 // A Choice picks the issuer by rendezvous hashing over the hosts of the server's region, so
 // that hosts that know the same hosts agree without a message. If the first host in rank does
--- a/internal/control/permits/refusals.go
+++ b/internal/control/permits/refusals.go
@@ -10,22 +10,19 @@
 const (
 	// refusalWindow is the time in which a brittle server counts its refusals.
 	refusalWindow = time.Second
-	// refusalDelay is how long after its instant a permit's request may still be turned away: the
-	// host may send it a little later, and the links may be slow. A server turns a request away as
-	// soon as it arrives.
+	// refusalDelay bounds the time from a permit's instant to a refusal: the host may send a little
+	// later, and the links may be slow. A server refuses a request as soon as it arrives.
 	refusalDelay = 750 * time.Millisecond
 	// A host that is refused a permit while the outcome of others is open may ask again after
 	// retryDelay. Hosts that are refused one after the other are told instants that are retrySpacing
-	// apart, so that many of them do not overload the issuer, and none is told to wait for longer
-	// than maxRetryDelay.
+	// apart, so that many of them do not overload the issuer, and at most maxRetryDelay away.
 	retryDelay    = 20 * time.Millisecond
 	retrySpacing  = 2 * time.Millisecond
 	maxRetryDelay = 2 * time.Second
 	// aloneShare is the part of the refusals that hosts without an issuer use: they don't begin at
 	// the same moment, and some hosts may still reach one.
 	aloneShare = 0.5
-	// maxSlots bounds the memory for a server that bears more: so many refusals in a second are no
-	// concern of its issuers.
+	// maxSlots bounds the memory for one server.
 	maxSlots = 1024
 )
 
