relay, limiter: Say once how a request is refused that can't be verified

Found in reading the whole change; behaviour and tests stay. The refusal stood in findRoute and in refuseBody, and what picked a status for 429 and 413 had one real caller left. Settling a permit read the server's state twice, so that a limit and its instant could be of two states.

--- a/internal/traffic/limiter/target.go
+++ b/internal/traffic/limiter/target.go
@@ -101,7 +101,8 @@
 	if !wasRefused {
 		t.Pressure.FreePermit()
 	}
-	ask := t.newAsk(t.Pressure.State().RequestLimit(), t.Pressure.State().LimitNamedAt)
+	state := t.Pressure.State()
+	ask := t.newAsk(state.RequestLimit(), state.LimitNamedAt)
 	ask.Settled, ask.WasRefused = permit.id, wasRefused
 	ask.MaxRefusals = t.Pressure.MaxRefusals(time.Now())
 	source.SettlePermit(permit.issuer, ask)
--- a/internal/traffic/relay/accounts.go
+++ b/internal/traffic/relay/accounts.go
@@ -52,7 +52,7 @@
 		case isCurrent:
 			s.deny(denied)
 		default:
-			s.refuse(unverifiedRetryAfter, "can't be verified now: "+denied.reason)
+			s.refuseUnverified(denied.reason)
 		}
 		return nil
 	}
@@ -94,6 +94,11 @@
 	s.fail(denied.status, denied.reason)
 }
 
+// refuseUnverified ends a request that the configuration doesn't allow, if that may not be in force.
+func (s *requestState) refuseUnverified(reason string) {
+	s.refuse(unverifiedRetryAfter, "can't be verified now: "+reason)
+}
+
 // authenticate finds the client's account by its key. It reports whether the configuration
 // allows the request.
 func (s *requestState) authenticate(table *routetable.Table) bool {
@@ -166,16 +171,11 @@
 		remaining := s.deadline.Sub(s.handler.Now())
 		retryAfter = min(retryAfter, time.Duration(maxRetryAfterShare*float64(remaining)))
 	}
-	s.refuseWith(s.statusInForce(http.StatusTooManyRequests), max(retryAfter, 0), "the account is over its limit")
-}
-
-// statusInForce returns the status of an answer by the configuration, or that of a service that is
-// unavailable if the host can't tell whether the configuration is in force.
-func (s *requestState) statusInForce(status int) int {
-	if s.handler.ControlPlane.HasCurrentRoutes() {
-		return status
+	status := http.StatusTooManyRequests
+	if !s.handler.ControlPlane.HasCurrentRoutes() {
+		status = http.StatusServiceUnavailable // a newer configuration may have raised the limit
 	}
-	return http.StatusServiceUnavailable
+	s.refuseWith(status, max(retryAfter, 0), "the account is over its limit")
 }
 
 // refundUnused gives back what a request was granted that provably did not run.
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -314,11 +314,11 @@
 // refuseBody ends a request whose body is larger than the configuration allows.
 func (s *requestState) refuseBody() {
 	const reason = "body over the limit"
-	if status := s.statusInForce(http.StatusRequestEntityTooLarge); status != http.StatusServiceUnavailable {
-		s.fail(status, reason)
+	if !s.handler.ControlPlane.HasCurrentRoutes() {
+		s.refuseUnverified(reason)
 		return
 	}
-	s.refuse(unverifiedRetryAfter, "can't be verified now: "+reason)
+	s.fail(http.StatusRequestEntityTooLarge, reason)
 }
 
 // defaultMaxBodyBytes applies if the configuration sets no limit.
