review: show a process that collects a replica's wrong bytes without bound

A replica that answers with bytes that have no end of a line makes a host collect them until the platform kills its process for its memory, with all requests in progress there. At fault: internal/peer/upstream/upstream.go, roundTrip reads the header of an answer by http.ReadResponse without a bound.

--- a/review/rig/host.go
+++ b/review/rig/host.go
@@ -8,6 +8,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -157,6 +159,20 @@
 	}
 }
 
+// Memory returns the process's resident memory in bytes, 0 if it has ended.
+func (h *Host) Memory() int64 {
+	status, err := os.ReadFile("/proc/" + strconv.Itoa(h.process.Process.Pid) + "/statm")
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(status))
+	if len(fields) < 2 {
+		return 0
+	}
+	pages, _ := strconv.ParseInt(fields[1], 10, 64)
+	return pages * int64(os.Getpagesize())
+}
+
 // Kill ends the process, and waits until it is gone.
 func (h *Host) Kill() {
 	if h == nil || h.process == nil || h.process.Process == nil {
--- a/review/rig/replica.go
+++ b/review/rig/replica.go
@@ -39,6 +39,9 @@
 	// LateExtra is asked for each whole answer, and tells whether the replica sends it once more
 	// where the next answer on the connection is expected; nil for never.
 	LateExtra func(answer *Answer) bool
+	// Garbles is asked for each request that isn't refused, and tells whether the replica sends
+	// bytes that are no answer, in place of running it; nil for never.
+	Garbles func(arrival *Arrival) bool
 	// Ran is called when a request begins to run; Answered when an answer is sent. Both may be nil.
 	Ran      func(arrival *Arrival)
 	Answered func(arrival *Arrival, answer *Answer, isExtra bool)
@@ -169,6 +172,10 @@
 			}
 			late, lateOf = nil, nil
 		}
+		if p.Garbles != nil && p.Garbles(arrival) {
+			sendGarbage(conn)
+			return
+		}
 		answer := p.answer(arrival)
 		if p.Answered != nil {
 			p.Answered(arrival, answer, false)
@@ -183,6 +190,28 @@
 	}
 }
 
+const (
+	garbageChunk = 1 << 20
+	// garbageRate is that of a machine's link, 1,000 Mbit/s.
+	garbageRate = 125 << 20
+	// maxGarbage is what a replica sends at most: two seconds of its link.
+	maxGarbage = 256 << 20
+)
+
+// sendGarbage sends bytes without an end of a line, until the host closes the connection.
+func sendGarbage(conn net.Conn) {
+	chunk := bytes.Repeat([]byte{'x'}, garbageChunk)
+	began := time.Now()
+	for sent := 0; sent < maxGarbage; {
+		n, err := conn.Write(chunk)
+		if err != nil {
+			return
+		}
+		sent += n
+		time.Sleep(time.Until(began.Add(time.Duration(float64(sent) / garbageRate * float64(time.Second)))))
+	}
+}
+
 func (p *Replica) answer(arrival *Arrival) *Answer {
 	header := "Request-Id: " + arrival.ID + "\r\n"
 	expected := arrival.Request.Header.Get("Expect-Instance")
