gateway: inherit the wait for all leaders before the former one

A new leader asked the host that wrote the term key last for its last order.

Each term now keeps until when orders of any earlier leader may arrive, and answers with it. control/takeover decides by it, without I/O or a clock. An answer that doesn't cover the former term (restarted process, older version, lost answer) is completed from the store: all leaders before a term end one lease after its entry was first seen, and a settled term, whose leader waited for all before it, has none that matter. Ages pass between hosts, no instants. The term key is unchanged; older hosts ignore the new key and field.

Also: a host that is asked for its last order before it knows that its own claim succeeded ends that term at once.

Ruled out: full waits after each restart (4.6 s in place of 1.15 s after a kill of all hosts); the chain in the term key's value, which an older version would not recognise as its own name.

Two existing tests set the claim now in place of a call of takeoverDelay, which is gone, and check the bound as well.

Unchanged: where engines check fences nothing is written or waited for.

--- a/internal/host/gateway/control.go
+++ b/internal/host/gateway/control.go
@@ -47,10 +47,11 @@
 	hosts               map[ident.HostID]*hostInfo
 	leader              ident.HostID
 	// term is set while this host is the leader, and planners with it: one per engine
-	// service.
-	term     *leaderTerm
-	planners map[ident.ServiceName]*loading.Planner
-	engines  engineList
+	// service. latestToken is that of the latest term that a peer has told of.
+	term        *leaderTerm
+	planners    map[ident.ServiceName]*loading.Planner
+	latestToken ident.FencingNumber
+	engines     engineList
 	// inventory is what the engines have in memory, as the leader reported it; fleetEntries
 	// are the entries of servers and hosts.
 	inventory    holdings.Table
@@ -479,7 +480,6 @@
 		Region:      host.Region,
 		Suspects:    c.suspects.MostUrgent(maxMessageSuspects),
 		Brittleness: c.backpressure.Brittleness(now),
-		LastOrderAt: c.latestOrderTime(now),
 
 		StoreAnsweredAt: c.storeAnsweredAt(),
 		StoreFailedAt:   c.viewFailedAt(),
@@ -490,6 +490,7 @@
 	if c.term != nil {
 		message.LeaderToken = c.term.token
 	}
+	message.LastOrderAt, message.LastOrderCovers = c.latestOrderTime(now)
 	return message
 }
 
@@ -504,17 +505,6 @@
 	return c.storeFailedAt
 }
 
-// latestOrderTime is the latest instant at which this host may have sent an order: when this
-// process last sent one, or when it started, since an earlier process may have until then.
-// Where the clock that counts through a suspension can't be read, that is now.
-func (c *control) latestOrderTime(now time.Time) time.Time {
-	nowBootNanos := bootNanos()
-	if nowBootNanos == 0 || processStartBootNanos == 0 {
-		return now
-	}
-	return now.Add(-time.Duration(nowBootNanos - max(c.lastOrderBootNanos.Load(), processStartBootNanos)))
-}
-
 // buildReply returns the reply to a peer's message: the base message, a configuration if
 // the peer's is older and, if it asked for them, the changes in the fleet and in the
 // inventory.
--- a/internal/host/gateway/events.go
+++ b/internal/host/gateway/events.go
@@ -173,9 +173,16 @@
 		c.hostsChanged = true // so that a connection is opened before the first message
 		return
 	case layout.termKey():
-		lastLeader := ident.HostID(entry.Value)
-		c.lastLeader.Store(&lastLeader)
-		c.lastTermRevision.Store(int64(entry.Revision))
+		if c.lastTerm.Load().revision != entry.Revision {
+			c.lastTerm.Store(&knownTerm{
+				revision: entry.Revision,
+				leader:   ident.HostID(entry.Value),
+				seenAt:   bootTime(),
+			})
+		}
+		return
+	case layout.settledKey():
+		c.settledTerm.Store(decodeSettled(entry.Value))
 		return
 	case layout.refusedKey():
 		c.applyRefusedEntry(now, entry)
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -172,13 +172,13 @@
 	pools        atomic.Pointer[map[ident.ServiceName]*balance.Pool]
 	serversKnown atomic.Bool
 	leaderless   atomic.Bool
-	// lastTermRevision is the revision at which the latest leader wrote the term key, 0
-	// where there has been no leader.
-	lastTermRevision atomic.Int64
-	// lastLeader is the host that wrote it, empty where there has been no leader. activeTerm
-	// is set while this host is the leader.
-	lastLeader atomic.Pointer[ident.HostID]
-	activeTerm atomic.Pointer[leaderTerm]
+	// lastTerm is the latest term, and settledTerm the number of the latest one that is known to
+	// be settled; see takeover. activeTerm is set while this host is the leader, ownTerm from
+	// its first term on.
+	lastTerm    atomic.Pointer[knownTerm]
+	settledTerm atomic.Int64
+	activeTerm  atomic.Pointer[leaderTerm]
+	ownTerm     atomic.Pointer[leaderTerm]
 	// lastOrderBootNanos is when this process last sent an order, by bootNanos, 0 if never.
 	lastOrderBootNanos atomic.Int64
 	// isYoungest tells that no known host started later than this one.
@@ -277,7 +277,7 @@
 	g.watchers.Store(&watcherSet{})
 	watchersChanged := make(chan struct{})
 	g.watchersChanged.Store(&watchersChanged)
-	g.lastLeader.Store(new(ident.HostID))
+	g.lastTerm.Store(&knownTerm{})
 	g.pools.Store(&map[ident.ServiceName]*balance.Pool{})
 	dialed := options.Metrics.NewCounter("cicadaloom_connections_opened_total")
 	g.shed = options.Metrics.NewCounter("cicadaloom_connections_shed_total")
--- a/internal/host/gateway/leader.go
+++ b/internal/host/gateway/leader.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 
+	"cicadaloom/internal/control/takeover"
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/domain/store"
 )
@@ -52,6 +53,11 @@
 	// isFirst tells that there has been no leader before, formerLeader is the last one.
 	isFirst      bool
 	formerLeader ident.HostID
+	// claim is what the host knew of earlier leaders when it acquired the key, and
+	// earlierUntilNanos until when their orders may arrive, by bootNanos, 0 if they no longer
+	// matter.
+	claim             takeover.Claim
+	earlierUntilNanos atomic.Int64
 	// firstOrderNanos is when the first order may be sent, by steadyNanos: an earlier leader
 	// that has lost its key without noticing may have sent orders until just now.
 	firstOrderNanos atomic.Int64
@@ -139,7 +145,7 @@
 // once, the last leader goes first: it takes over from itself and need not wait, while
 // under any other host no orders would be sent for 3 s and more.
 func (g *Gateway) acquireDelay() time.Duration {
-	lastLeader := *g.lastLeader.Load()
+	lastLeader := g.lastTerm.Load().leader
 	if lastLeader == g.options.Settings.Host.Name {
 		return 0
 	}
@@ -159,9 +165,7 @@
 // acquire writes the leader key if it is absent; the term is nil if it is not. A write
 // whose outcome is unknown is abandoned with its lease: if it was done, the key expires.
 func (g *Gateway) acquire(ctx context.Context) (*leaderTerm, error) {
-	termRevision := ident.Revision(g.lastTermRevision.Load())
-	// Read after the term's revision: if a later leader comes between, the write fails.
-	formerLeader := *g.lastLeader.Load()
+	former := *g.lastTerm.Load()
 	steadySent, bootSent := steadyNanos(), bootNanos()
 	lease, duration, err := g.options.KeyValue.GrantLease(ctx, leaderLeaseDuration)
 	if err != nil {
@@ -174,7 +178,7 @@
 			},
 			{
 				Key:      g.options.Layout.termKey(),
-				Revision: termRevision,
+				Revision: former.revision,
 			},
 		},
 		Puts: []store.Put{
@@ -198,11 +202,13 @@
 	term := &leaderTerm{
 		token:         ident.FencingNumber(result.Revision),
 		lease:         lease,
-		isFirst:       termRevision == 0,
-		formerLeader:  formerLeader,
+		isFirst:       former.revision == 0,
+		formerLeader:  former.leader,
 		leaseDuration: duration,
+		claim:         g.describeClaim(&former),
 	}
-	term.firstOrderNanos.Store(steadyNanos() + int64(g.takeoverDelay(term)))
+	g.startWait(term)
+	g.ownTerm.Store(term)
 	term.extendLease(steadySent, bootSent, duration)
 	return term, nil
 }
@@ -220,6 +226,7 @@
 	g.post(termStarted{term: term})
 	g.tomb.Go(func() error {
 		g.awaitFormerLeader(term)
+		g.settle(term)
 		return nil
 	})
 	reason := g.keepTerm(term)
--- a/internal/host/gateway/plan.go
+++ b/internal/host/gateway/plan.go
@@ -31,6 +31,10 @@
 }
 
 func (e termStarted) apply(now time.Time, c *control) {
+	if c.latestToken > e.term.token {
+		e.term.ended.Store(true) // the later leader has asked already, and relies on the answer
+		return
+	}
 	c.term = e.term
 	c.planners = make(map[ident.ServiceName]*loading.Planner)
 	c.engines = engineList{
--- a/internal/host/gateway/register.go
+++ b/internal/host/gateway/register.go
@@ -23,6 +23,9 @@
 	// termPath is written by each new leader and never deleted: it shows that there has been
 	// a leader.
 	termPath = "term"
+	// settledPath has the number of the latest term whose leader is known to have been apart from
+	// all leaders before it.
+	settledPath = "settled"
 	// refusedPath has the requests and parts of prompts that are refused since servers crash under
 	// them.
 	refusedPath = "refused"
@@ -54,6 +57,10 @@
 	return l.HostPrefix + termPath
 }
 
+func (l *Layout) settledKey() string {
+	return l.HostPrefix + settledPath
+}
+
 func (l *Layout) refusedKey() string {
 	return l.HostPrefix + refusedPath
 }
--- a/internal/host/gateway/takeover_test.go
+++ b/internal/host/gateway/takeover_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"cicadaloom/internal/control/takeover"
 	"cicadaloom/internal/domain/backend"
 )
 
@@ -53,11 +54,17 @@
 	next := &leaderTerm{
 		token:        first.token + 1,
 		formerLeader: "a",
+		claim: takeover.Claim{
+			At:           bootTime(),
+			Former:       first.token,
+			FormerSeenAt: bootTime(),
+		},
 	}
 	next.firstOrderNanos.Store(steadyNanos() + int64(time.Hour))
 	b.awaitFormerLeader(next)
 	require.True(t, first.ended.Load(), "a has ended its term before it answers")
 	require.LessOrEqual(t, next.untilFirstOrder(), leaderSeparation+orderTransitTime)
+	require.Positive(t, next.untilFirstOrder())
 }
 
 // The leader stops as planned and reports it. The next one must still wait for the minimum
@@ -110,11 +117,77 @@
 	g := f.hosts["a"]
 	term := &leaderTerm{
 		formerLeader: "gone",
+		claim: takeover.Claim{
+			At:     bootTime(),
+			Former: 1,
+		},
 	}
-	require.Equal(t, leaderSeparation+leaderLeaseDuration, g.takeoverDelay(term))
+	g.startWait(term)
+	require.InDelta(t, leaderSeparation+leaderLeaseDuration, term.untilFirstOrder(), float64(100*time.Millisecond))
+	require.Equal(t, term.claim.At.Add(leaderLeaseDuration).UnixNano(), term.earlierUntilNanos.Load())
 	term.firstOrderNanos.Store(steadyNanos() + int64(time.Second))
 	before := term.firstOrderNanos.Load()
 	_, known := g.askFormerLeader("gone", term)
 	require.False(t, known)
 	require.Equal(t, before, term.firstOrderNanos.Load())
 }
+
+// Guards against a leader that is stopped before its first order, and with which the wait for the
+// leader before it is forgotten.
+func TestWaitIsInheritedFromLeaderThatNeverOrdered(t *testing.T) {
+	f := newUnfencedFleet(t, "a", "b", "c")
+	b, c, first := f.hosts["b"], f.hosts["c"], f.hosts["a"].activeTerm.Load()
+	settings := b.takeoverSettings()
+	second := &leaderTerm{
+		token: first.token + 1,
+	}
+	second.setEarlierUntil(&settings, bootTime().Add(leaderLeaseDuration/2))
+	b.ownTerm.Store(second)
+	third := &leaderTerm{
+		token:        first.token + 2,
+		formerLeader: "b",
+		claim: takeover.Claim{
+			At:     bootTime(),
+			Former: second.token,
+		},
+	}
+	c.startWait(third)
+	c.awaitFormerLeader(third)
+	require.WithinDuration(t, second.earlierUntil(), third.earlierUntil(), leaderLeaseDuration/4)
+	require.Greater(t, third.untilFirstOrder(), leaderSeparation)
+}
+
+// Guards against orders of a host that was asked for its last one before it knew that it had
+// acquired the key.
+func TestTermThatBeginsAfterLaterOneIsKnownEndsAtOnce(t *testing.T) {
+	c := &control{
+		Gateway: newUnfencedFleet(t, "a").hosts["a"],
+	}
+	c.endOutdatedTerm(8)
+	late := &leaderTerm{
+		token: 7,
+	}
+	termStarted{
+		term: late,
+	}.apply(time.Now(), c)
+	require.True(t, late.ended.Load())
+	require.Nil(t, c.term)
+}
+
+// Guards against a host that takes over from its own earlier process and forgets what that one
+// was waiting for; once it has settled, only its own orders count.
+func TestOwnEarlierTermIsTrustedOnceSettled(t *testing.T) {
+	f := newUnfencedFleet(t, "a")
+	first := f.hosts["a"].activeTerm.Load()
+	f.eventually(func() bool {
+		return f.hosts["a"].settledTerm.Load() == int64(first.token)
+	}, "the first leader of all has settled")
+	former := *f.hosts["a"].lastTerm.Load()
+	claim := f.hosts["a"].describeClaim(&former)
+	require.True(t, claim.IsOwn)
+	claim.Last = takeover.Term{}
+	settings := f.hosts["a"].takeoverSettings()
+	require.True(t, settings.EarlierUntil(&claim).IsZero())
+	claim.Settled = 0
+	require.Equal(t, former.seenAt.Add(leaderLeaseDuration), settings.EarlierUntil(&claim))
+}
--- a/internal/host/gateway/watch_test.go
+++ b/internal/host/gateway/watch_test.go
@@ -121,7 +121,7 @@
 	c.watchers.Store(&watcherSet{
 		isLargeRegion: true,
 	})
-	c.lastLeader.Store(new(ident.HostID))
+	c.lastTerm.Store(&knownTerm{})
 	storeCallFailed{}.apply(now, c)
 	require.Equal(t, now, c.baseMessage(now).StoreFailedAt, "its own view, and its own failures")
 	peer := gatewaypeer.Message{
--- a/internal/peer/gatewaypeer/codec.go
+++ b/internal/peer/gatewaypeer/codec.go
@@ -22,6 +22,9 @@
 	"cicadaloom/internal/wire/gatewaypeerpb"
 )
 
+// maxOrdersAhead bounds how far in the future a peer may say that orders end.
+const maxOrdersAhead = time.Minute
+
 func encodeMessage(message *Message) *gatewaypeerpb.Word {
 	wire := &gatewaypeerpb.Word{
 		Host:                 string(message.Host),
@@ -30,7 +33,8 @@
 		ConfigurationVersion: int64(message.ConfigurationVersion),
 		PackedConfiguration:  message.PackedConfiguration,
 		HolderToken:          int64(message.LeaderToken),
-		OrdersEnded:          int64(max(time.Since(message.LastOrderAt), 0)),
+		OrdersEnded:          int64(max(time.Since(message.LastOrderAt), -maxOrdersAhead)),
+		OrdersEndedToken:     int64(message.LastOrderCovers),
 		WantsFleet:           message.WantsFleet,
 		WantsHoldings:        message.WantsInventory,
 		FleetKnown:           int64(message.KnownFleetRevision),
@@ -77,7 +81,8 @@
 		ConfigurationVersion: route.Version(wire.GetConfigurationVersion()),
 		PackedConfiguration:  wire.GetPackedConfiguration(),
 		LeaderToken:          ident.FencingNumber(wire.GetHolderToken()),
-		LastOrderAt:          now.Add(-time.Duration(max(wire.GetOrdersEnded(), 0))),
+		LastOrderAt:          now.Add(-max(time.Duration(wire.GetOrdersEnded()), -maxOrdersAhead)),
+		LastOrderCovers:      ident.FencingNumber(wire.GetOrdersEndedToken()),
 
 		WantsFleet:         wire.GetWantsFleet(),
 		WantsInventory:     wire.GetWantsHoldings(),
--- a/internal/peer/gatewaypeer/codec_test.go
+++ b/internal/peer/gatewaypeer/codec_test.go
@@ -30,6 +30,7 @@
 		PackedConfiguration:  []byte("packed"),
 		LeaderToken:          5,
 		LastOrderAt:          now.Add(-time.Second),
+		LastOrderCovers:      4,
 		Demand: []Demand{{
 			Service: "models",
 			Weights: request.Weights{
--- a/internal/peer/gatewaypeer/gatewaypeer.go
+++ b/internal/peer/gatewaypeer/gatewaypeer.go
@@ -69,10 +69,12 @@
 	LeaderToken ident.FencingNumber
 	// LastOrderAt is the latest instant, by the receiver's clock, at which the sender may have
 	// sent an order: when its process last sent one, or when that process started, since an
-	// earlier one may have until then.
-	LastOrderAt time.Time
-	Demand      []Demand
-	Suspects    []suspects.Suspect
+	// earlier one may have until then. It covers all leaders before the term LastOrderCovers
+	// too, the last one that the sender's process has led, and may then be in the future.
+	LastOrderAt     time.Time
+	LastOrderCovers ident.FencingNumber
+	Demand          []Demand
+	Suspects        []suspects.Suspect
 	// Brittleness is what the servers of services have lately said about the refusals that they bear.
 	Brittleness []backend.ServiceBrittleness
 	// WantsFleet and WantsInventory ask for the changes after KnownFleetRevision and
