grpcpeer: replace connections to peers that go silent

A kept connection between hosts that goes silent without a reset was only given up where an exchange of messages failed over it.

The kernel now ends a connection to a peer whose sent bytes stay unacknowledged for 2 s, as it does for connections to servers.

--- a/internal/peer/grpcpeer/grpcpeer.go
+++ b/internal/peer/grpcpeer/grpcpeer.go
@@ -23,9 +23,11 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
@@ -40,6 +42,10 @@
 	maxMessageBytes  = 16 << 20
 	keepaliveTime    = 10 * time.Second
 	keepaliveTimeout = 3 * time.Second
+	// connectTimeout is how long a connection may take to open, unacknowledgedTimeout how long
+	// sent bytes may stay unacknowledged.
+	connectTimeout        = 2 * time.Second
+	unacknowledgedTimeout = 2 * time.Second
 )
 
 // Server listens for peers. The zero value is ready to start, once.
@@ -113,9 +119,7 @@
 	}
 	connection, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
-			return p.Meter.Dial(ctx, "tcp", address)
-		}),
+		grpc.WithContextDialer(p.dial),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
 		grpc.WithUnaryInterceptor(p.Fleet.attachFleet))
 	if err != nil {
@@ -128,6 +132,28 @@
 	return connection, nil
 }
 
+// dial opens a TCP connection that the kernel ends once sent bytes stay unacknowledged for
+// unacknowledgedTimeout. A connection may go silent for good while new ones work, and a call that
+// isn't answered in time doesn't tell that from a slow peer. Without keep-alive probes: with both,
+// one lost probe would end an idle connection.
+func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{
+		Timeout:   connectTimeout,
+		KeepAlive: -1,
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			return raw.Control(func(fd uintptr) {
+				// Without the option, callers that drop connections after a timeout still replace them.
+				_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledgedTimeout.Milliseconds()))
+			})
+		},
+	}
+	connection, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return p.Meter.Wrap(connection), nil
+}
+
 // Connect establishes the connection to a peer before the first call: between regions
 // that takes longer than the timeout of a call.
 func (p *Pool) Connect(address string) error {
--- a/internal/peer/meter/meter.go
+++ b/internal/peer/meter/meter.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return m.wrap(connection), nil
+	return m.Wrap(connection), nil
 }
 
 // Listener wraps a listener to count the bytes of the connections that it accepts.
@@ -54,7 +54,8 @@
 	}
 }
 
-func (m *Meter) wrap(connection net.Conn) net.Conn {
+// Wrap counts the bytes of a connection.
+func (m *Meter) Wrap(connection net.Conn) net.Conn {
 	if m == nil {
 		return connection
 	}
@@ -74,7 +75,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return l.meter.wrap(connection), nil
+	return l.meter.Wrap(connection), nil
 }
 
 type countedConn struct {
