upstream: drop kept connections to a server with one that fell silent

Each request over a kept connection that had gone silent waited for the 2 s of the user timeout, and the next one took the next such connection. Once the kernel has ended one, the idle ones to that server are closed. Connections that are only slow are left alone: a timeout of a request says nothing about them.

The test drops what arrives at the server's open sockets; without the change its second request times out too.

--- a/internal/peer/upstream/pool.go
+++ b/internal/peer/upstream/pool.go
@@ -62,8 +62,8 @@
 	return conn, nil
 }
 
-// DropIdle closes the idle connections to a server that this host is cut off from: they may look
-// open and be dead.
+// DropIdle closes the idle connections to a server that doesn't answer: they may look open and be
+// dead.
 func (c *Client) DropIdle(address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/peer/upstream/upstream.go
+++ b/internal/peer/upstream/upstream.go
@@ -45,6 +45,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -191,6 +192,9 @@
 	}
 	if err := exchange.roundTrip(&request); err != nil {
 		exchange.Close()
+		if errors.Is(err, syscall.ETIMEDOUT) {
+			c.DropIdle(request.Address) // what silenced this connection may have silenced others
+		}
 		return nil, &SendError{
 			MayHaveArrived: true,
 			Cause:          err,
--- a/internal/peer/upstream/upstream_test.go
+++ b/internal/peer/upstream/upstream_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -279,3 +280,59 @@
 		require.Equal(t, int(userTimeout.Milliseconds()), value)
 	}))
 }
+
+// silence makes the kernel drop what arrives on a connection without acknowledging it.
+func silence(t *testing.T, conn net.Conn) {
+	raw, err := conn.(syscall.Conn).SyscallConn()
+	require.NoError(t, err)
+	require.NoError(t, raw.Control(func(fd uintptr) {
+		require.NoError(t, unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{
+			Len: 1,
+			Filter: &unix.SockFilter{
+				Code: unix.BPF_RET | unix.BPF_K,
+			},
+		}))
+	}))
+}
+
+// Guards against requests that are sent one after the other over kept connections to a server
+// that have all gone silent without a reset.
+func TestSilentConnectionEndsWithOthersToItsServer(t *testing.T) {
+	const kept = 3
+	var silent tomb.Tomb
+	var silenced sync.WaitGroup
+	silenced.Add(kept)
+	address := startServer(t, func(number int, conn net.Conn, reader *bufio.Reader) {
+		for range 2 {
+			if _, _, err := readRequest(reader); err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nKeep-Alive: timeout=15\r\n\r\n"+itoa(number)[2:])
+			if number < kept {
+				<-silent.Dying()
+				silence(t, conn)
+				silenced.Done()
+			}
+		}
+	})
+	client := &Client{}
+	defer client.Close()
+	exchanges := make([]*Exchange, kept)
+	for i := range exchanges {
+		exchange, err := client.Send(context.Background(), request(address, "/x"))
+		require.NoError(t, err)
+		exchanges[i] = exchange
+	}
+	for _, exchange := range exchanges {
+		_, err := io.ReadAll(exchange.Response.Body)
+		require.NoError(t, err)
+		exchange.Release()
+	}
+	silent.Kill(nil)
+	silenced.Wait()
+	_, err := fetch(t, client, request(address, "/x"))
+	require.ErrorIs(t, err, syscall.ETIMEDOUT)
+	got, err := fetch(t, client, request(address, "/x"))
+	require.NoError(t, err)
+	require.Equal(t, itoa(kept)[2:], got, "a new connection")
+}
