command: explain where a request to a gateway host would go

"cicadaloom explain -gateway URL -host -path ..." asks one host, at its metrics listener, where a request would go now: the route, the verdict for each of its services, and the servers that could answer with the parts of their costs, or why they take no request. As text or JSON.

Nothing is sent, counted as demand or reserved. The account is named; keys are neither asked for nor shown. What the host can't know is said: what the prompt scheduler has booked, and what servers have cached of the prompt. An account's limit, refused suspects and permits aren't covered yet.

--- a/internal/command/cicadaloom/command_test.go
+++ b/internal/command/cicadaloom/command_test.go
@@ -3,6 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"testing"
@@ -76,3 +79,16 @@
 		require.NotEmpty(t, err, args)
 	}
 }
+
+// A gateway host is asked with the request's parts, and without the operator's token.
+func TestExplainAsksGatewayHost(t *testing.T) {
+	t.Setenv(tokenVariable, "secret")
+	host := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		require.NotContains(t, r.Header.Get("Authorization"), "secret")
+		_, _ = io.WriteString(w, r.URL.Path+" "+r.URL.Query().Encode())
+	}))
+	defer host.Close()
+	code, out, stderr := run("explain", "-gateway", host.URL, "-host", "boats.example", "-path", "/dispatch/7", "-tokens", "80")
+	require.Equal(t, program.ExitOK, code, stderr)
+	require.Equal(t, "/explain format=text&host=boats.example&path=%2Fdispatch%2F7&tokens=80", out)
+}
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -64,6 +64,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -221,6 +222,8 @@
 	exchangeWanted chan struct{}
 	// promptQueued tells that a prompt waits in this host's queue.
 	promptQueued chan struct{}
+	// explaining is held while the operators' listener explains where a request would go.
+	explaining sync.Mutex
 	// shed counts the connections that were closed unread because the host was overloaded.
 	shed *metrics.Counter
 }
@@ -453,10 +456,13 @@
 }
 
 func (g *Gateway) serveMetrics(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path != "/metrics" {
+	switch r.URL.Path {
+	case "/metrics":
+		g.options.Metrics.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	case explainPath:
+		g.serveExplain(w, r)
+	default:
 		w.WriteHeader(http.StatusNotFound)
-		return
 	}
-	g.options.Metrics.WritePrometheus(w)
-	metrics.WriteProcessMetrics(w)
 }
