--- a/internal/command/cicadaloom/explain.go
+++ b/internal/command/cicadaloom/explain.go
@@ -25,8 +25,8 @@
 With -gateway it says instead where a request would go now, and why, without sending it; the URL is
 that of the metrics of a "gateway" host:
 
-  cicadaloom explain -gateway http://127.0.0.1:9090 -host boats.example -path /dispatch/7
-  cicadaloom explain -gateway http://127.0.0.1:9090 -host notes.example -path /notes/ \
+  cicadaloom explain -gateway http://127.0.0.1:9464 -host boats.example -path /dispatch/7
+  cicadaloom explain -gateway http://127.0.0.1:9464 -host notes.example -path /notes/ \
     -account harbour -model small -adapter a1 -tokens 800
 
 It shows the route, the servers that could answer, and the parts of their costs in milliseconds. The
