gateway: keep the bound of earlier leaders also where engines fence

A leader that runs with engines that refuse earlier leaders answered that no earlier leader matters. While a deployment's setting changes host by host, the next leader may rely on that without such engines. The wait of a fenced leader is unchanged, and it still writes nothing; a test of its own says so.

--- a/internal/host/gateway/takeover.go
+++ b/internal/host/gateway/takeover.go
@@ -78,14 +78,14 @@
 // startWait sets when a new leader that has asked nobody may send its first order. Where
 // engines refuse the orders of earlier leaders, its first order fences these off.
 func (g *Gateway) startWait(term *leaderTerm) {
+	// Kept also where engines refuse them: hosts that follow may have other settings by now.
+	settings := g.takeoverSettings()
+	term.setEarlierUntil(&settings, settings.EarlierUntil(&term.claim))
 	switch {
 	case term.isFirst:
 		term.firstOrderNanos.Store(steadyNanos())
 	case g.options.Settings.Bounds.Fenced:
 		term.firstOrderNanos.Store(steadyNanos() + int64(fencedTakeoverDelay))
-	default:
-		settings := g.takeoverSettings()
-		term.setEarlierUntil(&settings, settings.EarlierUntil(&term.claim))
 	}
 }
 
--- a/internal/host/gateway/takeover_test.go
+++ b/internal/host/gateway/takeover_test.go
@@ -191,3 +191,26 @@
 	claim.Settled = 0
 	require.Equal(t, former.seenAt.Add(leaderLeaseDuration), settings.EarlierUntil(&claim))
 }
+
+// Where engines refuse the orders of earlier leaders, a new leader waits no longer than before and
+// nothing is written about settled terms.
+func TestFencedLeaderDoesNotWaitForOthers(t *testing.T) {
+	f := newFleet(t)
+	f.serve("models", "one")
+	f.keyValue.write("configuration", engineConfiguration())
+	f.start("a")
+	f.eventually(func() bool { return len(f.engines.sentOrders()) > 0 }, "an order is sent")
+	g := f.hosts["a"]
+	g.settle(g.activeTerm.Load())
+	require.Empty(t, f.keyValue.value("servers-ours/"+settledPath))
+	next := &leaderTerm{
+		formerLeader: "gone",
+		claim: takeover.Claim{
+			At:     bootTime(),
+			Former: 1,
+		},
+	}
+	g.startWait(next)
+	require.LessOrEqual(t, next.untilFirstOrder(), fencedTakeoverDelay)
+	require.Equal(t, next.claim.At.Add(leaderLeaseDuration).UnixNano(), next.earlierUntilNanos.Load())
+}
