--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -64,6 +64,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -172,13 +173,13 @@
 	pools        atomic.Pointer[map[ident.ServiceName]*balance.Pool]
 	serversKnown atomic.Bool
 	leaderless   atomic.Bool
-	// lastTermRevision is the revision at which the latest leader wrote the term key, 0
-	// where there has been no leader.
-	lastTermRevision atomic.Int64
-	// lastLeader is the host that wrote it, empty where there has been no leader. activeTerm
-	// is set while this host is the leader.
-	lastLeader atomic.Pointer[ident.HostID]
-	activeTerm atomic.Pointer[leaderTerm]
+	// lastTerm is the latest term, and settledTerm the number of the latest one that is known to
+	// be settled; see takeover. activeTerm is set while this host is the leader, ownTerm from
+	// its first term on.
+	lastTerm    atomic.Pointer[knownTerm]
+	settledTerm atomic.Int64
+	activeTerm  atomic.Pointer[leaderTerm]
+	ownTerm     atomic.Pointer[leaderTerm]
 	// lastOrderBootNanos is when this process last sent an order, by bootNanos, 0 if never.
 	lastOrderBootNanos atomic.Int64
 	// isYoungest tells that no known host started later than this one.
@@ -221,6 +222,8 @@
 	exchangeWanted chan struct{}
 	// promptQueued tells that a prompt waits in this host's queue.
 	promptQueued chan struct{}
+	// explaining is held while the operators' listener explains where a request would go.
+	explaining sync.Mutex
 	// shed counts the connections that were closed unread because the host was overloaded.
 	shed *metrics.Counter
 }
@@ -277,7 +280,7 @@
 	g.watchers.Store(&watcherSet{})
 	watchersChanged := make(chan struct{})
 	g.watchersChanged.Store(&watchersChanged)
-	g.lastLeader.Store(new(ident.HostID))
+	g.lastTerm.Store(&knownTerm{})
 	g.pools.Store(&map[ident.ServiceName]*balance.Pool{})
 	dialed := options.Metrics.NewCounter("cicadaloom_connections_opened_total")
 	g.shed = options.Metrics.NewCounter("cicadaloom_connections_shed_total")
@@ -453,10 +456,13 @@
 }
 
 func (g *Gateway) serveMetrics(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path != "/metrics" {
+	switch r.URL.Path {
+	case "/metrics":
+		g.options.Metrics.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	case explainPath:
+		g.serveExplain(w, r)
+	default:
 		w.WriteHeader(http.StatusNotFound)
-		return
 	}
-	g.options.Metrics.WritePrometheus(w)
-	metrics.WriteProcessMetrics(w)
 }
