balance: Choose servers by the pace that they name

A pool keeps a tracker for each server. The expected prefill and first byte are scaled by the pace expected now; times learnt from answers are those at a usual pace, so that a pace doesn't count twice. Where a server names one, a running answer costs a share of the slot that the next one takes there, so that engines are filled in proportion to their pace; a slow engine gets fewer slots; an engine costs more where the answer can't end by its deadline, or where reading the prompt would pause the answers that run there for longer than the route allows.

--- a/internal/control/balance/balance.go
+++ b/internal/control/balance/balance.go
@@ -69,6 +69,12 @@
 	Weights request.Weights
 	Parts   []request.PromptPart
 	Prompt  unit.Tokens
+	// Output is the expected length of the answer, 0 if that isn't known. Deadline is when the
+	// answer must have ended, EventGap the longest pause between two events of a stream that is
+	// in time; zero if there is none.
+	Output   unit.Tokens
+	Deadline time.Time
+	EventGap time.Duration
 	// Build is the only build of the software that may answer; empty if any may.
 	Build ident.Build
 	// Avoided lists the builds that may not answer.
@@ -147,6 +153,11 @@
 	secondsPerToken map[ident.ModelName]float64
 	// answerSeconds is the time from an answer's first byte to its end, by model.
 	answerSeconds map[ident.ModelName]float64
+	// outputSeconds is that time for each token of the answer's expected length, by model. It is
+	// known only where servers name their pace.
+	outputSeconds map[ident.ModelName]float64
+	// isPaced is whether a server has named its pace.
+	isPaced bool
 	// responseTime is the mean time to the first byte of servers without models.
 	responseTime       time.Duration
 	meanPrefillSeconds float64 // moving average
@@ -195,6 +206,7 @@
 		},
 		secondsPerToken:    make(map[ident.ModelName]float64),
 		answerSeconds:      make(map[ident.ModelName]float64),
+		outputSeconds:      make(map[ident.ModelName]float64),
 		responseTime:       initialResponseTime,
 		meanPrefillSeconds: initialPrefillSeconds,
 		clear:              cooldownPerToken * defaultTokensPerEvent,
--- a/internal/control/balance/choose.go
+++ b/internal/control/balance/choose.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cicadaloom/internal/control/backpressure"
+	"cicadaloom/internal/control/pace"
 	"cicadaloom/internal/control/pacing"
 	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/ident"
@@ -52,6 +53,8 @@
 	pool     *Pool
 	server   *server
 	criteria Criteria
+	// pace is the one by which the times above are expected.
+	pace float64
 	// measuresPrefill reports that the prefill can be measured: no other prompt of this
 	// host was waiting for its first byte at the server.
 	measuresPrefill bool
@@ -70,7 +73,7 @@
 	random := criteria.Random
 	verdict := p.eachAvailable(now, &criteria, func(s *server, baseline float64) {
 		random = splitmix.Mix(random)
-		cost := float64(p.cost(s, &criteria, baseline)) * (1 + costJitter*float64(random%1024)/1024)
+		cost := float64(p.cost(now, s, &criteria, baseline)) * (1 + costJitter*float64(random%1024)/1024)
 		if best == nil || cost < lowest {
 			best, lowest = s, cost
 		}
@@ -87,20 +90,28 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var candidates []pacing.Candidate
+	var leastPenalty time.Duration
 	verdict := p.eachAvailable(now, &criteria, func(s *server, baseline float64) {
+		estimate := s.pace.Estimate(now)
 		prefillSeconds := p.prefillSeconds(criteria.Weights.Model, s.uncachedTokens(&criteria))
-		prefillTime := time.Duration(prefillSeconds * float64(time.Second))
+		prefillTime := scale(time.Duration(prefillSeconds*float64(time.Second)), estimate.Current)
+		penalty := p.pacePenalty(now, s, &criteria, prefillTime, estimate)
+		if len(candidates) == 0 || penalty < leastPenalty {
+			leastPenalty = penalty
+		}
 		candidates = append(candidates, pacing.Candidate{
 			Server:      s.info.Name,
 			Region:      s.info.Region,
 			PrefillTime: prefillTime,
-			OtherCost:   p.extraCost(s, prefillTime, baseline),
-			Slots:       s.info.Slots,
+			OtherCost:   p.extraCost(s, prefillTime, baseline) + penalty,
+			AnswerCost:  p.answerCost(s, &criteria, estimate),
+			Slots:       pacedSlots(s.info.Slots, estimate),
 		})
 	})
 	if len(candidates) > 0 {
 		verdict = Found
 	}
+	withoutCommon(candidates, leastPenalty)
 	return candidates, verdict
 }
 
@@ -126,14 +137,16 @@
 
 func (p *Pool) newTicket(sendAt time.Time, s *server, criteria Criteria) *Ticket {
 	prefillSeconds := p.prefillSeconds(criteria.Weights.Model, s.uncachedTokens(&criteria))
+	current := s.pace.Estimate(sendAt).Current
 	ticket := &Ticket{
 		Server:            s.info.Name,
 		Incarnation:       s.info.Incarnation,
 		Address:           s.info.Address,
 		Build:             s.info.Build,
-		ExpectedFirstByte: p.expectedFirstByte(s, prefillSeconds) + p.networkCost(s),
+		ExpectedFirstByte: p.expectedFirstByte(s, prefillSeconds, current) + p.networkCost(s),
 		pool:              p,
 		server:            s,
+		pace:              current,
 		criteria:          criteria,
 		measuresPrefill:   s.ownUnstarted == 0 && criteria.ownTokens() >= minSampleTokens,
 		SendAt:            sendAt,
@@ -141,7 +154,7 @@
 		Pressure:          s.pressure,
 	}
 	if s.info.Kind == backend.KindEngine {
-		ticket.PrefillTime = time.Duration(prefillSeconds * float64(time.Second))
+		ticket.PrefillTime = scale(time.Duration(prefillSeconds*float64(time.Second)), current)
 	}
 	s.ownInFlight++
 	s.ownUnstarted++
@@ -218,9 +231,10 @@
 
 // cost is the expected time to the first byte, increased by an error share above the
 // baseline.
-func (p *Pool) cost(s *server, criteria *Criteria, baseline float64) time.Duration {
+func (p *Pool) cost(now time.Time, s *server, criteria *Criteria, baseline float64) time.Duration {
 	tokens := s.uncachedTokens(criteria)
-	return p.expectedFirstByte(s, p.prefillSeconds(criteria.Weights.Model, tokens)) + p.networkCost(s) + s.errorCost(baseline)
+	current := s.pace.Estimate(now).Current
+	return p.expectedFirstByte(s, p.prefillSeconds(criteria.Weights.Model, tokens), current) + p.networkCost(s) + s.errorCost(baseline)
 }
 
 // errorCost is the cost of failing a larger share of requests than the baseline.
@@ -282,10 +296,15 @@
 // measured: their prefill takes about as long as the rest of the time to the first token.
 const minSampleTokens = 350
 
-// expectedFirstByte is the expected time at the server to the first byte, without the
+// expectedFirstByte is the expected time at the server to the first byte at a pace, without the
 // network. Prompts that are not yet sent to an engine are known to its prompt scheduler and
 // not counted here.
-func (p *Pool) expectedFirstByte(s *server, prefillSeconds float64) time.Duration {
+func (p *Pool) expectedFirstByte(s *server, prefillSeconds, pace float64) time.Duration {
+	return scale(p.usualFirstByte(s, prefillSeconds), pace)
+}
+
+// usualFirstByte is expectedFirstByte at a usual pace.
+func (p *Pool) usualFirstByte(s *server, prefillSeconds float64) time.Duration {
 	queued := max(s.inFlight()-s.info.Slots+1, 0)
 	if s.info.Kind != backend.KindEngine {
 		responseTime := s.responseTime
@@ -343,19 +362,20 @@
 	t.firstByteAt = now
 	s, p := t.server, t.pool
 	took := now.Sub(t.SendAt)
+	current := s.pace.Estimate(now).Current
 	s.recordParts(t.criteria.Weights, t.criteria.Parts)
 	if s.info.Kind == backend.KindEngine && t.measuresPrefill {
-		p.recordPrefill(t.criteria.Weights.Model, t.criteria.ownTokens(), took-p.networkCost(s))
+		p.recordPrefill(t.criteria.Weights.Model, t.criteria.ownTokens(), scale(took-p.networkCost(s), 1/current))
 	}
-	if s.info.Kind == backend.KindEngine && t.ExpectedFirstByte > 0 {
-		ratio := min(max(float64(took)/float64(t.ExpectedFirstByte), 0.2), 8)
+	if expected := t.expectedAt(current); s.info.Kind == backend.KindEngine && expected > 0 {
+		ratio := min(max(float64(took)/float64(expected), 0.2), 8)
 		s.slowness = min(max(s.slowness*(1+(ratio-1)*fastSmoothing), 0.3), 8)
 	}
 	if s.info.Kind != backend.KindEngine {
 		if s.responseTime == 0 {
 			s.responseTime = p.responseTime
 		}
-		serverTime := max(took-p.networkCost(s), time.Millisecond)
+		serverTime := max(scale(took-p.networkCost(s), 1/current), time.Millisecond)
 		s.responseTime += time.Duration(float64(serverTime-s.responseTime) * fastSmoothing)
 		p.responseTime += time.Duration(float64(serverTime-p.responseTime) * slowSmoothing)
 	}
@@ -366,11 +386,20 @@
 	t.server.ownUnstarted--
 }
 
+// Load is the load that a server's answer reports, and how long work takes there.
+type Load struct {
+	Running int
+	Waiting int
+	Pace    pace.Reading
+}
+
 // UpdateLoad stores the server load that a server's answer reports.
-func (t *Ticket) UpdateLoad(running, waiting int) {
+func (t *Ticket) UpdateLoad(now time.Time, load Load) {
 	t.pool.mu.Lock()
 	defer t.pool.mu.Unlock()
-	t.server.updateLoad(running, waiting)
+	t.server.updateLoad(load.Running, load.Waiting)
+	t.server.pace.Record(now, load.Pace)
+	t.pool.isPaced = t.pool.isPaced || load.Pace.IsKnown()
 }
 
 // Done ends the send. Only the first call has an effect.
@@ -445,5 +474,7 @@
 	if !measured {
 		known = initialAnswerSeconds
 	}
-	t.pool.answerSeconds[model] = known + (now.Sub(t.firstByteAt).Seconds()-known)*fastSmoothing
+	took := scale(now.Sub(t.firstByteAt), 1/t.server.pace.Estimate(now).Level)
+	t.pool.answerSeconds[model] = known + (took.Seconds()-known)*fastSmoothing
+	t.pool.recordOutput(model, t.criteria.Output, took)
 }
--- /dev/null
+++ b/internal/control/balance/paced.go
@@ -0,0 +1,120 @@
+package balance
+
+import (
+	"time"
+
+	"cicadaloom/internal/control/pace"
+	"cicadaloom/internal/control/pacing"
+	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/domain/unit"
+)
+
+const (
+	// pausedAnswerCost is what a pause of a running answer beyond its route's event gap costs:
+	// that answer is late, as one whose first byte comes this much later.
+	pausedAnswerCost = 500 * time.Millisecond
+	// outlastsCost is the cost of an answer that is not expected to end by its deadline.
+	outlastsCost = 3 * time.Second
+	// deadlineMargin is the time that is left to a deadline, as a share of the expected answer,
+	// below which outlastsCost begins to count: expected lengths are often far off.
+	deadlineMargin = 0.5
+	// defaultEventTokens is how many tokens an event has where that isn't known.
+	defaultEventTokens = defaultTokensPerEvent
+)
+
+// scale multiplies a time by a pace. A usual pace leaves it as it is, to the nanosecond.
+func scale(d time.Duration, pace float64) time.Duration {
+	if pace == 1 {
+		return d
+	}
+	return time.Duration(float64(d) * pace)
+}
+
+// expectedAt is the expected time to the first byte, had the pace been this one.
+func (t *Ticket) expectedAt(pace float64) time.Duration {
+	network := t.pool.networkCost(t.server)
+	return scale(t.ExpectedFirstByte-network, pace/t.pace) + network
+}
+
+// recordOutput learns how long an answer takes for each token of its expected length, from the
+// time that it took at a usual pace.
+func (p *Pool) recordOutput(model ident.ModelName, output unit.Tokens, took time.Duration) {
+	if !p.isPaced || output == 0 {
+		return
+	}
+	sample := took.Seconds() / float64(output)
+	known, measured := p.outputSeconds[model]
+	if !measured {
+		known = sample
+	}
+	p.outputSeconds[model] = known + (sample-known)*fastSmoothing
+}
+
+// answerTime is how long the answer to a request takes from its first byte at a usual pace.
+func (p *Pool) answerTime(criteria *Criteria) time.Duration {
+	seconds, measured := p.answerSeconds[criteria.Weights.Model]
+	if !measured {
+		seconds = initialAnswerSeconds
+	}
+	if perToken, known := p.outputSeconds[criteria.Weights.Model]; known && criteria.Output > 0 {
+		seconds = perToken * float64(criteria.Output)
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// answerCost is what each answer that runs at an engine adds to the cost of one more, 0 for the
+// usual: the steps that slow this one down, and the slot that it takes from others for as long as
+// it runs. The slower the engine, the fewer answers it gets.
+func (p *Pool) answerCost(s *server, criteria *Criteria, estimate pace.Estimate) time.Duration {
+	if !p.isPaced || s.info.Slots == 0 {
+		return 0
+	}
+	slots := time.Duration(s.info.Slots)
+	return scale(pacing.DelayPerRunningAnswer, estimate.Current) + scale(p.answerTime(criteria), estimate.Level)/(slots*slots)
+}
+
+// pacedSlots is how many answers an engine is given at once: fewer than it has slots if it is
+// slow, since each step of each of them takes longer.
+func pacedSlots(slots int, estimate pace.Estimate) int {
+	if estimate.Level <= 1 || slots == 0 {
+		return slots
+	}
+	return max(int(float64(slots)/estimate.Level+0.5), (slots+1)/2)
+}
+
+// pacePenalty is the cost of what callers lose at an engine for its pace, apart from the first
+// byte: the answer that outlasts its deadline, and the answers that pause for too long while the
+// engine reads the prompt.
+func (p *Pool) pacePenalty(now time.Time, s *server, criteria *Criteria, prefillTime time.Duration, estimate pace.Estimate) time.Duration {
+	if !p.isPaced {
+		return 0
+	}
+	var penalty time.Duration
+	answerTime := scale(p.answerTime(criteria), estimate.Level)
+	if !criteria.Deadline.IsZero() && answerTime > 0 {
+		margin := time.Duration(deadlineMargin * float64(answerTime))
+		excess := now.Add(prefillTime + answerTime + margin).Sub(criteria.Deadline)
+		penalty += time.Duration(min(max(float64(excess)/float64(margin), 0), 1) * float64(outlastsCost))
+	}
+	if criteria.EventGap > 0 && prefillTime+p.eventTime(criteria.Weights.Model, estimate) > criteria.EventGap {
+		penalty += time.Duration(s.inFlight()) * pausedAnswerCost
+	}
+	return penalty
+}
+
+// eventTime is the time between two events of a stream at an engine that reads no prompt.
+func (p *Pool) eventTime(model ident.ModelName, estimate pace.Estimate) time.Duration {
+	tokens := p.tokensPerEvent
+	if tokens == 0 {
+		tokens = defaultEventTokens
+	}
+	return time.Duration(p.outputSeconds[model] * float64(tokens) * estimate.Current * float64(time.Second))
+}
+
+// withoutCommon takes from the candidates' costs the least of their penalties, which is common to
+// all: it makes no difference where the prompt goes, and would make it look late.
+func withoutCommon(candidates []pacing.Candidate, least time.Duration) {
+	for i := range candidates {
+		candidates[i].OtherCost -= least
+	}
+}
--- a/internal/control/balance/server.go
+++ b/internal/control/balance/server.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cicadaloom/internal/control/backpressure"
+	"cicadaloom/internal/control/pace"
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/domain/request"
 )
@@ -40,7 +41,10 @@
 	slowness float64
 	// responseTime is the smoothed time to the first byte, for servers without models.
 	responseTime time.Duration
-	cachedParts  map[partKey]struct{}
+	// pace is how long work takes at the server, by its answers. Other learnt times are those
+	// at a usual pace.
+	pace        pace.Tracker
+	cachedParts map[partKey]struct{}
 }
 
 // partKey names a part of a prompt in the cache for some weights.
--- a/internal/control/pacing/pacing.go
+++ b/internal/control/pacing/pacing.go
@@ -108,6 +108,9 @@
 	// errors.
 	PrefillTime time.Duration
 	OtherCost   time.Duration
+	// AnswerCost is what each answer that runs at the engine adds to the cost; 0 stands for
+	// DelayPerRunningAnswer.
+	AnswerCost time.Duration
 	// Slots is how many answers the engine runs at once; 0 for no limit.
 	Slots int
 }
--- a/internal/control/pacing/queue.go
+++ b/internal/control/pacing/queue.go
@@ -229,7 +229,7 @@
 		if backlog > sendLead || candidate.Slots > 0 && inUse >= maxInFlight(candidate.Slots) {
 			continue
 		}
-		cost := backlog + candidate.PrefillTime + candidate.OtherCost + time.Duration(inUse)*DelayPerRunningAnswer
+		cost := backlog + candidate.PrefillTime + candidate.OtherCost + time.Duration(inUse)*cmp.Or(candidate.AnswerCost, DelayPerRunningAnswer)
 		if !found || cost < best.Cost {
 			best, found = Reservation{
 				Server:     candidate.Server,
--- a/internal/peer/gatewaypeer/codec.go
+++ b/internal/peer/gatewaypeer/codec.go
@@ -385,6 +385,7 @@
 			Reading: int64(candidate.PrefillTime),
 			Beside:  int64(candidate.OtherCost),
 			Places:  int32(candidate.Slots),
+			Answer:  int64(candidate.AnswerCost),
 		})
 	}
 	return wire
@@ -408,6 +409,7 @@
 			PrefillTime: time.Duration(candidate.GetReading()),
 			OtherCost:   time.Duration(candidate.GetBeside()),
 			Slots:       int(candidate.GetPlaces()),
+			AnswerCost:  time.Duration(candidate.GetAnswer()),
 		})
 	}
 	return prompt
--- a/internal/traffic/relay/choose.go
+++ b/internal/traffic/relay/choose.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -13,13 +14,16 @@
 func (s *requestState) chooseServer(ctx context.Context) *balance.Ticket {
 	h := s.handler
 	criteria := balance.Criteria{
-		Weights: s.request.Weights(),
-		Parts:   s.request.PromptParts,
-		Prompt:  s.request.PromptTokens,
-		Build:   s.build,
-		Avoided: s.crashingBuilds,
-		Tried:   s.tried,
-		Random:  h.Random(),
+		Weights:  s.request.Weights(),
+		Parts:    s.request.PromptParts,
+		Prompt:   s.request.PromptTokens,
+		Output:   cmp.Or(s.request.EstimatedOutputTokens, s.request.MaxOutputTokens),
+		Deadline: s.deadline,
+		EventGap: s.route.EventGap,
+		Build:    s.build,
+		Avoided:  s.crashingBuilds,
+		Tried:    s.tried,
+		Random:   h.Random(),
 	}
 	ticket, verdict := s.takeOpenTicket(ctx, criteria)
 	if ticket != nil || s.refuseIfOverloaded() || s.refuseIfClosed() {
--- a/internal/traffic/relay/metrics.go
+++ b/internal/traffic/relay/metrics.go
@@ -10,6 +10,7 @@
 
 	"cicadaloom/internal/control/backpressure"
 	"cicadaloom/internal/control/balance"
+	"cicadaloom/internal/control/pace"
 	"cicadaloom/internal/domain/account"
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/domain/route"
@@ -74,6 +75,13 @@
 	m.set.GetOrCreateHistogram(`cicadaloom_first_event_seconds{` + labels(r) + `}`).Update(took.Seconds())
 }
 
+// recordPace counts the paces that servers' answers name.
+func (m *Metrics) recordPace(reading pace.Reading) {
+	if reading.IsKnown() {
+		m.set.GetOrCreateHistogram(`cicadaloom_server_pace`).Update(float64(reading))
+	}
+}
+
 // recordSignals counts what servers' answers begin to ask for, by kind.
 func (m *Metrics) recordSignals(change backpressure.Change) {
 	if change == (backpressure.Change{}) {
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -56,6 +56,7 @@
 	"go.uber.org/zap"
 
 	"cicadaloom/internal/control/balance"
+	"cicadaloom/internal/control/pace"
 	"cicadaloom/internal/control/pacing"
 	"cicadaloom/internal/control/paths"
 	"cicadaloom/internal/control/permits"
@@ -116,11 +117,13 @@
 	Signals    backend.Signals
 }
 
-// ServerLoad is the load that a server reports; Slots is 0 if it reports none.
+// ServerLoad is the load that a server reports; Slots is 0 if it reports none. Pace is how long
+// work takes there at the moment.
 type ServerLoad struct {
 	Running int
 	Waiting int
 	Slots   int
+	Pace    pace.Reading
 }
 
 // ControlPlane is what the handler needs from the control side of the host. Its methods are
--- a/internal/traffic/relay/send.go
+++ b/internal/traffic/relay/send.go
@@ -81,7 +81,12 @@
 	}
 	s.recordSignals(ticket, sentAt, &answer)
 	if answer.ServerLoad.Slots > 0 {
-		ticket.UpdateLoad(answer.ServerLoad.Running, answer.ServerLoad.Waiting)
+		h.Metrics.recordPace(answer.ServerLoad.Pace)
+		ticket.UpdateLoad(h.Now(), balance.Load{
+			Running: answer.ServerLoad.Running,
+			Waiting: answer.ServerLoad.Waiting,
+			Pace:    answer.ServerLoad.Pace,
+		})
 	}
 	if answer.NotRun {
 		return s.handleRefusal(exchange, ticket, &answer)
