gateway: Share the lasting paces of engines between hosts

A host gets an answer of one of a hundred engines every twenty seconds, too seldom to learn its level. Hosts' messages to the leader or to a watcher now carry the readings since the last one, and the leader's planner passes an engine's level on with its load when it has changed by a tenth. Ruled out: a message a reading to the prompt scheduler, which would add one to each request; levels in engines' entries, which hosts don't write.

--- a/internal/control/balance/balance.go
+++ b/internal/control/balance/balance.go
@@ -51,6 +51,7 @@
 	"time"
 
 	"cicadaloom/internal/control/backpressure"
+	"cicadaloom/internal/control/pace"
 	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/domain/request"
@@ -156,6 +157,8 @@
 	// outputSeconds is that time for each token of the answer's expected length, by model. It is
 	// known only where servers name their pace.
 	outputSeconds map[ident.ModelName]float64
+	// unsentReadings has the servers that have named their pace since the last TakeReadings.
+	unsentReadings map[*server]struct{}
 	// isPaced is whether a server has named its pace.
 	isPaced bool
 	// responseTime is the mean time to the first byte of servers without models.
@@ -195,12 +198,13 @@
 // NewPool returns a pool without servers.
 func NewPool(location Location, pressures *backpressure.Table) *Pool {
 	return &Pool{
-		location:  location,
-		pressures: pressures,
-		servers:   make(map[ident.ServerName]*server),
-		builds:    make(map[ident.Build]*buildUse),
-		failing:   make(map[*server]struct{}),
-		corrected: make(map[*server]struct{}),
+		location:       location,
+		pressures:      pressures,
+		servers:        make(map[ident.ServerName]*server),
+		builds:         make(map[ident.Build]*buildUse),
+		failing:        make(map[*server]struct{}),
+		corrected:      make(map[*server]struct{}),
+		unsentReadings: make(map[*server]struct{}),
 		serverLimit: ServerLimit{
 			Own: 1 << 20,
 		},
@@ -230,6 +234,8 @@
 	// hundred milliseconds ago; negative if unknown.
 	Running int
 	Waiting int
+	// Pace is the lasting pace that all hosts together have found, 0 if that isn't known.
+	Pace pace.Reading
 }
 
 // SetServers replaces all servers. What was learnt about a server is dropped when its
@@ -302,6 +308,10 @@
 	}
 	s.pressure = p.pressures.ServerOf(info.Service, info.Name, info.Incarnation)
 	s.update(info)
+	if info.Pace.IsKnown() {
+		s.pace.Share(info.Pace)
+		p.isPaced = true
+	}
 	p.setWeights(s)
 	if info.Kind == backend.KindEngine && info.Slots > 0 {
 		p.engineSlots = info.Slots
@@ -323,6 +333,7 @@
 	p.removeBuild(s.info.Build)
 	delete(p.failing, s)
 	delete(p.corrected, s)
+	delete(p.unsentReadings, s)
 	p.index.remove(s)
 }
 
--- a/internal/control/balance/choose.go
+++ b/internal/control/balance/choose.go
@@ -398,8 +398,7 @@
 	t.pool.mu.Lock()
 	defer t.pool.mu.Unlock()
 	t.server.updateLoad(load.Running, load.Waiting)
-	t.server.pace.Record(now, load.Pace)
-	t.pool.isPaced = t.pool.isPaced || load.Pace.IsKnown()
+	t.pool.recordPace(now, t.server, load.Pace)
 }
 
 // Done ends the send. Only the first call has an effect.
--- a/internal/control/balance/paced.go
+++ b/internal/control/balance/paced.go
@@ -30,6 +30,49 @@
 	return time.Duration(float64(d) * pace)
 }
 
+// recordPace stores the pace that a server has named, if it has.
+func (p *Pool) recordPace(now time.Time, s *server, reading pace.Reading) {
+	if !reading.IsKnown() {
+		return
+	}
+	s.pace.Record(now, reading)
+	p.isPaced = true
+	if p.servers[s.info.Name] == s {
+		p.unsentReadings[s] = struct{}{}
+	}
+}
+
+// TakeReadings returns the last reading of each server that has named its pace since the last call.
+func (p *Pool) TakeReadings() []pace.ServerReading {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.unsentReadings) == 0 {
+		return nil
+	}
+	readings := make([]pace.ServerReading, 0, len(p.unsentReadings))
+	for s := range p.unsentReadings {
+		reading, _ := s.pace.Last()
+		readings = append(readings, pace.ServerReading{
+			Server:      s.info.Name,
+			Incarnation: s.info.Incarnation,
+			Reading:     reading,
+		})
+	}
+	clear(p.unsentReadings)
+	return readings
+}
+
+// LevelOf returns the lasting pace of a server, 0 if it isn't known.
+func (p *Pool) LevelOf(now time.Time, name ident.ServerName) pace.Reading {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, known := p.servers[name]
+	if !known || !s.pace.IsKnown(now) {
+		return 0
+	}
+	return pace.Reading(s.pace.Estimate(now).Level)
+}
+
 // expectedAt is the expected time to the first byte, had the pace been this one.
 func (t *Ticket) expectedAt(pace float64) time.Duration {
 	network := t.pool.networkCost(t.server)
--- a/internal/control/holdings/holdings.go
+++ b/internal/control/holdings/holdings.go
@@ -49,7 +49,7 @@
 type Engine struct {
 	loading.Inventory
 	// InventoryChange and LoadChange are the numbers of the last changes of its inventory and
-	// of its load.
+	// of its load, to which its pace belongs.
 	InventoryChange int64
 	LoadChange      int64
 	// LoadOnly is whether the inventory has not changed and is left out.
@@ -146,7 +146,7 @@
 		known.InventoryChange = t.cursor.LastChange
 		t.loads.record(now, reported)
 	}
-	if known.Running != reported.Running || known.Waiting != reported.Waiting {
+	if known.Running != reported.Running || known.Waiting != reported.Waiting || known.Pace != reported.Pace {
 		t.cursor.LastChange++
 		known.LoadChange = t.cursor.LastChange
 	}
@@ -246,6 +246,7 @@
 		known.LoadChange = reported.LoadChange
 		known.Running = reported.Running
 		known.Waiting = reported.Waiting
+		known.Pace = reported.Pace
 	}
 	if known.lastChange() == lastChange {
 		return false
--- a/internal/control/loading/engine.go
+++ b/internal/control/loading/engine.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"cicadaloom/internal/control/pace"
 	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/domain/request"
@@ -27,7 +28,11 @@
 	// instant from which requests may use each.
 	confirmedAdapters map[request.Weights]time.Time
 	pending           *pendingOrder
-	retiring          map[ident.ModelName]time.Time
+	// pace is what the engine's answers say on all hosts, announcedPace the lasting pace that
+	// hosts have been told.
+	pace          pace.Tracker
+	announcedPace pace.Reading
+	retiring      map[ident.ModelName]time.Time
 	// retiringLast has the models in retiring for which this is the last replica. They may
 	// be unloaded while no requests come for them.
 	retiringLast map[ident.ModelName]bool
--- a/internal/control/loading/inventory.go
+++ b/internal/control/loading/inventory.go
@@ -1,9 +1,11 @@
 package loading
 
 import (
+	"math"
 	"slices"
 	"time"
 
+	"cicadaloom/internal/control/pace"
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/domain/request"
 )
@@ -17,6 +19,8 @@
 	Retiring    []ident.ModelName
 	Running     int
 	Waiting     int
+	// Pace is the engine's lasting pace, 0 if it isn't known.
+	Pace pace.Reading
 }
 
 // TakeInventoryChanges returns the inventories that may have changed since the last call, and
@@ -55,6 +59,7 @@
 		Incarnation: e.Incarnation,
 		Running:     e.report.Running,
 		Waiting:     e.report.Waiting,
+		Pace:        e.announcedPace,
 		Weights:     e.report.Weights(),
 	}
 	for weights, readyAt := range e.confirmedAdapters {
@@ -71,3 +76,24 @@
 	}
 	return inventory
 }
+
+// minPaceChange is the relative change of an engine's lasting pace that is passed on.
+const minPaceChange = 0.1
+
+// RecordPaces records paces that engines have named, and passes a lasting pace that has changed on
+// with the inventory.
+func (p *Planner) RecordPaces(now time.Time, readings []pace.ServerReading) {
+	for i := range readings {
+		reading := &readings[i]
+		e, known := p.engines[reading.Server]
+		if !known || e.Incarnation != reading.Incarnation || !reading.Reading.IsKnown() {
+			continue
+		}
+		e.pace.Record(now, reading.Reading)
+		level := e.pace.Estimate(now).Level
+		if math.Abs(level-float64(e.announcedPace)) > minPaceChange*float64(e.announcedPace) {
+			e.announcedPace = pace.Reading(level)
+			p.changedEngines[e.Name] = struct{}{}
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/loading/paces_test.go
@@ -0,0 +1,49 @@
+package loading
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cicadaloom/internal/control/pace"
+	"cicadaloom/internal/domain/ident"
+)
+
+// Load: an engine with spells at 2.5 times its level, read by many hosts, and one that restarts.
+func TestLastingPaceIsPassedOn(t *testing.T) {
+	fleet := newFakeFleet(2, 2)
+	planner := NewPlanner(Options{})
+	planner.Configure(fleet.spec)
+	for range 50 {
+		fleet.runRound(planner, 1)
+	}
+	planner.TakeInventoryChanges(fleet.now)
+	name, incarnation := fleet.engines[0].name, fleet.engines[0].incarnation
+	announced := 0
+	var last pace.Reading
+	record := func(server ident.ServerName, incarnation ident.Incarnation, reading pace.Reading) {
+		planner.RecordPaces(fleet.now, []pace.ServerReading{{
+			Server:      server,
+			Incarnation: incarnation,
+			Reading:     reading,
+		}})
+		changed, _ := planner.TakeInventoryChanges(fleet.now)
+		for i := range changed {
+			announced++
+			last = changed[i].Pace
+		}
+	}
+	for i := range 100 {
+		fleet.now = fleet.now.Add(200 * time.Millisecond)
+		reading := pace.Reading(1.6)
+		if i%10 == 9 {
+			reading = 4
+		}
+		record(name, incarnation, reading)
+		record(name, "earlier", 9)
+		record("unknown", incarnation, 9)
+	}
+	require.Equal(t, pace.Reading(1.6), last)
+	require.Equal(t, 1, announced, "the level changes nothing once it is known")
+}
--- a/internal/control/pace/pace.go
+++ b/internal/control/pace/pace.go
@@ -22,6 +22,8 @@
 import (
 	"math"
 	"time"
+
+	"cicadaloom/internal/domain/ident"
 )
 
 // Reading is how long work takes at a server: 1 as usual, 2 twice as long. 0 is not known.
@@ -47,6 +49,13 @@
 	return r > 0
 }
 
+// ServerReading is a reading of an incarnation of a server, as hosts pass it on.
+type ServerReading struct {
+	Server      ident.ServerName
+	Incarnation ident.Incarnation
+	Reading     Reading
+}
+
 const (
 	// maxSamples is the number of readings that the level is the median of, and sampleInterval
 	// the least time between two of them. A spell must last for half of them to be taken for
--- a/internal/host/gateway/control.go
+++ b/internal/host/gateway/control.go
@@ -11,6 +11,7 @@
 	"cicadaloom/internal/control/entries"
 	"cicadaloom/internal/control/holdings"
 	"cicadaloom/internal/control/loading"
+	"cicadaloom/internal/control/pace"
 	"cicadaloom/internal/control/pacing"
 	"cicadaloom/internal/control/registry"
 	"cicadaloom/internal/control/routetable"
@@ -62,9 +63,11 @@
 	// pendingDemand is demand for the leader that has not been sent yet: this host's own,
 	// and that of the hosts that it relays for.
 	pendingDemand map[demandKey]loading.Demand
-	pools         map[ident.ServiceName]*balance.Pool
-	suspects      suspects.Machine
-	refused       refusedState
+	// pendingPaces are the paces that engines have named, for the leader too.
+	pendingPaces map[paceKey]pace.Reading
+	pools        map[ident.ServiceName]*balance.Pool
+	suspects     suspects.Machine
+	refused      refusedState
 	// outdatedServers are the servers that have changed since the pools were updated;
 	// poolsOutdated tells that all may have.
 	outdatedServers map[ident.ServerName]struct{}
@@ -414,6 +417,7 @@
 		server.Retiring = reported.Retiring
 		server.Running = reported.Running
 		server.Waiting = reported.Waiting
+		server.Pace = reported.Pace
 		return server
 	}
 	server.Holds = registration.Report.Weights()
--- a/internal/host/gateway/exchange.go
+++ b/internal/host/gateway/exchange.go
@@ -214,6 +214,7 @@
 		out.message = c.baseMessage(now)
 		if e.to.takesDemand {
 			out.message.Demand = c.takeDemand()
+			out.message.Paces = c.takePaces()
 			out.message.WantsInventory = true
 			out.message.KnownInventory = c.inventory.Cursor()
 		}
@@ -369,6 +370,7 @@
 	if len(e.message.Demand) > 0 {
 		c.receiveDemand(now, e.message.Region, e.message.Demand)
 	}
+	c.receivePaces(now, e.message.Paces)
 	e.reply <- c.buildReply(now, &e.message)
 }
 
--- a/internal/host/gateway/plan.go
+++ b/internal/host/gateway/plan.go
@@ -75,6 +75,7 @@
 		c.preparePlanner(now, name)
 	}
 	c.requestReports(now)
+	c.receivePaces(now, c.takePaces())
 	for name := range c.engines.byService {
 		c.planService(now, name)
 	}
--- a/internal/host/gateway/watchers_test.go
+++ b/internal/host/gateway/watchers_test.go
@@ -270,3 +270,42 @@
 	}
 	require.Eventually(t, func() bool { return f.countWatcherEntries() == 0 }, 2*hostLeaseDuration, 10*time.Millisecond, "a small region has no watchers")
 }
+
+// Guards against hosts that each learn an engine's pace alone, from a few answers a minute.
+func TestHostsShareLastingPace(t *testing.T) {
+	f, names := startLargeRegion(t)
+	f.serve("models", "three")
+	newer := engineConfiguration()
+	newer.Version = 5
+	f.keyValue.write("configuration", newer)
+	f.eventually(func() bool { return len(f.leaders()) == 1 }, "somebody leads")
+	asked := balance.Criteria{
+		Weights: request.Weights{
+			Model: "n",
+		},
+	}
+	at := f.hosts[f.followers()[0]]
+	f.eventually(func() bool { return at.Pool("models") != nil }, "the service is known")
+	defer at.Pool("models").CountWaiting(asked.Weights)()
+	f.eventually(func() bool {
+		at.ReportMissingWeights()
+		ticket, verdict := at.Pool("models").Take(time.Now(), asked)
+		if verdict != balance.Found {
+			return false
+		}
+		ticket.UpdateLoad(time.Now(), balance.Load{
+			Pace: 2,
+		})
+		ticket.Done(time.Now(), balance.Left)
+		return true
+	}, "one host reads the pace")
+	f.eventually(func() bool {
+		for _, name := range names {
+			pool := f.hosts[name].Pool("models")
+			if pool == nil || pool.LevelOf(time.Now(), "three") != 2 {
+				return false
+			}
+		}
+		return true
+	}, "all know the level")
+}
--- a/internal/peer/gatewaypeer/codec.go
+++ b/internal/peer/gatewaypeer/codec.go
@@ -10,6 +10,7 @@
 	"cicadaloom/internal/control/entries"
 	"cicadaloom/internal/control/holdings"
 	"cicadaloom/internal/control/loading"
+	"cicadaloom/internal/control/pace"
 	"cicadaloom/internal/control/pacing"
 	"cicadaloom/internal/control/retries"
 	"cicadaloom/internal/control/suspects"
@@ -43,6 +44,13 @@
 	for i := range message.Demand {
 		wire.Demand = append(wire.Demand, encodeDemand(&message.Demand[i]))
 	}
+	for i := range message.Paces {
+		wire.Paces = append(wire.Paces, &gatewaypeerpb.Pace{
+			Server:      string(message.Paces[i].Server),
+			Incarnation: string(message.Paces[i].Incarnation),
+			Pace:        float32(message.Paces[i].Reading),
+		})
+	}
 	for _, transfer := range message.TokenTransfers {
 		wire.Gifts = append(wire.Gifts, &gatewaypeerpb.Gift{
 			Service: string(transfer.Service),
@@ -91,6 +99,13 @@
 	for _, item := range wire.GetDemand() {
 		message.Demand = append(message.Demand, decodeDemand(item))
 	}
+	for _, item := range wire.GetPaces() {
+		message.Paces = append(message.Paces, pace.ServerReading{
+			Server:      ident.ServerName(item.GetServer()),
+			Incarnation: ident.Incarnation(item.GetIncarnation()),
+			Reading:     pace.NewReading(float64(item.GetPace())),
+		})
+	}
 	for _, item := range wire.GetGifts() {
 		message.TokenTransfers = append(message.TokenTransfers, retries.Transfer{
 			Service: ident.ServiceName(item.GetService()),
@@ -273,6 +288,7 @@
 		HeldChanged: e.InventoryChange,
 		LoadChanged: e.LoadChange,
 		LoadOnly:    e.LoadOnly,
+		Pace:        float32(e.Pace),
 	}
 	byModel := make(map[ident.ModelName]*gatewaypeerpb.Held)
 	entryFor := func(name ident.ModelName) *gatewaypeerpb.Held {
@@ -305,6 +321,7 @@
 			Incarnation: ident.Incarnation(wire.GetIncarnation()),
 			Running:     int(wire.GetRunning()),
 			Waiting:     int(wire.GetWaiting()),
+			Pace:        pace.NewReading(float64(wire.GetPace())),
 		},
 		InventoryChange: wire.GetHeldChanged(),
 		LoadChange:      wire.GetLoadChanged(),
--- a/internal/peer/gatewaypeer/codec_test.go
+++ b/internal/peer/gatewaypeer/codec_test.go
@@ -10,6 +10,7 @@
 	"cicadaloom/internal/control/entries"
 	"cicadaloom/internal/control/holdings"
 	"cicadaloom/internal/control/loading"
+	"cicadaloom/internal/control/pace"
 	"cicadaloom/internal/control/retries"
 	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/ident"
@@ -43,6 +44,11 @@
 				Work:     0.5,
 			},
 		}},
+		Paces: []pace.ServerReading{{
+			Server:      "one",
+			Incarnation: "1",
+			Reading:     2.5,
+		}},
 		Brittleness: []backend.ServiceBrittleness{{
 			Service: "booking",
 			Brittleness: backend.Brittleness{
@@ -100,6 +106,7 @@
 						Retiring: []ident.ModelName{"m"},
 						Running:  4,
 						Waiting:  2,
+						Pace:     1.5,
 					},
 					InventoryChange: 11,
 					LoadChange:      13,
--- a/internal/peer/gatewaypeer/gatewaypeer.go
+++ b/internal/peer/gatewaypeer/gatewaypeer.go
@@ -40,6 +40,7 @@
 	"cicadaloom/internal/control/entries"
 	"cicadaloom/internal/control/holdings"
 	"cicadaloom/internal/control/loading"
+	"cicadaloom/internal/control/pace"
 	"cicadaloom/internal/control/pacing"
 	"cicadaloom/internal/control/quota"
 	"cicadaloom/internal/control/retries"
@@ -72,7 +73,9 @@
 	// earlier one may have until then.
 	LastOrderAt time.Time
 	Demand      []Demand
-	Suspects    []suspects.Suspect
+	// Paces are the paces that engines have named since the last message.
+	Paces    []pace.ServerReading
+	Suspects []suspects.Suspect
 	// Brittleness is what the servers of services have lately said about the refusals that they bear.
 	Brittleness []backend.ServiceBrittleness
 	// WantsFleet and WantsInventory ask for the changes after KnownFleetRevision and
