--- a/internal/control/balance/choose.go
+++ b/internal/control/balance/choose.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"cicadaloom/internal/control/backpressure"
-	"cicadaloom/internal/control/pace"
 	"cicadaloom/internal/control/pacing"
 	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/ident"
@@ -386,21 +385,6 @@
 	t.server.ownUnstarted--
 }
 
-// Load is the load that a server's answer reports, and how long work takes there.
-type Load struct {
-	Running int
-	Waiting int
-	Pace    pace.Reading
-}
-
-// UpdateLoad stores the server load that a server's answer reports.
-func (t *Ticket) UpdateLoad(now time.Time, load Load) {
-	t.pool.mu.Lock()
-	defer t.pool.mu.Unlock()
-	t.server.updateLoad(load.Running, load.Waiting)
-	t.pool.recordPace(now, t.server, load.Pace)
-}
-
 // Done ends the send. Only the first call has an effect.
 func (t *Ticket) Done(now time.Time, result Result) {
 	p := t.pool
--- a/internal/control/balance/paced.go
+++ b/internal/control/balance/paced.go
@@ -30,6 +30,21 @@
 	return time.Duration(float64(d) * pace)
 }
 
+// Load is the load that a server's answer reports, and how long work takes there.
+type Load struct {
+	Running int
+	Waiting int
+	Pace    pace.Reading
+}
+
+// UpdateLoad stores the server load that a server's answer reports.
+func (t *Ticket) UpdateLoad(now time.Time, load Load) {
+	t.pool.mu.Lock()
+	defer t.pool.mu.Unlock()
+	t.server.updateLoad(load.Running, load.Waiting)
+	t.pool.recordPace(now, t.server, load.Pace)
+}
+
 // recordPace stores the pace that a server has named, if it has.
 func (p *Pool) recordPace(now time.Time, s *server, reading pace.Reading) {
 	if !reading.IsKnown() {
@@ -62,6 +77,51 @@
 	return readings
 }
 
+// Bounds of a lasting pace that counts as usual.
+const (
+	minUsualPace = 0.8
+	maxUsualPace = 1.25
+)
+
+// PaceCounts is the number of servers by their lasting pace.
+type PaceCounts struct {
+	Fast    int
+	Usual   int
+	Slow    int
+	Unknown int
+}
+
+// Add returns the sum of two counts.
+func (c PaceCounts) Add(other PaceCounts) PaceCounts {
+	return PaceCounts{
+		Fast:    c.Fast + other.Fast,
+		Usual:   c.Usual + other.Usual,
+		Slow:    c.Slow + other.Slow,
+		Unknown: c.Unknown + other.Unknown,
+	}
+}
+
+// CountPaces counts the servers by their lasting pace.
+func (p *Pool) CountPaces(now time.Time) PaceCounts {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var counts PaceCounts
+	for _, s := range p.servers {
+		level := s.pace.Estimate(now).Level
+		switch {
+		case !s.pace.IsKnown(now):
+			counts.Unknown++
+		case level < minUsualPace:
+			counts.Fast++
+		case level > maxUsualPace:
+			counts.Slow++
+		default:
+			counts.Usual++
+		}
+	}
+	return counts
+}
+
 // LevelOf returns the lasting pace of a server, 0 if it isn't known.
 func (p *Pool) LevelOf(now time.Time, name ident.ServerName) pace.Reading {
 	p.mu.Lock()
--- a/internal/control/balance/paced_load_test.go
+++ b/internal/control/balance/paced_load_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -26,6 +27,8 @@
 type simAnswer struct {
 	host      int
 	ticket    *Ticket
+	waiter    *pacing.Waiter
+	criteria  Criteria
 	booked    pacing.Ticket
 	arrivedAt time.Time
 	sendAt    time.Time
@@ -70,7 +73,7 @@
 	names     []ident.ServerName
 	pools     []*Pool
 	queue     pacing.Queue
-	waiting   map[*pacing.Waiter]*simAnswer
+	waiting   []*simAnswer
 	total     int
 	inTime    int
 	nextID    pacing.Ticket
@@ -82,7 +85,6 @@
 		random:    rand.New(rand.NewPCG(56, 2)),
 		now:       start,
 		engines:   make(map[ident.ServerName]*simEngine),
-		waiting:   make(map[*pacing.Waiter]*simAnswer),
 	}
 	for i := range 12 {
 		name := ident.ServerName(fmt.Sprint("e", i))
@@ -145,8 +147,9 @@
 	case reservation.Booked:
 		f.send(answer, criteria, reservation)
 	case waiter != nil:
-		f.waiting[waiter] = answer
-		answer.ticket = &Ticket{criteria: criteria}
+		answer.waiter = waiter
+		answer.criteria = criteria
+		f.waiting = append(f.waiting, answer)
 	}
 }
 
@@ -180,18 +183,19 @@
 func (f *fleetSim) step() {
 	f.now = f.now.Add(simTick)
 	f.queue.GrantFree(f.now)
-	for waiter, answer := range f.waiting {
+	f.waiting = slices.DeleteFunc(f.waiting, func(answer *simAnswer) bool {
 		select {
-		case reservation := <-waiter.Granted:
-			delete(f.waiting, waiter)
-			f.send(answer, answer.ticket.criteria, reservation)
+		case reservation := <-answer.waiter.Granted:
+			f.send(answer, answer.criteria, reservation)
+			return true
 		default:
-			if f.now.Sub(answer.arrivedAt) > 1300*time.Millisecond {
-				f.queue.Remove(waiter)
-				delete(f.waiting, waiter)
-			}
 		}
-	}
+		if f.now.Sub(answer.arrivedAt) <= 1300*time.Millisecond {
+			return false
+		}
+		f.queue.Remove(answer.waiter)
+		return true
+	})
 	for _, name := range f.names {
 		f.work(name, f.engines[name])
 	}
--- a/internal/control/balance/paced_test.go
+++ b/internal/control/balance/paced_test.go
@@ -207,6 +207,16 @@
 	}
 }
 
+func TestServersAreCountedByPace(t *testing.T) {
+	counts := pacedEngines(start, 0.5, 1, 1.1, 3, 0).CountPaces(start)
+	require.Equal(t, PaceCounts{
+		Fast:    1,
+		Usual:   2,
+		Slow:    1,
+		Unknown: 1,
+	}, counts)
+}
+
 func BenchmarkPacedCandidates(b *testing.B) {
 	readings := make([]pace.Reading, 64)
 	for i := range readings {
--- a/internal/control/loading/inventory.go
+++ b/internal/control/loading/inventory.go
@@ -80,9 +80,10 @@
 // minPaceChange is the relative change of an engine's lasting pace that is passed on.
 const minPaceChange = 0.1
 
-// RecordPaces records paces that engines have named, and passes a lasting pace that has changed on
-// with the inventory.
-func (p *Planner) RecordPaces(now time.Time, readings []pace.ServerReading) {
+// RecordPaces records paces that engines have named. A lasting pace that has changed is passed on
+// with the inventory, and returned.
+func (p *Planner) RecordPaces(now time.Time, readings []pace.ServerReading) []pace.ServerReading {
+	var changed []pace.ServerReading
 	for i := range readings {
 		reading := &readings[i]
 		e, known := p.engines[reading.Server]
@@ -94,6 +95,12 @@
 		if math.Abs(level-float64(e.announcedPace)) > minPaceChange*float64(e.announcedPace) {
 			e.announcedPace = pace.Reading(level)
 			p.changedEngines[e.Name] = struct{}{}
+			changed = append(changed, pace.ServerReading{
+				Server:      e.Name,
+				Incarnation: e.Incarnation,
+				Reading:     e.announcedPace,
+			})
 		}
 	}
+	return changed
 }
--- a/internal/host/gateway/metrics.go
+++ b/internal/host/gateway/metrics.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"cicadaloom/internal/control/balance"
 )
 
 // gauges are the metrics that the control goroutine updates once a second.
@@ -26,6 +28,11 @@
 	// refusedSuspects is how many requests and parts of prompts are refused since servers crash
 	// under them.
 	refusedSuspects *metrics.Gauge
+	// fastServers to unpacedServers count the servers by their lasting pace.
+	fastServers    *metrics.Gauge
+	usualServers   *metrics.Gauge
+	slowServers    *metrics.Gauge
+	unpacedServers *metrics.Gauge
 	// planSeconds is how long plans take.
 	planSeconds *metrics.Histogram
 }
@@ -43,6 +50,10 @@
 		cutOff:          set.NewGauge("cicadaloom_cut_off_from_servers", nil),
 		tunnels:         set.NewGauge("cicadaloom_tunnels_for_peers", nil),
 		refusedSuspects: set.NewGauge("cicadaloom_refused_suspects", nil),
+		fastServers:     set.NewGauge(`cicadaloom_servers_by_pace{pace="fast"}`, nil),
+		usualServers:    set.NewGauge(`cicadaloom_servers_by_pace{pace="usual"}`, nil),
+		slowServers:     set.NewGauge(`cicadaloom_servers_by_pace{pace="slow"}`, nil),
+		unpacedServers:  set.NewGauge(`cicadaloom_servers_by_pace{pace="unknown"}`, nil),
 		planSeconds:     set.NewHistogram("cicadaloom_plan_seconds"),
 	}
 }
@@ -58,6 +69,7 @@
 	g.cutOff.Set(flag(c.tunnels.paths.IsCutOff()))
 	g.tunnels.Set(float64(c.tunnels.count()))
 	g.refusedSuspects.Set(float64(c.suspects.CountRefused()))
+	g.updatePaces(now, c)
 	g.waiting.Set(float64(c.schedulers.queue.Len()))
 	g.shedShare.Set(c.processor.detector.Share())
 	g.processorWait.Set(c.processor.detector.Wait().Seconds())
@@ -66,6 +78,17 @@
 	}
 }
 
+func (g *gauges) updatePaces(now time.Time, c *control) {
+	var counts balance.PaceCounts
+	for _, pool := range c.pools {
+		counts = counts.Add(pool.CountPaces(now))
+	}
+	g.fastServers.Set(float64(counts.Fast))
+	g.usualServers.Set(float64(counts.Usual))
+	g.slowServers.Set(float64(counts.Slow))
+	g.unpacedServers.Set(float64(counts.Unknown))
+}
+
 // flag returns 1 for true and 0 for false.
 func flag(isSet bool) float64 {
 	if isSet {
--- a/internal/host/gateway/paces.go
+++ b/internal/host/gateway/paces.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"cicadaloom/internal/control/pace"
 	"cicadaloom/internal/domain/ident"
 )
@@ -65,6 +67,8 @@
 		return
 	}
 	for _, planner := range c.planners {
-		planner.RecordPaces(now, readings)
+		for _, changed := range planner.RecordPaces(now, readings) {
+			c.log.Info("pace of engine", zap.String("Server", string(changed.Server)), zap.Float64("Pace", float64(changed.Reading)))
+		}
 	}
 }
