--- a/internal/control/balance/paced_test.go
+++ b/internal/control/balance/paced_test.go
@@ -207,6 +207,36 @@
 	}
 }
 
+// Guards against levels that are lost with the leader that passed them on, and against levels that
+// outlast the server.
+func TestSharedLevelOutlastsLeaderButNotServer(t *testing.T) {
+	info := engine("a", "n1", "north")
+	info.Pace = 1.6
+	pool := newPool(info)
+	require.Equal(t, pace.Reading(1.6), pool.LevelOf(start, "a"))
+	info.Pace = 0
+	pool.UpdateServers([]ServerInfo{info}, nil)
+	require.Equal(t, pace.Reading(1.6), pool.LevelOf(start, "a"))
+	info.Incarnation = "2"
+	pool.UpdateServers([]ServerInfo{info}, nil)
+	require.Zero(t, pool.LevelOf(start, "a"))
+}
+
+// Guards against a reading that is sent on more than once, or for a server that is gone.
+func TestReadingsAreTakenOnce(t *testing.T) {
+	pool := newPool(engine("a", "n1", "north"), engine("b", "n1", "north"))
+	for _, name := range []ident.ServerName{"a", "b"} {
+		pool.recordPace(start, pool.servers[name], 2)
+	}
+	pool.UpdateServers(nil, []ident.ServerName{"b"})
+	require.Equal(t, []pace.ServerReading{{
+		Server:      "a",
+		Incarnation: "1",
+		Reading:     2,
+	}}, pool.TakeReadings())
+	require.Empty(t, pool.TakeReadings())
+}
+
 func TestServersAreCountedByPace(t *testing.T) {
 	counts := pacedEngines(start, 0.5, 1, 1.1, 3, 0).CountPaces(start)
 	require.Equal(t, PaceCounts{
--- a/internal/control/pace/pace_test.go
+++ b/internal/control/pace/pace_test.go
@@ -145,23 +145,19 @@
 
 // predictionErrors returns the mean relative errors for servers of which a host reads the pace so
 // many times a second, each reading being old when it arrives.
-func predictionErrors(perSecond float64, age time.Duration) map[string]float64 {
+func predictionErrors(perSecond float64, age time.Duration, newPace func(server int, random *rand.Rand) func(now time.Time) float64) map[string]float64 {
 	errors := make(map[string]float64)
 	const servers, seconds = 60, 60
 	random := rand.New(rand.NewPCG(7, 1))
 	for i := range servers {
-		server := generatedServer{
-			level:  0.5 + 0.5*float64(i%4),
-			spell:  2.5,
-			random: random,
-		}
+		paceAt := newPace(i, random)
 		predictors := newPredictors()
 		var paces []float64
 		const step = 10 * time.Millisecond
 		lag := int(age / step)
 		for tick := range seconds * 100 {
 			now := start.Add(time.Duration(tick) * step)
-			paces = append(paces, server.pace(now))
+			paces = append(paces, paceAt(now))
 			if tick >= lag && random.Float64() < perSecond/100 {
 				for _, p := range predictors {
 					p.record(now, Reading(paces[tick-lag]))
@@ -177,12 +173,45 @@
 	return errors
 }
 
+// withSpells returns the pace of a server with a lasting level and spells.
+func withSpells(i int, random *rand.Rand) func(now time.Time) float64 {
+	server := generatedServer{
+		level:  0.5 + 0.5*float64(i%4),
+		spell:  2.5,
+		random: random,
+	}
+	return server.pace
+}
+
+// withoutLevel returns a pace of 1 to 4 on each third server, and 1 on the others.
+func withoutLevel(i int, random *rand.Rand) func(now time.Time) float64 {
+	var until time.Time
+	pace := 1.0
+	return func(now time.Time) float64 {
+		if i%3 == 0 && !now.Before(until) {
+			pace = 1 + 3*random.Float64()
+			until = now.Add(100 * time.Millisecond)
+		}
+		return pace
+	}
+}
+
+// Load: a pace of 1 to 4 that changes ten times a second on a third of the servers, read 1 and 4
+// times a second.
+func TestTrackerPredictsPaceWithoutLevel(t *testing.T) {
+	for _, perSecond := range []float64{1, 4} {
+		errors := predictionErrors(perSecond, 100*time.Millisecond, withoutLevel)
+		t.Logf("%v a second: %.3v", perSecond, errors)
+		require.Less(t, errors["tracker"], errors["last"])
+	}
+}
+
 // Load: levels of 0.5 to 2 with spells of 0.1 to 1 s at 2.5 times the level, read 0.2 to 30 times
 // a second and up to 1 s old.
 func TestTrackerPredictsBetterThanLastAndMean(t *testing.T) {
 	for _, perSecond := range []float64{0.2, 1, 4, 30} {
 		for _, age := range []time.Duration{0, 100 * time.Millisecond, time.Second} {
-			errors := predictionErrors(perSecond, age)
+			errors := predictionErrors(perSecond, age, withSpells)
 			t.Logf("%v a second, %v old: %.3v", perSecond, age, errors)
 			require.Less(t, errors["tracker"], errors["mean"])
 			if perSecond < 30 {
