--- a/internal/control/loading/paces_test.go
+++ b/internal/control/loading/paces_test.go
@@ -8,6 +8,7 @@
 
 	"cicadaloom/internal/control/pace"
 	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/domain/request"
 )
 
 // Load: an engine with spells at 2.5 times its level, read by many hosts, and one that restarts.
@@ -47,3 +48,32 @@
 	require.Equal(t, pace.Reading(1.6), last)
 	require.Equal(t, 1, announced, "the level changes nothing once it is known")
 }
+
+// Load: a model that keeps two engines busy, on a fleet where half of the engines take twice as long.
+func TestBusyModelGoesToFastEngines(t *testing.T) {
+	fleet := newFakeFleet(4, 1)
+	planner := NewPlanner(Options{})
+	planner.Configure(fleet.spec)
+	fleet.runRound(planner, 1)
+	busy := fleet.spec.Models[0].Name
+	planner.AddDemand(fleet.now, "", request.Weights{
+		Model: busy,
+	}, Demand{
+		Requests: 100,
+		Work:     20,
+	})
+	for i, e := range fleet.engines {
+		planner.RecordPaces(fleet.now, []pace.ServerReading{{
+			Server:      e.name,
+			Incarnation: e.incarnation,
+			Reading:     pace.Reading([]float64{2, 0.5}[i%2]),
+		}})
+	}
+	m := planner.models[busy]
+	slow, fast := planner.engines[fleet.engines[0].name], planner.engines[fleet.engines[1].name]
+	require.Positive(t, planner.paceBonus(fleet.now, m, fast))
+	require.Negative(t, planner.paceBonus(fleet.now, m, slow))
+	order, found := planner.placeModel(fleet.now, m)
+	require.True(t, found)
+	require.Equal(t, pace.Reading(0.5), planner.engines[order.Server].announcedPace)
+}
--- a/internal/control/loading/placement.go
+++ b/internal/control/loading/placement.go
@@ -179,7 +179,7 @@
 		if !isAllowed {
 			continue
 		}
-		cost := duration.Seconds() - p.regionalBonus(now, m, e) + busyPenaltySeconds(e)
+		cost := duration.Seconds() - p.placementBonus(now, m, e) + busyPenaltySeconds(e)
 		if best == nil || cost < lowest {
 			best, lowest = e, cost
 		}
@@ -210,6 +210,25 @@
 	return float64(e.report.Running+e.report.Waiting) * 0.01
 }
 
+// placementBonus returns how much a replica on an engine is preferred, in seconds of load time.
+func (p *Planner) placementBonus(now time.Time, m *model, e *engine) float64 {
+	return p.regionalBonus(now, m, e) + p.paceBonus(now, m, e)
+}
+
+// paceBonus returns how much a replica on an engine is preferred for the engine's pace: a busy
+// model on a fast one. It is 0 for an engine without a known pace.
+func (p *Planner) paceBonus(now time.Time, m *model, e *engine) float64 {
+	if !e.announcedPace.IsKnown() {
+		return 0
+	}
+	work := min(p.expectedWork(now, m.spec.Name)/float64(m.replicas+1), 1)
+	return maxPaceBonusSeconds * work * min(max(1-float64(e.announcedPace), -1), 1)
+}
+
+// maxPaceBonusSeconds is the load time that may be spent to place a model that keeps an engine busy
+// on one that works in no time, or to keep it off one that takes twice as long as usual.
+const maxPaceBonusSeconds = 3.0
+
 // regionalBonus returns how much a replica in the engine's region is preferred, in seconds
 // of load time: it is positive if the region has a larger part of the model's demand than
 // of its replicas.
--- a/internal/control/loading/rebalance.go
+++ b/internal/control/loading/rebalance.go
@@ -34,7 +34,7 @@
 	unloadOverhead = 600 * time.Millisecond
 	drainTime      = 2 * time.Second
 	// regionalGainPerSecond is the relative increase of a move's value for each second of
-	// regionalBonus.
+	// placementBonus.
 	regionalGainPerSecond = 0.1
 	// lastReplicaLoss is the loss counted for the last replica of an idle model: another
 	// model must lack half an engine's time to displace it. maxMissingFraction bounds the
@@ -181,7 +181,7 @@
 			duration += drainTime
 		}
 	}
-	candidate.value = gain / (1 + duration.Seconds()/placementHorizon.Seconds()) * (1 + regionalGainPerSecond*p.regionalBonus(now, m, target.engine))
+	candidate.value = gain / (1 + duration.Seconds()/placementHorizon.Seconds()) * (1 + regionalGainPerSecond*p.placementBonus(now, m, target.engine))
 	return candidate, true
 }
 
--- a/internal/control/loading/replacement.go
+++ b/internal/control/loading/replacement.go
@@ -85,7 +85,7 @@
 	return replacement{
 		engine:  e,
 		victims: victims,
-		cost:    loss + workPerLoadSecond*(duration.Seconds()-p.regionalBonus(now, m, e)+busyPenaltySeconds(e)),
+		cost:    loss + workPerLoadSecond*(duration.Seconds()-p.placementBonus(now, m, e)+busyPenaltySeconds(e)),
 	}, true
 }
 
