--- a/internal/control/balance/choose.go
+++ b/internal/control/balance/choose.go
@@ -90,6 +90,7 @@
 	defer p.mu.Unlock()
 	var candidates []pacing.Candidate
 	var leastPenalty time.Duration
+	p.levels = p.levels[:0]
 	verdict := p.eachAvailable(now, &criteria, func(s *server, baseline float64) {
 		estimate := s.pace.Estimate(now)
 		prefillSeconds := p.prefillSeconds(criteria.Weights.Model, s.uncachedTokens(&criteria))
@@ -98,19 +99,20 @@
 		if len(candidates) == 0 || penalty < leastPenalty {
 			leastPenalty = penalty
 		}
+		p.levels = append(p.levels, estimate.Level)
 		candidates = append(candidates, pacing.Candidate{
 			Server:      s.info.Name,
 			Region:      s.info.Region,
 			PrefillTime: prefillTime,
 			OtherCost:   p.extraCost(s, prefillTime, baseline) + penalty,
 			AnswerCost:  p.answerCost(s, &criteria, estimate),
-			Slots:       pacedSlots(s.info.Slots, estimate),
+			Slots:       s.info.Slots,
 		})
 	})
 	if len(candidates) > 0 {
 		verdict = Found
 	}
-	withoutCommon(candidates, leastPenalty)
+	p.compareCandidates(candidates, leastPenalty)
 	return candidates, verdict
 }
 
--- a/internal/control/balance/paced.go
+++ b/internal/control/balance/paced.go
@@ -177,12 +177,12 @@
 }
 
 // pacedSlots is how many answers an engine is given at once: fewer than it has slots if it is
-// slow, since each step of each of them takes longer.
-func pacedSlots(slots int, estimate pace.Estimate) int {
-	if estimate.Level <= 1 || slots == 0 {
+// slower than the mean of those that could answer too, since each step of each of them takes longer.
+func pacedSlots(slots int, level, mean float64) int {
+	if level <= mean || slots == 0 {
 		return slots
 	}
-	return max(int(float64(slots)/estimate.Level+0.5), (slots+1)/2)
+	return max(int(float64(slots)*mean/level+0.5), (slots+1)/2)
 }
 
 // pacePenalty is the cost of what callers lose at an engine for its pace, apart from the first
@@ -214,10 +214,20 @@
 	return time.Duration(p.outputSeconds[model] * float64(tokens) * estimate.Current * float64(time.Second))
 }
 
-// withoutCommon takes from the candidates' costs the least of their penalties, which is common to
-// all: it makes no difference where the prompt goes, and would make it look late.
-func withoutCommon(candidates []pacing.Candidate, least time.Duration) {
+// compareCandidates sets what depends on the other candidates: the slots, and the penalties less the
+// least of them. What is common to all makes no difference where the prompt goes, and would make
+// it look late.
+func (p *Pool) compareCandidates(candidates []pacing.Candidate, leastPenalty time.Duration) {
+	if !p.isPaced {
+		return
+	}
+	sum := 0.0
+	for _, level := range p.levels {
+		sum += level
+	}
+	mean := sum / float64(len(p.levels))
 	for i := range candidates {
-		candidates[i].OtherCost -= least
+		candidates[i].OtherCost -= leastPenalty
+		candidates[i].Slots = pacedSlots(candidates[i].Slots, p.levels[i], mean)
 	}
 }
