loading: Count the loss of a retired replica from its retirement on

The value of a move discounted what is lost as much as what is gained, though the loss begins at once. Change: the loss is not discounted. Only where engines name their pace, so that other deployments are placed as before.

--- a/internal/control/loading/inventory.go
+++ b/internal/control/loading/inventory.go
@@ -91,6 +91,7 @@
 			continue
 		}
 		e.pace.Record(now, reading.Reading)
+		p.isPaced = true
 		level := e.pace.Estimate(now).Level
 		if math.Abs(level-float64(e.announcedPace)) > minPaceChange*float64(e.announcedPace) {
 			e.announcedPace = pace.Reading(level)
--- a/internal/control/loading/loading.go
+++ b/internal/control/loading/loading.go
@@ -124,6 +124,8 @@
 	// distribution is the result of currentDistribution, nil until it is computed in a
 	// step.
 	distribution *workDistribution
+	// isPaced is set once an engine has named its pace.
+	isPaced bool
 	// receivedRequests is set once a host has reported requests.
 	receivedRequests bool
 	// missingModelCount is the number of models without a replica. oversubscribed is the
--- a/internal/control/loading/rebalance.go
+++ b/internal/control/loading/rebalance.go
@@ -166,25 +166,38 @@
 		model:  m,
 		engine: target.engine,
 	}
-	gain := share.gain(target.utilization)
+	gain, loss := share.gain(target.utilization), 0.0
 	if target.freeMemory < m.spec.Memory {
 		victims, found := chooseVictims(target.victims, m, m.spec.Memory-target.freeMemory)
 		if !found {
 			return move{}, false
 		}
 		candidate.victims = victims
-		loss, work := sumVictims(victims)
+		victimLoss, work := sumVictims(victims)
+		loss = gainToLossRatio * victimLoss
 		utilizationLeft := target.utilization - work
-		gain = share.gain(utilizationLeft) + target.utilization*target.utilization - utilizationLeft*utilizationLeft - gainToLossRatio*loss
+		gain = share.gain(utilizationLeft) + target.utilization*target.utilization - utilizationLeft*utilizationLeft
 		duration += unloadOverhead * time.Duration(len(victims))
 		if work > 0 {
 			duration += drainTime
 		}
 	}
-	candidate.value = gain / (1 + duration.Seconds()/placementHorizon.Seconds()) * (1 + regionalGainPerSecond*p.placementBonus(now, m, target.engine))
+	bonus := 1 + regionalGainPerSecond*p.placementBonus(now, m, target.engine)
+	candidate.value = p.valueOf(gain, loss, duration, bonus)
 	return candidate, true
 }
 
+// valueOf returns the value of a move that takes a time to load. The gain begins when the model is
+// loaded, the loss as soon as the victims are retired. Where no engine names its pace, both count
+// from the load on.
+func (p *Planner) valueOf(gain, loss float64, duration time.Duration, bonus float64) float64 {
+	delay := 1 + duration.Seconds()/placementHorizon.Seconds()
+	if !p.isPaced {
+		return (gain - loss) / delay * bonus
+	}
+	return gain/delay*bonus - loss
+}
+
 // victim is a replica that may be retired, the work that it does, and what its loss costs.
 type victim struct {
 	model *model
