--- a/internal/control/balance/explain.go
+++ b/internal/control/balance/explain.go
@@ -29,6 +29,8 @@
 	Obstacle   Obstacle
 	InFlight   int
 	Slots      int
+	// Pace is how long work is expected to take there now: 1 as usual, 2 twice as long.
+	Pace float64
 	// Cost is the sum of its parts: the expected time at the server to the first byte, of which
 	// Prefill is the prompt's own, the network, and failures above what is usual.
 	Cost      time.Duration
@@ -75,6 +77,7 @@
 
 func (p *Pool) describeOption(now time.Time, s *server, criteria *Criteria, isKept bool, baseline float64) Option {
 	prefillSeconds := p.prefillSeconds(criteria.Weights.Model, s.uncachedTokens(criteria))
+	current := s.pace.Estimate(now).Current
 	option := Option{
 		Server:     s.info.Name,
 		Build:      s.info.Build,
@@ -82,13 +85,14 @@
 		Region:     s.info.Region,
 		InFlight:   s.inFlight(),
 		Slots:      s.info.Slots,
-		Cost:       p.cost(s, criteria, baseline),
-		FirstByte:  p.expectedFirstByte(s, prefillSeconds),
+		Pace:       current,
+		Cost:       p.cost(now, s, criteria, baseline),
+		FirstByte:  p.expectedFirstByte(s, prefillSeconds, current),
 		Network:    p.networkCost(s),
 		Errors:     s.errorCost(baseline),
 	}
 	if criteria.Weights.Model != "" {
-		option.Prefill = time.Duration(prefillSeconds * float64(time.Second))
+		option.Prefill = scale(time.Duration(prefillSeconds*float64(time.Second)), current)
 	}
 	switch {
 	case s.isLeaving():
--- a/internal/host/gateway/explain.go
+++ b/internal/host/gateway/explain.go
@@ -77,6 +77,7 @@
 	Obstacle    string `json:",omitempty"`
 	InFlight    int
 	Slots       int
+	Pace        float64
 	CostMs      float64
 	FirstByteMs float64
 	PrefillMs   float64
@@ -186,6 +187,7 @@
 		Obstacle:    string(option.Obstacle),
 		InFlight:    option.InFlight,
 		Slots:       option.Slots,
+		Pace:        option.Pace,
 		CostMs:      milliseconds(option.Cost),
 		FirstByteMs: milliseconds(option.FirstByte),
 		PrefillMs:   milliseconds(option.Prefill),
@@ -212,10 +214,10 @@
 		target := &e.Targets[i]
 		fmt.Fprintf(table, "\nservice %s, %.0f%% of the route: %s: %s\n", target.Service, 100*target.Share, target.Verdict, target.Why)
 		if len(target.Options) > 0 {
-			fmt.Fprintf(table, "server\tdata centre\tobstacle\tin flight\tslots\tcost ms\tfirst byte\tof it prefill\tnetwork\terrors\n")
+			fmt.Fprintf(table, "server\tdata centre\tobstacle\tin flight\tslots\tpace\tcost ms\tfirst byte\tof it prefill\tnetwork\terrors\n")
 		}
 		for _, o := range target.Options {
-			fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\n", o.Server, o.DataCentre, o.Obstacle, o.InFlight, o.Slots,
+			fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%.2f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\n", o.Server, o.DataCentre, o.Obstacle, o.InFlight, o.Slots, o.Pace,
 				o.CostMs, o.FirstByteMs, o.PrefillMs, o.NetworkMs, o.ErrorsMs)
 		}
 		if more := target.Servers - len(target.Options); more > 0 {
--- a/internal/peer/gatewaypeer/codec.go
+++ b/internal/peer/gatewaypeer/codec.go
@@ -10,6 +10,7 @@
 	"cicadaloom/internal/control/entries"
 	"cicadaloom/internal/control/holdings"
 	"cicadaloom/internal/control/loading"
+	"cicadaloom/internal/control/pace"
 	"cicadaloom/internal/control/pacing"
 	"cicadaloom/internal/control/retries"
 	"cicadaloom/internal/control/suspects"
@@ -47,6 +48,13 @@
 	for i := range message.Demand {
 		wire.Demand = append(wire.Demand, encodeDemand(&message.Demand[i]))
 	}
+	for i := range message.Paces {
+		wire.Paces = append(wire.Paces, &gatewaypeerpb.Pace{
+			Server:      string(message.Paces[i].Server),
+			Incarnation: string(message.Paces[i].Incarnation),
+			Pace:        float32(message.Paces[i].Reading),
+		})
+	}
 	for _, transfer := range message.TokenTransfers {
 		wire.Gifts = append(wire.Gifts, &gatewaypeerpb.Gift{
 			Service: string(transfer.Service),
@@ -96,6 +104,13 @@
 	for _, item := range wire.GetDemand() {
 		message.Demand = append(message.Demand, decodeDemand(item))
 	}
+	for _, item := range wire.GetPaces() {
+		message.Paces = append(message.Paces, pace.ServerReading{
+			Server:      ident.ServerName(item.GetServer()),
+			Incarnation: ident.Incarnation(item.GetIncarnation()),
+			Reading:     pace.NewReading(float64(item.GetPace())),
+		})
+	}
 	for _, item := range wire.GetGifts() {
 		message.TokenTransfers = append(message.TokenTransfers, retries.Transfer{
 			Service: ident.ServiceName(item.GetService()),
@@ -278,6 +293,7 @@
 		HeldChanged: e.InventoryChange,
 		LoadChanged: e.LoadChange,
 		LoadOnly:    e.LoadOnly,
+		Pace:        float32(e.Pace),
 	}
 	byModel := make(map[ident.ModelName]*gatewaypeerpb.Held)
 	entryFor := func(name ident.ModelName) *gatewaypeerpb.Held {
@@ -310,6 +326,7 @@
 			Incarnation: ident.Incarnation(wire.GetIncarnation()),
 			Running:     int(wire.GetRunning()),
 			Waiting:     int(wire.GetWaiting()),
+			Pace:        pace.NewReading(float64(wire.GetPace())),
 		},
 		InventoryChange: wire.GetHeldChanged(),
 		LoadChange:      wire.GetLoadChanged(),
@@ -390,6 +407,7 @@
 			Reading: int64(candidate.PrefillTime),
 			Beside:  int64(candidate.OtherCost),
 			Places:  int32(candidate.Slots),
+			Answer:  int64(candidate.AnswerCost),
 		})
 	}
 	return wire
@@ -413,6 +431,7 @@
 			PrefillTime: time.Duration(candidate.GetReading()),
 			OtherCost:   time.Duration(candidate.GetBeside()),
 			Slots:       int(candidate.GetPlaces()),
+			AnswerCost:  time.Duration(candidate.GetAnswer()),
 		})
 	}
 	return prompt
--- a/internal/peer/gatewaypeer/gatewaypeer.go
+++ b/internal/peer/gatewaypeer/gatewaypeer.go
@@ -40,6 +40,7 @@
 	"cicadaloom/internal/control/entries"
 	"cicadaloom/internal/control/holdings"
 	"cicadaloom/internal/control/loading"
+	"cicadaloom/internal/control/pace"
 	"cicadaloom/internal/control/pacing"
 	"cicadaloom/internal/control/quota"
 	"cicadaloom/internal/control/retries"
@@ -74,7 +75,9 @@
 	LastOrderAt     time.Time
 	LastOrderCovers ident.FencingNumber
 	Demand          []Demand
-	Suspects        []suspects.Suspect
+	// Paces are the paces that engines have named since the last message.
+	Paces    []pace.ServerReading
+	Suspects []suspects.Suspect
 	// Brittleness is what the servers of services have lately said about the refusals that they bear.
 	Brittleness []backend.ServiceBrittleness
 	// WantsFleet and WantsInventory ask for the changes after KnownFleetRevision and
