--- a/internal/control/balance/balance.go
+++ b/internal/control/balance/balance.go
@@ -159,8 +159,8 @@
 	outputSeconds map[ident.ModelName]float64
 	// unsentReadings has the servers that have named their pace since the last TakeReadings.
 	unsentReadings map[*server]struct{}
-	// levels are the lasting paces of the candidates that are being listed.
-	levels []float64
+	// paced describes the candidates that are being listed.
+	paced []pacedCandidate
 	// isPaced is whether a server has named its pace.
 	isPaced bool
 	// responseTime is the mean time to the first byte of servers without models.
--- a/internal/control/balance/choose.go
+++ b/internal/control/balance/choose.go
@@ -89,22 +89,17 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var candidates []pacing.Candidate
-	var leastPenalty time.Duration
-	p.levels = p.levels[:0]
+	p.paced = p.paced[:0]
 	verdict := p.eachAvailable(now, &criteria, func(s *server, baseline float64) {
 		estimate := s.pace.Estimate(now)
 		prefillSeconds := p.prefillSeconds(criteria.Weights.Model, s.uncachedTokens(&criteria))
 		prefillTime := scale(time.Duration(prefillSeconds*float64(time.Second)), estimate.Current)
-		penalty := p.pacePenalty(now, s, &criteria, prefillTime, estimate)
-		if len(candidates) == 0 || penalty < leastPenalty {
-			leastPenalty = penalty
-		}
-		p.levels = append(p.levels, estimate.Level)
+		p.paced = append(p.paced, p.describePaced(now, s, &criteria, prefillTime, estimate))
 		candidates = append(candidates, pacing.Candidate{
 			Server:      s.info.Name,
 			Region:      s.info.Region,
 			PrefillTime: prefillTime,
-			OtherCost:   p.extraCost(s, prefillTime, baseline) + penalty,
+			OtherCost:   p.extraCost(s, prefillTime, baseline),
 			AnswerCost:  p.answerCost(s, &criteria, estimate),
 			Slots:       s.info.Slots,
 		})
@@ -112,8 +107,7 @@
 	if len(candidates) > 0 {
 		verdict = Found
 	}
-	p.compareCandidates(candidates, leastPenalty)
-	return candidates, verdict
+	return p.comparePaced(candidates), verdict
 }
 
 // extraCost is the cost of an engine besides the prompt's prefill and the engine's queued
--- a/internal/control/balance/paced.go
+++ b/internal/control/balance/paced.go
@@ -185,24 +185,34 @@
 	return max(int(float64(slots)*mean/level+0.5), (slots+1)/2)
 }
 
-// pacePenalty is the cost of what callers lose at an engine for its pace, apart from the first
-// byte: the answer that outlasts its deadline, and the answers that pause for too long while the
-// engine reads the prompt.
-func (p *Pool) pacePenalty(now time.Time, s *server, criteria *Criteria, prefillTime time.Duration, estimate pace.Estimate) time.Duration {
+// pacedCandidate is what an engine's pace means for a prompt: its lasting pace, whether the answer
+// is expected to outlast its deadline, and what callers lose there apart from the first byte, for
+// an answer that may outlast it, and for answers that pause for too long while the engine reads the
+// prompt.
+type pacedCandidate struct {
+	level    float64
+	outlasts bool
+	penalty  time.Duration
+}
+
+func (p *Pool) describePaced(now time.Time, s *server, criteria *Criteria, prefillTime time.Duration, estimate pace.Estimate) pacedCandidate {
+	candidate := pacedCandidate{
+		level: estimate.Level,
+	}
 	if !p.isPaced {
-		return 0
+		return candidate
 	}
-	var penalty time.Duration
 	answerTime := scale(p.answerTime(criteria), estimate.Level)
 	if !criteria.Deadline.IsZero() && answerTime > 0 {
 		margin := time.Duration(deadlineMargin * float64(answerTime))
 		excess := now.Add(prefillTime + answerTime + margin).Sub(criteria.Deadline)
-		penalty += time.Duration(min(max(float64(excess)/float64(margin), 0), 1) * float64(outlastsCost))
+		candidate.outlasts = excess >= margin
+		candidate.penalty = time.Duration(min(max(float64(excess)/float64(margin), 0), 1) * float64(outlastsCost))
 	}
 	if criteria.EventGap > 0 && prefillTime+p.eventTime(criteria.Weights.Model, estimate) > criteria.EventGap {
-		penalty += time.Duration(s.inFlight()) * pausedAnswerCost
+		candidate.penalty += time.Duration(s.inFlight()) * pausedAnswerCost
 	}
-	return penalty
+	return candidate
 }
 
 // eventTime is the time between two events of a stream at an engine that reads no prompt.
@@ -214,20 +224,30 @@
 	return time.Duration(p.outputSeconds[model] * float64(tokens) * estimate.Current * float64(time.Second))
 }
 
-// compareCandidates sets what depends on the other candidates: the slots, and the penalties less the
-// least of them. What is common to all makes no difference where the prompt goes, and would make
-// it look late.
-func (p *Pool) compareCandidates(candidates []pacing.Candidate, leastPenalty time.Duration) {
-	if !p.isPaced {
-		return
+// comparePaced sets what depends on the other candidates: the slots, and the penalties less the least
+// of them. What is common to all makes no difference where the prompt goes, and would make it look
+// late. Engines where the answer is expected to outlast its deadline are left out if there are
+// others: it waits for one of those.
+func (p *Pool) comparePaced(candidates []pacing.Candidate) []pacing.Candidate {
+	if !p.isPaced || len(candidates) == 0 {
+		return candidates
 	}
-	sum := 0.0
-	for _, level := range p.levels {
-		sum += level
+	sum, canEnd, least := 0.0, false, p.paced[0].penalty
+	for i := range p.paced {
+		sum += p.paced[i].level
+		canEnd = canEnd || !p.paced[i].outlasts
+		least = min(least, p.paced[i].penalty)
 	}
-	mean := sum / float64(len(p.levels))
+	kept := candidates[:0]
 	for i := range candidates {
-		candidates[i].OtherCost -= leastPenalty
-		candidates[i].Slots = pacedSlots(candidates[i].Slots, p.levels[i], mean)
+		paced := &p.paced[i]
+		if canEnd && paced.outlasts {
+			continue
+		}
+		candidate := candidates[i]
+		candidate.OtherCost += paced.penalty - least
+		candidate.Slots = pacedSlots(candidate.Slots, paced.level, sum/float64(len(candidates)))
+		kept = append(kept, candidate)
 	}
+	return kept
 }
--- a/internal/control/balance/paced_test.go
+++ b/internal/control/balance/paced_test.go
@@ -155,19 +155,20 @@
 	}
 }
 
-// Load: answers of 2 s with 3 s left, at engines of twice and half the usual pace.
+// Load: answers of 2 s at a usual pace, at engines of twice and half of it.
 func TestLongAnswerAvoidsEngineThatCannotEndInTime(t *testing.T) {
 	pool := pacedEngines(start, 2, 0.5)
 	criteria := newCriteria(1)
-	criteria.Deadline = start.Add(3 * time.Second)
-	byName := candidatesByName(t, pool, start, criteria)
-	require.Equal(t, outlastsCost, byName["e0"].OtherCost)
-	require.Zero(t, byName["e1"].OtherCost)
-	criteria.Deadline = start.Add(10 * time.Second)
-	require.Zero(t, candidatesByName(t, pool, start, criteria)["e0"].OtherCost, "time enough")
-	criteria.Deadline = start.Add(500 * time.Millisecond)
-	byName = candidatesByName(t, pool, start, criteria)
-	require.Zero(t, byName["e0"].OtherCost, "what no engine can do is no reason to avoid one")
+	within := func(deadline time.Duration) map[ident.ServerName]pacing.Candidate {
+		criteria.Deadline = start.Add(deadline)
+		return candidatesByName(t, pool, start, criteria)
+	}
+	require.NotContains(t, within(3*time.Second), ident.ServerName("e0"))
+	require.Zero(t, within(3 * time.Second)["e1"].OtherCost)
+	require.InDelta(t, outlastsCost/2, within(5100 * time.Millisecond)["e0"].OtherCost, float64(outlastsCost/10), "it may end in time")
+	require.Zero(t, within(10 * time.Second)["e0"].OtherCost, "time enough")
+	require.Len(t, within(500*time.Millisecond), 2, "what no engine can do is no reason to avoid one")
+	require.Zero(t, within(500 * time.Millisecond)["e0"].OtherCost)
 }
 
 // Load: a long prompt while an engine with running answers works at four times the usual pace.
