--- a/internal/control/balance/balance.go
+++ b/internal/control/balance/balance.go
@@ -40,7 +40,8 @@
 // The cost of a server is the expected time to the first byte of the answer: the network
 // round trip, the prefill of the prompts that wait before this one, of this prompt less
 // what the server has cached, and a share for the running requests that slow the server
-// down. The server load from other hosts is known from reports that are some hundred
+// down. Servers that name how long work takes there (package pace) are compared by it; what is
+// learnt from answers is kept as at a usual pace. The server load from other hosts is known from reports that are some hundred
 // milliseconds old and the same on all hosts. If each host took the cheapest server, all
 // would take the same one, so Take adds a random part to each cost.
 package balance
