pacing: Share engines among client accounts

Cause: the prompt queue orders by priority and lateness alone.

Change: package fairshare records what each account has used lately (decayed use in engine time) and finds its max-min share by weight; pacing.Queue lets accounts below their share go first within a priority, those beyond it last, and those far beyond it after all others. A prompt of an account beyond its share is expected to wait for as long as the others' use leaves it, and refused at once if that is too long. The weight is the rate of the account's limit where all accounts have one in the same unit. Without accounts the order is as before.

--- /dev/null
+++ b/internal/control/fairshare/fairshare.go
@@ -0,0 +1,287 @@
+// Package fairshare records what each client account has used lately of a shared resource, and
+// ranks the accounts that want more of it: below its share, at it, or beyond it.
+//
+// An account's share is max-min fair by weight: what accounts don't ask for is lent to the
+// others, in proportion to their weights. Recent use is a sum of costs that decays with usageTime.
+// An account that was idle has no use, and goes first until it has used its share of that time:
+// that is the only credit that it gets. Ranks only order requests, so a resource that is free goes
+// to whoever asks.
+//
+// # Usage
+//
+//	var ledger fairshare.Ledger
+//	use := ledger.Account(now, "boats", 1.5)
+//	use.Wait(0.1)   // a request of this cost waits
+//	ledger.Rank(now, use)
+//	use.Wait(-0.1)  // it waits no longer
+//	ledger.Charge(now, use, 0.1)
+//
+// A Ledger has no goroutines, lock or clock: its owner guards it. The zero value is ready to use.
+//
+// # Units
+//
+// Costs are amounts of the resource in any unit, the same for all accounts. Weights are
+// comparable with each other only.
+package fairshare
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"cicadaloom/internal/domain/ident"
+)
+
+const (
+	// usageTime is the time in which recorded use decays to 1/e. A caller waits for about as
+	// long: an account that has borrowed more than its share is behind the owners for no longer.
+	usageTime = 2 * time.Second
+	// forgetAfter is the time without a request after which an account is forgotten: e^-8 of its
+	// use is left.
+	forgetAfter = 8 * usageTime
+	// rebaseAfter is how far charges are inflated before all are scaled back.
+	rebaseAfter = 100 * usageTime
+	// levelTime is for how long the level is kept.
+	levelTime = 5 * time.Millisecond
+	// maxAccounts bounds the accounts that are told apart.
+	maxAccounts = 4096
+	// maxRounds bounds the rounds in which the level is found.
+	maxRounds = 16
+	// tolerance is how far below or beyond its share an account counts as at it: use is counted
+	// in whole requests.
+	tolerance = 0.2
+	// heavyExcess is the part of its share that an account has used on top of it once it is Heavy.
+	// Of two accounts none uses more than twice its share.
+	heavyExcess = 0.5
+	// burst is the number of usual requests that an account may have used on top of its share,
+	// however small that is, without being Beyond it; twice as many, without being Heavy.
+	burst = 4
+	// costSmoothing is the weight of a new charge in the usual cost.
+	costSmoothing = 0.05
+)
+
+// Rank tells how an account's use relates to its share. Lower ranks go first.
+type Rank int
+
+// The ranks, and their number. An account whose use is Heavy is far beyond its share.
+const (
+	Below Rank = iota
+	At
+	Beyond
+	Heavy
+	RankCount
+)
+
+// Use is the recent use of one account. Its fields belong to the Ledger that returned it.
+type Use struct {
+	name   ident.AccountName
+	weight float64
+	// used is the sum of charges, each multiplied by the inflation at its time.
+	used float64
+	// waiting is the cost of the requests that wait, waiters their number.
+	waiting float64
+	waiters int
+	// seenAt is when the account last asked or was charged.
+	seenAt time.Time
+}
+
+// Name returns the account's name.
+func (u *Use) Name() ident.AccountName {
+	return u.name
+}
+
+// Wait adds the cost of a request that waits.
+func (u *Use) Wait(cost float64) {
+	u.waiting += cost
+	u.waiters++
+}
+
+// EndWait removes a cost that Wait added.
+func (u *Use) EndWait(cost float64) {
+	u.waiters--
+	u.waiting -= cost
+	if u.waiters == 0 {
+		u.waiting = 0
+	}
+}
+
+// Ledger has the recent use of all accounts.
+type Ledger struct {
+	byName map[ident.AccountName]*Use
+	// all has the uses of byName, in the order in which they were added.
+	all []*Use
+	// others is shared by the accounts beyond maxAccounts.
+	others Use
+	// base is the instant at which a charge is not inflated. Charges grow by e in each usageTime,
+	// which is the same as the decay of all earlier ones.
+	base      time.Time
+	usualCost float64
+	sweptAt   time.Time
+	// level is the use per weight of an account at its share, in inflated units, and remaining
+	// the part of all use by accounts of a rank or a later one; both as of levelAt.
+	level     float64
+	inflation float64
+	remaining [RankCount]float64
+	levelAt   time.Time
+}
+
+// Account returns the use of an account with a weight; a weight that is not positive counts as 1.
+// The result may be used while a request of the account waits or runs.
+func (l *Ledger) Account(now time.Time, name ident.AccountName, weight float64) *Use {
+	if !(weight > 0) || math.IsInf(weight, 1) {
+		weight = 1
+	}
+	use, known := l.byName[name]
+	if !known {
+		use = l.add(name)
+	}
+	use.weight = weight
+	use.seenAt = now
+	return use
+}
+
+func (l *Ledger) add(name ident.AccountName) *Use {
+	if len(l.all) >= maxAccounts {
+		return &l.others
+	}
+	if l.byName == nil {
+		l.byName = make(map[ident.AccountName]*Use)
+	}
+	use := &Use{
+		name: name,
+	}
+	l.byName[name] = use
+	l.all = append(l.all, use)
+	return use
+}
+
+// Charge adds a cost to an account's use. A negative cost gives back a part of an earlier one.
+func (l *Ledger) Charge(now time.Time, use *Use, cost float64) {
+	l.rebase(now)
+	if cost > 0 {
+		if l.usualCost == 0 {
+			l.usualCost = cost
+		}
+		l.usualCost += (cost - l.usualCost) * costSmoothing
+		use.seenAt = now
+	}
+	use.used = max(use.used+cost*l.inflationAt(now), 0)
+}
+
+// Rank returns how an account's use relates to its share.
+func (l *Ledger) Rank(now time.Time, use *Use) Rank {
+	l.updateLevel(now)
+	return l.rank(use)
+}
+
+// Remaining returns which part of what was used lately went to accounts of a rank or a later one:
+// about the part of the resource that requests of this rank compete for.
+func (l *Ledger) Remaining(now time.Time, rank Rank) float64 {
+	l.updateLevel(now)
+	return l.remaining[rank]
+}
+
+func (l *Ledger) rank(use *Use) Rank {
+	share := use.weight * l.level
+	allowance := burst * l.usualCost * l.inflation
+	switch {
+	case use.used < share*(1-tolerance):
+		return Below
+	case use.used <= share+max(tolerance*share, allowance):
+		return At
+	case use.used <= share+max(heavyExcess*share, 2*allowance):
+		return Beyond
+	default:
+		return Heavy
+	}
+}
+
+// updateLevel finds the level at which the accounts' shares add up to all use. An account that
+// has used less and asks for no more than its share leaves the rest to the others.
+func (l *Ledger) updateLevel(now time.Time) {
+	if !l.levelAt.IsZero() && now.Sub(l.levelAt) < levelTime && !now.Before(l.levelAt) {
+		return
+	}
+	l.sweep(now)
+	l.rebase(now)
+	l.levelAt = now
+	l.inflation = l.inflationAt(now)
+	l.level = 0
+	for range maxRounds {
+		used, weight := 0.0, 0.0
+		l.each(func(use *Use) {
+			used += use.used
+			if asked := use.used + use.waiting*l.inflation; asked < use.weight*l.level {
+				used -= asked
+				return
+			}
+			weight += use.weight
+		})
+		if weight == 0 || used/weight <= l.level {
+			break
+		}
+		l.level = used / weight
+	}
+	l.updateRemaining()
+}
+
+func (l *Ledger) updateRemaining() {
+	var byRank [RankCount]float64
+	all := 0.0
+	l.each(func(use *Use) {
+		byRank[l.rank(use)] += use.used
+		all += use.used
+	})
+	left := 1.0
+	for rank := range byRank {
+		l.remaining[rank] = left
+		if all > 0 {
+			left = max(left-byRank[rank]/all, 0)
+		}
+	}
+}
+
+func (l *Ledger) each(visit func(*Use)) {
+	for _, use := range l.all {
+		visit(use)
+	}
+	if l.others.used > 0 || l.others.waiters > 0 {
+		visit(&l.others)
+	}
+}
+
+func (l *Ledger) inflationAt(now time.Time) float64 {
+	return math.Exp(now.Sub(l.base).Seconds() / usageTime.Seconds())
+}
+
+// rebase scales all use back before the inflation grows too large.
+func (l *Ledger) rebase(now time.Time) {
+	if l.base.IsZero() {
+		l.base = now
+	}
+	if now.Sub(l.base) < rebaseAfter {
+		return
+	}
+	scale := 1 / l.inflationAt(now)
+	for _, use := range l.all {
+		use.used *= scale
+	}
+	l.others.used *= scale
+	l.base = now
+	l.levelAt = time.Time{}
+}
+
+// sweep forgets accounts that have been idle for forgetAfter.
+func (l *Ledger) sweep(now time.Time) {
+	if now.Sub(l.sweptAt) < usageTime {
+		return
+	}
+	l.sweptAt = now
+	l.all = slices.DeleteFunc(l.all, func(use *Use) bool {
+		isIdle := use.waiters == 0 && now.Sub(use.seenAt) > forgetAfter
+		if isIdle {
+			delete(l.byName, use.name)
+		}
+		return isIdle
+	})
+}
--- a/internal/control/pacing/pacing.go
+++ b/internal/control/pacing/pacing.go
@@ -132,6 +132,10 @@
 	Priority  int
 	// MayWait is whether the prompt may wait in the queue.
 	MayWait bool
+	// Account is the client account that is charged for the prompt, empty where there are no
+	// accounts; Weight is the weight of its share.
+	Account ident.AccountName
+	Weight  float64
 }
 
 // Reservation is an engine and the instant at which to send a prompt there. Index is the
--- a/internal/control/pacing/queue.go
+++ b/internal/control/pacing/queue.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"cicadaloom/internal/control/fairshare"
 	"cicadaloom/internal/domain/ident"
 )
 
@@ -26,6 +27,7 @@
 	// slotTime is the smoothed time for which a prompt occupies its slot.
 	slotTime time.Duration
 	sweptAt  time.Time
+	shares   shares
 }
 
 const (
@@ -54,6 +56,12 @@
 	prompt  *Prompt
 	// minCost is the cost of the cheapest candidate without a backlog.
 	minCost time.Duration
+	// use is what the prompt's account has used, nil without an account; rank is the account's at
+	// the last pass, and cost what the prompt will add.
+	use      *fairshare.Use
+	rank     fairshare.Rank
+	cost     float64
+	isQueued bool
 }
 
 // Reserve returns a reservation at once, or a waiter if no engine is free. If the prompt can't
@@ -68,9 +76,11 @@
 		prompt:  prompt,
 		minCost: MinCost(prompt.Candidates),
 	}
+	q.rankWaiter(now, waiter)
+	q.rankWaiters(now)
 	if !q.hasPredecessor(now, waiter) {
 		if reservation, found := q.findFree(now, prompt); found && (prompt.MaxCost == 0 || reservation.Cost <= prompt.MaxCost) {
-			q.reserve(now, prompt, &reservation)
+			q.reserve(now, waiter, &reservation)
 			return reservation, nil
 		}
 	}
@@ -80,6 +90,9 @@
 	}
 	if !prompt.AbandonAt.IsZero() && now.Add(reservation.StartDelay).After(prompt.AbandonAt) {
 		reservation.QueueFull = true
+		if waiter.use != nil {
+			q.shares.counts[waiter.rank].Refused++
+		}
 		return reservation, nil
 	}
 	q.enqueue(waiter)
@@ -89,14 +102,23 @@
 // enqueue adds a waiter to the queue and to the list of each of its candidates.
 func (q *Queue) enqueue(waiter *Waiter) {
 	q.waiting = append(q.waiting, waiter)
+	waiter.isQueued = true
+	if waiter.use != nil {
+		waiter.use.Wait(waiter.cost)
+	}
 	for i := range waiter.prompt.Candidates {
 		usage := q.usageOf(waiter.prompt.Candidates[i].Server)
 		usage.waiters = append(usage.waiters, waiter)
 	}
 }
 
-// removeFromCandidates removes a waiter from the lists of its candidates.
+// removeFromCandidates removes a waiter from the lists of its candidates, and what it asks for
+// from its account.
 func (q *Queue) removeFromCandidates(waiter *Waiter) {
+	if waiter.isQueued && waiter.use != nil {
+		waiter.use.EndWait(waiter.cost)
+	}
+	waiter.isQueued = false
 	for i := range waiter.prompt.Candidates {
 		usage := q.usageOf(waiter.prompt.Candidates[i].Server)
 		usage.waiters = slices.DeleteFunc(usage.waiters, func(w *Waiter) bool { return w == waiter })
@@ -119,6 +141,7 @@
 		q.slotTime = cmp.Or(q.slotTime, initialSlotTime)
 		q.slotTime += time.Duration(float64(now.Sub(sentAt)-q.slotTime) * slotTimeWeight)
 	}
+	q.settle(now, ticket)
 	q.grantFree(now)
 }
 
@@ -150,11 +173,12 @@
 	if len(q.waiting) == 0 {
 		return
 	}
+	q.rankWaiters(now)
 	slices.SortStableFunc(q.waiting, func(a, b *Waiter) int { return a.compare(now, b) })
 	q.waiting = slices.DeleteFunc(q.waiting, func(w *Waiter) bool {
 		reservation, found := q.findFree(now, w.prompt)
 		if found {
-			q.reserve(now, w.prompt, &reservation)
+			q.reserve(now, w, &reservation)
 			q.removeFromCandidates(w)
 			w.Granted <- reservation
 		}
@@ -162,14 +186,23 @@
 	})
 }
 
-// compare orders waiters by urgency: by priority first. Within a priority, waiters that can
-// still be in time go first, ordered by objective; late ones follow, ordered by when they are
-// abandoned.
+// compare orders waiters by urgency: by priority first. Within a priority, accounts below their
+// share of the engines go first, those beyond it last. Among accounts of one rank, waiters that
+// can still be in time go first, ordered by objective; late ones follow, ordered by when they are
+// abandoned. An account far beyond its share waits for all others: in an urgent priority it would
+// otherwise leave nothing for the less urgent ones of others.
 func (w *Waiter) compare(now time.Time, other *Waiter) int {
 	late, otherLate := w.isLate(now), other.isLate(now)
+	isHeavy, otherIsHeavy := w.rank == fairshare.Heavy, other.rank == fairshare.Heavy
 	switch {
+	case isHeavy != otherIsHeavy && otherIsHeavy:
+		return -1
+	case isHeavy != otherIsHeavy:
+		return 1
 	case w.prompt.Priority != other.prompt.Priority:
 		return cmp.Compare(w.prompt.Priority, other.prompt.Priority)
+	case w.rank != other.rank:
+		return cmp.Compare(w.rank, other.rank)
 	case late != otherLate && otherLate:
 		return -1
 	case late != otherLate:
@@ -243,10 +276,11 @@
 	return best, found
 }
 
-func (q *Queue) reserve(now time.Time, prompt *Prompt, reservation *Reservation) {
+func (q *Queue) reserve(now time.Time, waiter *Waiter, reservation *Reservation) {
 	reservation.Booked = true
-	q.backlogs.add(now, prompt, reservation)
-	q.usageOf(reservation.Server).start(now, prompt.Ticket)
+	q.backlogs.add(now, waiter.prompt, reservation)
+	q.usageOf(reservation.Server).start(now, waiter.prompt.Ticket)
+	q.chargeAccount(now, waiter, reservation)
 }
 
 // estimate returns the engine that is likely to be free first for a newcomer, and when: after
@@ -260,8 +294,8 @@
 		allFull = allFull && candidate.Slots > 0 && q.usageOf(candidate.Server).inUse(now) >= maxInFlight(candidate.Slots)
 	}
 	if allFull && slots > 0 {
-		slotTime := cmp.Or(q.slotTime, initialSlotTime)
-		wait := slotTime * time.Duration(1+q.countPredecessors(now, newcomer)) / time.Duration(slots)
+		wait := q.expectedSlotTime() * time.Duration(1+q.countPredecessors(now, newcomer)) / time.Duration(slots)
+		wait = time.Duration(float64(wait) * q.slowdown(now, newcomer))
 		if wait > best.StartDelay {
 			best.Cost += wait - best.StartDelay
 			best.StartDelay = wait
@@ -300,6 +334,7 @@
 		return
 	}
 	q.sweptAt = now
+	q.shares.sweepCharges(now)
 	for server, usage := range q.usage {
 		if usage.isIdle(now) {
 			delete(q.usage, server)
--- a/internal/domain/account/account.go
+++ b/internal/domain/account/account.go
@@ -100,6 +100,8 @@
 	byKey  map[KeyDigest]*Account
 	byName map[ident.AccountName]*Account
 	shared []ident.AccountName
+	// meanRate is the mean rate of all limits, 0 if they are not comparable.
+	meanRate Amount
 	// removed are keys of earlier configurations that no account has any more.
 	removed map[KeyDigest]struct{}
 }
@@ -122,9 +124,32 @@
 			d.byKey[digest] = listed
 		}
 	}
+	d.meanRate = meanRate(accounts)
 	return d
 }
 
+// meanRate returns the mean rate of the accounts' limits, 0 unless all have one in the same unit.
+func meanRate(accounts []Account) Amount {
+	sum := Amount(0)
+	for i := range accounts {
+		if !accounts[i].Limit.IsSet() || accounts[i].Limit.Unit != accounts[0].Limit.Unit {
+			return 0
+		}
+		sum += accounts[i].Limit.Rate
+	}
+	return sum / Amount(max(len(accounts), 1))
+}
+
+// Weight returns the weight of an account's share of a resource that the accounts compete for, 1
+// on average. Accounts share in proportion to the rates of their limits, or equally if these are
+// not comparable. All clients without an account, for whom it is nil, have a share of 1.
+func (d *Directory) Weight(of *Account) float64 {
+	if of == nil || d.meanRate == 0 {
+		return 1
+	}
+	return float64(of.Limit.Rate / d.meanRate)
+}
+
 // maxRemovedKeys bounds the keys that are remembered as removed.
 const maxRemovedKeys = 10_000
 
--- a/internal/peer/gatewaypeer/codec.go
+++ b/internal/peer/gatewaypeer/codec.go
@@ -376,6 +376,8 @@
 		GiveUp:     int64(time.Until(p.AbandonAt)),
 		Priority:   int32(p.Priority),
 		Holds:      p.MayWait,
+		Account:    string(p.Account),
+		Weight:     p.Weight,
 		Candidates: make([]*gatewaypeerpb.Candidate, 0, len(p.Candidates)),
 	}
 	for i := range p.Candidates {
@@ -400,6 +402,8 @@
 		AbandonAt:  arrivedAt.Add(time.Duration(wire.GetGiveUp())),
 		Priority:   int(wire.GetPriority()),
 		MayWait:    wire.GetHolds(),
+		Account:    ident.AccountName(wire.GetAccount()),
+		Weight:     wire.GetWeight(),
 		Candidates: make([]pacing.Candidate, 0, len(wire.GetCandidates())),
 	}
 	for _, candidate := range wire.GetCandidates() {
--- a/internal/traffic/relay/choose.go
+++ b/internal/traffic/relay/choose.go
@@ -1,11 +1,13 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"time"
 
 	"cicadaloom/internal/control/balance"
 	"cicadaloom/internal/control/pacing"
+	"cicadaloom/internal/domain/ident"
 )
 
 // chooseServer takes a ticket for a server, and waits for one while an answer in time is
@@ -125,7 +127,7 @@
 
 // newPrompt describes the request to the prompt scheduler.
 func (s *requestState) newPrompt(candidates []pacing.Candidate) *pacing.Prompt {
-	return &pacing.Prompt{
+	prompt := &pacing.Prompt{
 		Candidates: candidates,
 		PrefillGap: s.pool.PrefillCooldown(),
 		Ticket:     pacing.Ticket(s.handler.Random()),
@@ -133,8 +135,16 @@
 		AbandonAt:  s.queueDeadline(),
 		Priority:   s.urgency(),
 	}
+	if s.hidesKey {
+		prompt.Account = cmp.Or(accountName(s.account), noAccount)
+		prompt.Weight = s.routes.Accounts().Weight(s.account)
+	}
+	return prompt
 }
 
+// noAccount stands for the account of all clients that have none, where others have one.
+const noAccount ident.AccountName = "(none)"
+
 // refuseIfOverloaded ends a request that no engine can start in time. It reports whether it
 // did.
 func (s *requestState) refuseIfOverloaded() bool {
