pacing: Let late prompts yield whatever the account

Accounts with few requests stood beyond their share by chance; their prompts in time went behind late ones of others, and were refused for an expected wait of up to ten times the usual.

Change: late prompts yield within a priority whatever the account. The allowance of an account on top of its share follows the noise of its use, 2 standard deviations for Beyond and 4 for Heavy. The expected wait is lengthened for Heavy alone, four times at most.

--- a/internal/control/fairshare/fairshare.go
+++ b/internal/control/fairshare/fairshare.go
@@ -55,9 +55,10 @@
 	// heavyExcess is the part of its share that an account has used on top of it once it is Heavy.
 	// Of two accounts none uses more than twice its share.
 	heavyExcess = 0.5
-	// burst is the number of usual requests that an account may have used on top of its share,
-	// however small that is, without being Beyond it; twice as many, without being Heavy.
-	burst = 2
+	// noiseTolerance and heavyNoise are the tolerance and heavyExcess of accounts with few requests,
+	// in standard deviations of their use if requests arrive independently.
+	noiseTolerance = 2
+	heavyNoise     = 4
 	// costSmoothing is the weight of a new charge in the usual cost.
 	costSmoothing = 0.05
 	// stepsPerShare is the number of steps into which the use of a share is divided, and maxStep
@@ -223,13 +224,14 @@
 
 func (l *Ledger) rank(use *Use) Rank {
 	share := use.weight * l.level
-	allowance := burst * l.usualCost * l.inflation
+	request := l.usualCost * l.inflation
+	noise := math.Sqrt(max(share, request) * request)
 	switch {
 	case use.used+use.waiting*l.inflation <= share:
 		return Below
-	case use.used <= share+max(tolerance*share, allowance):
+	case use.used <= share+max(tolerance*share, noiseTolerance*noise):
 		return At
-	case use.used <= share+max(heavyExcess*share, 2*allowance):
+	case use.used <= share+max(heavyExcess*share, heavyNoise*noise):
 		return Beyond
 	default:
 		return Heavy
--- a/internal/control/pacing/queue.go
+++ b/internal/control/pacing/queue.go
@@ -77,7 +77,7 @@
 		minCost: MinCost(prompt.Candidates),
 	}
 	q.rankWaiter(now, waiter)
-	q.rankWaiters(now)
+	q.rankRecently(now)
 	if !q.hasPredecessor(now, waiter) {
 		if reservation, found := q.findFree(now, prompt); found && (prompt.MaxCost == 0 || reservation.Cost <= prompt.MaxCost) {
 			q.reserve(now, waiter, &reservation)
@@ -186,19 +186,18 @@
 	})
 }
 
-// compare orders waiters by urgency: by priority first. Within a priority, accounts beyond their
-// share of the engines go last. Among the others, waiters that can still be in time go first, by
-// the part of its share that the account has used, then by objective; late ones follow, ordered
-// by when they are abandoned. An account that asks for no more than its share is served late
-// prompts too. One far beyond its share waits for all others: in an urgent priority it would
-// otherwise leave nothing for the less urgent ones of others.
+// compare orders waiters by urgency: by priority first. Within a priority, waiters that can still
+// be in time go before late ones. Among either, accounts below their share of the engines go
+// first and those beyond it last, then those that can be in time are ordered by objective, and
+// late ones by when they are abandoned. An account far beyond its share waits for all others: in
+// an urgent priority it would otherwise leave nothing for the less urgent ones of others.
 func (w *Waiter) compare(now time.Time, other *Waiter) int {
-	late, otherLate := w.yieldsAsLate(now), other.yieldsAsLate(now)
+	late, otherLate := w.isLate(now), other.isLate(now)
 	if order := cmp.Or(
 		compareFlags(w.standing.Rank == fairshare.Heavy, other.standing.Rank == fairshare.Heavy),
 		cmp.Compare(w.prompt.Priority, other.prompt.Priority),
-		compareFlags(w.standing.Rank >= fairshare.Beyond, other.standing.Rank >= fairshare.Beyond),
 		compareFlags(late, otherLate),
+		cmp.Compare(w.standing.Rank, other.standing.Rank),
 		cmp.Compare(w.standing.Step, other.standing.Step),
 	); order != 0 {
 		return order
@@ -221,11 +220,6 @@
 	}
 }
 
-// yieldsAsLate returns whether a waiter goes after those that can still be in time.
-func (w *Waiter) yieldsAsLate(now time.Time) bool {
-	return w.isLate(now) && (w.use == nil || w.standing.Rank != fairshare.Below)
-}
-
 // isLate returns whether a prompt would probably miss its objective if it were granted now.
 func (w *Waiter) isLate(now time.Time) bool {
 	return now.Add(w.minCost + lateMargin).After(w.prompt.Objective)
--- a/internal/control/pacing/shares.go
+++ b/internal/control/pacing/shares.go
@@ -8,9 +8,12 @@
 	"cicadaloom/internal/domain/ident"
 )
 
-// minRemaining bounds how much longer a prompt of an account beyond its share is expected to
+// minRemaining bounds how much longer a prompt of an account far beyond its share is expected to
 // wait: the others' use may have been a short peak.
-const minRemaining = 0.1
+const minRemaining = 0.25
+
+// rankInterval is for how long the standings of waiters are used for newcomers.
+const rankInterval = 5 * time.Millisecond
 
 // shares ranks the accounts of prompts by what they have used of the engines lately. A prompt's
 // cost is the engine time that it takes: its prefill, and its slot's part of the time for which
@@ -20,6 +23,8 @@
 	// running has what the prompts were charged for that run, by ticket.
 	running map[Ticket]charge
 	counts  [fairshare.RankCount]ShareCounts
+	// rankedAt is when all waiters were last ranked.
+	rankedAt time.Time
 }
 
 // charge is what an account has been charged for a running prompt's slot.
@@ -74,8 +79,16 @@
 	w.standing = q.shares.ledger.Standing(now, w.use)
 }
 
+// rankRecently updates the standings of all waiters unless that was done just now.
+func (q *Queue) rankRecently(now time.Time) {
+	if now.Sub(q.shares.rankedAt) >= rankInterval {
+		q.rankWaiters(now)
+	}
+}
+
 // rankWaiters updates the standings of all waiters.
 func (q *Queue) rankWaiters(now time.Time) {
+	q.shares.rankedAt = now
 	for _, w := range q.waiting {
 		q.rankWaiter(now, w)
 	}
@@ -115,9 +128,9 @@
 }
 
 // slowdown is the factor by which a newcomer waits longer because others go before it that have
-// not arrived yet: accounts within their shares.
+// not arrived yet, if its account is far beyond its share.
 func (q *Queue) slowdown(now time.Time, newcomer *Waiter) float64 {
-	if newcomer.standing.Rank < fairshare.Beyond {
+	if newcomer.standing.Rank != fairshare.Heavy {
 		return 1
 	}
 	return 1 / max(q.shares.ledger.Remaining(now, newcomer.standing.Rank), minRemaining)
--- a/internal/traffic/relay/choose.go
+++ b/internal/traffic/relay/choose.go
@@ -158,9 +158,14 @@
 // overloadRetryAfter is when a caller may retry if no engine could start its request in
 // time. The cause, a model being loaded or an overload, lasts for some seconds; a caller
 // that retries sooner is refused again. The random spread keeps callers that were refused
-// together from retrying together.
+// together from retrying together. An account beyond its share may have no room for longer than
+// its caller has time: it is told to come back while an answer would still be of use.
 func (s *requestState) overloadRetryAfter() time.Duration {
-	return s.spread(max(s.overloadedFor, minOverloadRetryAfter))
+	after := s.overloadedFor
+	if s.hidesKey && !s.deadline.IsZero() {
+		after = min(after, time.Duration(maxRetryAfterShare*float64(s.deadline.Sub(s.handler.Now()))))
+	}
+	return s.spread(max(after, minOverloadRetryAfter))
 }
 
 // spread extends a time by a random part.
