pacing: Apply shares only where prompts are late for want of room

Change: an engine is short of room for 2 s after a prompt that waited for it became late, or was refused for it. Shares have an effect at such engines alone.

--- a/internal/control/pacing/queue.go
+++ b/internal/control/pacing/queue.go
@@ -62,6 +62,8 @@
 	standing fairshare.Standing
 	cost     float64
 	isQueued bool
+	// canBeInTime is whether the prompt could be in time when it was last looked at.
+	canBeInTime bool
 }
 
 // Reserve returns a reservation at once, or a waiter if no engine is free. If the prompt can't
@@ -90,11 +92,13 @@
 	}
 	if !prompt.AbandonAt.IsZero() && now.Add(reservation.StartDelay).After(prompt.AbandonAt) {
 		reservation.QueueFull = true
+		q.markShort(now, waiter)
 		if waiter.use != nil {
 			q.shares.counts[waiter.standing.Rank].Refused++
 		}
 		return reservation, nil
 	}
+	waiter.canBeInTime = !waiter.isLate(now)
 	q.enqueue(waiter)
 	return reservation, waiter
 }
--- a/internal/control/pacing/shares.go
+++ b/internal/control/pacing/shares.go
@@ -12,6 +12,10 @@
 // wait: the others' use may have been a short peak.
 const minRemaining = 0.25
 
+// shortTime is for how long shares have an effect after a prompt was late or refused for want of
+// room: about as long as a prompt may wait.
+const shortTime = 2 * time.Second
+
 // rankInterval is for how long the standings of waiters are used for newcomers.
 const rankInterval = 5 * time.Millisecond
 
@@ -76,7 +80,36 @@
 		w.use = q.shares.ledger.Account(now, w.prompt.Account, w.prompt.Weight)
 		w.cost, _ = cost(&w.prompt.Candidates[0], q.expectedSlotTime())
 	}
-	w.standing = q.shares.ledger.Standing(now, w.use)
+	w.standing = fairshare.Standing{}
+	if q.isShort(now, w) {
+		w.standing = q.shares.ledger.Standing(now, w.use)
+	}
+}
+
+// isShort returns whether callers of the prompt's engines have been late for want of room. While
+// all can be in time, shares would only let some wait longer.
+func (q *Queue) isShort(now time.Time, w *Waiter) bool {
+	return now.Before(q.usageOf(w.prompt.Candidates[0].Server).shortUntil)
+}
+
+// markShort records that a waiter's engines have no room for it in time.
+func (q *Queue) markShort(now time.Time, w *Waiter) {
+	if w.use == nil {
+		return
+	}
+	for i := range w.prompt.Candidates {
+		q.usageOf(w.prompt.Candidates[i].Server).shortUntil = now.Add(shortTime)
+	}
+}
+
+// markLate marks the engines of waiters that have become late while they waited.
+func (q *Queue) markLate(now time.Time) {
+	for _, w := range q.waiting {
+		if w.canBeInTime && w.isLate(now) {
+			w.canBeInTime = false
+			q.markShort(now, w)
+		}
+	}
 }
 
 // rankRecently updates the standings of all waiters unless that was done just now.
@@ -89,6 +122,7 @@
 // rankWaiters updates the standings of all waiters.
 func (q *Queue) rankWaiters(now time.Time) {
 	q.shares.rankedAt = now
+	q.markLate(now)
 	for _, w := range q.waiting {
 		q.rankWaiter(now, w)
 	}
--- a/internal/control/pacing/slots.go
+++ b/internal/control/pacing/slots.go
@@ -38,6 +38,9 @@
 	endedAt      []time.Time
 	reportedLoad int
 	reportedAt   time.Time
+	// shortUntil is until when prompts are taken to compete for the engine's room: one that has an
+	// account was lately refused, or late, for want of it.
+	shortUntil time.Time
 	// waiters are the queued prompts for which this engine is a candidate.
 	waiters []*Waiter
 	// cachedCount is the result of inUse at cachedAt, valid until something changes: a pass
@@ -102,7 +105,7 @@
 
 // isIdle returns whether nothing worth keeping is known of the engine.
 func (u *slotUsage) isIdle(now time.Time) bool {
-	return len(u.sentAt) == 0 && len(u.waiters) == 0 && now.Sub(u.reportedAt) > reportValidity
+	return len(u.sentAt) == 0 && len(u.waiters) == 0 && !now.Before(u.shortUntil) && now.Sub(u.reportedAt) > reportValidity
 }
 
 // ServerLoad is the number of prompts that run or wait at an engine, as the engine reports it.
