--- a/internal/host/gateway/metrics.go
+++ b/internal/host/gateway/metrics.go
@@ -35,6 +35,7 @@
 	unpacedServers *metrics.Gauge
 	// planSeconds is how long plans take.
 	planSeconds *metrics.Histogram
+	shares      shareMetrics
 }
 
 func newGauges(set *metrics.Set) gauges {
@@ -55,6 +56,7 @@
 		slowServers:     set.NewGauge(`cicadaloom_servers_by_pace{pace="slow"}`, nil),
 		unpacedServers:  set.NewGauge(`cicadaloom_servers_by_pace{pace="unknown"}`, nil),
 		planSeconds:     set.NewHistogram("cicadaloom_plan_seconds"),
+		shares:          newShareMetrics(set),
 	}
 }
 
--- a/internal/traffic/relay/choose.go
+++ b/internal/traffic/relay/choose.go
@@ -7,6 +7,7 @@
 
 	"cicadaloom/internal/control/balance"
 	"cicadaloom/internal/control/pacing"
+	"cicadaloom/internal/domain/ident"
 )
 
 // chooseServer takes a ticket for a server, and waits for one while an answer in time is
@@ -129,7 +130,7 @@
 
 // newPrompt describes the request to the prompt scheduler.
 func (s *requestState) newPrompt(candidates []pacing.Candidate) *pacing.Prompt {
-	return &pacing.Prompt{
+	prompt := &pacing.Prompt{
 		Candidates: candidates,
 		PrefillGap: s.pool.PrefillCooldown(),
 		Ticket:     pacing.Ticket(s.handler.Random()),
@@ -137,8 +138,16 @@
 		AbandonAt:  s.queueDeadline(),
 		Priority:   s.urgency(),
 	}
+	if s.hidesKey {
+		prompt.Account = cmp.Or(accountName(s.account), noAccount)
+		prompt.Weight = s.routes.Accounts().Weight(s.account)
+	}
+	return prompt
 }
 
+// noAccount stands for the account of all clients that have none, where others have one.
+const noAccount ident.AccountName = "(none)"
+
 // refuseIfOverloaded ends a request that no engine can start in time. It reports whether it
 // did.
 func (s *requestState) refuseIfOverloaded() bool {
@@ -152,9 +161,14 @@
 // overloadRetryAfter is when a caller may retry if no engine could start its request in
 // time. The cause, a model being loaded or an overload, lasts for some seconds; a caller
 // that retries sooner is refused again. The random spread keeps callers that were refused
-// together from retrying together.
+// together from retrying together. An account beyond its share may have no room for longer than
+// its caller has time: it is told to come back while an answer would still be of use.
 func (s *requestState) overloadRetryAfter() time.Duration {
-	return s.spread(max(s.overloadedFor, minOverloadRetryAfter))
+	after := s.overloadedFor
+	if s.hidesKey && !s.deadline.IsZero() {
+		after = min(after, time.Duration(maxRetryAfterShare*float64(s.deadline.Sub(s.handler.Now()))))
+	}
+	return s.spread(max(after, minOverloadRetryAfter))
 }
 
 // spread extends a time by a random part.
