upstream: keep further sends of a request off connections that answered one

Cause: all sends of a client attempt have one id, and an answer is known by it.

Ruled out: closing the connection after each refusal, since new connections are priced and a full server refuses often; a time after which a connection may carry the request again, since a late answer has no bound.

Change: a connection remembers the requests that were answered on it and may be sent again (refusals, failures, streams not resumed); none of their further sends uses it. A connection with 32 of them is closed. Detours carry one request each, hosts share no connection, a cut stream closes its connection, and in serve each engine send has its own id and each plain service gets one send of a request: no change there.

The two tests fail without the check in the pool: the copy is taken ("no" for "ok", two runs for one).

--- a/internal/peer/upstream/pool.go
+++ b/internal/peer/upstream/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 
@@ -85,7 +86,8 @@
 	})
 }
 
-// popIdle removes and returns the most recently used idle connection, or nil.
+// popIdle removes and returns the most recently used idle connection on which no send of the same
+// request was answered, or nil.
 func (c *Client) popIdle(request *Request) *connection {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -94,14 +96,18 @@
 		return nil
 	}
 	idle := c.idle[request.Address]
-	for len(idle) > 0 {
-		conn := idle[len(idle)-1]
+	for i := len(idle) - 1; i >= 0; i-- {
+		conn := idle[i]
 		if request.NeedsFresh && now.Sub(conn.idleSince) > maxFreshIdle {
 			return nil
 		}
-		idle = idle[:len(idle)-1]
+		isOpen := now.Before(conn.closeAt)
+		if isOpen && slices.Contains(conn.unfinished, request.ID) {
+			continue
+		}
+		idle = slices.Delete(idle, i, i+1)
 		c.idle[request.Address] = idle
-		if now.Before(conn.closeAt) {
+		if isOpen {
 			return conn
 		}
 		_ = conn.Close()
--- a/internal/peer/upstream/upstream.go
+++ b/internal/peer/upstream/upstream.go
@@ -32,8 +32,10 @@
 //		exchange.Release()
 //	}
 //
-// A connection returns to the pool only by Release, and only if its response has been read
-// to the end and no further bytes have arrived on it.
+// A connection returns to the pool only by Release or ReleaseUnfinished, and only if its response
+// has been read to the end and no further bytes have arrived on it. An answer is known by its
+// request's id, which all sends of a request share, so a connection on which one send was
+// answered carries no other one.
 package upstream
 
 import (
@@ -72,6 +74,9 @@
 	// read: it fits in a connection's window.
 	maxInlineBodyBytes = 4 << 10
 	readBufferBytes    = 2 << 10
+	// maxUnfinished is how many ids of requests that may be sent again a connection remembers; one
+	// that would have more is closed.
+	maxUnfinished = 32
 )
 
 // Client keeps connections to backend servers. The zero value is ready for use; it is safe
@@ -101,6 +106,8 @@
 type Request struct {
 	Address string
 	Path    Path
+	// ID names the request; all of its sends have the same.
+	ID string
 	// Deadline is when the whole exchange is abandoned; zero for never.
 	Deadline time.Time
 	Method   string
@@ -160,6 +167,9 @@
 	isDetour  bool
 	idleSince time.Time
 	closeAt   time.Time
+	// unfinished are the ids of requests that were answered here and may be sent again. A copy of
+	// such an answer may still come: it would be taken for that of the next send.
+	unfinished []string
 }
 
 // Exchange is a request with the header of its response. Close ends it.
@@ -167,6 +177,7 @@
 	Response      *http.Response
 	client        *Client
 	conn          *connection
+	requestID     string
 	detachContext func() bool
 	// bodyWriter writes a long body.
 	bodyWriter  tomb.Tomb
@@ -187,6 +198,7 @@
 	exchange := &Exchange{
 		client:        c,
 		conn:          conn,
+		requestID:     request.ID,
 		detachContext: context.AfterFunc(ctx, func() { _ = conn.Close() }),
 	}
 	if err := exchange.roundTrip(&request); err != nil {
@@ -301,8 +313,18 @@
 	}
 }
 
+// ReleaseUnfinished does as Release for a response after which the request may be sent again. The
+// connection carries none of its further sends.
+func (e *Exchange) ReleaseUnfinished() {
+	if len(e.conn.unfinished) >= maxUnfinished {
+		return
+	}
+	e.conn.unfinished = append(e.conn.unfinished, e.requestID)
+	e.Release()
+}
+
 // Release returns the connection to the pool. The response must have been read to its end
-// and checked to be the request's own.
+// and checked to be the request's own, and the request must not be sent again.
 func (e *Exchange) Release() {
 	if e.released || !e.bodyWritten.Load() || e.Response.Close || !hasFraming(e.Response) || e.conn.reader.Buffered() > 0 {
 		return
--- a/internal/peer/upstream/upstream_test.go
+++ b/internal/peer/upstream/upstream_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -279,3 +280,70 @@
 		require.Equal(t, int(userTimeout.Milliseconds()), value)
 	}))
 }
+
+// Guards against a refusal that a server sends twice, the second time late: the copy would be taken
+// for the answer to the next send of the same request, which runs.
+func TestRefusedRequestIsNotSentOverTheSameConnection(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Full\r\nContent-Length: 2\r\n\r\nno"
+	address := startServer(t, func(number int, conn net.Conn, reader *bufio.Reader) {
+		for count := 0; ; count++ {
+			if _, _, err := readRequest(reader); err != nil {
+				return
+			}
+			switch {
+			case number == 0 && count == 0:
+				_, _ = io.WriteString(conn, refusal)
+			case number == 0 && count == 1:
+				_, _ = io.WriteString(conn, refusal+"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			default:
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			}
+		}
+	})
+	client := &Client{}
+	defer client.Close()
+	once := request(address, "/x")
+	once.ID = "r1"
+	once.NeedsFresh = true
+	require.Equal(t, http.StatusServiceUnavailable, sendRefused(t, client, once))
+	require.Len(t, client.idle[address], 1)
+	got, err := fetch(t, client, once)
+	require.NoError(t, err)
+	require.Equal(t, "ok", got)
+	require.Len(t, client.idle[address], 2, "kept for other requests")
+}
+
+// sendRefused sends a request that the server refuses, and keeps the connection.
+func sendRefused(t *testing.T, client *Client, r Request) int {
+	exchange, err := client.Send(context.Background(), r)
+	require.NoError(t, err)
+	defer exchange.Close()
+	_, err = io.ReadAll(exchange.Response.Body)
+	require.NoError(t, err)
+	exchange.ReleaseUnfinished()
+	return exchange.Response.StatusCode
+}
+
+// Guards against a list of refused requests that grows as long as a connection lasts.
+func TestConnectionOfManyRefusalsIsClosed(t *testing.T) {
+	address := startServer(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
+		for {
+			if _, _, err := readRequest(reader); err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	client := &Client{}
+	defer client.Close()
+	for number := range maxUnfinished {
+		r := request(address, "/x")
+		r.ID = strconv.Itoa(number)
+		sendRefused(t, client, r)
+		require.Len(t, client.idle[address], 1)
+	}
+	r := request(address, "/x")
+	r.ID = "last"
+	sendRefused(t, client, r)
+	require.Empty(t, client.idle[address])
+}
--- a/internal/traffic/relay/send.go
+++ b/internal/traffic/relay/send.go
@@ -37,6 +37,9 @@
 // passed on.
 const maxBufferedAnswerBytes = 16 << 20
 
+// maxRefusalBytes bounds the body of a refusal, which is dropped.
+const maxRefusalBytes = 64 << 10
+
 // send sends the request to one server, and passes the answer on to the client if it is
 // valid.
 func (s *requestState) send(ctx context.Context, ticket *balance.Ticket) sendResult {
@@ -58,6 +61,7 @@
 			Name:        ticket.Server,
 			Incarnation: ticket.Incarnation,
 		}, ticket.Address),
+		ID:         string(s.request.ID),
 		Deadline:   s.deadline,
 		Method:     s.request.Method,
 		Target:     s.request.Target,
@@ -118,8 +122,8 @@
 
 // handleRefusal maps a server's proof that it did not run the request to a result.
 func (s *requestState) handleRefusal(exchange *upstream.Exchange, ticket *balance.Ticket, answer *Answer) sendResult {
-	if _, err := httpsend.ReadBody(exchange.Response.Body, maxBufferedAnswerBytes); err == nil {
-		exchange.Release()
+	if _, err := httpsend.ReadBody(exchange.Response.Body, maxRefusalBytes); err == nil {
+		exchange.ReleaseUnfinished()
 	}
 	result := sendResult{
 		result:       balance.Refused,
@@ -157,13 +161,18 @@
 		}
 		return result
 	}
-	exchange.Release()
+	isFailure := response.StatusCode >= http.StatusInternalServerError
+	if isFailure || s.stream.started {
+		exchange.ReleaseUnfinished()
+	} else {
+		exchange.Release()
+	}
 	answer := &bufferedAnswer{
 		status: response.StatusCode,
 		header: response.Header,
 		body:   body,
 	}
-	if response.StatusCode >= http.StatusInternalServerError {
+	if isFailure {
 		return s.handleServerFailure(answer)
 	}
 	if s.stream.started {
