upstream: bound the head of an answer

Ruled out: a bound on each line (a header may have lines without end), http.Transport (it resends by itself).

Change: the head of an answer, interim answers included, is read from at most 32 kB. What exceeds it ends that exchange only, as one that may have run.

--- a/internal/peer/upstream/pool.go
+++ b/internal/peer/upstream/pool.go
@@ -33,9 +33,13 @@
 	if c.OnDial != nil {
 		c.OnDial()
 	}
+	from := &source{
+		conn: opened,
+	}
 	return &connection{
 		Conn:     opened,
-		reader:   bufio.NewReaderSize(opened, readBufferBytes),
+		source:   from,
+		reader:   bufio.NewReaderSize(from, readBufferBytes),
 		address:  request.Address,
 		isDetour: request.Path.IsDetour,
 	}, nil
--- a/internal/peer/upstream/upstream.go
+++ b/internal/peer/upstream/upstream.go
@@ -32,6 +32,10 @@
 //		exchange.Release()
 //	}
 //
+// A server may send without end. The package bounds what it holds of that: the head of an answer,
+// interim answers, which end the exchange, chunk sizes and trailers. The caller bounds what it keeps
+// of the body.
+//
 // A connection returns to the pool only by Release or ReleaseUnfinished, and only if its response
 // has been read to the end and no further bytes have arrived on it. An answer is known by its
 // request's id, which all sends of a request share, so a connection on which one send was
@@ -73,7 +77,11 @@
 	// maxInlineBodyBytes is the size up to which a body is written before the response is
 	// read: it fits in a connection's window.
 	maxInlineBodyBytes = 4 << 10
-	readBufferBytes    = 2 << 10
+	// readBufferBytes is the buffer of a connection. It also bounds the line of a chunk's size, with
+	// its extensions, and the trailers of an answer.
+	readBufferBytes = 2 << 10
+	// maxHeadBytes bounds the status line and the header of an answer.
+	maxHeadBytes = 32 << 10
 	// maxUnfinished is how many ids of requests that may be sent again a connection remembers; one
 	// that would have more is closed.
 	maxUnfinished = 32
@@ -99,6 +107,9 @@
 	Dial func(ctx context.Context) (net.Conn, error)
 }
 
+// ErrHeadTooLong is the cause of an answer's failure whose status line and header do not end.
+var ErrHeadTooLong = errors.New("the head of the answer is over the limit")
+
 // ErrDetourOpen is the cause of a failure to connect after which a detour can be tried.
 var ErrDetourOpen = errors.New("the server may be reached through a peer")
 
@@ -162,6 +173,7 @@
 // connection is a connection with its buffered reader.
 type connection struct {
 	net.Conn
+	source    *source
 	reader    *bufio.Reader
 	address   string
 	isDetour  bool
@@ -218,6 +230,7 @@
 	if err := e.writeRequest(request); err != nil {
 		return err
 	}
+	e.conn.source.limit(maxHeadBytes)
 	response, err := http.ReadResponse(e.conn.reader, &http.Request{Method: request.Method}) //nolint:bodyclose // Close cuts the connection
 	if err != nil {
 		return errors.Wrap(err, "answer")
@@ -225,6 +238,7 @@
 	if response.StatusCode < http.StatusOK {
 		return errors.Errorf("answer: found status %d, allowed a final one", response.StatusCode)
 	}
+	e.conn.source.unlimit()
 	e.Response = response
 	return nil
 }
