heldbytes: bound the bytes that a host holds for requests

Cause: bodies and answers had a bound each (max_body_bytes, 16 MB), their sum had none, and a host may have 144 MB; a server that sends bodies without end in a few requests, or clients that read slowly, could end the process and all its requests. A slow client also kept its server's slot, permit and reservation, and the connection of an answer without a length, until it had read the answer.

Change: a budget of a quarter of the host's Memory setting, which bytes take as they arrive, never by what a peer announces. A request body that finds no room is refused with 503 and Retry-After before anything is sent; an answer that finds none ends its own request, as one that may have run, without asking another server. A quarter of the budget is kept for the first 64 kB of each request, and one server's answers may have a quarter beyond these, or one whole answer. Answers are read in parts that are released as they are written; the send has ended by then. A client that takes less than 16 kB in 30 s is cut off. Bodies of refusals are dropped beyond 64 kB. Metrics: cicadaloom_held_bytes, its peak and limit, and cicadaloom_no_memory_total.

Ruled out: waiting for room (it holds more), an estimate by Content-Length (a peer could reserve all by its word), refusing by the heap's size (garbage counts).

Tests play endless heads, bodies, chunks and events over loopback in a budget of 32 MB, a sound answer of 16 MB in one of 36 MB, slow readers, and a full budget.

--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -293,6 +293,7 @@
 		Budget:        g.budget,
 		Log:           options.Log,
 		Metrics:       relay.NewMetrics(options.Metrics),
+		HeldBytes:     newHeldBytes(options.Settings.Memory, options.Metrics),
 		HarmlessParts: &g.harmlessParts,
 		Now:           time.Now,
 		Random:        rand.Uint64,
--- a/internal/traffic/relay/ending.go
+++ b/internal/traffic/relay/ending.go
@@ -85,9 +85,10 @@
 // writeAnswer passes a server's complete answer to the client.
 func (s *requestState) writeAnswer(answer *bufferedAnswer) {
 	copyHeader(s.writer.Header(), answer.header)
-	s.writer.Header().Set("Content-Length", strconv.Itoa(len(answer.body)))
+	s.writer.Header().Set("Content-Length", strconv.Itoa(answer.length()))
 	s.writer.WriteHeader(answer.status)
-	_, _ = s.writer.Write(answer.body) // an error means that the client has left
+	s.dropBody()
+	s.writeParts(answer.body)
 }
 
 func copyHeader(to, from http.Header) {
--- a/internal/traffic/relay/metrics.go
+++ b/internal/traffic/relay/metrics.go
@@ -97,6 +97,12 @@
 	m.set.GetOrCreateCounter(`cicadaloom_streams_resumed_total{result="` + result + `"}`).Inc()
 }
 
+// recordNoRoom counts what found no room in the bytes that the host may hold: the body of a request,
+// an answer, or an event of a stream.
+func (m *Metrics) recordNoRoom(what string) {
+	m.set.GetOrCreateCounter(`cicadaloom_no_memory_total{for="` + what + `"}`).Inc()
+}
+
 func (m *Metrics) recordSend(service ident.ServiceName, result balance.Result) {
 	m.set.GetOrCreateCounter(`cicadaloom_sends_total{service="` + string(service) + `",result="` + string(result) + `"}`).Inc()
 }
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -40,7 +40,7 @@
 // 401 for a request without the key of a client account, if its route needs one, 404 for no
 // route, 429 with Retry-After for a request that its account's limit doesn't allow, 400 and
 // 413 for a request that can't be read, 503 with Retry-After for a request that provably did
-// not run, 502 if it may have run, 504 if its deadline passed. Answers that a newer configuration
+// not run, among them one whose body finds no room in HeldBytes, 502 if it may have run, 504 if its deadline passed. Answers that a newer configuration
 // might change, 401, 404, 413 and 429, are given only while the host's configuration is known to be
 // recent, and are 503 otherwise.
 // If a stream has started and can't continue, the client's connection is cut, so that the
@@ -53,9 +53,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"cicadaloom/internal/control/balance"
+	"cicadaloom/internal/control/heldbytes"
 	"cicadaloom/internal/control/pacing"
 	"cicadaloom/internal/control/paths"
 	"cicadaloom/internal/control/permits"
@@ -179,7 +181,7 @@
 	ReportHarmless(part suspects.Part)
 }
 
-// Handler serves clients' requests. All fields must be set. It is safe for use by many
+// Handler serves clients' requests. All fields must be set but HeldBytes. It is safe for use by many
 // goroutines.
 type Handler struct {
 	Codec        Codec
@@ -188,6 +190,8 @@
 	Budget       *retries.Budget
 	Log          *zap.Logger
 	Metrics      *Metrics
+	// HeldBytes bounds what is held for all requests; nil for no bound.
+	HeldBytes *heldbytes.Budget
 	// HarmlessParts are the parts of prompts to which servers have lately begun answers.
 	HarmlessParts *suspects.Answered
 	Now           func() time.Time
@@ -240,7 +244,9 @@
 		writer:  w,
 		ctx:     r.Context(),
 		arrived: now,
+		hold:    h.HeldBytes.Hold(),
 	}
+	defer s.hold.Release()
 	stop := h.plannedStop.Load()
 	if stop != nil {
 		w.Header().Set("Connection", "close")
@@ -300,8 +306,11 @@
 		s.refuseBody()
 		return false
 	}
-	body, whole, err := readBody(r.Body, r.ContentLength, limit)
+	body, whole, err := readRequestBody(r.Body, r.ContentLength, limit, &s.hold)
 	switch {
+	case errors.Is(err, errNoRoom):
+		s.refuseForMemory()
+		return false
 	case err != nil:
 		s.abort("body cut: " + err.Error())
 		return false
--- a/internal/traffic/relay/send.go
+++ b/internal/traffic/relay/send.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"cicadaloom/internal/control/balance"
 	"cicadaloom/internal/control/paths"
 	"cicadaloom/internal/domain/route"
@@ -18,6 +20,11 @@
 	result balance.Result
 	// finished reports that the client has its answer.
 	finished bool
+	// answer is the answer to pass on, nil if that is done or there is none. Its server has nothing
+	// more to do with it.
+	answer *bufferedAnswer
+	// endsRequest reports that no other server is to be asked.
+	endsRequest bool
 	// provedNotRun reports that the request provably did not run.
 	provedNotRun bool
 	status       int
@@ -30,12 +37,16 @@
 type bufferedAnswer struct {
 	status int
 	header http.Header
-	body   []byte
+	body   [][]byte
 }
 
-// maxBufferedAnswerBytes bounds the answers that are read in full before they are
-// passed on.
-const maxBufferedAnswerBytes = 16 << 20
+func (a *bufferedAnswer) length() int {
+	length := 0
+	for _, part := range a.body {
+		length += len(part)
+	}
+	return length
+}
 
 // maxRefusalBytes bounds the body of a refusal, which is dropped.
 const maxRefusalBytes = 64 << 10
@@ -54,6 +65,7 @@
 		ResumeAfter: s.stream.lastEventID,
 		Version:     s.stream.version,
 	})
+	s.hold.UseServer(string(ticket.Server))
 	sentAt := h.Now()
 	exchange, err := h.Upstream.Send(ctx, upstream.Request{
 		Address: ticket.Address,
@@ -93,7 +105,7 @@
 	if s.route.Kind == route.Stream && response.StatusCode == http.StatusOK && isEventStream(response.Header) {
 		return s.passStream(ctx, exchange, ticket, &answer)
 	}
-	return s.passBuffered(ctx, exchange, ticket)
+	return s.readBuffered(ctx, exchange, ticket)
 }
 
 func isEventStream(header http.Header) bool {
@@ -143,23 +155,15 @@
 	return result
 }
 
-// passBuffered reads an answer to its end before passing it on: an answer that is cut on
+// readBuffered reads an answer to its end before it is passed on: an answer that is cut on
 // the way must not reach the client, and a request that may be repeated can go to another
-// server instead.
-func (s *requestState) passBuffered(ctx context.Context, exchange *upstream.Exchange, ticket *balance.Ticket) sendResult {
+// server instead. The server is done with the request then, however slowly the client reads.
+func (s *requestState) readBuffered(ctx context.Context, exchange *upstream.Exchange, ticket *balance.Ticket) sendResult {
 	response := exchange.Response
 	ticket.RecordFirstByte(s.handler.Now())
-	body, err := httpsend.ReadBody(response.Body, maxBufferedAnswerBytes)
+	body, err := readAnswerBody(response.Body, response.ContentLength, &s.hold)
 	if err != nil {
-		result := sendResult{
-			result: balance.Broken,
-			status: response.StatusCode,
-			reason: "the answer was cut",
-		}
-		if ctx.Err() != nil {
-			result.result = balance.Left
-		}
-		return result
+		return s.classifyReadError(ctx, response.StatusCode, err)
 	}
 	isFailure := response.StatusCode >= http.StatusInternalServerError
 	if isFailure || s.stream.started {
@@ -167,6 +171,7 @@
 	} else {
 		exchange.Release()
 	}
+	exchange.Close()
 	answer := &bufferedAnswer{
 		status: response.StatusCode,
 		header: response.Header,
@@ -185,19 +190,41 @@
 	if response.StatusCode < http.StatusMultipleChoices {
 		s.recordAnswerBegun(ticket, s.handler.Now())
 	}
-	s.writeAnswer(answer)
 	return sendResult{
 		result:   balance.Answered,
 		finished: true,
+		answer:   answer,
 		status:   answer.status,
 	}
 }
 
+// classifyReadError maps an answer that was not read to its end to a result.
+func (s *requestState) classifyReadError(ctx context.Context, status int, err error) sendResult {
+	result := sendResult{
+		result: balance.Broken,
+		status: status,
+		reason: "the answer was cut",
+	}
+	switch {
+	case ctx.Err() != nil:
+		result.result = balance.Left
+	case errors.Is(err, errNoRoom):
+		s.handler.Metrics.recordNoRoom("Answer")
+		result.result = balance.Left // the server is not to blame
+		result.endsRequest = true
+		result.reason = "the host has no memory left for the answer"
+	case errors.Is(err, httpsend.ErrTooLarge):
+		result.reason = "the answer is over the limit"
+	}
+	return result
+}
+
 // handleServerFailure keeps a server's failure answer, to be passed on if no later attempt
 // succeeds. A 503 promises "not run" and is not passed on without the server's proof.
 func (s *requestState) handleServerFailure(answer *bufferedAnswer) sendResult {
 	if answer.status != http.StatusServiceUnavailable {
 		s.lastFailure = answer
+		s.hold.KeepAnswer()
 	}
 	return sendResult{
 		result: balance.Failed,
--- a/internal/traffic/relay/serving.go
+++ b/internal/traffic/relay/serving.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
 	"time"
 
 	"cicadaloom/internal/control/balance"
+	"cicadaloom/internal/control/heldbytes"
 	"cicadaloom/internal/control/quota"
 	"cicadaloom/internal/control/routetable"
 	"cicadaloom/internal/control/suspects"
@@ -89,6 +89,8 @@
 	// lastFailure is the last failure answer of a server, to be passed on if no later
 	// attempt succeeds.
 	lastFailure *bufferedAnswer
+	// hold counts the bytes of the request's body and of the answer that is read.
+	hold heldbytes.Hold
 }
 
 // Limits on one request.
@@ -220,6 +222,9 @@
 	s.reportSuspect(ticket, &sent, now)
 	if sent.finished {
 		s.recordStreamGap()
+		if sent.answer != nil {
+			s.writeAnswer(sent.answer)
+		}
 		s.logDone(sent.status, sent.reason)
 		return false
 	}
@@ -316,7 +321,7 @@
 		s.abort("the client has left")
 	case ctx.Err() != nil || s.isPastDeadline():
 		s.timeOut()
-	case !sent.provedNotRun && !s.route.MayRepeat():
+	case sent.endsRequest || !sent.provedNotRun && !s.route.MayRepeat():
 		s.abandon(sent.reason)
 	case s.runs >= s.route.MaxAttempts || s.hasSentEnough() || s.runs > 0 && s.mayCrashAnother():
 		s.abandon(sent.reason)
@@ -337,18 +342,3 @@
 func (s *requestState) isPastDeadline() bool {
 	return !s.deadline.IsZero() && !s.handler.Now().Before(s.deadline)
 }
-
-// readBody reads a request's body of at most limit bytes. The second result is false if the
-// body is longer.
-func readBody(body io.Reader, length, limit int64) ([]byte, bool, error) {
-	if length == 0 {
-		return nil, true, nil
-	}
-	if length > 0 {
-		read := make([]byte, length)
-		_, err := io.ReadFull(body, read)
-		return read, true, err
-	}
-	read, err := io.ReadAll(io.LimitReader(body, limit+1))
-	return read, int64(len(read)) <= limit, err
-}
--- a/internal/traffic/relay/stream.go
+++ b/internal/traffic/relay/stream.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"cicadaloom/internal/control/balance"
+	"cicadaloom/internal/control/heldbytes"
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/peer/upstream"
 )
@@ -38,7 +39,7 @@
 func (s *requestState) passStream(ctx context.Context, exchange *upstream.Exchange, ticket *balance.Ticket, answer *Answer) sendResult {
 	reader := bufio.NewReaderSize(exchange.Response.Body, eventBufferBytes)
 	for {
-		event, err := readEvent(reader)
+		event, err := readEvent(reader, &s.hold)
 		if errors.Is(err, io.EOF) && len(event) == 0 {
 			return s.handleStreamEnd(exchange)
 		}
@@ -71,6 +72,7 @@
 				reason: "the client has left",
 			}
 		}
+		s.hold.UseServer(string(ticket.Server)) // the event is no longer held
 		if hasID {
 			s.stream.lastEventID = id
 		}
@@ -95,6 +97,9 @@
 	return err == nil && (bytes.Contains(buffered, []byte("\n\n")) || bytes.Contains(buffered, []byte("\n\r\n")))
 }
 
+// freeEventBytes is the part of an event that doesn't count as held.
+const freeEventBytes = 4 << 10
+
 // eventBufferBytes holds several events of the usual 40 to 240 bytes.
 const eventBufferBytes = 1 << 10
 
@@ -152,8 +157,13 @@
 		status: http.StatusOK,
 		reason: "the stream was cut: " + err.Error(),
 	}
-	if ctx.Err() != nil {
+	switch {
+	case ctx.Err() != nil:
 		result.result = balance.Left
+	case errors.Is(err, errNoRoom):
+		s.handler.Metrics.recordNoRoom("Event")
+		result.result = balance.Left // the server is not to blame
+		result.endsRequest = true
 	}
 	return result
 }
@@ -161,10 +171,14 @@
 // readEvent reads up to the empty line that ends an event (server-sent events, WHATWG HTML
 // 9.2). io.EOF with nothing read is the end of the stream; io.ErrUnexpectedEOF is an event
 // that was cut.
-func readEvent(reader *bufio.Reader) ([]byte, error) {
+// What exceeds freeEventBytes needs room in the hold.
+func readEvent(reader *bufio.Reader, hold *heldbytes.Hold) ([]byte, error) {
 	var event []byte
 	for {
 		line, err := reader.ReadSlice('\n')
+		if len(event)+len(line) > freeEventBytes && !hold.Grow(len(line)) {
+			return nil, errNoRoom
+		}
 		event = append(event, line...)
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull) && len(event) < maxEventBytes:
