relay: read ahead for clients that read streams slowly

Cause: a stream's events were read as the client took them. A server cuts off an answer that is left unread for some seconds, so a client that paused lost the end of its stream, and the server's slot was kept meanwhile.

Ruled out: a goroutine and a buffer for each stream (wake-ups are priced, and clients seldom pause), a larger fixed buffer (a pause has no length).

Change: a client that takes longer than 250 ms for an event has the rest of its stream read ahead in the background, in parts of 4 kB that count in the held bytes; where there is no room, reading waits for the client as before. Once the server's end is read, the send is over: ticket, permit and reservation are released. Such a client is cut off if it takes nothing for 30 s. Other streams pay for a timer and two locks an event. A request's body takes memory only as it comes.

Tests: a paused reader gets all of a stream of 16 MB whose server gives up after 5 s, and the connection serves the next request; an endless stream to a client that reads nothing holds no more than the budget, and nothing once the client has left.

--- a/internal/traffic/relay/held.go
+++ b/internal/traffic/relay/held.go
@@ -94,9 +94,6 @@
 				return whole, length > 0, nil
 			}
 			grown := min(max(2*filled, firstPartBytes), size)
-			if filled == 0 && length > 0 {
-				grown = min(size, maxPartBytes)
-			}
 			if !hold.Grow(int(grown - filled)) {
 				return nil, false, errNoRoom
 			}
--- a/internal/traffic/relay/held_test.go
+++ b/internal/traffic/relay/held_test.go
@@ -5,11 +5,13 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -242,3 +244,69 @@
 	}
 	require.LessOrEqual(t, w.handler.HeldBytes.Stats().Held, 3*heldbytes.SmallBytes)
 }
+
+// writeLongEvents writes events of 8 kB, until an error.
+func writeLongEvents(to io.Writer, last int) {
+	data := "\ndata: " + strings.Repeat("x", 8<<10) + "\n\n"
+	for n := 1; n <= last; n++ {
+		if _, err := io.WriteString(to, "id: "+strconv.Itoa(n)+data); err != nil {
+			return
+		}
+	}
+}
+
+// Load: a client that reads nothing for a while, of a stream longer than all buffers of the kernel.
+// Guards against a server that cuts the stream since it is not read, and against its slot being
+// kept.
+func TestSlowReaderOfStreamGetsItsEnd(t *testing.T) {
+	const last = 2000
+	var isDone atomic.Bool
+	var whole bytes.Buffer
+	writeLongEvents(&whole, last)
+	w := newHeldEnv(t, route.Stream, 256*unit.Mebibyte)
+	w.serve("a", func(to http.ResponseWriter, _ *http.Request) {
+		_ = http.NewResponseController(to).SetWriteDeadline(time.Now().Add(5 * time.Second))
+		to.Header().Set("Content-Type", "text/event-stream")
+		writeLongEvents(to, last)
+		isDone.Store(true)
+	})
+	conn, err := net.Dial("tcp", w.front.Listener.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	require.NoError(t, conn.(*net.TCPConn).SetReadBuffer(64<<10))
+	_, err = io.WriteString(conn, "POST /x HTTP/1.1\r\nHost: desk.example\r\nId: r1\r\nContent-Length: 0\r\n\r\n")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return w.handler.HeldBytes.Stats().Held > unit.Mebibyte && isDone.Load() }, 20*time.Second, time.Millisecond)
+	reader := bufio.NewReader(conn)
+	for range 2 {
+		response, err := http.ReadResponse(reader, nil)
+		require.NoError(t, err)
+		got, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		if response.Header.Get("Content-Type") == "text/event-stream" {
+			require.True(t, bytes.Equal(got, whole.Bytes()))
+			_, err = io.WriteString(conn, "POST /x HTTP/1.1\r\nHost: desk.example\r\nId: r2\r\nContent-Length: 0\r\n\r\n")
+			require.NoError(t, err)
+		}
+	}
+	w.requireNothingHeld()
+}
+
+// Load: a client that reads nothing of an endless stream. Guards against reading ahead without a
+// bound, and against bytes that stay held when the client leaves.
+func TestReadingAheadIsBounded(t *testing.T) {
+	const limit = 8 * unit.Mebibyte
+	w := newHeldEnv(t, route.Stream, limit)
+	w.serve("a", func(to http.ResponseWriter, _ *http.Request) {
+		to.Header().Set("Content-Type", "text/event-stream")
+		writeLongEvents(to, math.MaxInt)
+	})
+	conn, err := net.Dial("tcp", w.front.Listener.Addr().String())
+	require.NoError(t, err)
+	_, err = io.WriteString(conn, "POST /x HTTP/1.1\r\nHost: desk.example\r\nId: r1\r\nContent-Length: 0\r\n\r\n")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return w.handler.HeldBytes.Stats().Denied > 0 }, 20*time.Second, time.Millisecond)
+	require.LessOrEqual(t, w.handler.HeldBytes.Stats().Peak, limit)
+	require.NoError(t, conn.Close())
+	w.requireNothingHeld()
+}
--- a/internal/traffic/relay/stream.go
+++ b/internal/traffic/relay/stream.go
@@ -37,7 +37,9 @@
 // passStream passes a stream on, whole events only: a server may stop in the middle of an
 // event, and another server that resumes the stream starts with a whole event.
 func (s *requestState) passStream(ctx context.Context, exchange *upstream.Exchange, ticket *balance.Ticket, answer *Answer) sendResult {
-	reader := bufio.NewReaderSize(exchange.Response.Body, eventBufferBytes)
+	writer := s.newEventWriter(exchange, ticket)
+	defer writer.close(exchange)
+	reader := bufio.NewReaderSize(writer.source, eventBufferBytes)
 	for {
 		event, err := readEvent(reader, &s.hold)
 		if errors.Is(err, io.EOF) && len(event) == 0 {
@@ -65,7 +67,10 @@
 		s.stream.longestGap = max(s.stream.longestGap, now.Sub(s.stream.lastEventAt))
 		s.stream.lastEventAt = now
 		ticket.RecordFirstByte(now)
-		if _, err := s.writer.Write(event); err != nil {
+		if writer.source.hasAll() {
+			s.endSend(ticket, now, balance.Answered) // the server is done, though the client isn't
+		}
+		if err := writer.write(event, hasBufferedEvent(reader)); err != nil {
 			return sendResult{
 				result: balance.Left,
 				status: http.StatusOK,
@@ -76,9 +81,6 @@
 		if hasID {
 			s.stream.lastEventID = id
 		}
-		if !hasBufferedEvent(reader) {
-			s.flush()
-		}
 	}
 }
 
