--- a/internal/peer/upstream/upstream.go
+++ b/internal/peer/upstream/upstream.go
@@ -32,8 +32,14 @@
 //		exchange.Release()
 //	}
 //
-// A connection returns to the pool only by Release, and only if its response has been read
-// to the end and no further bytes have arrived on it.
+// A server may send without end. The package bounds what it holds of that: the head of an answer,
+// interim answers, which end the exchange, chunk sizes and trailers. The caller bounds what it keeps
+// of the body.
+//
+// A connection returns to the pool only by Release or ReleaseUnfinished, and only if its response
+// has been read to the end and no further bytes have arrived on it. An answer is known by its
+// request's id, which all sends of a request share, so a connection on which one send was
+// answered carries no other one.
 package upstream
 
 import (
@@ -72,7 +78,14 @@
 	// maxInlineBodyBytes is the size up to which a body is written before the response is
 	// read: it fits in a connection's window.
 	maxInlineBodyBytes = 4 << 10
-	readBufferBytes    = 2 << 10
+	// readBufferBytes is the buffer of a connection. It also bounds the line of a chunk's size, with
+	// its extensions, and the trailers of an answer.
+	readBufferBytes = 2 << 10
+	// maxHeadBytes bounds the status line and the header of an answer.
+	maxHeadBytes = 32 << 10
+	// maxUnfinished is how many ids of requests that may be sent again a connection remembers; one
+	// that would have more is closed.
+	maxUnfinished = 32
 )
 
 // Client keeps connections to backend servers. The zero value is ready for use; it is safe
@@ -95,6 +108,9 @@
 	Dial func(ctx context.Context) (net.Conn, error)
 }
 
+// ErrHeadTooLong is the cause of an answer's failure whose status line and header do not end.
+var ErrHeadTooLong = errors.New("the head of the answer is over the limit")
+
 // ErrDetourOpen is the cause of a failure to connect after which a detour can be tried.
 var ErrDetourOpen = errors.New("the server may be reached through a peer")
 
@@ -102,6 +118,8 @@
 type Request struct {
 	Address string
 	Path    Path
+	// ID names the request; all of its sends have the same.
+	ID string
 	// Deadline is when the whole exchange is abandoned; zero for never.
 	Deadline time.Time
 	Method   string
@@ -156,11 +174,15 @@
 // connection is a connection with its buffered reader.
 type connection struct {
 	net.Conn
+	source    *source
 	reader    *bufio.Reader
 	address   string
 	isDetour  bool
 	idleSince time.Time
 	closeAt   time.Time
+	// unfinished are the ids of requests that were answered here and may be sent again. A copy of
+	// such an answer may still come: it would be taken for that of the next send.
+	unfinished []string
 }
 
 // Exchange is a request with the header of its response. Close ends it.
@@ -168,6 +190,7 @@
 	Response      *http.Response
 	client        *Client
 	conn          *connection
+	requestID     string
 	detachContext func() bool
 	// bodyWriter writes a long body.
 	bodyWriter  tomb.Tomb
@@ -188,6 +211,7 @@
 	exchange := &Exchange{
 		client:        c,
 		conn:          conn,
+		requestID:     request.ID,
 		detachContext: context.AfterFunc(ctx, func() { _ = conn.Close() }),
 	}
 	if err := exchange.roundTrip(&request); err != nil {
@@ -210,6 +234,7 @@
 	if err := e.writeRequest(request); err != nil {
 		return err
 	}
+	e.conn.source.limit(maxHeadBytes)
 	response, err := http.ReadResponse(e.conn.reader, &http.Request{Method: request.Method}) //nolint:bodyclose // Close cuts the connection
 	if err != nil {
 		return errors.Wrap(err, "answer")
@@ -217,6 +242,7 @@
 	if response.StatusCode < http.StatusOK {
 		return errors.Errorf("answer: found status %d, allowed a final one", response.StatusCode)
 	}
+	e.conn.source.unlimit()
 	e.Response = response
 	return nil
 }
@@ -305,8 +331,18 @@
 	}
 }
 
+// ReleaseUnfinished does as Release for a response after which the request may be sent again. The
+// connection carries none of its further sends.
+func (e *Exchange) ReleaseUnfinished() {
+	if len(e.conn.unfinished) >= maxUnfinished {
+		return
+	}
+	e.conn.unfinished = append(e.conn.unfinished, e.requestID)
+	e.Release()
+}
+
 // Release returns the connection to the pool. The response must have been read to its end
-// and checked to be the request's own.
+// and checked to be the request's own, and the request must not be sent again.
 func (e *Exchange) Release() {
 	if e.released || !e.bodyWritten.Load() || e.Response.Close || !hasFraming(e.Response) || e.conn.reader.Buffered() > 0 {
 		return
