balance: Keep the plan through a single failed send

Cause: one broken connection ejects a server for 0.3 s. Where it is the only one of its data centre, the plan then sent all requests away, and took them back over 5 s.

Change: a server counts as lost after two failures in a row. The choice for each request goes round an ejected server as before.

Conclusion: TestPlanOutlastsSingleFailure.

--- a/internal/control/balance/locality.go
+++ b/internal/control/balance/locality.go
@@ -146,7 +146,7 @@
 		} else {
 			centre.Load += float64(s.ownInFlight)
 		}
-		if !s.isLeaving() && !now.Before(s.ejectedUntil) {
+		if !s.isLeaving() && !s.isDown(now) {
 			centre.Slots += float64(max(s.info.Slots, 1))
 			if s.info.DataCentre == reading.Own {
 				hasOwn = true
@@ -167,6 +167,12 @@
 	return a
 }
 
+// isDown reports whether the server has failed more than one send in a row and is ejected. A
+// single failure may be the connection's, and the choice for each request goes round it.
+func (s *server) isDown(now time.Time) bool {
+	return s.failures > 1 && now.Before(s.ejectedUntil)
+}
+
 // occupied is how many requests are in flight at an engine, for a scheduler's caller to see
 // which regions have room; 0, as if there were room, where no plan is wanted or the load is not
 // known.
--- a/internal/control/balance/locality_test.go
+++ b/internal/control/balance/locality_test.go
@@ -148,6 +148,25 @@
 	}, state.Shares[1])
 }
 
+// Guards against a single broken connection that sends requests away for seconds.
+func TestPlanOutlastsSingleFailure(t *testing.T) {
+	pool := newSpillPool(SpillOn)
+	answer(pool, start, 1, loads(1, 1, 1))
+	now := start
+	for failures := 1; failures <= 2; failures++ {
+		now = now.Add(firstEjection)
+		failed, _ := pool.Take(now, newCriteria(2))
+		require.Equal(t, ident.ServerName("a"), failed.Server)
+		failed.Done(now, Unreached)
+		now = now.Add(planInterval)
+		answer(pool, now, 3, loads(1, 1, 1))
+		if failures == 1 {
+			require.Zero(t, pool.Spill(now).Leaving)
+		}
+	}
+	require.InDelta(t, 1, pool.Spill(now).Leaving, 1e-9)
+}
+
 // Guards against a host that has heard nothing of its servers for long and follows an old plan.
 func TestOldLoadsEndPlan(t *testing.T) {
 	pool, off := newSpillPool(SpillOn), newSpillPool(SpillOff)
