locality: Let the excess of lost servers leave at once

Cause: the demand was inferred from the slots in use and the growth of the queue, so after a loss of servers shares grew only as the queue did.

Change: in the update that sees the loss, the load before it is the demand.

Conclusion: TestExcessOfLostServersLeavesAtOnce.

--- a/internal/control/locality/plan.go
+++ b/internal/control/locality/plan.go
@@ -29,7 +29,7 @@
 	lostServers := own.Slots < p.ownSlots
 	p.ownSlots = own.Slots
 	wasLeaving := p.Leaving() > 0
-	target := p.findTarget(own, centres, &reading)
+	target := p.findTarget(own, centres, &reading, lostServers)
 	p.dropGone(centres)
 	staysWithoutServers := own.Slots <= 0 && p.Leaving() < almostAll
 	if staysWithoutServers || lostServers && sum(target) > p.Leaving() {
@@ -75,8 +75,9 @@
 	return max(serviceTime, minSmoothingTime)
 }
 
-// findTarget returns the shares that the excess of the own data centre calls for.
-func (p *Planner) findTarget(own DataCentre, others []DataCentre, reading *Reading) map[ident.DataCentre]float64 {
+// findTarget returns the shares that the excess of the own data centre calls for. Where servers have
+// just been lost, the load still shows what all servers had.
+func (p *Planner) findTarget(own DataCentre, others []DataCentre, reading *Reading, lostServers bool) map[ident.DataCentre]float64 {
 	if own.Slots <= 0 {
 		return shareRoom(others)
 	}
@@ -91,7 +92,11 @@
 		for end < len(others) && others[end].PathCost == others[start].PathCost {
 			end++
 		}
-		excess := p.estimateDemand(&own, others[start].PathCost, reading.ServiceTime)/stayed - own.Slots
+		needed := p.estimateDemand(&own, others[start].PathCost, reading.ServiceTime)
+		if lostServers {
+			needed = own.Load
+		}
+		excess := needed/stayed - own.Slots
 		demand := own.Slots + max(excess, 0)
 		offers, offered := p.collectOffers(others[start:end], demand, part, reading.ServiceTime)
 		wanted := min(max(excess-sent, 0), offered)
--- a/internal/control/locality/planner_test.go
+++ b/internal/control/locality/planner_test.go
@@ -167,6 +167,51 @@
 	require.False(t, planned)
 }
 
+// homeAndNear is a reading of two data centres of a region.
+func homeAndNear(at time.Time, homeSlots, homeLoad, nearSlots float64) Reading {
+	return Reading{
+		Own:         "d0",
+		ReadAt:      at,
+		ServiceTime: 20 * time.Millisecond,
+		DataCentres: []DataCentre{
+			{
+				Name:  "d0",
+				Slots: homeSlots,
+				Load:  homeLoad,
+			},
+			{
+				Name:     "d1",
+				Slots:    nearSlots,
+				Load:     2,
+				PathCost: nearPath,
+			},
+		},
+	}
+}
+
+// Guards against shares that grow by steps while the queue does, where servers are lost.
+func TestExcessOfLostServersLeavesAtOnce(t *testing.T) {
+	var planner Planner
+	planner.Update(start, homeAndNear(start, 12, 11, 12))
+	require.Zero(t, planner.Leaving())
+	now := start.Add(updateInterval)
+	planner.Update(now, homeAndNear(now, 8, 11, 12))
+	require.InDelta(t, 3.0/11, planner.Leaving(), 0.01)
+}
+
+// Guards against requests that follow a plan to a data centre that has lost its servers meanwhile.
+func TestShareOfLostDestinationComesHomeAtOnce(t *testing.T) {
+	var planner Planner
+	planner.Update(start, homeAndNear(start, 12, 11, 12))
+	now := start.Add(updateInterval)
+	planner.Update(now, homeAndNear(now, 4, 11, 12))
+	require.Positive(t, planner.Leaving())
+	now = now.Add(updateInterval)
+	planner.Update(now, homeAndNear(now, 4, 11, 0))
+	require.Zero(t, planner.Leaving())
+	require.Equal(t, 2, planner.Changes())
+}
+
 // Guards against draws that don't follow the shares.
 func TestDrawFollowsShares(t *testing.T) {
 	planner := Planner{
