--- a/internal/control/balance/paced.go
+++ b/internal/control/balance/paced.go
@@ -42,6 +42,7 @@
 	t.pool.mu.Lock()
 	defer t.pool.mu.Unlock()
 	t.server.updateLoad(load.Running, load.Waiting)
+	t.server.loadAt = now
 	t.pool.recordPace(now, t.server, load.Pace)
 }
 
