relay: Keep no more of a stream that is read ahead than counts as held

Cause: each part that was read kept its buffer of 4 kB, while only the bytes in it counted: a stream of small events held up to a hundred times its part of the budget. Found by reading. Change: parts are copied to their size, and one buffer reads them all. A test fails without the change (4,000 parts of one byte: over 1 MB of heap).

--- a/internal/traffic/relay/readahead.go
+++ b/internal/traffic/relay/readahead.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"sync"
@@ -64,16 +65,16 @@
 }
 
 func (r *readAhead) run() error {
+	part := make([]byte, aheadPartBytes)
 	for {
 		if !r.awaitRoom() {
 			return nil
 		}
-		part := make([]byte, aheadPartBytes)
 		n, err := r.body.Read(part)
 		r.mu.Lock()
 		r.hold.ReleaseAnswer(unit.Bytes(aheadPartBytes - n))
 		if n > 0 {
-			r.parts = append(r.parts, part[:n:n])
+			r.parts = append(r.parts, bytes.Clone(part[:n])) // what is kept is what counts as held
 		}
 		r.err = err
 		r.changed.Broadcast()
