balance: Take the default of tokens in an event from one place

eventTime had a second name for defaultTokensPerEvent and wrote out what PrefillCooldown says with cmp.Or. Decisions are the same; the package's tests pass.

--- a/internal/control/balance/paced.go
+++ b/internal/control/balance/paced.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"cmp"
 	"time"
 
 	"cicadaloom/internal/control/pace"
@@ -18,8 +19,6 @@
 	// deadlineMargin is the time that is left to a deadline, as a share of the expected answer,
 	// below which outlastsCost begins to count: expected lengths are often far off.
 	deadlineMargin = 0.5
-	// defaultEventTokens is how many tokens an event has where that isn't known.
-	defaultEventTokens = defaultTokensPerEvent
 )
 
 // scale multiplies a time by a pace. A usual pace leaves it as it is, to the nanosecond.
@@ -218,10 +217,7 @@
 
 // eventTime is the time between two events of a stream at an engine that reads no prompt.
 func (p *Pool) eventTime(model ident.ModelName, estimate pace.Estimate) time.Duration {
-	tokens := p.tokensPerEvent
-	if tokens == 0 {
-		tokens = defaultEventTokens
-	}
+	tokens := cmp.Or(p.tokensPerEvent, defaultTokensPerEvent)
 	return time.Duration(p.outputSeconds[model] * float64(tokens) * estimate.Current * float64(time.Second))
 }
 
