upstream: Split the test of bytes after an answer by when they arrive

Cause, by reading and by a server that does it on purpose: the server sends the answer and the endless bytes in two writes. If the second arrives after the connection is released and found quiet, the bytes stand where the next answer is read, and that request fails. Nobody can tell such bytes from an answer before the request is sent, so the one request of that server is lost; it counts as one that may have run.

Ruled out: a kept connection on which bytes had been seen; the new test of idle bytes shows that it is closed.

The test required that all three requests succeed, which the order of two writes decided. In its place three, each with one order: bytes that come with the answer (as before), while the connection is idle (the next request succeeds on a new one), and in place of the next answer (that request fails as one that may have run, nothing is kept, the next succeeds).

--- a/internal/peer/upstream/endless_test.go
+++ b/internal/peer/upstream/endless_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -84,7 +85,8 @@
 // Guards against bytes without end after a whole answer that are collected, or whose connection is
 // used again.
 func TestBytesAfterTheEndAreNotRead(t *testing.T) {
-	address, sent := startEndless(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "x")
+	beginning := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok" + strings.Repeat("x", 2*readBufferBytes)
+	address, sent := startEndless(t, beginning, "x")
 	client := &Client{}
 	for range 3 {
 		got, err := fetch(t, client, request(address, "/x"))
@@ -97,6 +99,65 @@
 	}
 }
 
+// startEndlessAfter runs a server that gives each connection's first request a whole answer, and
+// sends bytes without end once it may go on. It reports how many bytes it has sent.
+func startEndlessAfter(t *testing.T, mayGoOn func(reader *bufio.Reader)) (string, <-chan int) {
+	sent := make(chan int, 4)
+	piece := []byte(strings.Repeat("x", 64<<10))
+	address := startServer(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
+		if _, _, err := readRequest(reader); err != nil {
+			return
+		}
+		total, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		mayGoOn(reader)
+		for err == nil && total < 4*maxTakenBytes {
+			var n int
+			n, err = conn.Write(piece)
+			total += n
+		}
+		sent <- total
+	})
+	return address, sent
+}
+
+// Guards against a kept connection that is used again although bytes without end have come on it.
+func TestBytesOnAnIdleConnectionEndIt(t *testing.T) {
+	mayGoOn := make(chan struct{})
+	address, sent := startEndlessAfter(t, func(*bufio.Reader) { <-mayGoOn })
+	client := &Client{}
+	for range 3 {
+		got, err := fetch(t, client, request(address, "/x"))
+		require.NoError(t, err)
+		require.Equal(t, "ok", got)
+		require.Len(t, client.idle[address], 1)
+		mayGoOn <- struct{}{}
+		idle := client.idle[address][0]
+		require.Eventually(t, func() bool { return !idle.isQuiet() }, 10*time.Second, time.Millisecond)
+	}
+	client.Close()
+	for range 3 {
+		require.Less(t, <-sent, maxTakenBytes)
+	}
+}
+
+// Guards against bytes without end in place of an answer that cost more than the request which was
+// on its way: it may have run, and the next one opens a connection.
+func TestBytesInPlaceOfTheNextAnswerCostOneRequest(t *testing.T) {
+	address, sent := startEndlessAfter(t, func(reader *bufio.Reader) { _, _, _ = readRequest(reader) })
+	client := &Client{}
+	for range 3 {
+		got, err := fetch(t, client, request(address, "/x"))
+		require.NoError(t, err)
+		require.Equal(t, "ok", got)
+		_, err = fetch(t, client, request(address, "/x"))
+		require.ErrorIs(t, err, ErrHeadTooLong)
+		require.True(t, MayHaveArrived(err))
+		require.Empty(t, client.idle[address])
+		require.Less(t, <-sent, maxTakenBytes)
+	}
+	client.Close()
+}
+
 // Guards against a bound that a sound server's answer meets: a long header, a long body.
 func TestLongSoundAnswerIsDelivered(t *testing.T) {
 	const long = 24 << 20
