balance: Count servers that a host has not heard of as busy as the others

A plan sums the loads of servers by data centre over those that have told theirs within 3 s, but the slots of all. A host with ten requests a second and 120 servers hears of one in four: it counted a load of 1,410 where by the loads that they told the servers had 6,600, saw no queue, and nothing left while each server's queue was eight times its slots. So at 300 hosts and hundreds of servers of a service the plan did nothing. The tests of the planner had one load for each data centre.

Ruled out: older loads. Those of 10 s ago say little of a queue.

The load of the servers that haven't told theirs is taken to be that of the others, by slots. Without a plan nothing changes (TestDecisionsWithoutSpillAreUnchanged).

--- a/internal/control/balance/locality.go
+++ b/internal/control/balance/locality.go
@@ -126,6 +126,7 @@
 		ServiceTime: p.responseTime,
 	}
 	at := make(map[ident.DataCentre]int)
+	var heard []heardServers
 	var ownLoadAt time.Time
 	hasOwn := false
 	for _, s := range p.index.plain {
@@ -138,21 +139,30 @@
 				PathCost:      p.networkCost(s),
 				IsLoadUnknown: true,
 			})
+			heard = append(heard, heardServers{})
 		}
 		centre := &reading.DataCentres[i]
-		if now.Sub(s.loadAt) <= maxLoadAge {
-			centre.Load += float64(s.inFlight())
-			centre.IsLoadUnknown = false
-		} else {
-			centre.Load += float64(s.ownInFlight)
-		}
-		if !s.isLeaving() && !s.isDown(now) {
-			centre.Slots += float64(max(s.info.Slots, 1))
+		accepts := !s.isLeaving() && !s.isDown(now)
+		slots := float64(max(s.info.Slots, 1))
+		if accepts {
+			centre.Slots += slots
 			if s.info.DataCentre == reading.Own {
 				hasOwn = true
 				ownLoadAt = latest(ownLoadAt, s.loadAt)
 			}
 		}
+		if now.Sub(s.loadAt) <= maxLoadAge {
+			centre.Load += float64(s.inFlight())
+			centre.IsLoadUnknown = false
+			if accepts {
+				heard[i].slots += slots
+			}
+		} else {
+			heard[i].ownElsewhere += float64(s.ownInFlight)
+		}
+	}
+	for i := range heard {
+		heard[i].extrapolate(&reading.DataCentres[i])
 	}
 	if hasOwn {
 		reading.ReadAt = ownLoadAt
@@ -160,6 +170,23 @@
 	return reading, now.Sub(reading.ReadAt) <= maxLoadAge
 }
 
+// heardServers is which servers of a data centre have told their load lately: the slots of those that
+// accept requests, and the host's own requests at all others.
+type heardServers struct {
+	slots        float64
+	ownElsewhere float64
+}
+
+// extrapolate adds the load of the servers that have not told theirs: as busy as those that have. A
+// host with few requests hears of a part of many servers only.
+func (h *heardServers) extrapolate(centre *locality.DataCentre) {
+	if h.slots == 0 {
+		centre.Load += h.ownElsewhere
+		return
+	}
+	centre.Load = max(centre.Load*centre.Slots/h.slots, centre.Load+h.ownElsewhere)
+}
+
 func latest(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
--- a/internal/control/balance/locality_test.go
+++ b/internal/control/balance/locality_test.go
@@ -180,6 +180,36 @@
 	}
 }
 
+// Load: 120 servers in each of two data centres, and the queue at each of the own ones grows by five
+// requests a second. A host with ten requests a second hears of one server in four within 3 s, and
+// knows all the same that the wait is longer than the path elsewhere.
+func TestPlanCountsServersNotHeardOf(t *testing.T) {
+	var servers []ServerInfo
+	for i := range 240 {
+		servers = append(servers, plainServer(ident.ServerName(fmt.Sprint("s", i)), ident.DataCentre(fmt.Sprint("n", 1+i/120)), "north"))
+	}
+	pool := newPool(servers...)
+	pool.SetSpill(SpillOn)
+	for i := range 100 {
+		answer(pool, start.Add(time.Duration(i)*100*time.Millisecond), splitmix.Mix(uint64(i)), func(server ident.ServerName) Load {
+			if pool.servers[server].info.DataCentre == "n1" {
+				return loads(6+i/2, 1, 1)("a")
+			}
+			return loads(1, 1, 1)("a")
+		})
+	}
+	now := start.Add(10 * time.Second)
+	reading, isKnown := pool.readDataCentres(now)
+	require.True(t, isKnown)
+	t.Logf("%+v, %+v", reading.DataCentres, pool.Spill(now))
+	for _, centre := range reading.DataCentres {
+		if centre.Name == "n1" {
+			require.Greater(t, centre.Load, 120*(6+35.0), "the queues of 3 s ago")
+		}
+	}
+	require.Positive(t, pool.Spill(now).Leaving)
+}
+
 // BenchmarkTakePlanned measures a choice among 850 servers, with an update of the plan each tenth
 // of a second.
 func BenchmarkTakePlanned(b *testing.B) {
