--- a/internal/control/fairshare/fairshare.go
+++ b/internal/control/fairshare/fairshare.go
@@ -65,6 +65,9 @@
 	// floodNoise the same in standard deviations: callers that come together are no flood.
 	floodExcess = 1.5
 	floodNoise  = 4
+	// maxSingleCost is the greatest cost of a single request of an account with few requests that
+	// counts as within its share, in usual costs.
+	maxSingleCost = 2
 	// costSmoothing is the weight of a new charge in the usual cost.
 	costSmoothing = 0.05
 	// stepsPerShare is the number of steps into which the use of a share is divided, and maxStep
@@ -272,7 +275,7 @@
 	request := l.usualCost * l.inflation
 	noise := math.Sqrt(max(share, request) * request)
 	switch {
-	case use.used+use.waiting*l.inflation <= share:
+	case use.used+use.waiting*l.inflation <= share, l.isSingle(use):
 		return Below
 	case use.used <= share+max(tolerance*share, noiseTolerance*noise):
 		return At
@@ -283,6 +286,13 @@
 	}
 }
 
+// isSingle reports whether an account asks for a single request after it has used next to nothing
+// lately. That much is the least share, whatever the account's weight.
+func (l *Ledger) isSingle(use *Use) bool {
+	request := l.usualCost * l.inflation
+	return use.waiters <= 1 && use.used <= tolerance*request && use.waiting*l.inflation <= maxSingleCost*request
+}
+
 // updateLevel finds the level at which the accounts' shares add up to all use. An account that
 // has used less and asks for no more than its share leaves the rest to the others.
 func (l *Ledger) updateLevel(now time.Time) {
--- a/internal/control/pacing/sharedengines_test.go
+++ b/internal/control/pacing/sharedengines_test.go
@@ -48,9 +48,11 @@
 }
 
 const (
-	hotFrom    = 5 * time.Second
-	hotUntil   = 20 * time.Second
-	loadEnds   = 25 * time.Second
+	hotFrom  = 5 * time.Second
+	hotUntil = 20 * time.Second
+	loadEnds = 25 * time.Second
+	// drainTime is until when the last callers, who repeat, have been answered or refused.
+	drainTime  = 40 * time.Second
 	testAim    = 800 * time.Millisecond
 	testAnswer = 1500 * time.Millisecond
 	// lateWorth is what a late answer is worth.
@@ -71,8 +73,10 @@
 	server   ident.ServerName
 	startsAt time.Time
 	refused  int
-	// refusedFree is set if it was refused while a slot was free.
+	// refusedFree is set if it was refused while a slot was free, and hasExpired if it had waited
+	// for as long as it may when it was refused.
 	refusedFree bool
+	hasExpired  bool
 }
 
 // sharedEngines is a simulated scheduler with some engines of 8 slots.
@@ -86,6 +90,10 @@
 	active []*accountCaller
 	// waitedFree is set if a prompt waited after a pass that left an engine free for it.
 	waitedFree bool
+	// lostAt is when the scheduler is lost with all that it knows; zero for never. Its successor
+	// learns of the engines' loads by reports.
+	lostAt time.Time
+	isLost bool
 }
 
 const sharedSlots = 8
@@ -132,11 +140,12 @@
 func (s *sharedEngines) run(callers []*accountCaller) {
 	s.callers = callers
 	arrived := 0
-	for now := start; now.Before(start.Add(loadEnds + 10*time.Second)); now = now.Add(10 * time.Millisecond) {
+	for now := start; now.Before(start.Add(loadEnds + drainTime)); now = now.Add(10 * time.Millisecond) {
 		for ; arrived < len(callers) && !callers[arrived].arrived.After(now); arrived++ {
 			s.active = append(s.active, callers[arrived])
 		}
 		s.release(now)
+		s.replaceScheduler(now)
 		for _, c := range s.active {
 			s.step(now, c)
 		}
@@ -152,6 +161,35 @@
 	}
 }
 
+// reportInterval is the time between two reports of the engines' loads to a scheduler.
+const reportInterval = time.Second
+
+// replaceScheduler loses the scheduler at its time. Hosts ask the next one for the prompts that
+// wait when they would have asked again.
+func (s *sharedEngines) replaceScheduler(now time.Time) {
+	if s.lostAt.IsZero() || now.Before(s.lostAt) {
+		return
+	}
+	if !s.isLost {
+		s.isLost = true
+		s.queue = Queue{}
+		for _, c := range s.active {
+			c.waiter = nil
+		}
+	}
+	if now.Sub(s.lostAt)%reportInterval != reportInterval/2 {
+		return
+	}
+	var loads []ServerLoad
+	for _, name := range s.names {
+		loads = append(loads, ServerLoad{
+			Server:  name,
+			Prompts: s.ends.countRunning(name, now),
+		})
+	}
+	s.queue.UpdateLoads(now, loads)
+}
+
 // checkFree checks that no prompt waits that an engine could start now.
 func (s *sharedEngines) checkFree(now time.Time) {
 	for _, w := range s.queue.waiting {
@@ -202,6 +240,7 @@
 	c.asksAt = time.Time{}
 	c.refused++
 	c.refusedFree = c.refusedFree || s.inUse(now) < len(s.names)*sharedSlots
+	c.hasExpired = c.hasExpired || now.Sub(c.attempt) >= QueueTimeout(testAim, 0)
 	if c.repeats >= c.load.repeats {
 		return
 	}
@@ -268,9 +307,13 @@
 }
 
 func (s *sharedEngines) outcomes(matches func(*accountLoad) bool) outcomes {
+	return s.outcomesIn(hotFrom, hotUntil, matches)
+}
+
+func (s *sharedEngines) outcomesIn(from, until time.Duration, matches func(*accountLoad) bool) outcomes {
 	var o outcomes
 	for _, c := range s.callers {
-		if !matches(c.load) || c.arrived.Before(start.Add(hotFrom)) || !c.arrived.Before(start.Add(hotUntil)) {
+		if !matches(c.load) || c.arrived.Before(start.Add(from)) || !c.arrived.Before(start.Add(until)) {
 			continue
 		}
 		o.callers++
