gateway: Ask peers more often at once when the store or the leader fails

Cause: the gossip interval was read only when a wait began, so a wait of 1 s ran on after the host had learnt that it was cut off; and a store that rejected the host counted only once the view was 2.8 s old. A message to a random peer just after the cut is followed by one at 1 s, while the leader's exchange fails only after 0.25 s + 0.9 s, then by one at 2 s and one every 0.2 s. With six peers the one that answers is asked at 2.8 s if it comes last, one time in six; the promise is 3 s, so 0.2 s of delay missed it. With nine peers, the most without watchers, that makes 3.1 s or more without any delay: a fault of the product.

Ruled out: a wait for peers that hang (each message has a goroutine of its own, and at most five of six allowed ones wait), and peers that are asked twice before the last (one that did not reply is left out for 3 s).

Change: a watch that fails, and an exchange with the leader or watcher that fails, end the wait for the next gossip; the interval is 0.4 s from a watch's first failure. A host without such a failure sends as before.

Not changed: a leader that is itself rejected asks every 0.4 s, not every 0.2 s.

--- a/internal/host/gateway/exchange.go
+++ b/internal/host/gateway/exchange.go
@@ -54,6 +54,9 @@
 			isFailing = err != nil
 			g.isExchangeFailing.Store(isFailing)
 			g.logExchangeState(err)
+			if isFailing {
+				g.requestGossip()
+			}
 		}
 	}
 	return nil
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -214,12 +214,16 @@
 	exchangeTimeout atomic.Int64
 	// isExchangeFailing tells that the leader, or the watcher that relays for it, does not answer.
 	isExchangeFailing atomic.Bool
+	// failingWatches is how many of this host's watches the key-value service does not answer.
+	failingWatches atomic.Int64
 	// nearHostCount is the number of hosts of this data centre.
 	nearHostCount atomic.Int64
 	// cancelRequests makes every request in progress answer at once. exchangeWanted wakes
 	// the exchange with the leader, since a request waits for weights or a configuration.
 	cancelRequests context.CancelFunc
 	exchangeWanted chan struct{}
+	// gossipWanted wakes the exchange with random peers.
+	gossipWanted chan struct{}
 	// promptQueued tells that a prompt waits in this host's queue.
 	promptQueued chan struct{}
 	// explaining is held while the operators' listener explains where a request would go.
@@ -239,6 +243,7 @@
 		log:            options.Log,
 		inbox:          make(chan controlEvent, inboxSize),
 		exchangeWanted: make(chan struct{}, 1),
+		gossipWanted:   make(chan struct{}, 1),
 		promptQueued:   make(chan struct{}, 1),
 		stopStarted:    make(chan struct{}),
 		startedAt:      time.Now(),
--- a/internal/host/gateway/gossip.go
+++ b/internal/host/gateway/gossip.go
@@ -76,7 +76,7 @@
 func (g *Gateway) runGossip() error {
 	var peers gossipPeers
 	g.sleep(startupExchangeInterval)
-	for ; g.tomb.Alive(); g.sleep(g.currentGossipInterval()) {
+	for ; g.tomb.Alive(); g.sleepUnless(g.currentGossipInterval(), g.gossipWanted) {
 		if g.hasFreshWatcher() || peers.countWaiting() >= maxGossips {
 			continue
 		}
@@ -103,13 +103,22 @@
 	return nil
 }
 
+// requestGossip makes the host exchange with a random peer now: the interval that it waits for may
+// have become shorter.
+func (g *Gateway) requestGossip() {
+	select {
+	case g.gossipWanted <- struct{}{}:
+	default: // one is wanted already
+	}
+}
+
 // currentGossipInterval is shorter while the key-value service does not answer this host, and still
 // shorter while the leader, or the watcher that it asks, does not.
 func (g *Gateway) currentGossipInterval() time.Duration {
 	switch {
 	case g.isExchangeFailing.Load():
 		return urgentGossipInterval
-	case g.isStoreUnavailable():
+	case g.failingWatches.Load() > 0 || g.isStoreUnavailable():
 		return watcherExchangeInterval
 	}
 	return gossipInterval
--- a/internal/host/gateway/watch.go
+++ b/internal/host/gateway/watch.go
@@ -99,6 +99,7 @@
 		err := g.watchOnce(w, func() {
 			if isFailing {
 				g.log.Info("key-value service is back", zap.String("Prefix", w.prefix))
+				g.failingWatches.Add(-1)
 			}
 			isFailing = false
 			delay = minRetryDelay
@@ -111,6 +112,8 @@
 		case !isFailing:
 			g.log.Warn("key-value service does not answer", zap.String("Prefix", w.prefix), zap.Error(err))
 			isFailing = true
+			g.failingWatches.Add(1)
+			g.requestGossip()
 		}
 		g.post(storeCallFailed{})
 		g.sleep(g.retryDelay(delay))
@@ -234,7 +237,7 @@
 	g.sleepUnless(duration, nil)
 }
 
-// sleepUnless waits, but not beyond the host's end, nor beyond the close of early.
+// sleepUnless waits, but not beyond the host's end, nor beyond the close of early or a value in it.
 func (g *Gateway) sleepUnless(duration time.Duration, early <-chan struct{}) {
 	timer := time.NewTimer(duration)
 	defer timer.Stop()
