caller: Name a wait in refusals that are written late

The same failure came 1 time in 36 beside six busy loops, with Retry-After 0 and Retry-After-Ms 0.

Cause: a refusal names the time to come back at, and the headers the rest of it when they are written. If the host gets no processor in between, or the rest is short, that time has passed, and the client was told to come back at once: by a host that is overloaded.

Ruled out: an estimate grown by one slow observation. A prompt that is refused for it in the other region gets the failure of its own region, 503 no_replica, which the test's check of 429 would have shown; and it is held against the deadline, not the promised time, where the region has no replica. A budget that never holds 90 KiB: a request may start whenever the link is behind by 1 s or less, whatever its size.

Change: where the time has passed, both headers say 1 s. The body's retry_at is unchanged. The operators' listener has the same rounding (operator/codec.go) and is left as it is.

--- a/internal/peer/caller/errors.go
+++ b/internal/peer/caller/errors.go
@@ -45,7 +45,7 @@
 	header.Set("Content-Type", "application/json")
 	header.Set(HeaderRun, failure.Outcome.String())
 	if !failure.RetryAt.IsZero() {
-		wait := max(failure.RetryAt.Sub(s.Now()), 0)
+		wait := retryWait(s.Now(), failure.RetryAt)
 		header.Set(headerRetryAfter, strconv.Itoa(int(math.Ceil(wait.Seconds()))))
 		header.Set(headerRetryMillis, strconv.FormatInt(wait.Milliseconds(), 10))
 	}
@@ -57,6 +57,17 @@
 	return err
 }
 
+// lateRetryWait is the wait that an answer names which is written after the time to come back at:
+// its host lacks processor time, and a client that came back at once would add to its load.
+const lateRetryWait = time.Second
+
+func retryWait(now, retryAt time.Time) time.Duration {
+	if wait := retryAt.Sub(now); wait >= time.Millisecond {
+		return wait
+	}
+	return lateRetryWait
+}
+
 // refuse answers a request of which nothing was sent to a backend server.
 func (s *Server) refuse(w http.ResponseWriter, code dispatch.Code, message string, retryAt time.Time) error {
 	return s.fail(w, dispatch.NewNotSentFailure(code, message, retryAt))
