httpserve: Report requests in flight only if a connection is open

Stop returned "requests were still in flight" though all had ended, where the context ended between two looks of net/http: they are 1 ms apart at first, twice as far each time, and 512 ms at last. A gateway gives the final answers 400 ms, so a request that ends later than about 255 ms after the cancel and before 400 ms was reported as cut, and the stop as not in order.

Now the connections are counted when the context has ended, and none means no error.

--- a/internal/peer/httpserve/httpserve.go
+++ b/internal/peer/httpserve/httpserve.go
@@ -146,6 +146,13 @@
 	return maxConnections == 0 || s.open < maxConnections
 }
 
+// hasOpen reports whether a connection is open.
+func (s *Server) hasOpen() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.open > 0
+}
+
 // closeUnused closes the connections that are unused. net/http waits seconds for a request on
 // them, which it would not serve during a stop.
 func (s *Server) closeUnused() {
@@ -166,8 +173,11 @@
 	s.tomb.Kill(nil)
 	s.closeUnused()
 	if err := s.http.Shutdown(ctx); err != nil {
+		hasOpen := s.hasOpen() // net/http looks twice a second at last
 		_ = s.http.Close()
-		_ = s.tomb.Wait()
+		if tombErr := s.tomb.Wait(); !hasOpen {
+			return tombErr
+		}
 		return errors.Wrap(err, "requests were still in flight")
 	}
 	return s.tomb.Wait()
--- a/internal/peer/httpserve/httpserve_test.go
+++ b/internal/peer/httpserve/httpserve_test.go
@@ -96,3 +96,36 @@
 		return isServed(conn)
 	}, 5*time.Second, 5*time.Millisecond, "there is room again")
 }
+
+// Guards against a stop that is reported to have cut requests though all had ended: net/http looks
+// less and less often whether they have.
+func TestStopReportsNoRequestsInFlightOnceAllHaveEnded(t *testing.T) {
+	arrived, release := make(chan struct{}), make(chan struct{})
+	var server Server
+	address, err := server.Start("127.0.0.1:0", Options{
+		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			close(arrived)
+			<-release
+		}),
+		Log: zap.NewNop(),
+	})
+	require.NoError(t, err)
+	answered := make(chan error, 1)
+	go func() {
+		response, err := http.Get("http://" + address)
+		if err == nil {
+			err = response.Body.Close()
+		}
+		answered <- err
+	}()
+	<-arrived
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan error, 1)
+	go func() { stopped <- server.Stop(ctx) }()
+	time.Sleep(700 * time.Millisecond) // it looks every 512 ms or so by now
+	close(release)
+	require.NoError(t, <-answered)
+	require.Eventually(t, func() bool { return !server.hasOpen() }, 5*time.Second, time.Millisecond)
+	cancel()
+	require.NoError(t, <-stopped)
+}
