--- a/internal/host/gateway/fleet_test.go
+++ b/internal/host/gateway/fleet_test.go
@@ -24,6 +24,7 @@
 	"go.uber.org/zap"
 
 	settings "cicadaloom/internal/config/gateway"
+	"cicadaloom/internal/control/pace"
 	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/domain/request"
@@ -404,12 +405,19 @@
 
 func (codec) DecodeAnswer(_ int, header http.Header) relay.Answer {
 	running, _ := strconv.Atoi(header.Get("Running")) // servers that say nothing have nothing
+	slots, err := strconv.Atoi(header.Get("Slots"))
+	if err != nil {
+		slots = running
+	}
+	named, _ := strconv.ParseFloat(header.Get("Pace"), 64) // 0 where a server names none
 	return relay.Answer{
 		RequestID: ident.RequestID(header.Get("Id")),
 		Signed:    true,
+		NotRun:    header.Get("Not-Run") != "",
 		ServerLoad: relay.ServerLoad{
 			Running: running,
-			Slots:   running,
+			Slots:   slots,
+			Pace:    pace.Reading(named),
 		},
 		Signals: backend.Signals{
 			RequestLimit: backend.ParseRequestLimit(header.Get("Limit")),
@@ -424,6 +432,8 @@
 	Life    string
 	Leaving bool
 	Build   ident.Build
+	// DataCentre is empty for servers that are in none.
+	DataCentre ident.DataCentre
 }
 
 func decodeEntry(e store.Entry, _ map[ident.DataCentre]ident.Region, _ time.Time) (backend.Registration, error) {
@@ -432,12 +442,18 @@
 		return backend.Registration{}, errors.Wrap(err, "entry")
 	}
 	name := ident.ServerName(strings.TrimPrefix(e.Key, "servers/"))
+	var region ident.Region
+	if wire.DataCentre != "" {
+		region = "north"
+	}
 	return backend.Registration{
 		Server: backend.Server{
-			Name:    name,
-			Address: wire.Address,
-			Service: ident.ServiceName(wire.Service),
-			Build:   wire.Build,
+			Name:       name,
+			Address:    wire.Address,
+			DataCentre: wire.DataCentre,
+			Region:     region,
+			Service:    ident.ServiceName(wire.Service),
+			Build:      wire.Build,
 		},
 		Report: backend.Report{
 			Server:      name,
@@ -467,6 +483,8 @@
 	// must be apart then.
 	unfenced bool
 	links    *serverLinks
+	// adjust changes the settings of each host before it starts, nil for no change.
+	adjust func(host string, loaded *settings.Settings)
 }
 
 // leaderSeparation is the minimum time between the orders of two leaders where engines are
@@ -532,6 +550,9 @@
 	loaded.Bounds.HolderLease = leaderSeparation
 	loaded.Bounds.Grace = 1500 * time.Millisecond
 	f.listen[name] = loaded.Listen
+	if f.adjust != nil {
+		f.adjust(name, &loaded)
+	}
 	host, err := Start(Options{
 		DialServer: f.links.dialer(name),
 
