--- a/internal/peer/upstream/endless_test.go
+++ b/internal/peer/upstream/endless_test.go
@@ -16,9 +16,16 @@
 // buffers hold.
 const maxTakenBytes = 16 << 20
 
+const wholeAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
 // startEndless runs a server that answers each request with a beginning, and then with a piece again
 // and again until the connection is closed. It reports how many bytes it has sent.
 func startEndless(t *testing.T, beginning, piece string) (string, <-chan int) {
+	return startEndlessAfter(t, beginning, piece, func(*bufio.Reader) {})
+}
+
+// startEndlessAfter does as startEndless, but repeats the piece only once it may go on.
+func startEndlessAfter(t *testing.T, beginning, piece string, waitToGoOn func(reader *bufio.Reader)) (string, <-chan int) {
 	sent := make(chan int, 4)
 	repeated := []byte(strings.Repeat(piece, 64<<10/len(piece)))
 	address := startServer(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
@@ -26,6 +33,7 @@
 			return
 		}
 		total, err := io.WriteString(conn, beginning)
+		waitToGoOn(reader)
 		for err == nil && total < 4*maxTakenBytes {
 			var n int
 			n, err = conn.Write(repeated)
@@ -85,8 +93,7 @@
 // Guards against bytes without end after a whole answer that are collected, or whose connection is
 // used again.
 func TestBytesAfterTheEndAreNotRead(t *testing.T) {
-	beginning := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok" + strings.Repeat("x", 2*readBufferBytes)
-	address, sent := startEndless(t, beginning, "x")
+	address, sent := startEndless(t, wholeAnswer+strings.Repeat("x", 2*readBufferBytes), "x")
 	client := &Client{}
 	for range 3 {
 		got, err := fetch(t, client, request(address, "/x"))
@@ -99,31 +106,10 @@
 	}
 }
 
-// startEndlessAfter runs a server that gives each connection's first request a whole answer, and
-// sends bytes without end once it may go on. It reports how many bytes it has sent.
-func startEndlessAfter(t *testing.T, mayGoOn func(reader *bufio.Reader)) (string, <-chan int) {
-	sent := make(chan int, 4)
-	piece := []byte(strings.Repeat("x", 64<<10))
-	address := startServer(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
-		if _, _, err := readRequest(reader); err != nil {
-			return
-		}
-		total, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
-		mayGoOn(reader)
-		for err == nil && total < 4*maxTakenBytes {
-			var n int
-			n, err = conn.Write(piece)
-			total += n
-		}
-		sent <- total
-	})
-	return address, sent
-}
-
 // Guards against a kept connection that is used again although bytes without end have come on it.
 func TestBytesOnAnIdleConnectionEndIt(t *testing.T) {
 	mayGoOn := make(chan struct{})
-	address, sent := startEndlessAfter(t, func(*bufio.Reader) { <-mayGoOn })
+	address, sent := startEndlessAfter(t, wholeAnswer, "x", func(*bufio.Reader) { <-mayGoOn })
 	client := &Client{}
 	for range 3 {
 		got, err := fetch(t, client, request(address, "/x"))
@@ -143,7 +129,7 @@
 // Guards against bytes without end in place of an answer that cost more than the request which was
 // on its way: it may have run, and the next one opens a connection.
 func TestBytesInPlaceOfTheNextAnswerCostOneRequest(t *testing.T) {
-	address, sent := startEndlessAfter(t, func(reader *bufio.Reader) { _, _, _ = readRequest(reader) })
+	address, sent := startEndlessAfter(t, wholeAnswer, "x", func(reader *bufio.Reader) { _, _, _ = readRequest(reader) })
 	client := &Client{}
 	for range 3 {
 		got, err := fetch(t, client, request(address, "/x"))
