streams, relay: Take servers whose entry was removed for those that were chosen

Cause: the build of a stream counted as unknown if its server's entry had been removed between the send and the first event. That server has left, and goes on with what it has begun; only an entry of another incarnation tells that it may have come back with other software. Such streams could not go on, inside their answer or at another host.

The refusal of a stream whose build no server runs with its model loaded names 4 s in place of 1.5 s: about what a server that has crashed takes to be back.

TestServerWithoutEntryWasNotReplaced.

--- a/internal/control/balance/build_test.go
+++ b/internal/control/balance/build_test.go
@@ -62,6 +62,18 @@
 	pool := newPool(engineOf("v1", "a"))
 	ticket, _ := pool.Take(start, newCriteria(1))
 	require.True(t, ticket.IsCurrent())
+	require.False(t, ticket.WasReplaced())
 	pool.SetServers([]ServerInfo{engineOf("v2", "a")})
 	require.False(t, ticket.IsCurrent())
+	require.True(t, ticket.WasReplaced())
+}
+
+// Guards against a stream that can't be resumed since its server's entry was removed before the first
+// event.
+func TestServerWithoutEntryWasNotReplaced(t *testing.T) {
+	pool := newPool(engineOf("v1", "a"))
+	ticket, _ := pool.Take(start, newCriteria(1))
+	pool.SetServers(nil)
+	require.False(t, ticket.IsCurrent(), "it gets no new requests")
+	require.False(t, ticket.WasReplaced())
 }
--- a/internal/control/balance/choose.go
+++ b/internal/control/balance/choose.go
@@ -348,6 +348,15 @@
 	return t.pool.servers[t.Server] == t.server
 }
 
+// WasReplaced reports whether the server's entry names another incarnation than the one that was
+// chosen. A server without an entry has left, and goes on with what it has begun.
+func (t *Ticket) WasReplaced() bool {
+	t.pool.mu.Lock()
+	defer t.pool.mu.Unlock()
+	current, listed := t.pool.servers[t.Server]
+	return listed && current != t.server
+}
+
 // RecordFirstByte reports that the first bytes of the answer have arrived.
 func (t *Ticket) RecordFirstByte(now time.Time) {
 	t.pool.mu.Lock()
--- a/internal/traffic/relay/build.go
+++ b/internal/traffic/relay/build.go
@@ -46,7 +46,7 @@
 // it. A client that has events of a new stream can resume it, so that the record has to come first.
 func (s *requestState) recordOrigin(ctx context.Context, now time.Time, ticket *balance.Ticket) {
 	s.build = ticket.Build
-	if s.build != "" && !ticket.IsCurrent() {
+	if s.build != "" && ticket.WasReplaced() {
 		s.build = streams.UnknownBuild // the server has started again since the send, maybe with other software
 	}
 	if !s.route.Resumable {
@@ -70,8 +70,11 @@
 	}
 }
 
+// buildRetryAfter is about how long a server that has crashed takes to be back.
+const buildRetryAfter = 4 * time.Second
+
 // refuseWithoutBuild ends a request that can only go on at a build of the software that no server
 // runs, or that none runs with the weights loaded. A server that has crashed may be back later.
 func (s *requestState) refuseWithoutBuild() {
-	s.abandonWithRetryAfter(loadRetryAfter, "no server runs the build that began the stream")
+	s.abandonWithRetryAfter(buildRetryAfter, "no server runs the build that began the stream")
 }
