suspects: Let crashes that are too few to refuse a part outlive all hosts

Cause: the entry of the key-value service had the suspects that are refused. Crashes under the others were known to hosts only: once all hosts were lost, what had crashed one server (a request) or two (a part of prompts) was taken for harmless, and crashed as many again before it was refused.

TestCrashesOfPartsThatAreNotRefusedOutliveAllHosts fails without the change (the crashes are never stored); before, the part crashed servers two times and then three times more, by the code. storesRefused of the tests looks at suspects with enough crashes to be refused only, since others are stored now too.

--- a/internal/control/suspects/suspects.go
+++ b/internal/control/suspects/suspects.go
@@ -361,9 +361,9 @@
 	return m.urgent
 }
 
-// Refused returns at most limit suspects that are refused, the most urgent first.
-func (m *Machine) Refused(limit int) []Suspect {
-	return m.mostUrgent(limit, (*Suspect).isRefused)
+// Suspected returns at most limit suspects that aren't known to be harmless, the most urgent first.
+func (m *Machine) Suspected(limit int) []Suspect {
+	return m.mostUrgent(limit, func(s *Suspect) bool { return !s.IsHarmless })
 }
 
 // CountRefused returns how many suspects are refused.
--- a/internal/host/gateway/parts_test.go
+++ b/internal/host/gateway/parts_test.go
@@ -28,6 +28,8 @@
 	// lateSendsAllowed how many of those may reach servers later than contactTime after them.
 	crashesToCount   = 5
 	lateSendsAllowed = 3
+	// crashesToRefuse is after how many crashes hosts refuse a part.
+	crashesToRefuse = 3
 )
 
 // partCrashes records the crashes under parts of prompts.
@@ -190,6 +192,7 @@
 	}
 	refused, err := decodeRefused([]byte(value))
 	require.NoError(f.t, err)
+	refused = slices.DeleteFunc(refused, func(s suspects.Suspect) bool { return len(s.Crashes) < crashesToRefuse })
 	var stored suspects.Machine
 	stored.Step(time.Now(), suspects.Received{
 		Suspects: refused,
@@ -234,3 +237,44 @@
 	}
 	require.Equal(t, crashes, log.count(crashingPart))
 }
+
+// Guards against a part of prompts that crashes as many servers again after all hosts were restarted,
+// since its crashes were too few to refuse it.
+func TestCrashesOfPartsThatAreNotRefusedOutliveAllHosts(t *testing.T) {
+	f := newPartFleet(t)
+	log := newPartCrashes()
+	f.servePartServers(log, 300*time.Millisecond, "one", "two", "three", "four")
+	names := []string{"a", "b", "c"}
+	f.startAll(names)
+	ask := func(phase string, n int) {
+		f.askParts(http.DefaultClient, f.listen[names[n%len(names)]].Callers, phase+strconv.Itoa(n), crashingPart)
+		time.Sleep(100 * time.Millisecond)
+	}
+	for n := 0; log.count(crashingPart) < crashesToRefuse-1 && n < 50; n++ {
+		ask("before-", n)
+	}
+	crashes := log.count(crashingPart)
+	require.Equal(t, crashesToRefuse-1, crashes)
+	f.eventually(func() bool { return f.storedCrashes() == crashes }, "the crashes are stored")
+	f.killAll()
+	f.startAll(names)
+	for n := range 30 {
+		ask("after-", n)
+	}
+	require.Less(t, log.count(crashingPart), crashesToCount)
+}
+
+// storedCrashes returns the most crashes of a suspect in the key-value service.
+func (f *fleet) storedCrashes() int {
+	value := f.keyValue.value("servers-ours/" + refusedPath)
+	if value == "" {
+		return 0
+	}
+	stored, err := decodeRefused([]byte(value))
+	require.NoError(f.t, err)
+	most := 0
+	for i := range stored {
+		most = max(most, len(stored[i].Crashes))
+	}
+	return most
+}
--- a/internal/host/gateway/refused.go
+++ b/internal/host/gateway/refused.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"slices"
@@ -21,8 +22,9 @@
 	refusedWriteTimeout = time.Second
 )
 
-// refusedEntry is the entry that has the refused suspects. The leader writes it when they change,
-// so that hosts that were all restarted at once don't let them crash more servers.
+// refusedEntry is the entry that has the most urgent suspects, those that are refused first. The
+// leader writes it when they change, so that hosts that were all restarted at once don't let them
+// crash as many servers again.
 type refusedEntry struct {
 	Suspects []refusedSuspect
 }
@@ -42,26 +44,32 @@
 
 // refusedState is what the control goroutine knows of the entry.
 type refusedState struct {
-	// stored are the fingerprints in the entry, sorted.
-	stored      []ident.Fingerprint
+	// stored summarises the suspects in the entry.
+	stored      []suspectSummary
 	isWriting   bool
 	nextWriteAt time.Time
 }
 
-// storeRefused writes the refused suspects if this host is the leader and they have changed.
+// suspectSummary identifies what is known of a suspect.
+type suspectSummary struct {
+	fingerprint ident.Fingerprint
+	crashes     int
+}
+
+// storeRefused writes the most urgent suspects if this host is the leader and they have changed.
 func (c *control) storeRefused(now time.Time) {
 	if c.term == nil || c.refused.isWriting || now.Before(c.refused.nextWriteAt) {
 		return
 	}
-	refused := c.suspects.Refused(maxMessageSuspects)
-	if slices.Equal(fingerprintsOf(refused), c.refused.stored) {
+	urgent := c.suspects.Suspected(maxMessageSuspects)
+	if slices.Equal(summarise(urgent), c.refused.stored) {
 		return
 	}
 	c.refused.isWriting = true
 	c.tomb.Go(func() error {
 		c.post(refusedWritten{
-			fingerprints: fingerprintsOf(refused),
-			err:          c.writeRefused(refused),
+			summaries: summarise(urgent),
+			err:       c.writeRefused(urgent),
 		})
 		return nil
 	})
@@ -83,20 +91,20 @@
 	return err
 }
 
-// refusedWritten reports how a write of the refused suspects has ended.
+// refusedWritten reports how a write of suspects has ended.
 type refusedWritten struct {
-	fingerprints []ident.Fingerprint
-	err          error
+	summaries []suspectSummary
+	err       error
 }
 
 func (e refusedWritten) apply(now time.Time, c *control) {
 	c.refused.isWriting = false
 	c.refused.nextWriteAt = now.Add(refusedWriteInterval)
 	if e.err != nil {
-		c.log.Info("refused suspects not written", zap.Error(e.err))
+		c.log.Info("suspects not written", zap.Error(e.err))
 		return
 	}
-	c.refused.stored = e.fingerprints
+	c.refused.stored = e.summaries
 }
 
 // applyRefusedEntry adds the suspects of the entry to those that are known.
@@ -106,7 +114,7 @@
 		c.log.Warn("entry of refused suspects can't be decoded", zap.Error(err))
 		return
 	}
-	c.refused.stored = fingerprintsOf(refused)
+	c.refused.stored = summarise(refused)
 	suspectsReported{
 		events: []suspects.Event{suspects.Received{
 			Suspects: refused,
@@ -114,14 +122,17 @@
 	}.apply(now, c)
 }
 
-// fingerprintsOf returns the fingerprints of suspects, sorted.
-func fingerprintsOf(some []suspects.Suspect) []ident.Fingerprint {
-	fingerprints := make([]ident.Fingerprint, 0, len(some))
+// summarise returns the summaries of suspects, sorted.
+func summarise(some []suspects.Suspect) []suspectSummary {
+	summaries := make([]suspectSummary, 0, len(some))
 	for i := range some {
-		fingerprints = append(fingerprints, some[i].Fingerprint)
+		summaries = append(summaries, suspectSummary{
+			fingerprint: some[i].Fingerprint,
+			crashes:     len(some[i].Crashes),
+		})
 	}
-	slices.Sort(fingerprints)
-	return fingerprints
+	slices.SortFunc(summaries, func(a, b suspectSummary) int { return cmp.Compare(a.fingerprint, b.fingerprint) })
+	return summaries
 }
 
 func encodeRefused(refused []suspects.Suspect) ([]byte, error) {
