gateway: Don't go on with a stream at a server that can't be confirmed

A trace of TestSoakOfStreamsOverBuilds (scratch copy with logs): a host that was cut off from the key-value service for some 100 ms resumed a stream at a server that had come back with other software at that time, since it took an entry that it could not read for one that it knew.

Now such a stream is not passed on, and its client may find a host that reads the service. Streams can't be resumed while the service is away and several builds serve. TestServerBackWithOtherSoftwareGetsNoOldStreamBeforeItsEntryArrives has the case; it failed before (events of v2).

TestRequestLimitHoldsAfterAllHostsWereKilled is new, and holds: hosts that have lost what servers said of their limits learn it from the first answers.

--- a/internal/host/gateway/limits_test.go
+++ b/internal/host/gateway/limits_test.go
@@ -176,3 +176,30 @@
 	f.eventually(func() bool { return len(f.engines.sentOrders()) > 0 }, "an order")
 	require.False(t, time.Now().Before(until))
 }
+
+// Guards against hosts that send a server more than its request limit after all of them were killed.
+func TestRequestLimitHoldsAfterAllHostsWereKilled(t *testing.T) {
+	const (
+		limit  = 4.0
+		window = 2 * time.Second
+	)
+	f := newFleet(t)
+	f.keyValue.write("configuration", configuration(1, "old"))
+	limited := f.serveLimited("old", "limited")
+	f.serve("old", "spare")
+	names := []string{"a", "b", "c", "d"}
+	f.startAll(names)
+	limited.setLimit(limit)
+	stop := f.press(2)
+	time.Sleep(2 * time.Second)
+	stop()
+	killedAt := time.Now()
+	f.killAll()
+	f.startAll(names)
+	stop = f.press(2)
+	time.Sleep(3 * time.Second)
+	stop()
+	allowed := int(1.5*limit*window.Seconds()) + 5
+	require.LessOrEqual(t, limited.mostSince(killedAt, window), allowed)
+	require.NotZero(t, limited.mostSince(killedAt, window))
+}
--- a/internal/host/gateway/streams.go
+++ b/internal/host/gateway/streams.go
@@ -194,11 +194,11 @@
 }
 
 // confirmTimeout bounds the read of a server's entry.
-const confirmTimeout = 250 * time.Millisecond
+const confirmTimeout = 700 * time.Millisecond
 
 // ConfirmServer implements relay.ControlPlane. Where several builds serve it reads the server's entry,
-// which may be newer than what this host has been told. An entry that is missing or can't be read
-// tells nothing.
+// which may be newer than what this host has been told. A server without an entry has left, and is
+// the one that was chosen. If the entry can't be read the client may find a host that can.
 func (g *Gateway) ConfirmServer(ctx context.Context, service ident.ServiceName, server ident.ServerName, incarnation ident.Incarnation) bool {
 	if !g.streams.ledger.IsMixed(service) {
 		return true
@@ -209,14 +209,14 @@
 	listing, err := g.options.KeyValue.List(ctx, key)
 	if err != nil {
 		g.log.Info("server's entry can't be read", zap.String("Server", string(server)), zap.Error(err))
-		return true
+		return false
 	}
 	for i := range listing.Entries {
 		if listing.Entries[i].Key != key {
 			continue
 		}
 		registration, err := g.options.Layout.DecodeRegistration(listing.Entries[i], g.options.Settings.Host.DataCentres, time.Now())
-		return err != nil || registration.Report.Incarnation == incarnation
+		return err == nil && registration.Report.Incarnation == incarnation
 	}
 	return true
 }
--- a/internal/host/gateway/streams_test.go
+++ b/internal/host/gateway/streams_test.go
@@ -275,7 +275,7 @@
 }
 
 // Guards against a stream that goes on at a server that has come back with other software, and whose
-// new entry has not reached the host yet.
+// new entry has not reached the host yet, or can't.
 func TestServerBackWithOtherSoftwareGetsNoOldStreamBeforeItsEntryArrives(t *testing.T) {
 	f := startStreamFleet(t, []ident.Build{"v2"}, "a", "b")
 	back := &buildServer{
@@ -289,9 +289,12 @@
 	f.keyValue.setSilent(true)
 	back.restart("v2")
 	back.announce(f, "back")
-	for id := range begun {
-		again := f.take("b", id+"-again", id, 5, 10)
-		require.Empty(t, again.build, "events of another build")
-		again.close()
+	for _, isUnavailable := range []bool{false, true} {
+		f.keyValue.setUnavailable("b", isUnavailable)
+		for id := range begun {
+			again := f.take("b", id+"-again-"+strconv.FormatBool(isUnavailable), id, 5, 10)
+			require.Empty(t, again.build, "events of another build")
+			again.close()
+		}
 	}
 }
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -175,8 +175,8 @@
 	RecordStream(began ident.RequestID, server ident.ServerName, origin streams.Origin)
 	// AwaitStored waits for a moment until the record of a stream outlives this host.
 	AwaitStored(ctx context.Context, began ident.RequestID)
-	// ConfirmServer reports whether a server that goes on with a stream is still the incarnation that
-	// was chosen for it, as far as that can be found. It may ask the key-value service.
+	// ConfirmServer reports whether a server that goes on with a stream is known to be still the
+	// incarnation that was chosen for it. It may ask the key-value service.
 	ConfirmServer(ctx context.Context, service ident.ServiceName, server ident.ServerName, incarnation ident.Incarnation) bool
 	// PathTo returns how to connect to a server.
 	PathTo(server paths.Server, address string) upstream.Path
