relay: Don't blame servers that can't be confirmed

A server whose entry could not be read, or was replaced, counted as one that had broken off, and was ejected: while the key-value service is away and several builds serve, each resumed stream took a sound server out of use for all requests of the host. It now counts as left; another server is tried as before.

gateway: The writes of the leader's entries share their code.

--- a/internal/host/gateway/builds.go
+++ b/internal/host/gateway/builds.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"encoding/json"
 	"slices"
 	"time"
@@ -19,8 +18,6 @@
 const (
 	// buildsWriteInterval is the least time between two writes of the history of builds.
 	buildsWriteInterval = 200 * time.Millisecond
-	// buildsWriteTimeout bounds one write.
-	buildsWriteTimeout = time.Second
 	// maxUnrecordedTime is how long servers get no requests because their build is not recorded.
 	// The key-value service may be unavailable for longer.
 	maxUnrecordedTime = 3 * time.Second
@@ -124,23 +121,15 @@
 
 // writeBuilds replaces the history at a revision.
 func (g *Gateway) writeBuilds(history streams.History, revision ident.Revision) error {
-	ctx, cancel := context.WithTimeout(g.context(), buildsWriteTimeout)
-	defer cancel()
 	value, err := encodeBuilds(history)
 	if err != nil {
 		return err
 	}
-	_, err = g.options.KeyValue.Swap(ctx, store.Swap{
-		Compares: []store.Compare{{
-			Key:      g.options.Layout.buildsKey(),
-			Revision: revision,
-		}},
-		Puts: []store.Put{{
-			Key:   g.options.Layout.buildsKey(),
-			Value: value,
-		}},
+	key := g.options.Layout.buildsKey()
+	return g.writeValue(key, value, store.Compare{
+		Key:      key,
+		Revision: revision,
 	})
-	return err
 }
 
 // buildsWritten reports how a write of the history has ended. What was written comes back as an entry.
--- a/internal/host/gateway/refused.go
+++ b/internal/host/gateway/refused.go
@@ -18,8 +18,6 @@
 const (
 	// refusedWriteInterval is the least time between two writes of the refused suspects.
 	refusedWriteInterval = time.Second
-	// refusedWriteTimeout bounds one write.
-	refusedWriteTimeout = time.Second
 )
 
 // refusedEntry is the entry that has the most urgent suspects, those that are refused first. The
@@ -76,15 +74,24 @@
 }
 
 func (g *Gateway) writeRefused(refused []suspects.Suspect) error {
-	ctx, cancel := context.WithTimeout(g.context(), refusedWriteTimeout)
-	defer cancel()
 	value, err := encodeRefused(refused)
 	if err != nil {
 		return err
 	}
-	_, err = g.options.KeyValue.Swap(ctx, store.Swap{
+	return g.writeValue(g.options.Layout.refusedKey(), value)
+}
+
+// leaderWriteTimeout bounds a write of the leader's.
+const leaderWriteTimeout = time.Second
+
+// writeValue writes the value of a key if some compares hold.
+func (g *Gateway) writeValue(key string, value []byte, compares ...store.Compare) error {
+	ctx, cancel := context.WithTimeout(g.context(), leaderWriteTimeout)
+	defer cancel()
+	_, err := g.options.KeyValue.Swap(ctx, store.Swap{
+		Compares: compares,
 		Puts: []store.Put{{
-			Key:   g.options.Layout.refusedKey(),
+			Key:   key,
 			Value: value,
 		}},
 	})
--- a/internal/traffic/relay/stream.go
+++ b/internal/traffic/relay/stream.go
@@ -60,9 +60,9 @@
 		}
 		if mustConfirm && !s.handler.ControlPlane.ConfirmServer(ctx, s.service, ticket.Server, ticket.Incarnation) {
 			return sendResult{
-				result: balance.Broken,
+				result: balance.Left, // the server is not to blame
 				status: http.StatusOK,
-				reason: "the server has started again, maybe with other software",
+				reason: "the server may have started again with other software",
 			}
 		}
 		mustConfirm = false
