--- a/internal/host/gateway/control.go
+++ b/internal/host/gateway/control.go
@@ -65,11 +65,11 @@
 	// and that of the hosts that it relays for.
 	pendingDemand map[demandKey]loading.Demand
 	// pendingPaces are the paces that engines have named, for the leader too.
-	pendingPaces map[paceKey]pace.Reading
-	pools        map[ident.ServiceName]*balance.Pool
-	suspects     suspects.Machine
-	refused      refusedState
-	builds       buildState
+	pendingPaces  map[paceKey]pace.Reading
+	pools         map[ident.ServiceName]*balance.Pool
+	suspects      suspects.Machine
+	suspectsEntry suspectsState
+	builds        buildState
 	// outdatedServers are the servers that have changed since the pools were updated;
 	// poolsOutdated tells that all may have.
 	outdatedServers map[ident.ServerName]struct{}
@@ -186,7 +186,7 @@
 		c.inventory.Forget(now, func(name ident.ServerName) bool { _, known := c.registry.Incarnation(name); return known })
 		c.backpressure.Sweep(now, c.isListed)
 	}
-	c.storeRefused(now)
+	c.storeSuspects(now)
 	c.storeBuilds(now)
 	c.updateUnrecorded(now)
 	c.plan(now)
--- a/internal/host/gateway/events.go
+++ b/internal/host/gateway/events.go
@@ -184,8 +184,8 @@
 	case layout.settledKey():
 		c.settledTerm.Store(decodeSettled(entry.Value))
 		return
-	case layout.refusedKey():
-		c.applyRefusedEntry(now, entry)
+	case layout.suspectsKey():
+		c.applySuspectsEntry(now, entry)
 		return
 	case layout.buildsKey():
 		c.applyBuildsEntry(entry)
--- a/internal/host/gateway/parts_test.go
+++ b/internal/host/gateway/parts_test.go
@@ -190,7 +190,7 @@
 	if value == "" {
 		return false
 	}
-	refused, err := decodeRefused([]byte(value))
+	refused, err := decodeSuspects([]byte(value))
 	require.NoError(f.t, err)
 	refused = slices.DeleteFunc(refused, func(s suspects.Suspect) bool { return len(s.Crashes) < crashesToRefuse })
 	var stored suspects.Machine
@@ -268,7 +268,7 @@
 	if value == "" {
 		return 0
 	}
-	stored, err := decodeRefused([]byte(value))
+	stored, err := decodeSuspects([]byte(value))
 	require.NoError(f.t, err)
 	most := 0
 	for i := range stored {
--- a/internal/host/gateway/register.go
+++ b/internal/host/gateway/register.go
@@ -26,8 +26,7 @@
 	// settledPath has the number of the latest term whose leader is known to have been apart from
 	// all leaders before it.
 	settledPath = "settled"
-	// refusedPath has the requests and parts of prompts that are refused since servers crash under
-	// them.
+	// refusedPath has the suspects. Earlier versions wrote only those that are refused.
 	refusedPath = "refused"
 	// buildsPath has the history of builds: see streams.History.
 	buildsPath = "builds"
@@ -63,7 +62,7 @@
 	return l.HostPrefix + settledPath
 }
 
-func (l *Layout) refusedKey() string {
+func (l *Layout) suspectsKey() string {
 	return l.HostPrefix + refusedPath
 }
 
--- a/internal/host/gateway/refused.go
+++ b/internal/host/gateway/suspects_entry.go
@@ -15,33 +15,31 @@
 	"cicadaloom/internal/domain/store"
 )
 
-const (
-	// refusedWriteInterval is the least time between two writes of the refused suspects.
-	refusedWriteInterval = time.Second
-)
+// suspectsWriteInterval is the least time between two writes of the suspects.
+const suspectsWriteInterval = time.Second
 
-// refusedEntry is the entry that has the most urgent suspects, those that are refused first. The
+// suspectsEntry is the entry that has the most urgent suspects, those that are refused first. The
 // leader writes it when they change, so that hosts that were all restarted at once don't let them
 // crash as many servers again.
-type refusedEntry struct {
-	Suspects []refusedSuspect
+type suspectsEntry struct {
+	Suspects []storedSuspect
 }
 
-type refusedSuspect struct {
+type storedSuspect struct {
 	Fingerprint uint64
 	Subject     suspects.Subject
-	Crashes     []refusedCrash
+	Crashes     []storedCrash
 	// KeepUntil is in Unix milliseconds.
 	KeepUntil int64
 }
 
-type refusedCrash struct {
+type storedCrash struct {
 	Server      string
 	Incarnation string
 }
 
-// refusedState is what the control goroutine knows of the entry.
-type refusedState struct {
+// suspectsState is what the control goroutine knows of the entry.
+type suspectsState struct {
 	// stored summarises the suspects in the entry.
 	stored      []suspectSummary
 	isWriting   bool
@@ -54,31 +52,31 @@
 	crashes     int
 }
 
-// storeRefused writes the most urgent suspects if this host is the leader and they have changed.
-func (c *control) storeRefused(now time.Time) {
-	if c.term == nil || c.refused.isWriting || now.Before(c.refused.nextWriteAt) {
+// storeSuspects writes the most urgent suspects if this host is the leader and they have changed.
+func (c *control) storeSuspects(now time.Time) {
+	if c.term == nil || c.suspectsEntry.isWriting || now.Before(c.suspectsEntry.nextWriteAt) {
 		return
 	}
 	urgent := c.suspects.Suspected(maxMessageSuspects)
-	if slices.Equal(summarise(urgent), c.refused.stored) {
+	if slices.Equal(summarise(urgent), c.suspectsEntry.stored) {
 		return
 	}
-	c.refused.isWriting = true
+	c.suspectsEntry.isWriting = true
 	c.tomb.Go(func() error {
-		c.post(refusedWritten{
+		c.post(suspectsWritten{
 			summaries: summarise(urgent),
-			err:       c.writeRefused(urgent),
+			err:       c.writeSuspects(urgent),
 		})
 		return nil
 	})
 }
 
-func (g *Gateway) writeRefused(refused []suspects.Suspect) error {
-	value, err := encodeRefused(refused)
+func (g *Gateway) writeSuspects(some []suspects.Suspect) error {
+	value, err := encodeSuspects(some)
 	if err != nil {
 		return err
 	}
-	return g.writeValue(g.options.Layout.refusedKey(), value)
+	return g.writeValue(g.options.Layout.suspectsKey(), value)
 }
 
 // leaderWriteTimeout bounds a write of the leader's.
@@ -98,33 +96,33 @@
 	return err
 }
 
-// refusedWritten reports how a write of suspects has ended.
-type refusedWritten struct {
+// suspectsWritten reports how a write of suspects has ended.
+type suspectsWritten struct {
 	summaries []suspectSummary
 	err       error
 }
 
-func (e refusedWritten) apply(now time.Time, c *control) {
-	c.refused.isWriting = false
-	c.refused.nextWriteAt = now.Add(refusedWriteInterval)
+func (e suspectsWritten) apply(now time.Time, c *control) {
+	c.suspectsEntry.isWriting = false
+	c.suspectsEntry.nextWriteAt = now.Add(suspectsWriteInterval)
 	if e.err != nil {
 		c.log.Info("suspects not written", zap.Error(e.err))
 		return
 	}
-	c.refused.stored = e.summaries
+	c.suspectsEntry.stored = e.summaries
 }
 
-// applyRefusedEntry adds the suspects of the entry to those that are known.
-func (c *control) applyRefusedEntry(now time.Time, entry *store.Entry) {
-	refused, err := decodeRefused(entry.Value)
+// applySuspectsEntry adds the suspects of the entry to those that are known.
+func (c *control) applySuspectsEntry(now time.Time, entry *store.Entry) {
+	stored, err := decodeSuspects(entry.Value)
 	if err != nil {
-		c.log.Warn("entry of refused suspects can't be decoded", zap.Error(err))
+		c.log.Warn("entry of suspects can't be decoded", zap.Error(err))
 		return
 	}
-	c.refused.stored = summarise(refused)
+	c.suspectsEntry.stored = summarise(stored)
 	suspectsReported{
 		events: []suspects.Event{suspects.Received{
-			Suspects: refused,
+			Suspects: stored,
 		}},
 	}.apply(now, c)
 }
@@ -142,16 +140,16 @@
 	return summaries
 }
 
-func encodeRefused(refused []suspects.Suspect) ([]byte, error) {
-	var entry refusedEntry
-	for i := range refused {
-		suspect := refusedSuspect{
-			Fingerprint: uint64(refused[i].Fingerprint),
-			Subject:     refused[i].Subject,
-			KeepUntil:   refused[i].KeepUntil.UnixMilli(),
+func encodeSuspects(some []suspects.Suspect) ([]byte, error) {
+	var entry suspectsEntry
+	for i := range some {
+		suspect := storedSuspect{
+			Fingerprint: uint64(some[i].Fingerprint),
+			Subject:     some[i].Subject,
+			KeepUntil:   some[i].KeepUntil.UnixMilli(),
 		}
-		for _, crash := range refused[i].Crashes {
-			suspect.Crashes = append(suspect.Crashes, refusedCrash{
+		for _, crash := range some[i].Crashes {
+			suspect.Crashes = append(suspect.Crashes, storedCrash{
 				Server:      string(crash.Server),
 				Incarnation: string(crash.Incarnation),
 			})
@@ -159,15 +157,15 @@
 		entry.Suspects = append(entry.Suspects, suspect)
 	}
 	value, err := json.Marshal(entry)
-	return value, errors.Wrap(err, "encode refused suspects")
+	return value, errors.Wrap(err, "encode suspects")
 }
 
-func decodeRefused(value []byte) ([]suspects.Suspect, error) {
-	var entry refusedEntry
+func decodeSuspects(value []byte) ([]suspects.Suspect, error) {
+	var entry suspectsEntry
 	if err := json.Unmarshal(value, &entry); err != nil {
-		return nil, errors.Wrap(err, "decode refused suspects")
+		return nil, errors.Wrap(err, "decode suspects")
 	}
-	var refused []suspects.Suspect
+	decoded := make([]suspects.Suspect, 0, len(entry.Suspects))
 	for i := range entry.Suspects {
 		stored := &entry.Suspects[i]
 		suspect := suspects.Suspect{
@@ -181,7 +179,7 @@
 				Incarnation: ident.Incarnation(crash.Incarnation),
 			})
 		}
-		refused = append(refused, suspect)
+		decoded = append(decoded, suspect)
 	}
-	return refused, nil
+	return decoded, nil
 }
