--- a/internal/control/streams/history.go
+++ b/internal/control/streams/history.go
@@ -57,18 +57,21 @@
 func (h History) Update(now time.Time, running map[ident.ServiceName][]ident.Build) (History, bool) {
 	updated := make(History, len(running))
 	changed := false
-	for service := range h {
-		if _, declared := running[service]; !declared {
-			running[service] = nil
-		}
-	}
-	for service, builds := range running {
-		served, differs := updateServed(now, h[service], builds)
+	update := func(service ident.ServiceName) {
+		served, differs := updateServed(now, h[service], running[service])
 		changed = changed || differs
 		if len(served) > 0 {
 			updated[service] = served
 		}
 	}
+	for service := range running {
+		update(service)
+	}
+	for service := range h {
+		if _, runs := running[service]; !runs {
+			update(service)
+		}
+	}
 	return updated, changed
 }
 
--- a/internal/host/gateway/builds.go
+++ b/internal/host/gateway/builds.go
@@ -42,8 +42,9 @@
 	isUnreadable bool
 	isWriting    bool
 	nextWriteAt  time.Time
-	// unrecordedSince has the builds that the history lacks, and since when servers run them.
-	unrecordedSince map[unrecordedBuild]time.Time
+	// unrecordedUntil has the builds that the history lacks, and until when their servers get no
+	// requests; zero once that is over.
+	unrecordedUntil map[unrecordedBuild]time.Time
 }
 
 type unrecordedBuild struct {
@@ -70,27 +71,27 @@
 		build:   server.Build,
 	}
 	if !c.streams.loadHistory().Lacks(now, server.Service, server.Build) {
-		delete(c.builds.unrecordedSince, key)
+		delete(c.builds.unrecordedUntil, key)
 		return false
 	}
-	since, known := c.builds.unrecordedSince[key]
+	until, known := c.builds.unrecordedUntil[key]
 	if !known {
-		since = now
-		c.builds.unrecordedSince[key] = since
+		until = now.Add(maxUnrecordedTime)
+		c.builds.unrecordedUntil[key] = until
 	}
-	return now.Sub(since) < maxUnrecordedTime
+	return now.Before(until)
 }
 
 // updateUnrecorded publishes the servers whose builds have been unrecorded for long enough.
 func (c *control) updateUnrecorded(now time.Time) {
-	for key, since := range c.builds.unrecordedSince {
+	for key, until := range c.builds.unrecordedUntil {
 		pool, declared := c.pools[key.service]
-		if !declared || !slices.Contains(pool.RunningBuilds(), key.build) {
-			delete(c.builds.unrecordedSince, key)
-			continue
-		}
-		if now.Sub(since) < maxUnrecordedTime+2*idleTickInterval {
-			c.poolsOutdated = c.poolsOutdated || now.Sub(since) >= maxUnrecordedTime
+		switch {
+		case !declared || !slices.Contains(pool.RunningBuilds(), key.build):
+			delete(c.builds.unrecordedUntil, key)
+		case !until.IsZero() && !now.Before(until):
+			c.builds.unrecordedUntil[key] = time.Time{}
+			c.poolsOutdated = true
 		}
 	}
 }
--- a/internal/host/gateway/control.go
+++ b/internal/host/gateway/control.go
@@ -130,7 +130,7 @@
 			Harmless: &g.harmlessParts,
 		},
 		builds: buildState{
-			unrecordedSince: make(map[unrecordedBuild]time.Time),
+			unrecordedUntil: make(map[unrecordedBuild]time.Time),
 		},
 	}
 }
