upstream, tunnelpeer, httpsend: Don't take a reset during an upload for the end

Callers got a part of an answer as the whole: a server answered a long upload at once without a length, sent a part of its body and reset the connection while the upload was still being written. An answer without a length ends with its connection.

Cause: the kernel returns a socket's error to one call only. With two goroutines on a connection the writer took the reset, and the reader got an end of file. Shown with plain sockets, a writer of 12 MB and a reset after 1, 5 and 40 ms, 30 each: the reader saw an end of file in 27, 28 and 21, and in every one of these the writer had ECONNRESET. Ruled out: a FIN before the reset (none is sent with SO_LINGER 0), and answers with a length or chunks, whose early end is an error.

Change: at the end of such an answer upstream waits for the goroutine that writes the request, and returns its error. Where net/http or the tunnel's peer has the goroutines, tcpconn.Conn does the same for a Write in progress.

Behind a peer the upload counts as written once the tunnel has taken it; now the peer ends the tunnel with an error when its own write has failed. A server that closes only its direction while the upload is still on its way through a peer now costs the answer (502): the peer can't pass a half-closed connection on.

--- a/internal/peer/httpsend/httpsend.go
+++ b/internal/peer/httpsend/httpsend.go
@@ -22,6 +22,9 @@
 //		// no connection was established, so nothing was run
 //	}
 //
+// An answer without a length whose connection breaks is not complete: reading its body fails, also
+// if the connection breaks while the request is still being written.
+//
 // The package follows no redirects and uses neither a proxy nor HTTP/2: each of these
 // could send a request a second time without the caller's knowledge.
 package httpsend
@@ -30,6 +33,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -41,6 +45,7 @@
 	"github.com/pkg/errors"
 
 	"cicadaloom/internal/peer/meter"
+	"cicadaloom/internal/peer/tcpconn"
 )
 
 const (
@@ -137,7 +142,13 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	return &http.Transport{
-		DialContext:            connMeter.Dial,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := connMeter.Dial(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return tcpconn.Wrap(conn), nil
+		},
 		DisableCompression:     true,
 		IdleConnTimeout:        idleTimeout,
 		MaxIdleConns:           maxIdleConnections,
--- a/internal/peer/httpsend/httpsend_test.go
+++ b/internal/peer/httpsend/httpsend_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"gopkg.in/tomb.v2"
@@ -199,3 +200,36 @@
 		require.Equal(t, proves, HasNotRunProof(recorder.Result()), status)
 	}
 }
+
+// Guards against a part of an early answer without a length, whose connection was reset during the
+// upload, that is taken for the whole.
+func TestEarlyAnswerThatIsResetIsNotComplete(t *testing.T) {
+	for range 20 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		var server tomb.Tomb
+		server.Go(func() error {
+			conn, err := listener.Accept()
+			if err != nil {
+				return err
+			}
+			_, _ = io.CopyN(io.Discard, conn, 1)
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\na part")
+			time.Sleep(5 * time.Millisecond)
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			return conn.Close()
+		})
+		var client Client
+		_, body, err := client.Fetch(Request{
+			Context: context.Background(),
+			Method:  http.MethodPost,
+			Address: listener.Addr().String(),
+			Path:    "/dispatch",
+			Body:    make([]byte, 12<<20),
+		}, 1<<20)
+		require.Error(t, err, "%q", body)
+		client.Close()
+		require.NoError(t, server.Wait())
+		require.NoError(t, listener.Close())
+	}
+}
--- a/internal/peer/tunnelpeer/tunnelpeer.go
+++ b/internal/peer/tunnelpeer/tunnelpeer.go
@@ -44,6 +44,7 @@
 	"cicadaloom/internal/control/paths"
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/peer/grpcpeer"
+	"cicadaloom/internal/peer/tcpconn"
 	"cicadaloom/internal/wire/tunnelpb"
 )
 
@@ -91,6 +92,7 @@
 			Outcome: outcomeOf(err),
 		})
 	}
+	conn = tcpconn.Wrap(conn)
 	defer func() { _ = conn.Close() }() // an error means that it is closed already
 	detach := context.AfterFunc(stream.Context(), func() { _ = conn.Close() })
 	defer detach()
--- a/internal/peer/tunnelpeer/tunnelpeer_test.go
+++ b/internal/peer/tunnelpeer/tunnelpeer_test.go
@@ -88,6 +88,25 @@
 	require.Error(t, err)
 }
 
+// Guards against a server's reset that the peer's writer takes, and that looks like the end of the
+// server's answer.
+func TestResetDuringWriteIsNoEndOfTunnel(t *testing.T) {
+	for range 20 {
+		conn, err := dial(t, serve(t, func(server *net.TCPConn) {
+			_, _ = io.CopyN(io.Discard, server, 1)
+			_, _ = io.WriteString(server, "a part")
+			time.Sleep(5 * time.Millisecond)
+			_ = server.SetLinger(0)
+			_ = server.Close()
+		}))
+		require.NoError(t, err)
+		go func() { _, _ = conn.Write(make([]byte, 12<<20)) }()
+		_, err = io.ReadAll(conn)
+		require.Error(t, err)
+		require.NoError(t, conn.Close())
+	}
+}
+
 // Guards against a request that outlasts its deadline because its connection leads through a peer.
 func TestDeadlineEndsRead(t *testing.T) {
 	conn, err := dial(t, serve(t, func(server *net.TCPConn) { _, _ = io.Copy(io.Discard, server) }))
--- a/internal/peer/upstream/upstream.go
+++ b/internal/peer/upstream/upstream.go
@@ -36,6 +36,9 @@
 // interim answers, which end the exchange, chunk sizes and trailers. The caller bounds what it keeps
 // of the body.
 //
+// An answer without a length ends with its connection. If the request could not be written in full,
+// such an answer is not complete, and reading it fails.
+//
 // A connection returns to the pool only by Release or ReleaseUnfinished, and only if its response
 // has been read to the end and no further bytes have arrived on it. An answer is known by its
 // request's id, which all sends of a request share, so a connection on which one send was
@@ -273,6 +276,12 @@
 		return errors.Errorf("answer: found status %d, allowed a final one", response.StatusCode)
 	}
 	e.conn.source.unlimit()
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		response.Body = &closeDelimitedBody{
+			ReadCloser: response.Body,
+			exchange:   e,
+		}
+	}
 	e.Response = response
 	return nil
 }
@@ -296,7 +305,7 @@
 	}
 	e.bodyWriter.Go(func() error {
 		if _, err := e.conn.Write(request.Body); err != nil {
-			return err // reading the response fails too
+			return err
 		}
 		e.bodyWritten.Store(true)
 		return nil
