upstream, httpsend: Reject answers with invalid names in their head or trailer

Callers got answers in whose head the name of a field held a blank: the line was dropped, or, where it was a framing field, the body was not the server's. "Transfer-Encoding : chunked" gave the bytes of the chunks as the body, beside "Content-Length: 3" the first three of them, and "Content-Length : 2" all bytes until the connection's end. Trailers, streams, failures and refusals alike.

Cause: the reader of the standard library accepts names with a blank for old senders, and keeps them as they are in the parsed header, so a framing field with such a name is not found. Control bytes, a tab, DEL, NUL and empty names it rejects: those were 502 before, and have tests now. It parses for all of our readers: requests (upstream), and orders, reports, health, the key-value service, engines and plain services (httpsend).

Change: package httpanswer checks what was parsed, and the trailer at the end of the body. An answer that it rejects counts as a connection that broke: the request may have run, no proof or status of such a head counts. All names with a blank are found, since only valid names are put into canonical form.

RFC 9112: lines that end with LF alone stay allowed (2.2).

--- /dev/null
+++ b/internal/peer/httpanswer/httpanswer.go
@@ -0,0 +1,66 @@
+// Package httpanswer checks the answers that net/http has parsed. Its parser is lenient: it accepts, for
+// the sake of old senders, names of fields that contain a blank, and keeps them as they are. A framing field with such a name is not applied, so that the body that
+// is read is not the one that was sent.
+//
+// An answer that Check rejects proves nothing about its request, whatever it says. Lines that end
+// with LF alone are accepted (RFC 9112, 2.2).
+//
+// # Usage
+//
+//	response, err := http.ReadResponse(reader, request)
+//	if err != nil {
+//		return nil, err
+//	}
+//	if err := httpanswer.Check(response); err != nil {
+//		return nil, err
+//	}
+//	body, err := io.ReadAll(response.Body)
+package httpanswer
+
+import (
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+	"golang.org/x/net/http/httpguts"
+)
+
+// Check returns why the head of a response is invalid, nil if it is valid. It replaces the body,
+// whose end is an error if the trailer is invalid.
+func Check(response *http.Response) error {
+	if err := checkNames(response.Header); err != nil {
+		return err
+	}
+	response.Body = &body{
+		ReadCloser: response.Body,
+		response:   response,
+	}
+	return nil
+}
+
+func checkNames(header http.Header) error {
+	for name := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Errorf("name of a field: found %q, allowed a token", name)
+		}
+	}
+	return nil
+}
+
+// body is the body of a response. Its trailer is known at its end.
+type body struct {
+	io.ReadCloser
+	response *http.Response
+}
+
+// Read implements io.Reader.
+func (b *body) Read(buffer []byte) (int, error) {
+	n, err := b.ReadCloser.Read(buffer)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if trailerErr := checkNames(b.response.Trailer); trailerErr != nil {
+		return n, errors.Wrap(trailerErr, "trailer")
+	}
+	return n, err
+}
--- a/internal/peer/httpsend/httpsend.go
+++ b/internal/peer/httpsend/httpsend.go
@@ -22,6 +22,7 @@
 //		// no connection was established, so nothing was run
 //	}
 //
+// An answer that is not valid HTTP/1 (package httpanswer) is an error: the request may have run.
 // An answer without a length whose connection breaks is not complete: reading its body fails, also
 // if the connection breaks while the request is still being written.
 //
@@ -44,6 +45,7 @@
 
 	"github.com/pkg/errors"
 
+	"cicadaloom/internal/peer/httpanswer"
 	"cicadaloom/internal/peer/meter"
 	"cicadaloom/internal/peer/tcpconn"
 )
@@ -119,10 +121,17 @@
 	}
 	response, err := c.transportFor(&request).RoundTrip(built) //nolint:bodyclose // the caller closes it
 	reply := Reply{
-		Response: response,
-		Sent:     connected.Load(),
+		Sent: connected.Load(),
 	}
-	return reply, errors.Wrapf(err, "%s %s", request.Method, request.Address)
+	if err != nil {
+		return reply, errors.Wrapf(err, "%s %s", request.Method, request.Address)
+	}
+	if err := httpanswer.Check(response); err != nil {
+		_ = response.Body.Close() // the answer is dropped
+		return reply, errors.Wrapf(err, "%s %s", request.Method, request.Address)
+	}
+	reply.Response = response
+	return reply, nil
 }
 
 // Close closes the idle connections.
--- a/internal/peer/httpsend/httpsend_test.go
+++ b/internal/peer/httpsend/httpsend_test.go
@@ -233,3 +233,78 @@
 		require.NoError(t, listener.Close())
 	}
 }
+
+// sendRaw sends a request to a server that answers with raw bytes and ends the connection.
+func sendRaw(t *testing.T, answer string) (Reply, []byte, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var server tomb.Tomb
+	server.Go(func() error {
+		conn, err := listener.Accept()
+		if err != nil {
+			return err
+		}
+		defer conn.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return err
+		}
+		_, err = io.WriteString(conn, answer)
+		return err
+	})
+	var client Client
+	defer client.Close()
+	defer func() {
+		require.NoError(t, server.Wait())
+		require.NoError(t, listener.Close())
+	}()
+	reply, err := client.Send(Request{
+		Context: context.Background(),
+		Method:  http.MethodPost,
+		Address: listener.Addr().String(),
+		Path:    "/dispatch",
+	})
+	if err != nil {
+		return reply, nil, err
+	}
+	defer reply.Response.Body.Close()
+	body, err := ReadBody(reply.Response.Body, 1<<10)
+	return reply, body, err
+}
+
+// Guards against a head with a name that is no token whose status or proof counts, or whose framing
+// is not applied.
+func TestAnswerWithInvalidNameIsAnError(t *testing.T) {
+	for name, answer := range map[string]string{
+		"blank inside":       "HTTP/1.1 200 OK\r\nBad Name: x\r\nContent-Length: 2\r\n\r\nok",
+		"blank before colon": "HTTP/1.1 200 OK\r\nBad-Name : x\r\nContent-Length: 2\r\n\r\nok",
+		"control byte":       "HTTP/1.1 200 OK\r\nBad\x01Name: x\r\nContent-Length: 2\r\n\r\nok",
+		"chunked":            "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"refusal":            "HTTP/1.1 503 Full\r\nBad Name: x\r\nContent-Length: 2\r\n\r\nno",
+	} {
+		t.Run(name, func(t *testing.T) {
+			reply, _, err := sendRaw(t, answer)
+			require.Error(t, err)
+			require.Nil(t, reply.Response)
+			require.True(t, reply.Sent)
+		})
+	}
+}
+
+// Guards against an answer with an invalid name in its trailer that is taken for whole.
+func TestAnswerWithInvalidTrailerIsNotComplete(t *testing.T) {
+	_, body, err := sendRaw(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nBad Name: x\r\n\r\n")
+	require.Error(t, err, "%q", body)
+}
+
+// Guards against a sound answer that is lost.
+func TestSoundAnswerIsRead(t *testing.T) {
+	for _, answer := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nSum: x\r\n\r\n",
+		"HTTP/1.0 200 OK\r\n\r\nok",
+	} {
+		_, body, err := sendRaw(t, answer)
+		require.NoError(t, err)
+		require.Equal(t, "ok", string(body))
+	}
+}
--- a/internal/peer/upstream/upstream.go
+++ b/internal/peer/upstream/upstream.go
@@ -59,6 +59,8 @@
 
 	"github.com/pkg/errors"
 	tomb "gopkg.in/tomb.v2"
+
+	"cicadaloom/internal/peer/httpanswer"
 )
 
 const (
@@ -275,6 +277,9 @@
 	if response.StatusCode < http.StatusOK {
 		return errors.Errorf("answer: found status %d, allowed a final one", response.StatusCode)
 	}
+	if err := httpanswer.Check(response); err != nil {
+		return errors.Wrap(err, "answer")
+	}
 	e.conn.source.unlimit()
 	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 		response.Body = &closeDelimitedBody{
