upstream, httpsend: Reject answers whose status or version does not exist

A server in trouble may answer with any three digits. Callers of the relay got 600 and 999 as they were; 000 and 099 were 502 already. httpsend, which reads reports, orders and the key-value service and sends to engines and plain services, took 000 and 099 as well, and 101. HTTP/2.0 and HTTP/0.9 in the status line of an HTTP/1 connection were accepted by both.

Cause: the standard library's reader accepts three digits and any version; upstream rejected statuses below 200 only, httpsend none.

Change: httpanswer.Check allows HTTP/1 with 200 to 599 (RFC 9110, 15: others are invalid). Anything else counts as a connection that broke, and proves nothing. Minor versions above 1 are read as HTTP/1.1 (RFC 9110, 2.5), as before.

Tests, on the code before: TestAnswerWithImpossibleStatusIsNoAnswer failed for 600 and 999 and held for the rest, TestAnswerOfOtherMajorVersionIsNoAnswer failed for both, httpsend.TestAnswerWithImpossibleStatusIsAnError failed in 6 of 6. They pass now.

--- a/internal/peer/httpanswer/httpanswer.go
+++ b/internal/peer/httpanswer/httpanswer.go
@@ -1,9 +1,11 @@
-// Package httpanswer checks the answers that net/http has parsed. Its parser is lenient: it accepts, for
-// the sake of old senders, names of fields that contain a blank, and keeps them as they are. A framing field with such a name is not applied, so that the body that
+// Package httpanswer checks the answers that net/http has parsed. Its parser is lenient: it accepts
+// statuses that do not exist and, for the sake of old senders, names of fields that contain a blank,
+// which it keeps as they are. A framing field with such a name is not applied, so that the body that
 // is read is not the one that was sent.
 //
-// An answer that Check rejects proves nothing about its request, whatever it says. Lines that end
-// with LF alone are accepted (RFC 9112, 2.2).
+// An answer that Check rejects proves nothing about its request, whatever it says. Among those that
+// it accepts are lines that end with LF alone (RFC 9112, 2.2), and minor versions above 1, which are
+// read as HTTP/1.1 (RFC 9110, 2.5).
 //
 // # Usage
 //
@@ -25,9 +27,20 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// Check returns why the head of a response is invalid, nil if it is valid. It replaces the body,
+const (
+	minFinalStatus = 200
+	maxFinalStatus = 599 // RFC 9110, 15
+)
+
+// Check returns why a response is not a final HTTP/1 answer, nil if it is one. It replaces the body,
 // whose end is an error if the trailer is invalid.
 func Check(response *http.Response) error {
+	if response.ProtoMajor != 1 {
+		return errors.Errorf("version: found %s, allowed HTTP/1", response.Proto)
+	}
+	if response.StatusCode < minFinalStatus || response.StatusCode > maxFinalStatus {
+		return errors.Errorf("status: found %d, allowed %d to %d", response.StatusCode, minFinalStatus, maxFinalStatus)
+	}
 	if err := checkNames(response.Header); err != nil {
 		return err
 	}
--- a/internal/peer/httpsend/httpsend_test.go
+++ b/internal/peer/httpsend/httpsend_test.go
@@ -296,6 +296,18 @@
 	require.Error(t, err, "%q", body)
 }
 
+// Guards against an answer whose status or version does not exist that is taken for one.
+func TestAnswerWithImpossibleStatusIsAnError(t *testing.T) {
+	for _, line := range []string{"HTTP/1.1 000", "HTTP/1.1 099 Error", "HTTP/1.1 101 Switching", "HTTP/1.1 600 Error", "HTTP/1.1 999", "HTTP/2.0 200 OK"} {
+		t.Run(line, func(t *testing.T) {
+			reply, _, err := sendRaw(t, line+"\r\nContent-Length: 2\r\n\r\nno")
+			require.Error(t, err)
+			require.Nil(t, reply.Response)
+			require.True(t, reply.Sent)
+		})
+	}
+}
+
 // Guards against a sound answer that is lost.
 func TestSoundAnswerIsRead(t *testing.T) {
 	for _, answer := range []string{
--- a/internal/peer/upstream/upstream.go
+++ b/internal/peer/upstream/upstream.go
@@ -274,9 +274,6 @@
 	if err != nil {
 		return errors.Wrap(err, "answer")
 	}
-	if response.StatusCode < http.StatusOK {
-		return errors.Errorf("answer: found status %d, allowed a final one", response.StatusCode)
-	}
 	if err := httpanswer.Check(response); err != nil {
 		return errors.Wrap(err, "answer")
 	}
--- a/internal/traffic/relay/invalid_answer_test.go
+++ b/internal/traffic/relay/invalid_answer_test.go
@@ -56,6 +56,25 @@
 	require.Len(t, w.arrivals(), 1)
 }
 
+// Guards against an answer whose status does not exist that the client gets.
+func TestAnswerWithImpossibleStatusIsNoAnswer(t *testing.T) {
+	for _, line := range []string{"HTTP/1.1 000 Error", "HTTP/1.1 000", "HTTP/1.1 099 Error", "HTTP/1.1 600 Error", "HTTP/1.1 999"} {
+		t.Run(line, func(t *testing.T) {
+			requireNoAnswer(t, unsafeRoute(), newRawAnswer(line, lengthField, "no"))
+			requireNoAnswer(t, streamRoute(false), newRawAnswer(line, streamField, wholeStream(2)))
+		})
+	}
+}
+
+// Guards against an answer of a major version that is not read, which the client gets.
+func TestAnswerOfOtherMajorVersionIsNoAnswer(t *testing.T) {
+	for _, version := range []string{"HTTP/0.9", "HTTP/2.0"} {
+		t.Run(version, func(t *testing.T) {
+			requireNoAnswer(t, unsafeRoute(), newRawAnswer(version+" 200 OK", lengthField, "ok"))
+		})
+	}
+}
+
 // invalidNames are lines of a header whose names are no tokens.
 var invalidNames = map[string]string{
 	"blank inside":       "Bad Name: x\r\n",
