upstream, httpsend: Reject chunks in an answer of HTTP/1.0

An answer of HTTP/1.0 with "Transfer-Encoding: chunked" was passed on with the bytes of its chunks as the body. RFC 9112, 6.1: such a message's framing is faulty, even with a Content-Length.

Cause: the standard library drops the field in HTTP/1.0 without applying it, so it can't be seen in the parsed header. httpanswer.Head keeps the head as received, and Check looks the field up there. HTTP/1.0 without it stays allowed.

Tests, on the code before: TestChunksOfOldVersionAreNoAnswer (relay: 200 with the chunks' bytes) and TestChunksOfOldVersionAreAnError (httpsend) failed; they pass now.

--- /dev/null
+++ b/internal/peer/httpanswer/head.go
@@ -0,0 +1,38 @@
+package httpanswer
+
+import (
+	"bytes"
+	"strings"
+)
+
+// Head is the head of an answer as it was received. The zero value is empty.
+type Head struct {
+	text       []byte
+	isComplete bool
+}
+
+// Add adds received bytes. Those after the empty line that ends the head are dropped.
+func (h *Head) Add(received []byte) {
+	if h.isComplete {
+		return
+	}
+	searched := max(len(h.text)-len("\n\r"), 0)
+	h.text = append(h.text, received...)
+	for _, end := range []string{"\n\n", "\n\r\n"} {
+		if at := bytes.Index(h.text[searched:], []byte(end)); at >= 0 {
+			h.text = h.text[:searched+at]
+			h.isComplete = true
+		}
+	}
+}
+
+// hasField reports whether a line of the head has a name.
+func (h *Head) hasField(name string) bool {
+	for line := range bytes.Lines(h.text) {
+		found, _, hasColon := bytes.Cut(line, []byte{':'})
+		if hasColon && strings.EqualFold(string(found), name) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/peer/httpanswer/httpanswer.go
+++ b/internal/peer/httpanswer/httpanswer.go
@@ -1,7 +1,7 @@
 // Package httpanswer checks the answers that net/http has parsed. Its parser is lenient: it accepts
 // statuses that do not exist and, for the sake of old senders, names of fields that contain a blank,
-// which it keeps as they are. A framing field with such a name is not applied, so that the body that
-// is read is not the one that was sent.
+// which it keeps as they are. A framing field with such a name, or a transfer encoding in an HTTP/1.0
+// answer, is not applied, so that the body that is read is not the one that was sent.
 //
 // An answer that Check rejects proves nothing about its request, whatever it says. Among those that
 // it accepts are lines that end with LF alone (RFC 9112, 2.2), and minor versions above 1, which are
@@ -9,11 +9,12 @@
 //
 // # Usage
 //
+//	var head httpanswer.Head // all bytes that reader got from the connection are added to it
 //	response, err := http.ReadResponse(reader, request)
 //	if err != nil {
 //		return nil, err
 //	}
-//	if err := httpanswer.Check(response); err != nil {
+//	if err := httpanswer.Check(response, &head); err != nil {
 //		return nil, err
 //	}
 //	body, err := io.ReadAll(response.Body)
@@ -32,9 +33,9 @@
 	maxFinalStatus = 599 // RFC 9110, 15
 )
 
-// Check returns why a response is not a final HTTP/1 answer, nil if it is one. It replaces the body,
-// whose end is an error if the trailer is invalid.
-func Check(response *http.Response) error {
+// Check returns why a response is not a final HTTP/1 answer, nil if it is one. head is its head as it
+// was received. The response's body is replaced: its end is an error if the trailer is invalid.
+func Check(response *http.Response, head *Head) error {
 	if response.ProtoMajor != 1 {
 		return errors.Errorf("version: found %s, allowed HTTP/1", response.Proto)
 	}
@@ -44,6 +45,10 @@
 	if err := checkNames(response.Header); err != nil {
 		return err
 	}
+	// The parser drops the field there, and takes the chunks for the body (RFC 9112, 6.1).
+	if !response.ProtoAtLeast(1, 1) && head.hasField("Transfer-Encoding") {
+		return errors.New("framing: found a transfer encoding, allowed none in HTTP/1.0")
+	}
 	response.Body = &body{
 		ReadCloser: response.Body,
 		response:   response,
--- a/internal/peer/httpsend/httpsend.go
+++ b/internal/peer/httpsend/httpsend.go
@@ -47,7 +47,6 @@
 
 	"cicadaloom/internal/peer/httpanswer"
 	"cicadaloom/internal/peer/meter"
-	"cicadaloom/internal/peer/tcpconn"
 )
 
 const (
@@ -109,10 +108,12 @@
 // request is written, on every connection that is tried.
 func (c *Client) Send(request Request) (Reply, error) {
 	c.initOnce.Do(c.init)
-	var connected atomic.Bool
+	var connected atomic.Pointer[recordingConn]
 	ctx := httptrace.WithClientTrace(request.Context, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) {
-			connected.Store(true)
+		GotConn: func(info httptrace.GotConnInfo) {
+			conn := info.Conn.(*recordingConn)
+			conn.beginAnswer()
+			connected.Store(conn)
 		},
 	})
 	built, err := buildRequest(ctx, &request)
@@ -121,12 +122,13 @@
 	}
 	response, err := c.transportFor(&request).RoundTrip(built) //nolint:bodyclose // the caller closes it
 	reply := Reply{
-		Sent: connected.Load(),
+		Sent: connected.Load() != nil,
 	}
 	if err != nil {
 		return reply, errors.Wrapf(err, "%s %s", request.Method, request.Address)
 	}
-	if err := httpanswer.Check(response); err != nil {
+	head := connected.Load().answerHead()
+	if err := httpanswer.Check(response, &head); err != nil {
 		_ = response.Body.Close() // the answer is dropped
 		return reply, errors.Wrapf(err, "%s %s", request.Method, request.Address)
 	}
@@ -156,7 +158,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return tcpconn.Wrap(conn), nil
+			return newRecordingConn(conn), nil
 		},
 		DisableCompression:     true,
 		IdleConnTimeout:        idleTimeout,
--- a/internal/peer/httpsend/httpsend_test.go
+++ b/internal/peer/httpsend/httpsend_test.go
@@ -308,6 +308,13 @@
 	}
 }
 
+// Guards against chunks in an answer of HTTP/1.0, which has none, that are taken for the body.
+func TestChunksOfOldVersionAreAnError(t *testing.T) {
+	reply, body, err := sendRaw(t, "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n")
+	require.Error(t, err, "%q", body)
+	require.True(t, reply.Sent)
+}
+
 // Guards against a sound answer that is lost.
 func TestSoundAnswerIsRead(t *testing.T) {
 	for _, answer := range []string{
--- a/internal/peer/upstream/source.go
+++ b/internal/peer/upstream/source.go
@@ -1,22 +1,33 @@
 package upstream
 
-import "net"
+import (
+	"net"
+
+	"cicadaloom/internal/peer/httpanswer"
+)
 
 // source reads from a connection, up to a limit while the head of an answer is read.
 type source struct {
 	conn      net.Conn
 	isLimited bool
 	remaining int
+	// head is the head of the answer that is being read.
+	head httpanswer.Head
 }
 
-// limit bounds what is read from now on.
-func (s *source) limit(n int) {
+// beginHead bounds what is read from now on.
+func (s *source) beginHead(limit int) {
 	s.isLimited = true
-	s.remaining = n
+	s.remaining = limit
+	s.head = httpanswer.Head{}
 }
 
-func (s *source) unlimit() {
+// endHead removes the bound, and returns the head that was read.
+func (s *source) endHead() httpanswer.Head {
+	head := s.head
 	s.isLimited = false
+	s.head = httpanswer.Head{}
+	return head
 }
 
 // Read implements io.Reader. The error is ErrHeadTooLong beyond the limit.
@@ -29,5 +40,6 @@
 	}
 	n, err := s.conn.Read(buffer[:min(len(buffer), s.remaining)])
 	s.remaining -= n
+	s.head.Add(buffer[:n])
 	return n, err
 }
--- a/internal/peer/upstream/upstream.go
+++ b/internal/peer/upstream/upstream.go
@@ -269,15 +269,15 @@
 	if err := e.writeRequest(request); err != nil {
 		return err
 	}
-	e.conn.source.limit(maxHeadBytes)
+	e.conn.source.beginHead(maxHeadBytes)
 	response, err := http.ReadResponse(e.conn.reader, &http.Request{Method: request.Method}) //nolint:bodyclose // Close cuts the connection
 	if err != nil {
 		return errors.Wrap(err, "answer")
 	}
-	if err := httpanswer.Check(response); err != nil {
+	head := e.conn.source.endHead()
+	if err := httpanswer.Check(response, &head); err != nil {
 		return errors.Wrap(err, "answer")
 	}
-	e.conn.source.unlimit()
 	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 		response.Body = &closeDelimitedBody{
 			ReadCloser: response.Body,
--- a/internal/traffic/relay/invalid_answer_test.go
+++ b/internal/traffic/relay/invalid_answer_test.go
@@ -119,6 +119,13 @@
 	}
 }
 
+// Guards against chunks in an answer of HTTP/1.0, which has none, that the client gets as the body.
+func TestChunksOfOldVersionAreNoAnswer(t *testing.T) {
+	requireNoAnswer(t, unsafeRoute(), newRawAnswer("HTTP/1.0 200 OK", chunkField, "2\r\nok\r\n0\r\n\r\n"))
+	requireNoAnswer(t, unsafeRoute(), newRawAnswer("HTTP/1.0 200 OK", chunkField+"Content-Length: 3\r\n", "2\r\nok\r\n0\r\n\r\n"))
+	requireNoAnswer(t, streamRoute(false), newRawAnswer("HTTP/1.0 200 OK", streamField+chunkField, "15\r\n"+wholeStream(1)+"\r\n0\r\n\r\n"))
+}
+
 // Guards against an answer with an invalid name in its trailer that the client takes for whole.
 func TestAnswerWithInvalidTrailerIsNotComplete(t *testing.T) {
 	for name, line := range invalidNames {
