relay: Refuse requests whose body or turn comes too late in a planned stop

In a planned stop a request whose header came before the stop, or early in it, and whose body ended late in the grace was passed on to a server and cut at the end (504), among them requests that may not be repeated.

Cause: whether the stop would cut a request was asked once, when its header had been read. Until it is sent its body has to arrive, and it may wait for a server, a slot or a permit. Ruled out: new connections and kept ones late in the grace, 503 before; and serve, whose DrainTimeout is never shorter than MaxDeadline (by reading).

Change: from the instant on at which streams are refused, a request that no server has run is sent only if its deadline is before the end. It is asked when the body has been read, while the request waits, and before each send. The answer is 503, proved not run, with Retry-After and "Connection: close". Requests whose deadline is before the end, and streams that have begun, are served as before.

--- a/internal/traffic/relay/choose.go
+++ b/internal/traffic/relay/choose.go
@@ -60,6 +60,9 @@
 			s.endRefusedSuspect()
 			return nil
 		}
+		if s.refuseIfTooLate() {
+			return nil
+		}
 		criteria.Avoided = s.crashingBuilds
 		changed := s.pool.Changed()
 		var ticket *balance.Ticket
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -305,6 +305,22 @@
 	return now.Add(r.Timeout).After(s.end)
 }
 
+// refuseIfTooLate ends a request that no server has run, if this host stops and would cut it off once
+// it is sent. It reports whether it did. Long after its header a request's body may still arrive, or
+// its turn come.
+func (s *requestState) refuseIfTooLate() bool {
+	stop := s.handler.plannedStop.Load()
+	if stop == nil || !s.handler.Now().After(stop.lastStreamStart) || s.proofNotRun() == "" {
+		return false
+	}
+	if !s.deadline.IsZero() && !s.deadline.After(stop.end) {
+		return false
+	}
+	s.writer.Header().Set("Connection", "close")
+	s.refuse(otherHostRetryAfter, "the host stops")
+	return true
+}
+
 // readBody reads the body in full: a request is sent only once it is complete, and may have
 // to be sent again.
 func (s *requestState) readBody(r *http.Request, limits route.Limits) bool {
--- a/internal/traffic/relay/relay_test.go
+++ b/internal/traffic/relay/relay_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
@@ -325,6 +326,69 @@
 	require.Equal(t, http.StatusServiceUnavailable, short.ask(http.MethodPost, "r2", nil).status)
 }
 
+// Guards against a request whose body ends late in a planned stop and that is sent on, and cut off.
+func TestRequestWhoseBodyEndsLateInPlannedStopIsNotSent(t *testing.T) {
+	for name, c := range map[string]struct {
+		route   route.Route
+		grace   time.Duration
+		allowed bool
+	}{
+		"order":                  {route: unsafeRoute(), grace: time.Second},
+		"repeatable":             {route: safeRoute(), grace: time.Second},
+		"stream":                 {route: streamRoute(true), grace: time.Second},
+		"order, long grace":      {route: unsafeRoute(), grace: 10 * time.Second, allowed: true},
+		"repeatable, long grace": {route: safeRoute(), grace: 10 * time.Second, allowed: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newTestEnv(t, c.route)
+			w.serve("a", answerWith(http.StatusOK, "ran"))
+			text, finish := io.Pipe()
+			r, err := http.NewRequest(http.MethodPost, w.front.URL+"/x", text)
+			require.NoError(t, err)
+			r.Host = "desk.example"
+			r.Header.Set("Id", "r1")
+			answered := make(chan *http.Response, 1)
+			go func() {
+				response, err := http.DefaultTransport.RoundTrip(r)
+				assert.NoError(t, err)
+				answered <- response
+			}()
+			_, err = io.WriteString(finish, "the beginning")
+			require.NoError(t, err)
+			require.Eventually(t, func() bool { return w.handler.InFlight() == 1 }, 5*time.Second, time.Millisecond)
+			now := time.Now()
+			w.handler.StopBy(now, now.Add(c.grace))
+			_, err = io.WriteString(finish, " and the end")
+			require.NoError(t, err)
+			require.NoError(t, finish.Close())
+			response := <-answered
+			defer response.Body.Close()
+			if c.allowed {
+				require.Equal(t, http.StatusOK, response.StatusCode)
+				return
+			}
+			require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+			require.NotEmpty(t, response.Header.Get("Retry-After"))
+			require.True(t, response.Close)
+			require.Empty(t, w.arrivals())
+		})
+	}
+}
+
+// Guards against a request that waits for a server until late in a planned stop, and is sent on then.
+func TestRequestThatWaitedUntilLateInPlannedStopIsNotSent(t *testing.T) {
+	w := newTestEnv(t, unsafeRoute())
+	answered := make(chan reply, 1)
+	go func() { answered <- w.ask(http.MethodPost, "r1", nil) }()
+	require.Eventually(t, func() bool { return w.handler.InFlight() == 1 }, 5*time.Second, time.Millisecond)
+	now := time.Now()
+	w.handler.StopBy(now, now.Add(time.Second))
+	w.serve("a", answerWith(http.StatusOK, "ran"))
+	require.Equal(t, http.StatusServiceUnavailable, (<-answered).status)
+	require.Less(t, time.Since(now), time.Second)
+	require.Empty(t, w.arrivals())
+}
+
 // The host must exit while a request is in flight: the request gets its final answer
 // instead of a closed connection.
 func TestShutdownAnswersRequestsInFlight(t *testing.T) {
--- a/internal/traffic/relay/serving.go
+++ b/internal/traffic/relay/serving.go
@@ -125,6 +125,9 @@
 	if d := s.request.Deadline; !d.IsZero() && (s.deadline.IsZero() || d.Before(s.deadline)) {
 		s.deadline = d
 	}
+	if s.refuseIfTooLate() {
+		return
+	}
 	s.service = routetable.PickService(s.route, h.Random())
 	ctx, cancel := s.withDeadline(s.deadline)
 	defer cancel()
@@ -186,6 +189,10 @@
 	if ticket == nil {
 		return false
 	}
+	if s.refuseIfTooLate() {
+		s.dropTicket(ticket)
+		return false
+	}
 	if s.hasLostKey(ctx) {
 		s.dropTicket(ticket)
 		s.endWithoutKey()
