platform, httpsend: Bound what all control answers without end take together

A leader calls all model servers at once. Each answer was bounded (4 MB), their sum was not: 128 reports without end at once took 305 to 389 MiB of heap, more than a host has (284 MB, 144 MB on some). Heads without end, interim answers and trailers were bounded before.

The relay's reader of request bodies, which holds bytes as they arrive, moves to httpsend and serves both. The head of an answer is bounded by 32 kB, as in upstream, and is kept for the check of its framing only if it is one of HTTP/1.0.

--- a/internal/peer/httpanswer/head.go
+++ b/internal/peer/httpanswer/head.go
@@ -5,7 +5,11 @@
 	"strings"
 )
 
-// Head is the head of an answer as it was received. The zero value is empty.
+// oldVersion begins the heads that are kept.
+const oldVersion = "HTTP/1.0"
+
+// Head is the head of an answer as it was received, if that is one of HTTP/1.0. The zero value is
+// empty.
 type Head struct {
 	text       []byte
 	isComplete bool
@@ -18,6 +22,11 @@
 	}
 	searched := max(len(h.text)-len("\n\r"), 0)
 	h.text = append(h.text, received...)
+	if len(h.text) >= len(oldVersion) && !bytes.HasPrefix(h.text, []byte(oldVersion)) {
+		h.text = nil
+		h.isComplete = true
+		return
+	}
 	for _, end := range []string{"\n\n", "\n\r\n"} {
 		if at := bytes.Index(h.text[searched:], []byte(end)); at >= 0 {
 			h.text = h.text[:searched+at]
--- a/internal/peer/httpanswer/head_test.go
+++ b/internal/peer/httpanswer/head_test.go
@@ -25,3 +25,13 @@
 		}
 	}
 }
+
+// Guards against copies of the heads of all answers.
+func TestHeadOfNewVersionIsNotKept(t *testing.T) {
+	var head Head
+	for _, piece := range []string{"HTTP/", "1.1 200 OK\r\n", "TE: x\r\n"} {
+		head.Add([]byte(piece))
+	}
+	require.Empty(t, head.text)
+	require.False(t, head.hasField("te"))
+}
--- a/internal/peer/httpanswer/httpanswer.go
+++ b/internal/peer/httpanswer/httpanswer.go
@@ -45,8 +45,8 @@
 	if err := checkNames(response.Header); err != nil {
 		return err
 	}
-	// The parser drops the field there, and takes the chunks for the body (RFC 9112, 6.1).
-	if !response.ProtoAtLeast(1, 1) && head.hasField("Transfer-Encoding") {
+	// HTTP/1.0 has no chunks: the parser drops the field, and takes them for the body (RFC 9112, 6.1).
+	if head.hasField("Transfer-Encoding") {
 		return errors.New("framing: found a transfer encoding, allowed none in HTTP/1.0")
 	}
 	response.Body = &body{
--- a/internal/peer/httpsend/httpsend.go
+++ b/internal/peer/httpsend/httpsend.go
@@ -45,6 +45,7 @@
 
 	"github.com/pkg/errors"
 
+	"cicadaloom/internal/control/heldbytes"
 	"cicadaloom/internal/peer/httpanswer"
 	"cicadaloom/internal/peer/meter"
 )
@@ -53,21 +54,20 @@
 	idleTimeout               = 30 * time.Second
 	maxIdleConnections        = 4096
 	maxIdleConnectionsPerHost = 128
-	maxHeaderBytes            = 64 << 10
+	maxHeaderBytes            = 32 << 10
 )
 
-// ErrTooLarge says that a body is larger than its limit.
-var ErrTooLarge = errors.New("body larger than allowed")
-
 // Client sends requests. The zero Client is ready to use; it is safe for concurrent
 // use. Close closes its idle connections.
 type Client struct {
 	// Meter counts the bytes of the connections; nil counts nothing. It must be set
 	// before the first request.
-	Meter    *meter.Meter
-	initOnce sync.Once
-	pooled   *http.Transport
-	unpooled *http.Transport
+	Meter *meter.Meter
+	// HeldBytes bounds what is held of all bodies that are being read; nil for no bound.
+	HeldBytes *heldbytes.Budget
+	initOnce  sync.Once
+	pooled    *http.Transport
+	unpooled  *http.Transport
 }
 
 // Request is one request. Address is host:port; Path may have a query.
@@ -204,16 +204,13 @@
 	return built, nil
 }
 
-// ReadBody reads a body to its end. A body longer than limit bytes is ErrTooLarge.
-func ReadBody(body io.Reader, limit int64) ([]byte, error) {
-	read, err := io.ReadAll(io.LimitReader(body, limit+1))
-	if err != nil {
-		return nil, errors.Wrap(err, "body")
-	}
-	if int64(len(read)) > limit {
-		return nil, errors.Wrapf(ErrTooLarge, "more than %d bytes", limit)
-	}
-	return read, nil
+// ReadBody reads the body of a server's answer to its end, up to limit bytes, as far as HeldBytes has
+// room. See ReadHeldBody.
+func (c *Client) ReadBody(server string, response *http.Response, limit int64) ([]byte, error) {
+	hold := c.HeldBytes.Hold()
+	defer hold.Release()
+	hold.UseServer(server)
+	return ReadHeldBody(response.Body, -1, limit, &hold) // an answer to HEAD has a length and no body
 }
 
 // Fetch sends a request and reads the response, up to limit bytes. It returns the
@@ -224,7 +221,7 @@
 		return 0, nil, err
 	}
 	defer func() { _ = reply.Response.Body.Close() }()
-	body, err := ReadBody(reply.Response.Body, limit)
+	body, err := c.ReadBody(request.Address, reply.Response, limit)
 	return reply.Response.StatusCode, body, err
 }
 
--- a/internal/traffic/relay/held.go
+++ b/internal/traffic/relay/held.go
@@ -25,12 +25,9 @@
 	unreadTimeout  = 30 * time.Second
 )
 
-// errNoRoom means that this host holds as many bytes as it may.
-var errNoRoom = errors.New("the host has no memory left for this")
-
 // readAnswerBody reads an answer's body to its end, in parts, so that none is copied and each can be
 // released once it has been written. length is the answer's own word on it, -1 for none. The error
-// is errNoRoom, httpsend.ErrTooLarge, or that of the connection.
+// is httpsend.ErrNoRoom, httpsend.ErrTooLarge, or that of the connection.
 func readAnswerBody(body io.Reader, length int64, hold *heldbytes.Hold) ([][]byte, error) {
 	var parts [][]byte
 	total := int64(0)
@@ -59,7 +56,7 @@
 // readPart reads up to size bytes, and reports whether they are the last ones.
 func readPart(body io.Reader, size int, hold *heldbytes.Hold) ([]byte, bool, error) {
 	if !hold.Grow(size) {
-		return nil, false, errNoRoom
+		return nil, false, httpsend.ErrNoRoom
 	}
 	part := make([]byte, size)
 	filled := 0
@@ -76,44 +73,6 @@
 	return part, false, nil
 }
 
-// readRequestBody reads a request's body of at most limit bytes; length is the client's word on it,
-// -1 for none. The second result is false if the body is longer. The error is errNoRoom or that of
-// the connection.
-func readRequestBody(body io.Reader, length, limit int64, hold *heldbytes.Hold) ([]byte, bool, error) {
-	if length == 0 {
-		return nil, true, nil
-	}
-	size := limit + 1
-	if length > 0 {
-		size = length
-	}
-	var whole []byte
-	for filled := int64(0); ; {
-		if filled == int64(len(whole)) {
-			if filled == size {
-				return whole, length > 0, nil
-			}
-			grown := min(max(2*filled, firstPartBytes), size)
-			if !hold.Grow(int(grown - filled)) {
-				return nil, false, errNoRoom
-			}
-			larger := make([]byte, grown)
-			copy(larger, whole)
-			whole = larger
-		}
-		n, err := body.Read(whole[filled:])
-		filled += int64(n)
-		switch {
-		case errors.Is(err, io.EOF) && length > 0 && filled < length:
-			return nil, false, io.ErrUnexpectedEOF
-		case errors.Is(err, io.EOF):
-			return whole[:filled], filled <= limit, nil
-		case err != nil:
-			return nil, false, err
-		}
-	}
-}
-
 // writeParts writes an answer's body. Each part is released when the client, or the kernel, has it.
 // A client that stops reading is cut off: its answer would be held for as long as it likes.
 func (s *requestState) writeParts(parts [][]byte) {
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -74,6 +74,7 @@
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/domain/request"
 	"cicadaloom/internal/domain/route"
+	"cicadaloom/internal/peer/httpsend"
 	"cicadaloom/internal/peer/upstream"
 )
 
@@ -332,17 +333,17 @@
 		s.refuseBody()
 		return false
 	}
-	body, whole, err := readRequestBody(r.Body, r.ContentLength, limit, &s.hold)
+	body, err := httpsend.ReadHeldBody(r.Body, r.ContentLength, limit, &s.hold)
 	switch {
-	case errors.Is(err, errNoRoom):
+	case errors.Is(err, httpsend.ErrNoRoom):
 		s.refuseForMemory()
 		return false
+	case errors.Is(err, httpsend.ErrTooLarge):
+		s.refuseBody()
+		return false
 	case err != nil:
 		s.abort("body cut: " + err.Error())
 		return false
-	case !whole:
-		s.refuseBody()
-		return false
 	}
 	s.request.Body = body
 	return true
--- a/internal/traffic/relay/send.go
+++ b/internal/traffic/relay/send.go
@@ -228,7 +228,7 @@
 	switch {
 	case ctx.Err() != nil:
 		result.result = balance.Left
-	case errors.Is(err, errNoRoom):
+	case errors.Is(err, httpsend.ErrNoRoom):
 		s.handler.Metrics.recordNoRoom("Answer")
 		result.result = balance.Left // the server is not to blame
 		result.endsRequest = true
--- a/internal/traffic/relay/stream.go
+++ b/internal/traffic/relay/stream.go
@@ -14,6 +14,7 @@
 	"cicadaloom/internal/control/balance"
 	"cicadaloom/internal/control/heldbytes"
 	"cicadaloom/internal/domain/ident"
+	"cicadaloom/internal/peer/httpsend"
 	"cicadaloom/internal/peer/upstream"
 )
 
@@ -171,7 +172,7 @@
 	switch {
 	case ctx.Err() != nil:
 		result.result = balance.Left
-	case errors.Is(err, errNoRoom):
+	case errors.Is(err, httpsend.ErrNoRoom):
 		s.handler.Metrics.recordNoRoom("Event")
 		result.result = balance.Left // the server is not to blame
 		result.endsRequest = true
@@ -188,7 +189,7 @@
 	for {
 		line, err := reader.ReadSlice('\n')
 		if len(event)+len(line) > freeEventBytes && !hold.Grow(len(line)) {
-			return nil, errNoRoom
+			return nil, httpsend.ErrNoRoom
 		}
 		event = append(event, line...)
 		switch {
