host, engine, plain: Bound what serve holds of answers that it is reading

A call that finds no room ends as one whose answer is too large. A reply to the operators' command is bounded too, by 64 MiB.

--- a/internal/command/cicadaloom/client.go
+++ b/internal/command/cicadaloom/client.go
@@ -3,13 +3,13 @@
 import (
 	"bytes"
 	"flag"
-	"io"
 	"net/http"
 	"os"
 	"strings"
 	"time"
 
 	"cicadaloom/internal/command/program"
+	"cicadaloom/internal/peer/httpsend"
 
 	"github.com/pkg/errors"
 )
@@ -18,7 +18,11 @@
 // it would be visible in the process list.
 const tokenVariable = "CICADALOOM_TOKEN"
 
-const clientTimeout = 30 * time.Second
+const (
+	clientTimeout = 30 * time.Second
+	// maxReplyBytes bounds a reply, should the URL be that of another server.
+	maxReplyBytes = 64 << 20
+)
 
 // client sends requests to the administration API of an entry host.
 type client struct {
@@ -61,7 +65,7 @@
 		return reply{}, errors.Wrap(err, "ask the host")
 	}
 	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(response.Body)
+	data, err := httpsend.ReadBody(response.Body, maxReplyBytes)
 	if err != nil {
 		return reply{}, errors.Wrap(err, "ask the host")
 	}
--- a/internal/control/loop/loop.go
+++ b/internal/control/loop/loop.go
@@ -50,6 +50,7 @@
 	"cicadaloom/internal/control/decisions"
 	"cicadaloom/internal/control/demand"
 	"cicadaloom/internal/control/documents"
+	"cicadaloom/internal/control/heldbytes"
 	"cicadaloom/internal/control/membership"
 	"cicadaloom/internal/control/orders"
 	"cicadaloom/internal/control/reports"
@@ -88,6 +89,8 @@
 	Metrics *metrics.Set
 	// Decisions records moves, so that operators can ask for them; nil records none.
 	Decisions *decisions.Log
+	// HeldBytes bounds the reports that are being read; nil for no bound.
+	HeldBytes *heldbytes.Budget
 }
 
 // Limits of the loop.
@@ -211,6 +214,8 @@
 	l.pool.Meter = newMeter(options.Metrics, "hosts")
 	l.engines.UseMeter(newMeter(options.Metrics, "servers"))
 	l.plains.UseMeter(newMeter(options.Metrics, "servers"))
+	l.engines.UseHeldBytes(options.HeldBytes)
+	l.plains.UseHeldBytes(options.HeldBytes)
 	l.list.UseMeter(newMeter(options.Metrics, "list"))
 	return l
 }
--- a/internal/peer/engine/engine.go
+++ b/internal/peer/engine/engine.go
@@ -38,6 +38,7 @@
 
 	"github.com/pkg/errors"
 
+	"cicadaloom/internal/control/heldbytes"
 	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/peer/httpsend"
@@ -71,6 +72,12 @@
 	c.http.Meter = connMeter
 }
 
+// UseHeldBytes bounds what the client holds of the bodies that it is reading; streams are not held. It
+// must be called before the first request.
+func (c *Client) UseHeldBytes(budget *heldbytes.Budget) {
+	c.http.HeldBytes = budget
+}
+
 // Call is one chat completion request to one engine.
 type Call struct {
 	// Body is the request as the caller sent it, in the OpenAI format.
@@ -120,7 +127,7 @@
 		cancel()
 		return nil, err
 	}
-	return newStream(ctx, cancel, reply.Response, &call), nil
+	return c.newStream(ctx, cancel, address, reply.Response, &call), nil
 }
 
 func (c *Call) header() http.Header {
--- a/internal/peer/engine/stream.go
+++ b/internal/peer/engine/stream.go
@@ -76,6 +76,8 @@
 type Stream struct {
 	ctx         context.Context
 	cancel      context.CancelFunc
+	http        *httpsend.Client
+	address     string
 	response    *http.Response
 	incarnation ident.Incarnation
 	signals     backend.Signals
@@ -90,10 +92,12 @@
 	finalErr           error
 }
 
-func newStream(ctx context.Context, cancel context.CancelFunc, response *http.Response, call *Call) *Stream {
+func (c *Client) newStream(ctx context.Context, cancel context.CancelFunc, address string, response *http.Response, call *Call) *Stream {
 	stream := &Stream{
 		ctx:         ctx,
 		cancel:      cancel,
+		http:        &c.http,
+		address:     address,
 		response:    response,
 		incarnation: ident.Incarnation(response.Header.Get(engineapi.HeaderIncarnation)),
 		signals:     engineapi.ParseSignals(response.Header),
@@ -185,7 +189,7 @@
 	if s.contentReceived {
 		return End{}, nil
 	}
-	body, err := httpsend.ReadBody(s.response.Body, maxWholeBytes)
+	body, err := s.http.ReadBody(s.address, s.response, maxWholeBytes)
 	if err != nil {
 		return nil, s.classifyReadError(err)
 	}
@@ -206,7 +210,7 @@
 	if s.ctx.Err() != nil {
 		return errors.Wrap(context.Cause(s.ctx), "answer given up")
 	}
-	if errors.Is(err, bufio.ErrTooLong) || errors.Is(err, httpsend.ErrTooLarge) {
+	if errors.Is(err, bufio.ErrTooLong) || errors.Is(err, httpsend.ErrTooLarge) || errors.Is(err, httpsend.ErrNoRoom) {
 		return errors.Wrap(ErrMalformedStream, err.Error())
 	}
 	return errors.Wrap(ErrTruncatedStream, err.Error())
--- a/internal/peer/plain/plain.go
+++ b/internal/peer/plain/plain.go
@@ -34,6 +34,7 @@
 
 	"github.com/pkg/errors"
 
+	"cicadaloom/internal/control/heldbytes"
 	"cicadaloom/internal/domain/backend"
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/peer/httpsend"
@@ -63,6 +64,12 @@
 	c.http.Meter = connMeter
 }
 
+// UseHeldBytes bounds what the client holds of the bodies that it is reading. It must be called before
+// the first request.
+func (c *Client) UseHeldBytes(budget *heldbytes.Budget) {
+	c.http.HeldBytes = budget
+}
+
 // Request is a caller's request to forward.
 type Request struct {
 	Method string
@@ -102,26 +109,26 @@
 	if err != nil {
 		return nil, httpsend.NewUnanswered(reply, err)
 	}
-	return request.readAnswer(reply.Response)
+	return c.readAnswer(address, request, reply.Response)
 }
 
 // readAnswer reads a response, which must be complete and belong to this request. A
 // response with the id of another request proves nothing about this one, whatever it
 // says.
-func (r *Request) readAnswer(response *http.Response) (*Answer, *Refusal) {
+func (c *Client) readAnswer(address string, request *Request, response *http.Response) (*Answer, *Refusal) {
 	defer func() { _ = response.Body.Close() }()
 	answeredID := response.Header.Get(engineapi.HeaderRequest)
-	if answeredID != "" && answeredID != string(r.RequestID) {
+	if answeredID != "" && answeredID != string(request.RequestID) {
 		return nil, &Refusal{
 			Status: response.StatusCode,
 			Sent:   true,
-			Cause:  errors.Wrapf(ErrMismatchedAnswer, "request %q answered as %q", r.RequestID, answeredID),
+			Cause:  errors.Wrapf(ErrMismatchedAnswer, "request %q answered as %q", request.RequestID, answeredID),
 		}
 	}
 	if httpsend.HasNotRunProof(response) {
 		return nil, httpsend.ReadRefusal(response, true)
 	}
-	body, err := httpsend.ReadBody(response.Body, maxAnswerBytes)
+	body, err := c.http.ReadBody(address, response, maxAnswerBytes)
 	if err != nil {
 		return nil, &Refusal{
 			Status: response.StatusCode,
--- a/internal/traffic/host/host.go
+++ b/internal/traffic/host/host.go
@@ -37,6 +37,7 @@
 
 	"cicadaloom/internal/config/settings"
 	"cicadaloom/internal/control/decisions"
+	"cicadaloom/internal/control/heldbytes"
 	"cicadaloom/internal/control/loop"
 	"cicadaloom/internal/control/routing"
 	"cicadaloom/internal/peer/caller"
@@ -63,8 +64,10 @@
 	peers         *entryhost.Server
 	engines       *engine.Client
 	plainServices *plain.Client
-	drain         drain
-	lameDuck      time.Duration
+	// heldBytes bounds the bodies that are being read from backend servers.
+	heldBytes *heldbytes.Budget
+	drain     drain
+	lameDuck  time.Duration
 	// settleTimeout limits how long a stop waits for the last writes to claims.
 	settleTimeout time.Duration
 }
@@ -92,7 +95,10 @@
 		lameDuck:      loaded.Callers.LameDuck,
 		engines:       &engine.Client{},
 		plainServices: &plain.Client{},
+		heldBytes:     newHeldBytes(),
 	}
+	h.engines.UseHeldBytes(h.heldBytes)
+	h.plainServices.UseHeldBytes(h.heldBytes)
 	if err := h.start(loaded, log); err != nil {
 		_ = h.Stop(context.Background())
 		return nil, err
@@ -116,6 +122,7 @@
 		Log:       log,
 		Metrics:   h.metrics,
 		Decisions: h.decisions,
+		HeldBytes: h.heldBytes,
 	})
 	peers := &entryhost.Server{
 		Handler: h.control,
