gateway, streams: Take one build for the only one only after a fresh read

During a release a host that was out of step (cut off, or standing still) went on with streams of the new version at a server of the old one. Callers got one answer with pieces of two versions (ORDER), and neither side noticed.

Cause: a host that finds no origin for a stream took the one build that it knew for the only one: at once if its view had been fresh for a minute (View.OnlyBuild), else if no keeper knew better, and that no keeper answered was enough (Conclude). But a view is fresh by the last word heard, up to some seconds ago: a host that has just been cut off, or suspended, does not know it yet. The checks of the view's age and of the clock that goes on in a suspension could not see that either.

Change: nothing is concluded from a view alone. If a host knows of one build, it reads the history of builds after the request has come; a server's build is recorded there before it gets requests. Where that can't be read a keeper has to answer, who tries to read it too. Else the stream is refused at once, and its client finds a host in step. OnlyBuild, FreshSince and what kept them are gone. The field Fresh of the log line says now whether the history was read.

--- a/internal/control/streams/streams_test.go
+++ b/internal/control/streams/streams_test.go
@@ -212,31 +212,29 @@
 		}
 	}
 	for name, c := range map[string]struct {
-		builds []ident.Build
-		fresh  bool
+		builds    []ident.Build
+		confirmed bool
 		// unrecorded tells that there is no history of builds.
 		unrecorded bool
 		answers    []Answer
 		build      ident.Build
 	}{
-		"nobody knows, one build, no history":    {builds: []ident.Build{"v1"}, fresh: true, unrecorded: true, answers: []Answer{of("v1")}},
-		"a keeper knows":                         {builds: []ident.Build{"v1", "v2"}, fresh: true, answers: []Answer{of("v1", "v2"), known}, build: "v2"},
-		"a keeper knows, own view outdated":      {builds: []ident.Build{"v1"}, answers: []Answer{known}, build: "v2"},
-		"nobody knows, two builds":               {builds: []ident.Build{"v1", "v2"}, fresh: true, answers: []Answer{of("v1", "v2")}},
-		"nobody knows, one build":                {builds: []ident.Build{"v1"}, fresh: true, answers: []Answer{of("v1")}, build: "v1"},
-		"nobody knows, a keeper saw two builds":  {builds: []ident.Build{"v2"}, fresh: true, answers: []Answer{of("v1", "v2")}},
-		"nobody knows, a keeper saw another one": {builds: []ident.Build{"v2"}, fresh: true, answers: []Answer{of("v1")}},
-		"nobody answers, one build":              {builds: []ident.Build{"v1"}, fresh: true, build: "v1"},
-		"nobody answers, own view outdated":      {builds: []ident.Build{"v1"}},
-		"nobody knows, own view outdated":        {builds: []ident.Build{"v1"}, answers: []Answer{of("v1")}, build: "v1"},
-		"no server is known":                     {fresh: true},
+		"nobody knows, one build, no history":    {builds: []ident.Build{"v1"}, confirmed: true, unrecorded: true, answers: []Answer{of("v1")}},
+		"a keeper knows":                         {builds: []ident.Build{"v1", "v2"}, confirmed: true, answers: []Answer{of("v1", "v2"), known}, build: "v2"},
+		"a keeper knows, own view not confirmed": {builds: []ident.Build{"v1"}, answers: []Answer{known}, build: "v2"},
+		"nobody knows, two builds":               {builds: []ident.Build{"v1", "v2"}, confirmed: true, answers: []Answer{of("v1", "v2")}},
+		"nobody knows, one build":                {builds: []ident.Build{"v1"}, confirmed: true, answers: []Answer{of("v1")}, build: "v1"},
+		"nobody knows, a keeper saw two builds":  {builds: []ident.Build{"v2"}, confirmed: true, answers: []Answer{of("v1", "v2")}},
+		"nobody knows, a keeper saw another one": {builds: []ident.Build{"v2"}, confirmed: true, answers: []Answer{of("v1")}},
+		"nobody answers, one build":              {builds: []ident.Build{"v1"}, confirmed: true, build: "v1"},
+		"nobody answers, own view not confirmed": {builds: []ident.Build{"v1"}},
+		"nobody knows, own view not confirmed":   {builds: []ident.Build{"v1"}, answers: []Answer{of("v1")}, build: "v1"},
+		"no server is known":                     {confirmed: true},
 	} {
 		view := View{
-			Builds:     c.builds,
-			HasHistory: !c.unrecorded,
-		}
-		if c.fresh {
-			view.FreshSince = start
+			Builds:      c.builds,
+			HasHistory:  !c.unrecorded,
+			IsConfirmed: c.confirmed,
 		}
 		found, isFound := Conclude("s", &view, c.answers)
 		require.Equal(t, c.build != "", isFound, name)
@@ -244,22 +242,6 @@
 	}
 }
 
-// Guards against a host that trusts its own view before it has followed the servers for long enough.
-func TestOnlyBuildNeedsLongView(t *testing.T) {
-	view := View{
-		Builds:     []ident.Build{"v1"},
-		FreshSince: start,
-	}
-	_, isOnly := view.OnlyBuild(start.Add(Retention - 1))
-	require.False(t, isOnly)
-	build, isOnly := view.OnlyBuild(start.Add(Retention))
-	require.True(t, isOnly)
-	require.Equal(t, ident.Build("v1"), build)
-	view.FreshSince = time.Time{}
-	_, isOnly = view.OnlyBuild(start.Add(Retention))
-	require.False(t, isOnly)
-}
-
 // BenchmarkStream has some 11 streams a second at each host, and the interval between deliveries of
 // a fleet of that size.
 func BenchmarkStream(b *testing.B) {
--- a/internal/control/streams/view.go
+++ b/internal/control/streams/view.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"cicadaloom/internal/domain/ident"
 )
@@ -11,20 +10,12 @@
 type View struct {
 	// Builds are those that serve, or whose last server left within Retention.
 	Builds []ident.Build
-	// FreshSince is since when the host has followed all changes of servers; zero while it
-	// doesn't.
-	FreshSince time.Time
 	// HasHistory is whether Builds include those of the service's History.
 	HasHistory bool
-}
-
-// OnlyBuild returns the build that began any stream a client may still resume, if the host can
-// tell without asking others: it has known one build only for long enough.
-func (v *View) OnlyBuild(now time.Time) (ident.Build, bool) {
-	if len(v.Builds) != 1 || v.FreshSince.IsZero() || now.Sub(v.FreshSince) < Retention {
-		return "", false
-	}
-	return v.Builds[0], true
+	// IsConfirmed is whether the History was read after the view was asked for. Any other view may
+	// lack a build that has begun streams meanwhile: the host may be cut off, or have been
+	// suspended, and not know it yet.
+	IsConfirmed bool
 }
 
 // Answer is a keeper's answer to the question for a stream's origin.
@@ -39,7 +30,7 @@
 // the stream's keepers. If none of them knows the stream it began at the only build that has
 // served lately, since the origins of other streams are sent to them. The second result is false
 // if that doesn't follow: several builds have served, the host doesn't know which ones have, or its
-// view is outdated and no keeper answers.
+// view is not confirmed and no keeper answers.
 func Conclude(service ident.ServiceName, view *View, answers []Answer) (Origin, bool) {
 	builds := slices.Clone(view.Builds)
 	for i := range answers {
@@ -50,7 +41,7 @@
 	}
 	slices.Sort(builds)
 	builds = slices.Compact(builds)
-	if len(builds) != 1 || !view.HasHistory || view.FreshSince.IsZero() && len(answers) == 0 {
+	if len(builds) != 1 || !view.HasHistory || !view.IsConfirmed && len(answers) == 0 {
 		return Origin{}, false
 	}
 	return Origin{
--- a/internal/host/gateway/control.go
+++ b/internal/host/gateway/control.go
@@ -170,7 +170,6 @@
 	c.checkTickDelay(now)
 	c.endTermIfCutOff()
 	c.updateInventoryFreshness(now)
-	c.streams.recordView(c.isInTouch())
 	if now.Sub(c.gauges.updatedAt) > time.Second {
 		c.forgetMissingHosts(now)
 		for _, pool := range c.pools {
--- a/internal/host/gateway/streams.go
+++ b/internal/host/gateway/streams.go
@@ -40,40 +40,8 @@
 	stored        *metrics.Counter
 	storeFailures *metrics.Counter
 	// history is that of the key-value service's entry.
-	history atomic.Pointer[streams.History]
-	// freshNanos is since when this host's view of the servers has been fresh, by steadyNanos; 0
-	// while it isn't. checkedBootNanos is when that was last checked, by bootNanos.
-	freshNanos       atomic.Int64
-	checkedBootNanos atomic.Int64
-}
-
-// recordView records whether this host follows the changes of servers.
-func (s *streamOrigins) recordView(isFresh bool) {
-	s.checkedBootNanos.Store(bootNanos())
-	switch {
-	case !isFresh:
-		s.freshNanos.Store(0)
-	case s.freshNanos.Load() == 0:
-		s.freshNanos.Store(steadyNanos())
-	}
-}
-
-// maxViewCheckAge is how long ago the view must have been checked. A host that was suspended
-// doesn't know what has changed meanwhile.
-const maxViewCheckAge = 4 * idleTickInterval
-
-// freshSince returns since when the view has been fresh, for a host whose view was fresh when it was
-// last checked; zero if that is too long ago.
-func (s *streamOrigins) freshSince(now time.Time) time.Time {
-	checked := s.checkedBootNanos.Load()
-	if checked != 0 && bootNanos()-checked > int64(maxViewCheckAge) {
-		return time.Time{}
-	}
-	since := s.freshNanos.Load()
-	if since == 0 {
-		return now
-	}
-	return now.Add(time.Duration(since - steadyNanos()))
+	history      atomic.Pointer[streams.History]
+	historyReads historyReads
 }
 
 // loadHistory returns the history of builds, nil while it isn't known.
@@ -132,11 +100,16 @@
 // FindOrigin implements streampeer.Handler.
 func (g *Gateway) FindOrigin(id streams.ID, service ident.ServiceName) streams.Answer {
 	now := time.Now()
-	origin, known := g.streams.ledger.Find(now, id)
+	if origin, known := g.streams.ledger.Find(now, id); known {
+		return streams.Answer{
+			Known:  true,
+			Origin: origin,
+			Builds: g.buildsOf(now, service, g.Pool(service)),
+		}
+	}
+	view := g.confirmBuilds(g.context(), service, historyForPeerTimeout)
 	return streams.Answer{
-		Known:  known,
-		Origin: origin,
-		Builds: g.buildsOf(now, service, g.Pool(service)),
+		Builds: view.Builds,
 	}
 }
 
@@ -145,23 +118,12 @@
 func (g *Gateway) FindStream(ctx context.Context, began ident.RequestID, service ident.ServiceName) (streams.Origin, bool) {
 	id := streams.IDOf(began)
 	g.awaitServers(ctx, service)
-	own := g.FindOrigin(id, service)
-	if own.Known {
-		return own.Origin, true
-	}
-	now := time.Now()
-	view := streams.View{
-		Builds:     own.Builds,
-		HasHistory: g.streams.loadHistory().Has(service),
-	}
-	if g.isInTouch() {
-		view.FreshSince = g.streams.freshSince(now)
+	if origin, known := g.streams.ledger.Find(time.Now(), id); known {
+		return origin, true
 	}
-	if build, isOnly := view.OnlyBuild(now); isOnly {
-		return streams.Origin{
-			Service: service,
-			Build:   build,
-		}, true
+	view := g.confirmBuilds(ctx, service, historyTimeout)
+	if origin, known := streams.Conclude(service, &view, nil); known {
+		return origin, true
 	}
 	origin, known := streams.Conclude(service, &view, g.askKeepers(ctx, id, service))
 	if !known {
@@ -169,7 +131,7 @@
 	}
 	if !known {
 		g.log.Info("stream's build can't be found", zap.String("ResumedRequest", string(began)), zap.String("Service", string(service)),
-			zap.Int("Builds", len(view.Builds)), zap.Bool("HasHistory", view.HasHistory), zap.Bool("Fresh", !view.FreshSince.IsZero()))
+			zap.Int("Builds", len(view.Builds)), zap.Bool("HasHistory", view.HasHistory), zap.Bool("Fresh", view.IsConfirmed))
 	}
 	return origin, known
 }
--- a/internal/host/gateway/streams_lost_test.go
+++ b/internal/host/gateway/streams_lost_test.go
@@ -154,16 +154,35 @@
 	f.eventually(func() bool { return f.take("a", "r1", "", 0, 1).status == http.StatusOK }, "v2 is used")
 }
 
-// Guards against a host that was suspended and takes the builds that it saw before for all there are.
+// Guards against a host that was suspended, or was cut off just now, and takes the builds that it saw
+// before for all there are.
 func TestHostThatWasSuspendedDoesNotTrustItsView(t *testing.T) {
 	f := startStreamFleet(t, []ident.Build{"v1"}, "a")
-	origins := &f.hosts["a"].streams
-	f.eventually(func() bool { return f.hosts["a"].isInTouch() }, "a reads the service")
-	f.eventually(func() bool { return !origins.freshSince(time.Now()).IsZero() }, "the view is fresh")
-	suspended := &streamOrigins{}
-	suspended.recordView(true)
-	suspended.checkedBootNanos.Add(-int64(maxViewCheckAge))
-	require.Zero(t, suspended.freshSince(time.Now()))
+	f.eventually(func() bool { return f.hosts["a"].isInTouch() && f.hosts["a"].streams.loadHistory().Has("old") }, "a reads the service")
+	_, known := f.hosts["a"].FindStream(t.Context(), "r1", "old")
+	require.True(t, known)
+	f.keyValue.setUnavailable("a", true)
+	require.True(t, f.hosts["a"].isInTouch(), "by what it knows")
+	_, known = f.hosts["a"].FindStream(t.Context(), "r1", "old")
+	require.False(t, known)
+}
+
+// Guards against requests that share a read of the history that began before they asked.
+func TestHistoryReadBeginsAfterItsRequest(t *testing.T) {
+	var reads historyReads
+	first, mustStart := reads.join()
+	require.True(t, mustStart)
+	again, mustStart := reads.join()
+	require.False(t, mustStart)
+	require.Same(t, first, again)
+	require.Same(t, first, reads.begin())
+	second, mustStart := reads.join()
+	require.False(t, mustStart, "the goroutine goes on")
+	require.NotSame(t, first, second)
+	require.Same(t, second, reads.begin())
+	require.Nil(t, reads.begin())
+	_, mustStart = reads.join()
+	require.True(t, mustStart)
 }
 
 // Guards against a history whose entry can't be read and is taken for one without builds.
--- a/internal/host/gateway/streams_test.go
+++ b/internal/host/gateway/streams_test.go
@@ -183,7 +183,7 @@
 	begun := f.begin("a", 1)
 	f.serveBuild("v2", "v2-one")
 	f.serveBuild("v2", "v2-two")
-	f.eventually(func() bool { return len(f.hosts["b"].FindOrigin(0, "old").Builds) == 2 }, "b knows both")
+	f.eventually(func() bool { return f.hosts["b"].buildCount("old") == 2 }, "b knows both")
 	f.eventually(func() bool { return f.hosts["b"].streams.ledger.Len() == len(begun) }, "b keeps the origins")
 	f.kill("a")
 	f.requireGoesOn("b", begun)
@@ -258,7 +258,7 @@
 // with other software.
 func TestServerBackWithOtherSoftwareGetsNoOldStream(t *testing.T) {
 	f := startStreamFleet(t, []ident.Build{"v1"}, "a", "b", "c")
-	f.eventually(func() bool { return len(f.hosts["a"].FindOrigin(0, "old").Builds) == 1 }, "a knows the build")
+	f.eventually(func() bool { return f.hosts["a"].buildCount("old") == 1 }, "a knows the build")
 	f.keyValue.delete("servers/v1-two")
 	begun := f.begin("a", 1)
 	back := f.serveBuild("v2", "v1-one")
@@ -269,7 +269,7 @@
 		Build:   "v2",
 	})
 	for _, host := range []string{"a", "b", "c"} {
-		f.eventually(func() bool { return slices.Contains(f.hosts[host].FindOrigin(0, "old").Builds, "v2") }, host)
+		f.eventually(func() bool { return slices.Contains(f.hosts[host].Pool("old").RunningBuilds(), "v2") }, host)
 		f.requireRefused(host, begun)
 	}
 }
@@ -298,3 +298,45 @@
 		}
 	}
 }
+
+// isolate cuts a host off from its peers and from the key-value service.
+func (f *fleet) isolate(host string) {
+	f.keyValue.setUnavailable(host, true)
+	require.NoError(f.t, f.hosts[host].peerServer.Stop())
+	f.hosts[host].peers.Close()
+}
+
+// beginAt begins streams at a host until some have begun at a build, and returns those.
+func (f *fleet) beginAt(host string, build ident.Build) map[string]ident.Build {
+	begun := make(map[string]ident.Build)
+	for n := 0; len(of(begun, build)) < 4; n++ {
+		id := host + "-" + strconv.Itoa(n)
+		begun[id] = f.take(host, id, "", 0, 5).build
+	}
+	return of(begun, build)
+}
+
+// Guards against a stream of a build that has just joined, and that goes on at another build at a host
+// that is out of step and doesn't know that build.
+func TestHostOutOfStepGuessesNoBuild(t *testing.T) {
+	for name, isBack := range map[string]bool{"CutOff": false, "BackJustNow": true} {
+		t.Run(name, func(t *testing.T) {
+			f := startStreamFleet(t, []ident.Build{"v1"}, "a", "b", "c")
+			f.eventually(func() bool { return f.hosts["b"].isInTouch() && f.hosts["b"].streams.loadHistory().Has("old") }, "b knows v1")
+			f.isolate("b")
+			f.serveBuild("v2", "v2-one")
+			begun := f.beginAt("a", "v2")
+			if isBack {
+				f.keyValue.setUnavailable("b", false)
+			}
+			for id := range begun {
+				askedAt := time.Now()
+				again := f.take("b", id+"-again", id, 5, 10)
+				require.NotEqual(t, ident.Build("v1"), again.build, "events of another build")
+				require.True(t, again.status == http.StatusOK && again.build == "v2" || again.status == http.StatusServiceUnavailable, "%d", again.status)
+				require.Less(t, time.Since(askedAt), time.Second)
+				again.close()
+			}
+		})
+	}
+}
