gateway: Confirm the server that goes on with a stream also while one build is known

A server that came back at its address with a new version got streams of its former one from a host that had not heard of the change yet, if the host knew of one build only.

Cause: the entry of the server that goes on with a stream is read before its first event is passed on, but only while the host knows of several builds. The first server of a new build is the one of which it doesn't know.

If it can't be read then, the server counts as the one that was chosen, as before: otherwise no stream would go on in an outage of the service.

--- a/internal/host/gateway/streams.go
+++ b/internal/host/gateway/streams.go
@@ -158,20 +158,25 @@
 // confirmTimeout bounds the read of a server's entry.
 const confirmTimeout = 700 * time.Millisecond
 
-// ConfirmServer implements relay.ControlPlane. Where several builds serve it reads the server's entry,
-// which may be newer than what this host has been told. A server without an entry has left, and is
-// the one that was chosen. If the entry can't be read the client may find a host that can.
+// ConfirmServer implements relay.ControlPlane. It reads the server's entry, which may be newer than what
+// this host has heard. A server without an entry has left, and is the one that was chosen. If the entry
+// can't be read and several builds serve, the client may find a host that can.
 func (g *Gateway) ConfirmServer(ctx context.Context, service ident.ServiceName, server ident.ServerName, incarnation ident.Incarnation) bool {
-	if !g.streams.ledger.IsMixed(service) {
-		return true
+	isMixed := g.streams.ledger.IsMixed(service)
+	if !isMixed && !g.isInTouch() {
+		return true // in an outage no build joins
 	}
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	timeout := confirmTimeout
+	if !isMixed {
+		timeout = historyTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	key := g.options.Layout.RegistrationPrefix + string(server)
 	listing, err := g.options.KeyValue.List(ctx, key)
 	if err != nil {
 		g.log.Info("server's entry can't be read", zap.String("Server", string(server)), zap.Error(err))
-		return false
+		return !isMixed
 	}
 	for i := range listing.Entries {
 		if listing.Entries[i].Key != key {
--- a/internal/host/gateway/streams_test.go
+++ b/internal/host/gateway/streams_test.go
@@ -340,3 +340,25 @@
 		})
 	}
 }
+
+// Guards against a stream of the only build that a host knows, and that goes on at a server that has
+// come back with another one.
+func TestServerBackWithFirstOtherSoftwareGetsNoOldStream(t *testing.T) {
+	f := startStreamFleet(t, nil, "a")
+	back := &buildServer{
+		build: "v1",
+	}
+	back.server = httptest.NewServer(back)
+	t.Cleanup(back.server.Close)
+	back.announce(f, "back")
+	f.eventually(func() bool { return f.hosts["a"].isInTouch() && f.hosts["a"].streams.loadHistory().Has("old") }, "a knows v1")
+	begun := f.begin("a", 1)
+	f.keyValue.setSilent(true)
+	back.restart("v2")
+	back.announce(f, "back")
+	for id := range begun {
+		again := f.take("a", id+"-again", id, 5, 10)
+		require.Empty(t, again.build, "events of another build")
+		again.close()
+	}
+}
