httpsend: Split the reading of bodies

For the linter, which found it too long, and a directive that is not needed any more. TestBodyIsReadWholeOrNotAtAll and TestBodyWithoutRoomIsNotRead check the reader itself.

--- a/internal/peer/httpsend/body.go
+++ b/internal/peer/httpsend/body.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"math"
 
 	"github.com/pkg/errors"
 
@@ -32,40 +31,48 @@
 	if length == 0 {
 		return nil, nil
 	}
-	if length > limit {
-		return nil, errors.Wrapf(ErrTooLarge, "more than %d bytes", limit)
-	}
 	size := length
 	if length < 0 {
-		size = min(limit, math.MaxInt64-1) + 1 // the last byte is one too many
+		size = limit + 1 // the last byte is one too many
+	}
+	if length > limit {
+		return nil, errors.Wrapf(ErrTooLarge, "more than %d bytes", limit)
 	}
 	var whole []byte
-	for filled := int64(0); ; {
+	filled := int64(0)
+	for filled < size {
 		if filled == int64(len(whole)) {
-			if filled == size {
-				break
-			}
-			grown := min(max(2*filled, firstPartBytes), size)
-			if !hold.Grow(int(grown - filled)) {
+			if whole = growBody(whole, size, hold); whole == nil {
 				return nil, ErrNoRoom
 			}
-			larger := make([]byte, grown)
-			copy(larger, whole)
-			whole = larger
 		}
 		n, err := body.Read(whole[filled:])
 		filled += int64(n)
-		switch {
-		case errors.Is(err, io.EOF) && length > 0 && filled < length:
-			return nil, errors.Wrap(io.ErrUnexpectedEOF, "body")
-		case errors.Is(err, io.EOF) && filled <= limit:
-			return whole[:filled], nil
-		case err != nil && !errors.Is(err, io.EOF):
+		if err != nil && !errors.Is(err, io.EOF) {
 			return nil, errors.Wrap(err, "body")
 		}
+		if err != nil {
+			break
+		}
 	}
-	if length < 0 {
+	switch {
+	case filled < length:
+		return nil, errors.Wrap(io.ErrUnexpectedEOF, "body")
+	case filled > limit:
 		return nil, errors.Wrapf(ErrTooLarge, "more than %d bytes", limit)
+	default:
+		return whole[:filled], nil
+	}
+}
+
+// growBody returns a copy of a body with room for more, up to size bytes; nil if the hold has no room.
+func growBody(whole []byte, size int64, hold *heldbytes.Hold) []byte {
+	filled := int64(len(whole))
+	grown := min(max(2*filled, firstPartBytes), size)
+	if !hold.Grow(int(grown - filled)) {
+		return nil
 	}
-	return whole, nil
+	larger := make([]byte, grown)
+	copy(larger, whole)
+	return larger
 }
--- a/internal/peer/httpsend/httpsend.go
+++ b/internal/peer/httpsend/httpsend.go
@@ -120,7 +120,7 @@
 	if err != nil {
 		return Reply{}, err
 	}
-	response, err := c.transportFor(&request).RoundTrip(built) //nolint:bodyclose // the caller closes it
+	response, err := c.transportFor(&request).RoundTrip(built)
 	reply := Reply{
 		Sent: connected.Load() != nil,
 	}
--- a/internal/peer/httpsend/httpsend_test.go
+++ b/internal/peer/httpsend/httpsend_test.go
@@ -14,6 +14,8 @@
 
 	"github.com/stretchr/testify/require"
 	"gopkg.in/tomb.v2"
+
+	"cicadaloom/internal/control/heldbytes"
 )
 
 // closingServer answers the first request of a connection and closes the connection
@@ -327,3 +329,34 @@
 		require.Equal(t, "ok", string(body))
 	}
 }
+
+// Guards against bodies that are cut off at their limit, or longer than it, or shorter than their
+// length.
+func TestBodyIsReadWholeOrNotAtAll(t *testing.T) {
+	const limit = 5000
+	for size := range limit + 2 {
+		text := strings.Repeat("x", size)
+		for _, length := range []int64{-1, int64(size)} {
+			var hold heldbytes.Hold
+			body, err := ReadHeldBody(strings.NewReader(text), length, limit, &hold)
+			if size > limit {
+				require.ErrorIs(t, err, ErrTooLarge)
+				continue
+			}
+			require.NoError(t, err)
+			require.Equal(t, text, string(body))
+		}
+		var hold heldbytes.Hold
+		_, err := ReadHeldBody(strings.NewReader(text), int64(size)+1, 2*limit, &hold)
+		require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	}
+}
+
+// Guards against a body that is read though there is no room for it.
+func TestBodyWithoutRoomIsNotRead(t *testing.T) {
+	budget := heldbytes.New(64<<10, 64<<10)
+	hold := budget.Hold()
+	defer hold.Release()
+	_, err := ReadHeldBody(strings.NewReader(strings.Repeat("x", 1<<20)), -1, 1<<21, &hold)
+	require.ErrorIs(t, err, ErrNoRoom)
+}
