httpsend, openloop: Let the tools reject what the hosts reject

Change: the checks and the connections of httpsend.Client move to httpsend.Transport, which the load tools and the operators' command use too.

Test: openloop.TestInvalidAnswerCountsAsNone failed before in 2 of 2 and passes now; those of httpsend pass unchanged.

--- a/internal/command/cicadaloom/client.go
+++ b/internal/command/cicadaloom/client.go
@@ -31,9 +31,21 @@
 	http  http.Client
 }
 
+// newHTTPClient returns the client that all commands use.
+func newHTTPClient() http.Client {
+	return http.Client{
+		Timeout: clientTimeout,
+		Transport: httpsend.NewTransport(&http.Transport{
+			Proxy: http.ProxyFromEnvironment,
+		}),
+	}
+}
+
 // declareClientFlags declares the flags of every command that sends requests to a host.
 func declareClientFlags(flags *flag.FlagSet) *client {
-	c := &client{}
+	c := &client{
+		http: newHTTPClient(),
+	}
 	flags.StringVar(&c.base, "operators", "http://127.0.0.1:8081", "the `URL` of the administration of any entry host")
 	flags.StringVar(&c.token, "token", os.Getenv(tokenVariable), "the operator's `token`; better given in "+tokenVariable)
 	return c
@@ -59,7 +71,6 @@
 		request.Header[name] = values
 	}
 	request.Header.Set("Authorization", "Bearer "+c.token)
-	c.http.Timeout = clientTimeout
 	response, err := c.http.Do(request)
 	if err != nil {
 		return reply{}, errors.Wrap(err, "ask the host")
--- a/internal/command/cicadaloom/explain.go
+++ b/internal/command/cicadaloom/explain.go
@@ -113,6 +113,7 @@
 func (e *explainedRequest) explain(to program.Streams, format string) error {
 	asking := client{
 		base: e.gateway,
+		http: newHTTPClient(),
 	}
 	e.query.Set("format", format)
 	got, err := asking.get("/explain?" + e.query.Encode())
--- a/internal/load/counters/counters.go
+++ b/internal/load/counters/counters.go
@@ -44,6 +44,7 @@
 
 	"cicadaloom/internal/domain/ident"
 	"cicadaloom/internal/load/result"
+	"cicadaloom/internal/peer/httpsend"
 )
 
 const (
@@ -155,9 +156,9 @@
 // client opens a new connection for each request: requests are rare, and an idle
 // connection would delay the shutdown of a server.
 var client = &http.Client{
-	Transport: &http.Transport{
+	Transport: httpsend.NewTransport(&http.Transport{
 		DisableKeepAlives: true,
-	},
+	}),
 }
 
 // errUnreachable reports that the request got no response.
--- a/internal/load/fleet/ready.go
+++ b/internal/load/fleet/ready.go
@@ -12,6 +12,7 @@
 
 	"cicadaloom/internal/config/teamdoc"
 	"cicadaloom/internal/load/counters"
+	"cicadaloom/internal/peer/httpsend"
 	"cicadaloom/internal/traffic/host"
 )
 
@@ -24,9 +25,9 @@
 // client opens a new connection for each request: an idle connection would delay
 // the shutdown of a host.
 var client = &http.Client{
-	Transport: &http.Transport{
+	Transport: httpsend.NewTransport(&http.Transport{
 		DisableKeepAlives: true,
-	},
+	}),
 }
 
 // poll calls condition until it returns nil. When the context ends first, poll
--- a/internal/load/openloop/openloop.go
+++ b/internal/load/openloop/openloop.go
@@ -44,6 +44,7 @@
 
 	"cicadaloom/internal/load/demand"
 	"cicadaloom/internal/load/result"
+	"cicadaloom/internal/peer/httpsend"
 )
 
 const (
@@ -95,7 +96,7 @@
 	}
 	defer transport.CloseIdleConnections()
 	s.client = &http.Client{
-		Transport: transport,
+		Transport: httpsend.NewTransport(transport),
 	}
 	s.balancer.targets = make([]target, len(s.Targets))
 	for i, address := range s.Targets {
--- a/internal/load/openloop/openloop_test.go
+++ b/internal/load/openloop/openloop_test.go
@@ -257,6 +257,33 @@
 	require.Equal(t, int64(2), numReceived.Load())
 }
 
+// Guards against answers that are not valid HTTP/1 and count as answered.
+func TestInvalidAnswerCountsAsNone(t *testing.T) {
+	for name, head := range map[string]string{
+		"name with a blank": "HTTP/1.1 200 OK\r\nBad Name: x\r\n",
+		"impossible status": "HTTP/1.1 600 Error\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := w.(http.Hijacker).Hijack()
+				if err != nil {
+					panic(err)
+				}
+				defer conn.Close()
+				_, _ = io.WriteString(conn, head+"Content-Length: 2\r\n\r\nok")
+			}))
+			defer server.Close()
+			var kinds []result.Kind
+			sender := Sender{
+				Targets: []string{server.Listener.Addr().String()},
+				Record:  func(record *result.Record) { kinds = append(kinds, record.Kind) },
+			}
+			require.NoError(t, sender.Run(context.Background(), simultaneousRequests("desk")))
+			require.Equal(t, []result.Kind{result.NoAnswer}, kinds)
+		})
+	}
+}
+
 func TestCancelledRunAbandonsOpenRequests(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
--- a/internal/peer/httpsend/httpsend.go
+++ b/internal/peer/httpsend/httpsend.go
@@ -24,7 +24,8 @@
 //
 // An answer that is not valid HTTP/1 (package httpanswer) is an error: the request may have run.
 // An answer without a length whose connection breaks is not complete: reading its body fails, also
-// if the connection breaks while the request is still being written.
+// if the connection breaks while the request is still being written. Transport does the same for
+// programs that use net/http directly.
 //
 // The package follows no redirects and uses neither a proxy nor HTTP/2: each of these
 // could send a request a second time without the caller's knowledge.
@@ -34,7 +35,6 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -46,7 +46,6 @@
 	"github.com/pkg/errors"
 
 	"cicadaloom/internal/control/heldbytes"
-	"cicadaloom/internal/peer/httpanswer"
 	"cicadaloom/internal/peer/meter"
 )
 
@@ -66,8 +65,8 @@
 	// HeldBytes bounds what is held of all bodies that are being read; nil for no bound.
 	HeldBytes *heldbytes.Budget
 	initOnce  sync.Once
-	pooled    *http.Transport
-	unpooled  *http.Transport
+	pooled    *Transport
+	unpooled  *Transport
 }
 
 // Request is one request. Address is host:port; Path may have a query.
@@ -108,32 +107,22 @@
 // request is written, on every connection that is tried.
 func (c *Client) Send(request Request) (Reply, error) {
 	c.initOnce.Do(c.init)
-	var connected atomic.Pointer[recordingConn]
+	var connected atomic.Bool
 	ctx := httptrace.WithClientTrace(request.Context, &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) {
-			conn := info.Conn.(*recordingConn)
-			conn.beginAnswer()
-			connected.Store(conn)
+		GotConn: func(httptrace.GotConnInfo) {
+			connected.Store(true)
 		},
 	})
 	built, err := buildRequest(ctx, &request)
 	if err != nil {
 		return Reply{}, err
 	}
-	response, err := c.transportFor(&request).RoundTrip(built)
+	response, err := c.transportFor(&request).RoundTrip(built) //nolint:bodyclose // the caller closes it
 	reply := Reply{
-		Sent: connected.Load() != nil,
+		Response: response,
+		Sent:     connected.Load(),
 	}
-	if err != nil {
-		return reply, errors.Wrapf(err, "%s %s", request.Method, request.Address)
-	}
-	head := connected.Load().answerHead()
-	if err := httpanswer.Check(response, &head); err != nil {
-		_ = response.Body.Close() // the answer is dropped
-		return reply, errors.Wrapf(err, "%s %s", request.Method, request.Address)
-	}
-	reply.Response = response
-	return reply, nil
+	return reply, errors.Wrapf(err, "%s %s", request.Method, request.Address)
 }
 
 // Close closes the idle connections.
@@ -149,27 +138,21 @@
 	c.unpooled.DisableKeepAlives = true
 }
 
-func newTransport(connMeter *meter.Meter) *http.Transport {
+func newTransport(connMeter *meter.Meter) *Transport {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	return &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := connMeter.Dial(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return newRecordingConn(conn), nil
-		},
+	return NewTransport(&http.Transport{
+		DialContext:            connMeter.Dial,
 		DisableCompression:     true,
 		IdleConnTimeout:        idleTimeout,
 		MaxIdleConns:           maxIdleConnections,
 		MaxIdleConnsPerHost:    maxIdleConnectionsPerHost,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		Protocols:              protocols,
-	}
+	})
 }
 
-func (c *Client) transportFor(request *Request) *http.Transport {
+func (c *Client) transportFor(request *Request) *Transport {
 	if request.Once || (len(request.Body) == 0 && !isSafe(request.Method)) {
 		return c.unpooled
 	}
