httpanswer: Copy no heads but those of HTTP/1.0

Each answer's first bytes were copied before it was known that they are not needed. Found on reading the change again; behaviour and tests are the same.

--- a/internal/peer/httpanswer/head.go
+++ b/internal/peer/httpanswer/head.go
@@ -20,13 +20,14 @@
 	if h.isComplete {
 		return
 	}
-	searched := max(len(h.text)-len("\n\r"), 0)
-	h.text = append(h.text, received...)
-	if len(h.text) >= len(oldVersion) && !bytes.HasPrefix(h.text, []byte(oldVersion)) {
+	expected := oldVersion[min(len(h.text), len(oldVersion)):]
+	if !strings.HasPrefix(expected, string(received[:min(len(received), len(expected))])) {
 		h.text = nil
 		h.isComplete = true
 		return
 	}
+	searched := max(len(h.text)-len("\n\r"), 0)
+	h.text = append(h.text, received...)
 	for _, end := range []string{"\n\n", "\n\r\n"} {
 		if at := bytes.Index(h.text[searched:], []byte(end)); at >= 0 {
 			h.text = h.text[:searched+at]
