--- a/internal/control/streams/streams.go
+++ b/internal/control/streams/streams.go
@@ -11,8 +11,8 @@
 //
 // A Ledger stores the origins that a host knows: of its own streams, and of those that it keeps for
 // others. It also lists what is yet to be sent to which keeper, or to be stored. View and Conclude
-// decide what follows where a stream's origin is not known. A History has the builds that served
-// before a host started.
+// decide what follows where a stream's origin is not known; a view counts only if it is confirmed, or
+// if a keeper answers. A History has the builds that served before a host started.
 //
 // # Usage
 //
--- a/internal/host/gateway/streams_test.go
+++ b/internal/host/gateway/streams_test.go
@@ -357,6 +357,7 @@
 	back.restart("v2")
 	back.announce(f, "back")
 	for id := range begun {
+		f.eventually(f.hosts["a"].isInTouch, "a reads the service")
 		again := f.take("a", id+"-again", id, 5, 10)
 		require.Empty(t, again.build, "events of another build")
 		again.close()
