--- a/review/fleet2/store.go
+++ b/review/fleet2/store.go
@@ -39,6 +39,10 @@
 	followers map[string]time.Time
 	mux       *http.ServeMux
 	doors     []*http.Server
+	// isSilent tells that the store answers nothing, outages how often it has fallen silent. Calls of that
+	// time get no answer later either.
+	isSilent bool
+	outages  int
 }
 
 const (
@@ -77,6 +81,10 @@
 		ReadHeaderTimeout: time.Minute,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			time.Sleep(storeLatency)
+			if silent, _ := s.silence(); silent {
+				<-r.Context().Done()
+				return
+			}
 			if r.URL.Path == "/cicadaloom/kv-watch" && r.URL.Query().Get("prefix") != "op/config" {
 				s.mu.Lock()
 				s.followers[host] = time.Now()
@@ -106,6 +114,23 @@
 	return found
 }
 
+// setSilent begins or ends an outage in which the store answers nothing.
+func (s *store) setSilent(isSilent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isSilent = isSilent
+	if isSilent {
+		s.outages++
+	}
+}
+
+// silence returns whether the store is silent, and how often it has fallen silent.
+func (s *store) silence() (bool, int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.isSilent, s.outages
+}
+
 func (s *store) close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -244,6 +269,7 @@
 	wait, _ := strconv.ParseInt(r.URL.Query().Get("wait_ms"), 10, 64)
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	isOver := false
+	_, began := s.silence()
 	for {
 		s.mu.Lock()
 		events := []item{}
@@ -254,6 +280,10 @@
 		}
 		revision, changed := s.revision, s.changed
 		s.mu.Unlock()
+		if _, outages := s.silence(); outages != began {
+			<-r.Context().Done()
+			return
+		}
 		if len(events) > 0 || isOver {
 			reply(w, http.StatusOK, map[string]any{"events": events, "store_revision": revision})
 			return
